--- /dev/null
+++ b/internal/standin/handlers.go
@@ -0,0 +1,113 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// PlatformHandler serves the log, the VM list and the VM orders over HTTP.
+func PlatformHandler(log *Log, vms *VMs) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.PathStreams+"{stream}/records", func(w http.ResponseWriter, r *http.Request) {
+		serveAppend(w, r, log)
+	})
+	mux.HandleFunc("GET "+platform.PathStreams+"{stream}/records", func(w http.ResponseWriter, r *http.Request) {
+		serveRead(w, r, log)
+	})
+	mux.HandleFunc("GET "+platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+		serveList(w, r, vms)
+	})
+	mux.HandleFunc("POST "+platform.PathVMs+"/{vm}/{verb}", func(w http.ResponseWriter, r *http.Request) {
+		serveOrder(w, r, vms)
+	})
+	return mux
+}
+
+func serveAppend(w http.ResponseWriter, r *http.Request, log *Log) {
+	var in platform.AppendRequest
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		answer(w, nil, errors.Mark(err, platform.ErrRejected))
+		return
+	}
+	first, err := log.Append(r.Context(), vocab.StreamID(r.PathValue("stream")), in.Records)
+	answer(w, platform.AppendResponse{First: uint64(first)}, err)
+}
+
+func serveRead(w http.ResponseWriter, r *http.Request, log *Log) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		answer(w, nil, errors.Mark(err, platform.ErrRejected))
+		return
+	}
+	stream := vocab.StreamID(r.PathValue("stream"))
+	batch, err := log.Read(r.Context(), stream, vocab.Offset(from), waitOf(r))
+	answer(w, batch, err)
+}
+
+func serveList(w http.ResponseWriter, r *http.Request, vms *VMs) {
+	since, _ := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+	listing, err := vms.List(r.Context(), since, waitOf(r))
+	answer(w, listing, err)
+}
+
+func serveOrder(w http.ResponseWriter, r *http.Request, vms *VMs) {
+	var in platform.OrderRequest
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		answer(w, nil, errors.Mark(err, platform.ErrRejected))
+		return
+	}
+	order := platform.VMOrder{
+		VM:          vocab.VMID(r.PathValue("vm")),
+		Incarnation: vocab.VMIncarnation(in.Incarnation),
+		Epoch:       vocab.Epoch(in.Epoch),
+	}
+	var err error
+	switch r.PathValue("verb") {
+	case "drain":
+		err = vms.Drain(r.Context(), order)
+	case "reboot":
+		err = vms.Reboot(r.Context(), order)
+	case "assign":
+		err = vms.Assign(r.Context(), order, vocab.PoolID(in.Pool))
+	default:
+		err = errors.Wrapf(platform.ErrRejected, "no order %q", r.PathValue("verb"))
+	}
+	answer(w, struct{}{}, err)
+}
+
+func waitOf(r *http.Request) time.Duration {
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil {
+		return 0
+	}
+	return wait
+}
+
+func answer(w http.ResponseWriter, out any, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	if err != nil {
+		w.WriteHeader(statusOf(err))
+		out = platform.ErrorResponse{Error: err.Error()}
+	}
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, platform.ErrTrimmed):
+		return http.StatusGone
+	case errors.Is(err, platform.ErrStaleEpoch):
+		return http.StatusPreconditionFailed
+	case errors.Is(err, platform.ErrRejected):
+		return http.StatusBadRequest
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/internal/standin/vms.go
@@ -0,0 +1,168 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// VMs is an in-memory VM list with pools. It implements platform.VMList and
+// platform.Pools.
+type VMs struct {
+	mu      sync.Mutex
+	rows    []platform.VM
+	epochs  map[vocab.VMID]vocab.Epoch
+	version uint64
+	changed chan struct{}
+	faults  VMFaults
+	// OnReboot is called, if set, when a VM is rebooted.
+	OnReboot func(vocab.VMID)
+}
+
+// VMFaults are the faults that a VMs can show.
+type VMFaults struct {
+	// Down makes every call fail without effect.
+	Down bool
+	// LoseAnswers makes the next orders succeed but answer ErrUnavailable.
+	LoseAnswers int
+	// Frozen makes the list show no change.
+	Frozen bool
+}
+
+// NewVMs returns a list of the given VMs.
+func NewVMs(rows []platform.VM) *VMs {
+	return &VMs{
+		rows:    append([]platform.VM(nil), rows...),
+		epochs:  map[vocab.VMID]vocab.Epoch{},
+		version: 1,
+		changed: make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the faults in force.
+func (v *VMs) SetFaults(f VMFaults) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.faults = f
+	v.bump()
+}
+
+// SetPhase changes what the list says of a VM.
+func (v *VMs) SetPhase(vm vocab.VMID, phase platform.VMPhase) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if row := v.row(vm); row != nil {
+		row.Phase = phase
+		v.bump()
+	}
+}
+
+// Put adds a VM or replaces the one of the same name.
+func (v *VMs) Put(vm platform.VM) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if row := v.row(vm.Name); row != nil {
+		*row = vm
+	} else {
+		v.rows = append(v.rows, vm)
+	}
+	v.bump()
+}
+
+func (v *VMs) row(name vocab.VMID) *platform.VM {
+	for i := range v.rows {
+		if v.rows[i].Name == name {
+			return &v.rows[i]
+		}
+	}
+	return nil
+}
+
+func (v *VMs) bump() {
+	if v.faults.Frozen {
+		return
+	}
+	v.version++
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// List implements platform.VMList.
+func (v *VMs) List(ctx context.Context, since uint64, wait time.Duration) (platform.Listing, error) {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		listing, changed, err := v.listNow()
+		if err != nil || listing.Version != since {
+			return listing, err
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return listing, nil
+		case <-ctx.Done():
+			return platform.Listing{}, errors.Mark(ctx.Err(), platform.ErrUnavailable)
+		}
+	}
+}
+
+func (v *VMs) listNow() (platform.Listing, <-chan struct{}, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.faults.Down {
+		return platform.Listing{}, nil, errors.Wrap(platform.ErrUnavailable, "VM list down")
+	}
+	rows := append([]platform.VM(nil), v.rows...)
+	return platform.Listing{Version: v.version, VMs: rows}, v.changed, nil
+}
+
+// Drain implements platform.Pools.
+func (v *VMs) Drain(ctx context.Context, order platform.VMOrder) error {
+	return v.order(ctx, order, func(row *platform.VM) { row.Phase = platform.VMLeaving })
+}
+
+// Reboot implements platform.Pools.
+func (v *VMs) Reboot(ctx context.Context, order platform.VMOrder) error {
+	return v.order(ctx, order, func(row *platform.VM) {
+		row.Incarnation++
+		row.Phase = platform.VMLive
+		if v.OnReboot != nil {
+			v.OnReboot(row.Name)
+		}
+	})
+}
+
+// Assign implements platform.Pools.
+func (v *VMs) Assign(ctx context.Context, order platform.VMOrder, pool vocab.PoolID) error {
+	return v.order(ctx, order, func(row *platform.VM) { row.Pool = pool })
+}
+
+func (v *VMs) order(_ context.Context, order platform.VMOrder, change func(*platform.VM)) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.faults.Down {
+		return errors.Wrap(platform.ErrUnavailable, "pools down")
+	}
+	if order.Epoch < v.epochs[order.VM] {
+		return errors.Wrapf(platform.ErrStaleEpoch, "VM %s has seen epoch %d", order.VM, v.epochs[order.VM])
+	}
+	row := v.row(order.VM)
+	if row == nil {
+		return errors.Wrapf(platform.ErrRejected, "no VM %s", order.VM)
+	}
+	v.epochs[order.VM] = order.Epoch
+	if row.Incarnation == order.Incarnation {
+		change(row)
+		v.bump()
+	}
+	if v.faults.LoseAnswers > 0 {
+		v.faults.LoseAnswers--
+		return errors.Wrap(platform.ErrUnavailable, "answer lost")
+	}
+	return nil
+}
