Conclude one phase per VM from list, signs and ledger

Cause: routing and maintenance need one answer per VM although the VM list lags and contradicts the VM's own signs. Result: go test ./internal/core/observe passes (random event sequences).

--- /dev/null
+++ b/internal/core/observe/state_test.go
@@ -0,0 +1,106 @@
+package observe
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// TestNewerKnowledgeStays feeds random, lagging and contradicting readings and
+// checks after each step that nothing newer was given up.
+func TestNewerKnowledgeStays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New()
+		newest := map[vocab.VMID]vocab.VMIncarnation{}
+		left := map[vocab.VMID]vocab.VMIncarnation{}
+		rebooted := map[vocab.VMID]vocab.VMIncarnation{}
+		name := rapid.Custom(func(t *rapid.T) vocab.VMID {
+			return vocab.VMID(fmt.Sprint("vm", rapid.IntRange(1, 3).Draw(t, "vm")))
+		})
+		version := uint64(10)
+		t.Repeat(map[string]func(*rapid.T){
+			"list": func(t *rapid.T) {
+				version += uint64(rapid.IntRange(0, 2).Draw(t, "step"))
+				r := Row{
+					Name: name.Draw(t, "name"), Pool: rapid.SampledFrom([]vocab.PoolID{"a", "b"}).Draw(t, "pool"),
+					Incarnation: vocab.VMIncarnation(rapid.IntRange(1, 4).Draw(t, "incarnation")), Phase: ListLive,
+				}
+				newest[r.Name] = max(newest[r.Name], r.Incarnation)
+				s.ApplyListing(0, version, []Row{r})
+			},
+			"old list": func(*rapid.T) {
+				before := len(s.Ready("a")) + len(s.Ready("b"))
+				s.ApplyListing(0, version-1, nil)
+				if len(s.Ready("a"))+len(s.Ready("b")) != before {
+					t.Fatal("an old reading was folded")
+				}
+			},
+			"leaving": func(t *rapid.T) {
+				vm := name.Draw(t, "name")
+				inc := vocab.VMIncarnation(rapid.IntRange(1, 4).Draw(t, "incarnation"))
+				if s.MarkLeaving(vm, inc) {
+					left[vm] = inc
+				}
+			},
+			"reboot": func(t *rapid.T) {
+				vm := name.Draw(t, "name")
+				rebooted[vm] = newest[vm]
+				s.SetUpkeep(vm, Upkeep{Stage: UpkeepReboot, Incarnation: newest[vm]})
+			},
+			"move": func(t *rapid.T) {
+				vm := name.Draw(t, "name")
+				pool := rapid.SampledFrom([]vocab.PoolID{"", "a", "b"}).Draw(t, "pool")
+				s.SetAssignment(vm, Assignment{Known: true, Pool: pool})
+				if pool != "" {
+					delete(left, vm)
+				}
+			},
+			"": func(t *rapid.T) {
+				count := map[vocab.VMID]int{}
+				for _, pool := range []vocab.PoolID{"", "a", "b"} {
+					for _, vm := range s.Ready(pool) {
+						count[vm.Name]++
+						if vm.Pool != pool || pool == "" || count[vm.Name] > 1 {
+							t.Fatalf("%s counted wrongly in %q", vm.Name, pool)
+						}
+					}
+				}
+				for vm, inc := range newest {
+					got := s.Get(vm)
+					if got.Incarnation != inc {
+						t.Fatalf("%s fell back from %d to %d", vm, inc, got.Incarnation)
+					}
+					if got.Phase == PhaseReady && left[vm] == inc {
+						t.Fatalf("%s is ready although incarnation %d leaves", vm, inc)
+					}
+					if got.Phase == PhaseReady && rebooted[vm] >= inc {
+						t.Fatalf("%s is ready although incarnation %d was ordered to reboot", vm, inc)
+					}
+				}
+			},
+		})
+	})
+}
+
+func TestHealthAndLoss(t *testing.T) {
+	g := NewWithT(t)
+	s := New()
+	row := Row{Name: "vm1", Incarnation: 1, Pool: "a", Phase: ListLive}
+	s.ApplyListing(0, 1, []Row{row})
+	phase := func() Phase { return s.Get("vm1").Phase }
+	s.MarkSilent("vm1", 1)
+	g.Expect(phase()).To(Equal(PhaseUnknown))
+	s.MarkHealthy(1, "vm1", 1)
+	g.Expect(phase()).To(Equal(PhaseReady))
+	s.MarkLeaving("vm1", 1)
+	s.MarkHealthy(2, "vm1", 1)
+	g.Expect(phase()).To(Equal(PhaseDraining), "an answer may have overtaken the sign")
+	s.MarkHealthy(vocab.Instant(leavingSignLife)+1, "vm1", 1)
+	g.Expect(phase()).To(Equal(PhaseReady))
+	s.ApplyListing(3, 2, nil)
+	g.Expect(phase()).To(Equal(PhaseLost))
+}
