--- /dev/null
+++ b/internal/core/follow.go
@@ -0,0 +1,155 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/core/admission"
+	"github.com/sardinehead/sardinehead/internal/core/retry"
+	"github.com/sardinehead/sardinehead/internal/core/shared"
+	"github.com/sardinehead/sardinehead/internal/spec"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+func (s *State) onRecordsRead(e RecordsRead) {
+	for _, rec := range e.Records {
+		if s.foldStopped {
+			return
+		}
+		change, err := s.shared.Apply(rec)
+		if err != nil {
+			s.foldStopped = true
+			s.notice(NoticeFoldStopped, string(rec.Envelope.ID), err.Error())
+			return
+		}
+		s.onChange(change)
+	}
+}
+
+func (s *State) onChange(c shared.Change) {
+	if c.Refused {
+		s.notice(NoticeConfigRefused, "", "the configuration was based on a revision no longer in force")
+	}
+	if c.Config {
+		s.adoptFleet()
+		s.notice(NoticeConfigInForce, s.shared.Fleet.Name, "")
+	}
+	if c.Withdrawn != "" {
+		s.endKey(c.Withdrawn)
+	}
+	if c.Config || c.Members {
+		s.foldLimits()
+	}
+}
+
+// adoptFleet brings queues into line with the configuration in force.
+func (s *State) adoptFleet() {
+	fleet := s.shared.Fleet
+	for i := range fleet.Services {
+		service := &fleet.Services[i]
+		q, ok := s.queues[service.Queue]
+		if !ok {
+			q = &queue{
+				id:      service.Queue,
+				waiting: admission.New(admission.Bounds{}),
+				budget:  retry.NewBudget(),
+				avoid:   map[vocab.VMID]vocab.Instant{},
+			}
+			s.queues[service.Queue] = q
+		}
+		s.configure(q, service)
+	}
+	for _, id := range s.names {
+		if _, ok := fleet.Service(id); !ok {
+			s.closeQueue(id)
+		}
+	}
+	s.names = s.names[:0]
+	for id := range s.queues {
+		s.names = append(s.names, id)
+	}
+	slices.Sort(s.names)
+}
+
+func (s *State) configure(q *queue, service *spec.Service) {
+	q.service = service
+	q.pool, _ = s.shared.Fleet.Pool(service.Pool)
+	members := max(1, len(s.shared.Members))
+	q.waiting.SetBounds(admission.Bounds{
+		Queued:        max(1, service.Hold.Queued/members),
+		QueuedPerTeam: max(1, service.Hold.QueuedPerTeam/members),
+	})
+	for _, t := range s.shared.Fleet.Teams {
+		q.waiting.SetWeight(t.Name, t.Share)
+	}
+}
+
+// closeQueue refuses what waits in a queue that the configuration removed.
+func (s *State) closeQueue(id vocab.QueueID) {
+	q := s.queues[id]
+	delete(s.queues, id)
+	for _, it := range q.waiting.RemoveIf(func(admission.Item) bool { return true }) {
+		s.refuseWaiting(it.Request, notRun(CodeNoQueue, 0, "the service was removed"))
+	}
+}
+
+// endKey refuses what waits under a withdrawn key.
+func (s *State) endKey(key vocab.KeyID) {
+	s.notice(NoticeKeyWithdrawn, string(key), "")
+	for _, id := range s.names {
+		items := s.queues[id].waiting.RemoveIf(func(it admission.Item) bool { return it.Key == key })
+		for _, it := range items {
+			s.refuseWaiting(it.Request, notRun(CodeKeyRefused, 0, "the key was withdrawn while the request waited"))
+		}
+	}
+}
+
+func (s *State) onLogStatus(e LogStatus) {
+	if s.logDown == !e.Up {
+		return
+	}
+	s.logDown = !e.Up
+	if s.logDown {
+		s.notice(NoticeLogDown, string(shared.Stream), "")
+		return
+	}
+	s.notice(NoticeLogUp, string(shared.Stream), "")
+}
+
+func (s *State) onVMsListed(e VMsListed) {
+	s.vms.ApplyListing(s.now, e.Version, e.Rows)
+	s.foldLimits()
+	s.dispatchAll()
+}
+
+func (s *State) onTick() {
+	for _, id := range s.names {
+		q := s.queues[id]
+		expired := q.waiting.RemoveIf(func(it admission.Item) bool { return it.Expires <= s.now })
+		for _, it := range expired {
+			s.refuseWaiting(it.Request, notRun(CodeWaitedTooLong, retryAfterFull, "no VM was free in time"))
+		}
+	}
+	s.effects = append(s.effects, s.limits.Tick(s.now)...)
+	s.dispatchAll()
+}
+
+func (s *State) onStopRequested() {
+	if s.stopping {
+		return
+	}
+	s.stopping = true
+	s.notice(NoticeStopping, string(s.self.Node), "")
+	for _, id := range s.names {
+		for _, it := range s.queues[id].waiting.RemoveIf(func(admission.Item) bool { return true }) {
+			s.refuseWaiting(it.Request, notRun(CodeStopping, time.Second, "this entry node is stopping; send the request again"))
+		}
+	}
+}
+
+// dispatchAll tries every queue.
+func (s *State) dispatchAll() {
+	for _, id := range s.names {
+		s.dispatch(s.queues[id])
+	}
+}
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -18,6 +18,11 @@
 	Attested
 )
 
+// Failed reports whether the result speaks against the VM.
+func (r Result) Failed() bool {
+	return r != Completed
+}
+
 // maxAttempts is the most attempts of one request.
 const maxAttempts = 3
 
--- /dev/null
+++ b/internal/core/state.go
@@ -0,0 +1,122 @@
+// Package core is the reducer: it takes every decision of an entry node. It
+// consumes events and returns effects; it does no I/O, reads no clock and
+// starts no goroutine. Equal events give equal effects.
+package core
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/core/admission"
+	"github.com/sardinehead/sardinehead/internal/core/event"
+	"github.com/sardinehead/sardinehead/internal/core/limit"
+	"github.com/sardinehead/sardinehead/internal/core/observe"
+	"github.com/sardinehead/sardinehead/internal/core/retry"
+	"github.com/sardinehead/sardinehead/internal/core/shared"
+	"github.com/sardinehead/sardinehead/internal/spec"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// TickInterval is the time between two Tick events.
+const TickInterval = 100 * time.Millisecond
+
+// Identity is what a process is told about itself at its start.
+type Identity struct {
+	Node        vocab.NodeID
+	Incarnation vocab.Incarnation
+	Zone        vocab.ZoneID
+	Region      vocab.RegionID
+	PeerAddress string
+}
+
+// State is the state of one entry node.
+type State struct {
+	self   Identity
+	now    vocab.Instant
+	shared *shared.State
+	vms    *observe.State
+	limits *limit.State
+
+	queues   map[vocab.QueueID]*queue
+	names    []vocab.QueueID // keys of queues, sorted
+	requests map[vocab.RequestID]*request
+	attempts map[vocab.AttemptID]*request
+
+	lastAttempt vocab.AttemptID
+	lastRecord  uint64
+	logDown     bool
+	foldStopped bool
+	stopping    bool
+
+	effects []event.Effect
+}
+
+// queue is what the node keeps for one service.
+type queue struct {
+	id      vocab.QueueID
+	service *spec.Service
+	pool    spec.Pool
+	waiting *admission.Queue
+	budget  *retry.Budget
+	turn    int
+	// avoid holds VMs that are out of favour until an instant.
+	avoid map[vocab.VMID]vocab.Instant
+}
+
+// New returns the state of a process that has just started.
+func New(self Identity) *State {
+	return &State{
+		self:     self,
+		shared:   shared.New(),
+		vms:      observe.New(),
+		limits:   limit.New(self.Incarnation),
+		queues:   map[vocab.QueueID]*queue{},
+		requests: map[vocab.RequestID]*request{},
+		attempts: map[vocab.AttemptID]*request{},
+	}
+}
+
+// Shared returns the folded state. Callers must not change it.
+func (s *State) Shared() *shared.State {
+	return s.shared
+}
+
+// Step takes one event and returns what is to be done. Now must not go back
+// from call to call. The returned slice is valid until the next call.
+func (s *State) Step(now vocab.Instant, ev event.Event) []event.Effect {
+	s.now = max(s.now, now)
+	s.effects = s.effects[:0]
+	switch e := ev.(type) {
+	case RequestArrived:
+		s.onRequestArrived(e)
+	case RequestAbandoned:
+		s.onRequestAbandoned(e)
+	case AttemptEnded:
+		s.onAttemptEnded(e)
+	case RecordsRead:
+		s.onRecordsRead(e)
+	case LogStatus:
+		s.onLogStatus(e)
+	case VMsListed:
+		s.onVMsListed(e)
+	case Tick:
+		s.onTick()
+	case StopRequested:
+		s.onStopRequested()
+	}
+	return s.effects
+}
+
+func (s *State) emit(e event.Effect) {
+	s.effects = append(s.effects, e)
+}
+
+func (s *State) notice(id NoticeID, subject, detail string) {
+	s.emit(Notice{Event: id, Subject: subject, Detail: detail})
+}
+
+// newRecordID returns an ID that no other record has.
+func (s *State) newRecordID() vocab.RecordID {
+	s.lastRecord++
+	return vocab.RecordID(strconv.FormatUint(uint64(s.self.Incarnation), 36) + "-" + strconv.FormatUint(s.lastRecord, 36))
+}
--- /dev/null
+++ b/internal/forward/transport.go
@@ -0,0 +1,110 @@
+// Package forward sends attempts to upstreams over HTTP/1.1 and relays their
+// answers. It reports what is certain about each attempt's effect, and never
+// sends a request again on its own.
+package forward
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 1 * time.Second
+	// idleTimeout is how long a pooled connection is kept without use.
+	idleTimeout = 15 * time.Second
+	// probeIdle is how long a connection is quiet before it is probed.
+	probeIdle = 1 * time.Second
+	// probeInterval is the time between two probes.
+	probeInterval = 1 * time.Second
+	// probeCount is the number of lost probes that ends a connection.
+	probeCount = 2
+	// unackedTimeout ends a connection whose data stays unacknowledged.
+	unackedTimeout = 3 * time.Second
+)
+
+// pool holds the connections to one VM.
+type pool struct {
+	address string
+	// kept reuses connections; only idempotent requests go over it.
+	kept *http.Transport
+	// fresh opens a connection for each request.
+	fresh *http.Transport
+}
+
+// pools holds one pool for each VM.
+type pools struct {
+	mu   sync.Mutex
+	byVM map[vocab.VMID]*pool
+}
+
+// get returns the pool of a VM. A VM that came back under another address gets
+// a new pool.
+func (p *pools) get(vm vocab.VMID, address string, connections int) *pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found, ok := p.byVM[vm]
+	if ok && found.address == address {
+		return found
+	}
+	if ok {
+		found.closeIdle()
+	}
+	created := newPool(address, connections)
+	p.byVM[vm] = created
+	return created
+}
+
+func newPool(address string, connections int) *pool {
+	kept := newTransport(connections)
+	fresh := newTransport(connections)
+	fresh.DisableKeepAlives = true
+	return &pool{address: address, kept: kept, fresh: fresh}
+}
+
+// closeIdle closes all connections that carry no request.
+func (p *pool) closeIdle() {
+	p.kept.CloseIdleConnections()
+}
+
+func newTransport(connections int) *http.Transport {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+		Control: setUnackedTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     probeIdle,
+			Interval: probeInterval,
+			Count:    probeCount,
+		},
+	}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		WriteBufferSize:     16 << 10,
+		ReadBufferSize:      16 << 10,
+	}
+}
+
+// setUnackedTimeout makes the kernel end a connection whose data the other end
+// does not acknowledge.
+func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,133 @@
+// Package node runs the reducer: one loop steps it with events, and many
+// workers carry out its effects and turn their outcomes into events.
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sardinehead/sardinehead/internal/core"
+	"github.com/sardinehead/sardinehead/internal/core/event"
+	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// eventBacklog is the number of events that may wait for the loop.
+const eventBacklog = 8192
+
+// ErrStopped is returned by calls of a node whose loop has ended.
+var ErrStopped = errors.New("the node has stopped")
+
+// Services are what a node talks to.
+type Services struct {
+	Log    platform.Log
+	VMs    platform.VMList
+	Events EventLog
+}
+
+// EventLog writes numbered events.
+type EventLog interface {
+	// Notice writes what the reducer asked for.
+	Notice(n core.Notice)
+	// Warn writes an event of the node itself.
+	Warn(id core.NoticeID, subject string, err error)
+}
+
+// Node is one running entry node.
+type Node struct {
+	state    *core.State
+	services Services
+	started  time.Time
+	events   chan event.Event
+	queries  chan query
+	stopped  chan struct{}
+	requests *requestTable
+	appends  chan core.Append
+}
+
+// query reads the state from within the loop.
+type query struct {
+	read func(*core.State)
+	done chan struct{}
+}
+
+// New returns a node that is not yet running.
+func New(self core.Identity, services Services) *Node {
+	return &Node{
+		state:    core.New(self),
+		services: services,
+		started:  time.Now(),
+		events:   make(chan event.Event, eventBacklog),
+		queries:  make(chan query),
+		stopped:  make(chan struct{}),
+		requests: newRequestTable(),
+		appends:  make(chan core.Append, eventBacklog),
+	}
+}
+
+// Run runs the loop and the workers until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer close(n.stopped)
+	go n.followLog(ctx)
+	go n.followVMs(ctx)
+	go n.appendRecords(ctx)
+	ticker := time.NewTicker(core.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ev := <-n.events:
+			n.step(ev)
+		case <-ticker.C:
+			n.step(core.Tick{})
+		case q := <-n.queries:
+			q.read(n.state)
+			close(q.done)
+		}
+	}
+}
+
+// Post hands an event to the loop.
+func (n *Node) Post(ev event.Event) {
+	select {
+	case n.events <- ev:
+	case <-n.stopped:
+	}
+}
+
+// Read calls read with the state between two steps. It fails with ErrStopped.
+func (n *Node) Read(read func(*core.State)) error {
+	q := query{read: read, done: make(chan struct{})}
+	select {
+	case n.queries <- q:
+		<-q.done
+		return nil
+	case <-n.stopped:
+		return ErrStopped
+	}
+}
+
+func (n *Node) step(ev event.Event) {
+	now := vocab.Instant(time.Since(n.started))
+	for _, effect := range n.state.Step(now, ev) {
+		n.carryOut(effect)
+	}
+}
+
+func (n *Node) carryOut(effect event.Effect) {
+	switch e := effect.(type) {
+	case core.Dispatch:
+		n.requests.decide(e.Request, Decision{Dispatch: &e})
+	case core.Answer:
+		n.requests.decide(e.Request, Decision{Problem: &e.Problem})
+	case core.Append:
+		n.appends <- e
+	case core.Notice:
+		n.services.Events.Notice(e)
+	}
+}
