Serve a request from one end to the other

Cause: the whole path comes first, built thin. Change: reducer for requests, forward client, node loop, callers' HTTP, stand-in upstreams, 'dev' and 'send'. With several nodes the parts of limits wait for gossip, which follows.

--- a/cmd/sardinehead/main.go
+++ b/cmd/sardinehead/main.go
@@ -2,8 +2,12 @@
 // command line in one binary.
 package main
 
-import "fmt"
+import (
+	"os"
+
+	"github.com/sardinehead/sardinehead/internal/command"
+)
 
 func main() {
-	fmt.Println("sardinehead")
+	os.Exit(command.Main(os.Args[1:]))
 }
--- /dev/null
+++ b/internal/command/root.go
@@ -0,0 +1,55 @@
+// Package command holds the commands of the sardinehead binary, one file each.
+package command
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of every command.
+const (
+	// ExitOK: the command did what was asked.
+	ExitOK = 0
+	// ExitFailed: the command could not do what was asked.
+	ExitFailed = 1
+	// ExitUsage: the command line was wrong.
+	ExitUsage = 2
+)
+
+// root lists the commands.
+type root struct {
+	Dev  Dev  `command:"dev" description:"Run a whole installation on loopback, with stand-ins of the platform and the upstreams"`
+	Send Send `command:"send" description:"Send one request as a caller"`
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string) int {
+	parser := flags.NewNamedParser("sardinehead", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "manager of fleet capacity and maintenance"
+	if _, err := parser.AddGroup("", "", &root{}); err != nil {
+		fmt.Fprintln(os.Stderr, "sardinehead:", err)
+		return ExitFailed
+	}
+	_, err := parser.ParseArgs(args)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			fmt.Println(usage.Message)
+			return ExitOK
+		}
+		fmt.Fprintln(os.Stderr, "sardinehead:", usage.Message)
+		return ExitUsage
+	}
+	fmt.Fprintln(os.Stderr, "sardinehead:", err)
+	return ExitFailed
+}
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -46,7 +46,7 @@
 }
 
 func (s *State) teamHasToken(team vocab.TeamID) bool {
-	return team == "" || s.limits.Free(s.now, teamAccount(team)) > 0
+	return team == "" || s.limits.Free(s.now, limit.TeamAccount(team)) > 0
 }
 
 // start takes the tokens of an attempt and sends it.
@@ -82,7 +82,7 @@
 	if r.team == "" {
 		return tokens
 	}
-	if t, ok := s.limits.Take(s.now, teamAccount(r.team)); ok {
+	if t, ok := s.limits.Take(s.now, limit.TeamAccount(r.team)); ok {
 		tokens = append(tokens, t)
 	}
 	return tokens
@@ -101,13 +101,9 @@
 	}
 }
 
-func teamAccount(team vocab.TeamID) limit.Account {
-	return limit.Account{Kind: limit.KindTeam, Name: string(team)}
-}
-
 // vmAccount names the slots of one incarnation of a VM in one pool. What an
 // earlier incarnation ran ended with it.
 func vmAccount(vm *observe.VM) limit.Account {
 	name := string(vm.Pool) + "/" + string(vm.Name) + "@" + strconv.FormatUint(uint64(vm.Incarnation), 10)
-	return limit.Account{Kind: limit.KindVM, Name: name}
+	return limit.VMAccount(vocab.VMID(name))
 }
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -48,6 +48,8 @@
 // RecordsRead are records of the fleet stream in the order of their offsets.
 type RecordsRead struct {
 	Records []record.Sequenced
+	// CaughtUp is set if no later record was on the log when these were read.
+	CaughtUp bool
 }
 
 // LogStatus tells whether the last call of the log service was answered.
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -24,6 +24,9 @@
 		}
 		s.onChange(change)
 	}
+	if e.CaughtUp {
+		s.join()
+	}
 }
 
 func (s *State) onChange(c shared.Change) {
--- a/internal/core/notice.go
+++ b/internal/core/notice.go
@@ -24,3 +24,40 @@
 	// NoticeStopping: a graceful stop began.
 	NoticeStopping NoticeID = 300
 )
+
+// noticeText describes a notice for the log.
+type noticeText struct {
+	text  string
+	grave bool
+}
+
+var noticeTexts = map[NoticeID]noticeText{
+	NoticeConfigInForce: {text: "configuration in force"},
+	NoticeConfigRefused: {text: "configuration refused", grave: true},
+	NoticeKeyWithdrawn:  {text: "key withdrawn"},
+	NoticeFoldStopped:   {text: "log record cannot be folded", grave: true},
+	NoticeLogDown:       {text: "log service down", grave: true},
+	NoticeLogUp:         {text: "log service up"},
+	NoticeVMLeaving:     {text: "VM leaving"},
+	NoticeVMSilent:      {text: "VM silent", grave: true},
+	NoticeStopping:      {text: "graceful stop begun"},
+}
+
+// String returns the event's text.
+func (id NoticeID) String() string {
+	return noticeTexts[id].text
+}
+
+// Grave reports whether an operator should look at the event.
+func (id NoticeID) Grave() bool {
+	return noticeTexts[id].grave
+}
+
+// Notices returns all events of the catalogue with their texts.
+func Notices() map[NoticeID]string {
+	out := make(map[NoticeID]string, len(noticeTexts))
+	for id, t := range noticeTexts {
+		out[id] = t.text
+	}
+	return out
+}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -47,6 +47,7 @@
 	logDown     bool
 	foldStopped bool
 	stopping    bool
+	joinAsked   bool
 
 	effects []event.Effect
 }
@@ -69,7 +70,7 @@
 		self:     self,
 		shared:   shared.New(),
 		vms:      observe.New(),
-		limits:   limit.New(self.Incarnation),
+		limits:   limit.New(limit.Config{Self: self.Incarnation}),
 		queues:   map[vocab.QueueID]*queue{},
 		requests: map[vocab.RequestID]*request{},
 		attempts: map[vocab.AttemptID]*request{},
--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,239 @@
+// Package dev runs a whole installation in one process on loopback: stand-ins
+// of the platform and of every upstream, and several entry nodes. It is meant
+// for trying sardinehead out and for tests over real sockets.
+package dev
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/sardinehead/sardinehead/internal/core"
+	"github.com/sardinehead/sardinehead/internal/core/shared"
+	"github.com/sardinehead/sardinehead/internal/entry"
+	"github.com/sardinehead/sardinehead/internal/eventlog"
+	"github.com/sardinehead/sardinehead/internal/forward"
+	"github.com/sardinehead/sardinehead/internal/node"
+	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/spec"
+	"github.com/sardinehead/sardinehead/internal/standin"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// Options are the choices of an installation.
+type Options struct {
+	Fleet spec.Fleet
+	// Nodes is the number of entry nodes.
+	Nodes int
+	// FirstPort is the callers' port of the first node; 0 takes free ports.
+	FirstPort int
+	// Events receives the nodes' logs.
+	Events io.Writer
+}
+
+// Installation is a running installation.
+type Installation struct {
+	Log       *standin.Log
+	VMs       *standin.VMs
+	Upstreams map[vocab.VMID]*standin.Upstream
+	Nodes     []*Entry
+	// PlatformURL is the base address of the platform's stand-in.
+	PlatformURL string
+	// Keys holds one key for each team, ready for an Authorization header.
+	Keys map[vocab.TeamID]string
+
+	servers []*http.Server
+	cancel  context.CancelFunc
+}
+
+// Entry is one entry node of an installation.
+type Entry struct {
+	ID      vocab.NodeID
+	Node    *node.Node
+	Address string
+	Forward *forward.Client
+}
+
+// Start starts an installation. It serves until Close.
+func Start(o Options) (*Installation, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	in := &Installation{
+		Log:       standin.NewLog(),
+		Upstreams: map[vocab.VMID]*standin.Upstream{},
+		Keys:      map[vocab.TeamID]string{},
+		cancel:    cancel,
+	}
+	err := in.start(ctx, o)
+	if err != nil {
+		in.Close()
+		return nil, err
+	}
+	return in, nil
+}
+
+func (in *Installation) start(ctx context.Context, o Options) error {
+	rows, err := in.startUpstreams(&o.Fleet)
+	if err != nil {
+		return err
+	}
+	in.VMs = standin.NewVMs(rows)
+	address, err := in.serve(standin.PlatformHandler(in.Log, in.VMs), 0)
+	if err != nil {
+		return err
+	}
+	in.PlatformURL = "http://" + address
+	if err := in.publish(ctx, o.Fleet); err != nil {
+		return err
+	}
+	for i := range o.Nodes {
+		if err := in.startEntry(ctx, o, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startUpstreams starts one upstream for each VM of each pool.
+func (in *Installation) startUpstreams(fleet *spec.Fleet) ([]platform.VM, error) {
+	var rows []platform.VM
+	for _, pool := range fleet.Pools {
+		for i := range pool.VMs {
+			row, err := in.startUpstream(fleet, pool, i)
+			if err != nil {
+				return nil, err
+			}
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+func (in *Installation) startUpstream(fleet *spec.Fleet, pool spec.Pool, i int) (platform.VM, error) {
+	name := vocab.VMID(fmt.Sprintf("%s-%d", pool.Name, i+1))
+	upstream := standin.NewUpstream(string(name))
+	address, err := in.serve(upstream, 0)
+	if err != nil {
+		return platform.VM{}, err
+	}
+	in.Upstreams[name] = upstream
+	zone := pool.Zones[i%len(pool.Zones)]
+	return platform.VM{
+		Name:        name,
+		Incarnation: 1,
+		Pool:        pool.Name,
+		Region:      regionOf(fleet, zone),
+		Zone:        zone,
+		Rack:        vocab.RackID(fmt.Sprintf("%s-rack-%d", zone, i/len(pool.Zones)/4+1)),
+		Address:     address,
+		Phase:       platform.VMLive,
+	}, nil
+}
+
+func regionOf(fleet *spec.Fleet, zone vocab.ZoneID) vocab.RegionID {
+	for _, r := range fleet.Regions {
+		for _, z := range r.Zones {
+			if z == zone {
+				return r.Name
+			}
+		}
+	}
+	return ""
+}
+
+// publish puts the configuration and one key for each team on the log.
+func (in *Installation) publish(ctx context.Context, fleet spec.Fleet) error {
+	bodies := []record.Body{record.ConfigPublished{Operator: "dev", Fleet: fleet}}
+	for _, t := range fleet.Teams {
+		key := vocab.KeyID("dev-" + string(t.Name))
+		secret := randomSecret()
+		hash := sha256.Sum256([]byte(secret))
+		in.Keys[t.Name] = "sh_" + string(key) + "_" + secret
+		bodies = append(bodies, record.KeyGiven{Key: key, Team: t.Name, SecretHash: hash[:], Operator: "dev"})
+	}
+	for _, body := range bodies {
+		envelope, err := record.Encode(vocab.RecordID(uuid.NewString()), body)
+		if err != nil {
+			return err
+		}
+		if _, err := in.Log.Append(ctx, shared.Stream, []record.Envelope{envelope}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (in *Installation) startEntry(ctx context.Context, o Options, i int) error {
+	id := vocab.NodeID(fmt.Sprintf("entry-%d", i+1))
+	zones := o.Fleet.Regions[0].Zones
+	zone := zones[i%len(zones)]
+	self := core.Identity{
+		Node:        id,
+		Incarnation: randomIncarnation(),
+		Zone:        zone,
+		Region:      o.Fleet.Regions[0].Name,
+	}
+	n := node.New(self, node.Services{
+		Log:    platform.NewLogClient(in.PlatformURL),
+		VMs:    platform.NewVMClient(in.PlatformURL),
+		Events: eventlog.New(o.Events, string(id)),
+	})
+	f := forward.New(string(id))
+	port := 0
+	if o.FirstPort > 0 {
+		port = o.FirstPort + i
+	}
+	address, err := in.serve(entry.NewCallers(n, f).Handler(), port)
+	if err != nil {
+		return err
+	}
+	go func() { _ = n.Run(ctx) }()
+	in.Nodes = append(in.Nodes, &Entry{ID: id, Node: n, Address: address, Forward: f})
+	return nil
+}
+
+// serve starts an HTTP server on loopback and returns its address.
+func (in *Installation) serve(handler http.Handler, port int) (string, error) {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	if err != nil {
+		return "", errors.Wrap(err, "listening on loopback")
+	}
+	server := &http.Server{Handler: handler}
+	in.servers = append(in.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+// Close stops everything at once.
+func (in *Installation) Close() {
+	in.cancel()
+	for _, s := range in.servers {
+		_ = s.Close()
+	}
+	for _, e := range in.Nodes {
+		e.Forward.Close()
+	}
+}
+
+func randomSecret() string {
+	raw := make([]byte, 24)
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
+
+func randomIncarnation() vocab.Incarnation {
+	n, err := rand.Int(rand.Reader, big.NewInt(1<<62))
+	if err != nil {
+		panic(err)
+	}
+	return vocab.Incarnation(n.Uint64() + 1)
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -44,10 +44,8 @@
 		}
 		pause.Reset()
 		n.Post(core.LogStatus{Up: true})
-		if len(batch.Records) > 0 {
-			next = batch.Records[len(batch.Records)-1].Offset + 1
-			n.Post(core.RecordsRead{Records: batch.Records})
-		}
+		next += vocab.Offset(len(batch.Records))
+		n.Post(core.RecordsRead{Records: batch.Records, CaughtUp: next == batch.Next})
 	}
 }
 
