Divide slots by weighted max-min and rework admission, retry and routing

Cause: the thin queue charged requests only at their end, refused small teams when it was full, scanned all items for expiry and knew one node only. Change: water-filling over gossiped facts with a bounded correction; a queue with heaps for order, expiry and eviction; deadline refusals; Retry-After that spreads callers; VM exclusion and probing; retry backoff and stop on shedding.

--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -1,70 +1,64 @@
-// Package admission decides which requests wait, which are refused at once and
-// which team's request goes next. One Queue stands for one service on one
-// entry node.
 package admission
 
 import (
-	"time"
-
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
-// Item is one waiting request.
-type Item struct {
-	Request vocab.RequestID
-	Team    vocab.TeamID
-	Key     vocab.KeyID
-	Urgent  bool
-	// Expires is the instant at which waiting ends with a refusal.
-	Expires vocab.Instant
-}
-
-// Bounds limits one queue on one node.
-type Bounds struct {
-	// Queued is the most items that wait.
-	Queued int
-	// QueuedPerTeam is the most items of one team that wait.
-	QueuedPerTeam int
-}
-
-// Refusal tells why an item was not let in.
-type Refusal int
-
-const (
-	// Admitted means that the item waits.
-	Admitted Refusal = iota
-	// QueueFull means that the queue's own bound is reached.
-	QueueFull
-	// TeamFull means that the team's bound in this queue is reached.
-	TeamFull
-)
-
 // Queue holds the waiting items of one service. The zero value is not usable;
 // call New.
 type Queue struct {
 	bounds Bounds
-	teams  map[vocab.TeamID]*team
-	// order holds the teams in the order of their first item, for iteration
-	// that does not depend on map order.
-	order   []*team
-	waiting int
-	// floor is the virtual time of the service last given, which a team that
-	// comes back from idleness starts from: idleness earns no credit.
-	floor float64
-}
+	// teamBounds replaces Bounds.QueuedPerTeam for single teams.
+	teamBounds map[vocab.TeamID]int
+	teams      map[vocab.TeamID]*team
+	order      []*team // in the order in which they came
+	// active holds the teams with waiting or running items, and some others.
+	active  []*team
+	entries map[vocab.RequestID]*entry
+
+	ready   ordered[*team]  // teams with items that may go, least served first
+	urgent  ordered[*team]  // those with urgent items, least served first
+	excess  ordered[*team]  // teams with waiting items, most for its weight first
+	expiry  ordered[*entry] // all items, earliest Expires first
+	delayed ordered[*entry] // items before their NotBefore, earliest first
+	skipped []*team         // scratch space of Next
 
-type team struct {
-	id     vocab.TeamID
-	weight float64
-	urgent []Item
-	normal []Item
-	// served is the weighted slot time that the team received.
-	served float64
+	advanced vocab.Instant // time of the last Advance
+
+	clock   virtualClock
+	reserve urgentReserve
+	rate    serviceRate
 }
 
 // New returns an empty queue.
 func New(bounds Bounds) *Queue {
-	return &Queue{bounds: bounds, teams: map[vocab.TeamID]*team{}}
+	q := &Queue{
+		bounds:     bounds,
+		teamBounds: map[vocab.TeamID]int{},
+		teams:      map[vocab.TeamID]*team{},
+		entries:    map[vocab.RequestID]*entry{},
+		rate:       newServiceRate(),
+		reserve:    urgentReserve{seconds: 1},
+	}
+	q.ready = ordered[*team]{less: (*team).before, place: func(t *team, i int) { t.inReady = i }}
+	q.urgent = ordered[*team]{less: (*team).before, place: func(t *team, i int) { t.inUrgent = i }}
+	q.excess = ordered[*team]{less: (*team).exceeds, place: func(t *team, i int) { t.inExcess = i }}
+	q.expiry = ordered[*entry]{
+		less:  func(a, b *entry) bool { return earlier(a, b, a.item.Expires, b.item.Expires) },
+		place: func(e *entry, i int) { e.expiry = i },
+	}
+	q.delayed = ordered[*entry]{
+		less:  func(a, b *entry) bool { return earlier(a, b, a.item.NotBefore, b.item.NotBefore) },
+		place: func(e *entry, i int) { e.delayed = i },
+	}
+	return q
+}
+
+func earlier(a, b *entry, at, bt vocab.Instant) bool {
+	if at != bt {
+		return at < bt
+	}
+	return a.item.Request < b.item.Request
 }
 
 // SetBounds replaces the bounds. Items that already wait stay.
@@ -72,142 +66,242 @@
 	q.bounds = b
 }
 
-// SetWeight sets the share of a team.
-func (q *Queue) SetWeight(id vocab.TeamID, weight int) {
-	q.team(id).weight = float64(max(weight, 1))
+// SetTeamBound replaces the bound for one team; n below 0 takes the
+// replacement back.
+func (q *Queue) SetTeamBound(id vocab.TeamID, n int) {
+	if n < 0 {
+		delete(q.teamBounds, id)
+		return
+	}
+	q.teamBounds[id] = n
+}
+
+// SetWeight sets the part that a team gets of the service, relative to others.
+func (q *Queue) SetWeight(id vocab.TeamID, weight float64) {
+	t := q.team(id)
+	weight = max(weight, leastWeight)
+	if t.weight == weight {
+		return
+	}
+	q.rate.weights += q.rate.counted(t, weight) - q.rate.counted(t, t.weight)
+	t.weight = weight
+	t.key = t.served + float64(t.running)*t.advance()/t.weight
+	q.reorder(t)
 }
 
 // Len returns the number of waiting items.
 func (q *Queue) Len() int {
-	return q.waiting
+	return len(q.entries)
+}
+
+// Present returns the number of waiting and running items.
+func (q *Queue) Present() int {
+	return len(q.entries) + q.rate.running
 }
 
 // Waiting returns the number of waiting items of one team.
 func (q *Queue) Waiting(id vocab.TeamID) int {
-	t, ok := q.teams[id]
-	if !ok {
-		return 0
+	if t, ok := q.teams[id]; ok {
+		return t.waiting
 	}
-	return t.len()
+	return 0
 }
 
-// Push lets an item in or tells why not.
-func (q *Queue) Push(it Item) Refusal {
+// Running returns the number of items of one team that Next gave out and that
+// have not ended.
+func (q *Queue) Running(id vocab.TeamID) int {
+	if t, ok := q.teams[id]; ok {
+		return t.running
+	}
+	return 0
+}
+
+// Push lets an item in or tells why not. A full queue evicts the newest item
+// of the team that has the most waiting for its weight.
+func (q *Queue) Push(now vocab.Instant, it Item) Verdict {
 	t := q.team(it.Team)
-	if q.waiting >= q.bounds.Queued {
-		return QueueFull
+	if t.waiting >= q.teamBound(it.Team) {
+		return q.refused(now, TeamFull)
 	}
-	if t.len() >= q.bounds.QueuedPerTeam {
-		return TeamFull
+	if !it.Again && q.tooLate(t, it, now) {
+		return q.refused(now, TooLate)
 	}
-	if t.len() == 0 {
-		t.served = max(t.served, q.floor)
+	var v Verdict
+	if len(q.entries) >= q.bounds.Queued {
+		e := q.victim(t, it)
+		if e == nil {
+			return q.refused(now, QueueFull)
+		}
+		q.remove(e)
+		q.rate.refused(now)
+		v.Evicted, v.HasEvicted = e.item, true
 	}
-	t.push(it)
-	q.waiting++
-	return Admitted
+	q.insert(now, t, it)
+	return v
 }
 
-// Next removes and returns the item that goes next among the teams that
-// eligible accepts: urgent items first, then the team with the least weighted
-// slot time.
-func (q *Queue) Next(eligible func(vocab.TeamID) bool) (Item, bool) {
-	var best *team
-	for _, t := range q.order {
-		if t.len() == 0 || !eligible(t.id) {
-			continue
-		}
-		if best == nil || t.before(best) {
-			best = t
+func (q *Queue) refused(now vocab.Instant, why Refusal) Verdict {
+	q.rate.refused(now)
+	return Verdict{Refusal: why}
+}
+
+func (q *Queue) teamBound(id vocab.TeamID) int {
+	if n, ok := q.teamBounds[id]; ok {
+		return n
+	}
+	return q.bounds.QueuedPerTeam
+}
+
+// victim returns the entry that makes room for an item, or nil if the item's
+// own team has the most waiting. An urgent item may replace a normal one of
+// its own team.
+func (q *Queue) victim(t *team, it Item) *entry {
+	top, ok := q.excess.first()
+	if !ok {
+		return nil
+	}
+	if top != t && top.excess() > float64(t.waiting+1)/t.weight {
+		if e := top.newest(); e != nil {
+			return e
 		}
 	}
-	if best == nil {
-		return Item{}, false
+	if it.Urgent && t.normal.tail != nil {
+		return t.normal.tail
 	}
-	q.floor = max(q.floor, best.served)
-	q.waiting--
-	return best.pop(), true
+	return nil
 }
 
-// Charge adds slot time to what a team received.
-func (q *Queue) Charge(id vocab.TeamID, d time.Duration) {
-	t := q.team(id)
-	t.served += d.Seconds() / t.weight
+// newest returns the team's newest item, a normal one if there is one.
+func (t *team) newest() *entry {
+	if t.normal.tail != nil {
+		return t.normal.tail
+	}
+	return t.urgent.tail
 }
 
-// Remove takes one item out, if it waits.
-func (q *Queue) Remove(id vocab.TeamID, request vocab.RequestID) bool {
-	t, ok := q.teams[id]
-	if !ok {
-		return false
+func (q *Queue) insert(now vocab.Instant, t *team, it Item) {
+	e := &entry{item: it, team: t, delayed: -1}
+	q.entries[it.Request] = e
+	q.expiry.add(e)
+	t.waiting++
+	q.activate(t)
+	if it.NotBefore > now {
+		q.delayed.add(e)
+	} else {
+		q.release(now, e)
 	}
-	removed := t.remove(func(it Item) bool { return it.Request == request })
-	q.waiting -= len(removed)
-	return len(removed) > 0
+	q.reorder(t)
 }
 
-// RemoveIf takes out and returns all items that match, team by team in the
-// order in which they came.
-func (q *Queue) RemoveIf(match func(Item) bool) []Item {
-	var all []Item
-	for _, t := range q.order {
-		all = append(all, t.remove(match)...)
+// release puts an entry into its team's list.
+func (q *Queue) release(now vocab.Instant, e *entry) {
+	t := e.team
+	if t.ready() == 0 {
+		t.accrue(now)
+		t.served += max(0, q.clock.now-t.key)
+		t.accrue(now)
+		q.rate.weights += t.weight
+	}
+	l := &t.normal
+	if e.item.Urgent {
+		l = &t.urgent
 	}
-	q.waiting -= len(all)
-	return all
+	if e.item.Again {
+		l.pushFront(e)
+		return
+	}
+	l.pushBack(e)
 }
 
-func (q *Queue) team(id vocab.TeamID) *team {
-	t, ok := q.teams[id]
-	if !ok {
-		t = &team{id: id, weight: 1}
-		q.teams[id] = t
-		q.order = append(q.order, t)
+// Remove takes one item out, if it waits. It costs O(log n).
+func (q *Queue) Remove(request vocab.RequestID) bool {
+	e, ok := q.entries[request]
+	if ok {
+		q.remove(e)
 	}
-	return t
+	return ok
 }
 
-func (t *team) len() int {
-	return len(t.urgent) + len(t.normal)
+// RemoveIf takes out and returns all items that match, team by team in the
+// order in which they go, delayed ones last.
+func (q *Queue) RemoveIf(match func(Item) bool) []Item {
+	var found []*entry
+	for _, t := range q.order {
+		for _, l := range []*list{&t.urgent, &t.normal} {
+			for e := l.head; e != nil; e = e.next {
+				if match(e.item) {
+					found = append(found, e)
+				}
+			}
+		}
+	}
+	for _, e := range q.delayed.items {
+		if match(e.item) {
+			found = append(found, e)
+		}
+	}
+	out := make([]Item, len(found))
+	for i, e := range found {
+		out[i] = e.item
+		q.remove(e)
+	}
+	return out
 }
 
-func (t *team) push(it Item) {
-	if it.Urgent {
-		t.urgent = append(t.urgent, it)
-		return
+// Expire takes out and returns the items whose time is over, earliest first.
+func (q *Queue) Expire(now vocab.Instant) []Item {
+	var out []Item
+	for {
+		e, ok := q.expiry.first()
+		if !ok || e.item.Expires > now {
+			return out
+		}
+		q.remove(e)
+		q.rate.refused(now)
+		out = append(out, e.item)
 	}
-	t.normal = append(t.normal, it)
 }
 
-func (t *team) pop() Item {
-	list := &t.normal
-	if len(t.urgent) > 0 {
-		list = &t.urgent
+func (q *Queue) remove(e *entry) {
+	t := e.team
+	delete(q.entries, e.item.Request)
+	q.expiry.removeAt(e.expiry)
+	if e.delayed >= 0 {
+		q.delayed.removeAt(e.delayed)
+	} else {
+		e.list.remove(e)
+		if t.ready() == 0 {
+			q.rate.weights -= t.weight
+		}
 	}
-	it := (*list)[0]
-	*list = (*list)[1:]
-	return it
+	t.waiting--
+	q.reorder(t)
 }
 
-func (t *team) before(o *team) bool {
-	if (len(t.urgent) > 0) != (len(o.urgent) > 0) {
-		return len(t.urgent) > 0
+func (q *Queue) team(id vocab.TeamID) *team {
+	t, ok := q.teams[id]
+	if !ok {
+		t = &team{id: id, serial: len(q.order), weight: 1, meanRun: firstRun, inReady: -1, inUrgent: -1, inExcess: -1}
+		q.teams[id] = t
+		q.order = append(q.order, t)
 	}
-	return t.served < o.served
+	return t
 }
 
-func (t *team) remove(match func(Item) bool) []Item {
-	var removed []Item
-	for _, list := range []*[]Item{&t.urgent, &t.normal} {
-		kept := (*list)[:0]
-		for _, it := range *list {
-			if match(it) {
-				removed = append(removed, it)
-			} else {
-				kept = append(kept, it)
-			}
-		}
-		*list = kept
+// reorder brings the team's places in the heaps into line with its state.
+func (q *Queue) reorder(t *team) {
+	arrange(&q.ready, t, t.inReady, t.ready() > 0)
+	arrange(&q.urgent, t, t.inUrgent, t.urgent.n > 0)
+	arrange(&q.excess, t, t.inExcess, t.waiting > 0)
+}
+
+func arrange(h *ordered[*team], t *team, at int, member bool) {
+	switch {
+	case member && at < 0:
+		h.add(t)
+	case member:
+		h.fix(at)
+	case at >= 0:
+		h.removeAt(at)
 	}
-	return removed
 }
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/observe"
@@ -10,39 +9,63 @@
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
-// avoidAfterFailure is how long a VM is out of favour after a failed attempt.
-const avoidAfterFailure = 2 * time.Second
-
 // dispatch starts as many attempts as tokens and VMs allow.
 func (s *State) dispatch(q *queue) {
 	for q.waiting.Len() > 0 {
-		candidates, vms := s.candidates(q)
-		at, ok := routing.Choose(candidates, s.self.Zone, q.turn)
+		s.fillCandidates(q)
+		at, ok := routing.Choose(q.candidates, s.self.Zone, q.turn)
 		if !ok {
 			return
 		}
-		item, ok := q.waiting.Next(s.teamHasToken)
+		item, ok := q.waiting.Next(s.now, s.teamHasToken)
 		if !ok {
 			return
 		}
 		q.turn++
-		s.start(s.requests[item.Request], vms[at])
+		s.start(s.requests[item.Request], q.candidateVMs[at])
 	}
 }
 
-// candidates returns the ready VMs of the queue's pool.
-func (s *State) candidates(q *queue) ([]routing.Candidate, []*observe.VM) {
-	vms := s.vms.Ready(q.service.Pool)
-	out := make([]routing.Candidate, len(vms))
-	for i, vm := range vms {
-		out[i] = routing.Candidate{
+// mostAccounts bounds the account names kept for one queue.
+const mostAccounts = 1024
+
+// fillCandidates lists the ready VMs of the queue's pool.
+func (s *State) fillCandidates(q *queue) {
+	q.candidates = q.candidates[:0]
+	q.candidateVMs = s.vms.Ready(q.service.Pool)
+	if len(q.accounts) > mostAccounts {
+		clear(q.accounts)
+	}
+	for _, vm := range q.candidateVMs {
+		standing := q.health.Standing(s.now, healthKey(vm))
+		free := s.limits.Free(s.now, q.account(vm))
+		if standing.Bounded {
+			free = min(free, standing.Room)
+		}
+		q.candidates = append(q.candidates, routing.Candidate{
 			VM:      vm.Name,
 			Zone:    vm.Zone,
-			Free:    s.limits.Free(s.now, vmAccount(vm)),
-			Avoided: s.now < q.avoid[vm.Name],
-		}
+			Free:    free,
+			Load:    standing.Running,
+			Slots:   q.pool.Slots,
+			Avoided: standing.Avoided,
+		})
 	}
-	return out, vms
+}
+
+func healthKey(vm *observe.VM) routing.Key {
+	return routing.Key{VM: vm.Name, Incarnation: vm.Incarnation}
+}
+
+// account returns vmAccount without building its name each time.
+func (q *queue) account(vm *observe.VM) limit.Account {
+	key := healthKey(vm)
+	a, ok := q.accounts[key]
+	if !ok {
+		a = vmAccount(vm)
+		q.accounts[key] = a
+	}
+	return a
 }
 
 func (s *State) teamHasToken(team vocab.TeamID) bool {
@@ -62,6 +85,7 @@
 	r.running = a
 	r.attempts++
 	s.attempts[a.id] = r
+	r.queue.health.Started(s.now, healthKey(vm))
 	s.emit(Dispatch{
 		Request:     r.id,
 		Attempt:     a.id,
@@ -96,9 +120,8 @@
 	if e.Silent {
 		s.notice(NoticeVMSilent, string(a.vm), "a connection gave no sign of life")
 	}
-	if e.Result.Failed() {
-		r.queue.avoid[a.vm] = s.now.Add(avoidAfterFailure)
-	}
+	key := routing.Key{VM: a.vm, Incarnation: a.incarnation}
+	r.queue.health.Ended(s.now, key, e.Result.Failed(), r.queue.pool.Slots)
 }
 
 // vmAccount names the slots of one incarnation of a VM in one pool. What an
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core/admission"
+	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/retry"
+	"github.com/sardinehead/sardinehead/internal/core/routing"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/vocab"
@@ -53,10 +55,12 @@
 		q, ok := s.queues[service.Queue]
 		if !ok {
 			q = &queue{
-				id:      service.Queue,
-				waiting: admission.New(admission.Bounds{}),
-				budget:  retry.NewBudget(),
-				avoid:   map[vocab.VMID]vocab.Instant{},
+				id:       service.Queue,
+				waiting:  admission.New(admission.Bounds{}),
+				budget:   retry.NewBudget(),
+				turn:     uint64(s.self.Incarnation),
+				accounts: map[routing.Key]limit.Account{},
+				health:   routing.NewHealth(),
 			}
 			s.queues[service.Queue] = q
 		}
@@ -83,7 +87,7 @@
 		QueuedPerTeam: max(1, service.Hold.QueuedPerTeam/members),
 	})
 	for _, t := range s.shared.Fleet.Teams {
-		q.waiting.SetWeight(t.Name, t.Share)
+		q.waiting.SetWeight(t.Name, float64(t.Share))
 	}
 }
 
@@ -128,11 +132,13 @@
 func (s *State) onTick() {
 	for _, id := range s.names {
 		q := s.queues[id]
-		expired := q.waiting.RemoveIf(func(it admission.Item) bool { return it.Expires <= s.now })
-		for _, it := range expired {
-			s.refuseWaiting(it.Request, notRun(CodeWaitedTooLong, retryAfterFull, "no VM was free in time"))
+		for _, it := range q.waiting.Expire(s.now) {
+			after := q.waiting.RetryAfter(s.now, it.Team, s.seed(it.Request))
+			s.refuseWaiting(it.Request, notRun(CodeWaitedTooLong, after, "no VM was free in time"))
 		}
+		q.waiting.Advance(s.now)
 	}
+	s.updateShares()
 	s.effects = append(s.effects, s.limits.Tick(s.now)...)
 	s.dispatchAll()
 }
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -24,6 +24,8 @@
 	abandoned  bool
 	expires    vocab.Instant
 	attempts   int
+	// notBefore is the earliest start of the next attempt.
+	notBefore vocab.Instant
 	// ranBefore is set once an earlier attempt may have run.
 	ranBefore bool
 	running   *attempt
@@ -38,9 +40,6 @@
 	tokens      []limit.Token
 }
 
-// retryAfterFull is what callers are told when a queue is full.
-const retryAfterFull = 2 * time.Second
-
 // retryAfterOutage is what callers are told when nothing can be served.
 const retryAfterOutage = 5 * time.Second
 
@@ -134,19 +133,27 @@
 }
 
 func (s *State) enqueue(r *request) *Problem {
-	refusal := r.queue.waiting.Push(admission.Item{
-		Request: r.id,
-		Team:    r.team,
-		Key:     r.key,
-		Urgent:  r.urgent,
-		Expires: r.expires,
+	verdict := r.queue.waiting.Push(s.now, admission.Item{
+		Request:   r.id,
+		Team:      r.team,
+		Key:       r.key,
+		Urgent:    r.urgent,
+		Expires:   r.expires,
+		NotBefore: r.notBefore,
+		Again:     r.attempts > 0,
 	})
-	switch refusal {
+	if verdict.HasEvicted {
+		s.refuseEvicted(r.queue, verdict.Evicted)
+	}
+	switch verdict.Refusal {
 	case admission.QueueFull:
-		p := notRun(CodeQueueFull, retryAfterFull, "the queue is full")
+		p := notRun(CodeQueueFull, s.retryAfter(r), "the queue is full")
 		return &p
 	case admission.TeamFull:
-		p := notRun(CodeTeamQueueFull, retryAfterFull, "the team's part of the queue is full")
+		p := notRun(CodeTeamQueueFull, s.retryAfter(r), "the team's part of the queue is full")
+		return &p
+	case admission.TooLate:
+		p := notRun(CodeNoCapacity, s.retryAfter(r), "the request could not start before its deadline")
 		return &p
 	default:
 		return nil
@@ -160,7 +167,7 @@
 	}
 	r.abandoned = true
 	if r.running == nil {
-		r.queue.waiting.Remove(r.team, r.id)
+		r.queue.waiting.Remove(r.id)
 		delete(s.requests, r.id)
 	}
 }
@@ -174,7 +181,7 @@
 	a := r.running
 	r.running = nil
 	s.settleTokens(r, a, e.Result)
-	r.queue.waiting.Charge(r.team, s.now.Sub(a.started))
+	r.queue.waiting.Ended(s.now, r.team, a.started)
 	s.learn(r, a, e)
 	s.conclude(r, e)
 	s.dispatch(r.queue)
@@ -199,13 +206,19 @@
 		return
 	}
 	decision := retry.Decide(retry.Facts{
+		Now:        s.now,
 		Result:     e.Result,
+		Draining:   e.Draining,
 		Idempotent: r.idempotent,
 		Replayable: r.replayable || e.Result == retry.NotSent,
 		Answering:  e.Answering,
 		Attempts:   r.attempts,
 		RanBefore:  r.ranBefore,
+		Shedding:   r.queue.waiting.Shedding(s.now),
+		Deadline:   r.expires,
+		Seed:       s.seed(r.id),
 	})
+	r.notBefore = decision.RetryAt
 	r.ranBefore = r.ranBefore || e.Result == retry.Unknown
 	if decision.Retry && s.requeue(r) {
 		return
@@ -214,7 +227,7 @@
 	s.emit(Answer{Request: r.id, Problem: Problem{
 		Code:       CodeUpstreamFailed,
 		Outcome:    decision.Outcome,
-		RetryAfter: time.Second,
+		RetryAfter: s.retryAfter(r),
 		Detail:     "the upstream gave no whole answer",
 	}})
 }
--- /dev/null
+++ b/internal/core/share/correct.go
@@ -0,0 +1,123 @@
+package share
+
+import (
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// teamSum is what an update knows of one team in one pool, over all nodes.
+type teamSum struct {
+	team     vocab.TeamID
+	target   float64
+	demand   float64
+	attained float64 // slot seconds since the last update
+	level    bool
+}
+
+// updatePool divides the pool's capacity and keeps this node's parts.
+func (s *State) updatePool(p *pool, interval time.Duration) {
+	p.sort()
+	claims := s.claims(p)
+	targets := Targets(p.capacity, claims)
+	sums := p.sums(claims, targets)
+	p.settle(sums, interval)
+	p.parts = p.parts[:0]
+	at := 0
+	for i, t := range targets {
+		for sums[at].team != t.Team {
+			at++
+		}
+		if t.Node != s.self {
+			continue
+		}
+		p.parts = append(p.parts, p.part(claims[i], t, sums[at]))
+	}
+}
+
+// part returns this node's part of a team.
+func (p *pool) part(c Claim, t Target, sum teamSum) Part {
+	correction := p.correction(sum)
+	local := 0.0
+	if sum.demand > 0 {
+		local = c.Demand / sum.demand
+	}
+	return Part{
+		Team:        t.Team,
+		Target:      t.Slots,
+		Slots:       t.Slots * correction,
+		Weight:      c.Weight * local * correction,
+		Level:       t.Level,
+		Demand:      c.Demand,
+		FleetDemand: sum.demand,
+	}
+}
+
+// claims turns the reports into claims. A team's upper limit holds over all
+// pools and is divided over them in proportion to demand.
+func (s *State) claims(p *pool) []Claim {
+	demand := make(map[vocab.TeamID]float64, len(s.teams))
+	for _, key := range p.order {
+		demand[key.team] += p.reports[key].demand
+	}
+	out := make([]Claim, len(p.order))
+	for i, key := range p.order {
+		team := s.teams[key.team]
+		c := Claim{Team: key.team, Node: key.node, Weight: max(1, team.Weight), Demand: p.reports[key].demand}
+		if wanted := s.wanted[key.team]; team.Limit > 0 && wanted > 0 {
+			c.Limit = float64(team.Limit) * demand[key.team] / wanted
+		}
+		out[i] = c
+	}
+	return out
+}
+
+// sums adds up targets, demand and newly attained slot time for each team.
+func (p *pool) sums(claims []Claim, targets []Target) []teamSum {
+	var out []teamSum
+	for i, t := range targets {
+		if i == 0 || t.Team != targets[i-1].Team {
+			out = append(out, teamSum{team: t.Team, level: t.Level})
+		}
+		sum := &out[len(out)-1]
+		r := p.reports[reporter{team: t.Team, node: t.Node}]
+		sum.target += t.Slots
+		sum.demand += claims[i].Demand
+		sum.attained += (r.attained - r.counted).Seconds()
+		r.counted = r.attained
+	}
+	return out
+}
+
+// settle brings what each team is owed up to date. Only teams that are held
+// down by the capacity are owed anything: who does not use its part earns
+// nothing. What the teams got together is divided by their targets, so that
+// service that no team got is owed to nobody.
+func (p *pool) settle(sums []teamSum, interval time.Duration) {
+	target, attained := 0.0, 0.0
+	for _, t := range sums {
+		if t.level {
+			target += t.target
+			attained += t.attained
+		}
+	}
+	owed := make(map[vocab.TeamID]float64, len(sums))
+	for _, t := range sums {
+		if !t.level || target <= 0 || interval <= 0 {
+			continue
+		}
+		fair := attained * t.target / target
+		bound := t.target * deficitBound.Seconds()
+		owed[t.team] = min(bound, max(-bound, p.owed[t.team]+fair-t.attained))
+	}
+	p.owed = owed
+}
+
+// correction returns the factor by which a team's part is raised or lowered.
+func (p *pool) correction(t teamSum) float64 {
+	if t.target <= 0 {
+		return 1
+	}
+	c := 1 + p.owed[t.team]/(t.target*correctionTime.Seconds())
+	return min(mostCorrection, max(leastCorrection, c))
+}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -12,6 +12,7 @@
 	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/core/retry"
+	"github.com/sardinehead/sardinehead/internal/core/routing"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/vocab"
@@ -36,6 +37,7 @@
 	shared *shared.State
 	vms    *observe.State
 	limits *limit.State
+	shares shareState
 
 	queues   map[vocab.QueueID]*queue
 	names    []vocab.QueueID // keys of queues, sorted
@@ -59,9 +61,12 @@
 	pool    spec.Pool
 	waiting *admission.Queue
 	budget  *retry.Budget
-	turn    int
-	// avoid holds VMs that are out of favour until an instant.
-	avoid map[vocab.VMID]vocab.Instant
+	health  *routing.Health
+	turn    uint64
+	// candidates and candidateVMs are scratch space of dispatch.
+	candidates   []routing.Candidate
+	candidateVMs []*observe.VM
+	accounts     map[routing.Key]limit.Account
 }
 
 // New returns the state of a process that has just started.
@@ -70,6 +75,7 @@
 		self:     self,
 		shared:   shared.New(),
 		vms:      observe.New(),
+		shares:   newShareState(self.Incarnation),
 		limits:   limit.New(limit.Config{Self: self.Incarnation}),
 		queues:   map[vocab.QueueID]*queue{},
 		requests: map[vocab.RequestID]*request{},
