--- a/internal/core/admission/estimate.go
+++ b/internal/core/admission/estimate.go
@@ -27,9 +27,9 @@
 
 // serviceRate observes what the queue gets served.
 type serviceRate struct {
-	running int
-	// slots is the mean number of running items, and run their mean run time
-	// in seconds.
+	running, waiting int
+	// slots is the mean number of running items while others wait, and run the
+	// mean run time in seconds.
 	slots, run float64
 	runs       int
 	refusals   float64
@@ -51,13 +51,17 @@
 	return weight
 }
 
-// advance averages the number of running items up to now.
+// advance averages the number of running items up to now. While nothing waits
+// it tells what is asked for and not what can be served, so that it then only
+// raises the mean.
 func (r *serviceRate) advance(now vocab.Instant) {
 	if now <= r.at {
 		return
 	}
-	keep := decay(now.Sub(r.at), rateMemory)
-	r.slots = r.slots*keep + float64(r.running)*(1-keep)
+	if r.waiting > 0 || float64(r.running) > r.slots {
+		keep := decay(now.Sub(r.at), rateMemory)
+		r.slots = r.slots*keep + float64(r.running)*(1-keep)
+	}
 	r.at = now
 }
 
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -181,7 +181,9 @@
 
 func (q *Queue) insert(now vocab.Instant, t *team, it Item) {
 	e := &entry{item: it, team: t, delayed: -1}
+	q.rate.advance(now)
 	q.entries[it.Request] = e
+	q.rate.waiting++
 	q.expiry.add(e)
 	t.waiting++
 	q.activate(t)
@@ -265,6 +267,7 @@
 func (q *Queue) remove(e *entry) {
 	t := e.team
 	delete(q.entries, e.item.Request)
+	q.rate.waiting--
 	q.expiry.removeAt(e.expiry)
 	if e.delayed >= 0 {
 		q.delayed.removeAt(e.delayed)
--- /dev/null
+++ b/internal/core/retry/retry_test.go
@@ -0,0 +1,76 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// TestDecisionsAreSafe draws facts at random and checks what must hold of every
+// decision.
+func TestDecisionsAreSafe(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := Facts{
+			Now:        vocab.Instant(time.Hour),
+			Result:     rapid.SampledFrom([]Result{Unknown, NotSent, Attested}).Draw(t, "result"),
+			Draining:   rapid.Bool().Draw(t, "draining"),
+			Idempotent: rapid.Bool().Draw(t, "idempotent"),
+			Replayable: rapid.Bool().Draw(t, "replayable"),
+			Answering:  rapid.Bool().Draw(t, "answering"),
+			Attempts:   rapid.IntRange(1, 5).Draw(t, "attempts"),
+			RanBefore:  rapid.Bool().Draw(t, "ran before"),
+			Shedding:   rapid.Bool().Draw(t, "shedding"),
+			Deadline:   vocab.Instant(time.Hour).Add(time.Duration(rapid.IntRange(-1, 5000).Draw(t, "left")) * time.Millisecond),
+			Seed:       rapid.Uint64().Draw(t, "seed"),
+		}
+		d := Decide(f)
+		mayHaveRun := f.Result == Unknown || f.RanBefore
+		if mayHaveRun && d.Outcome != vocab.OutcomeUnknown {
+			t.Fatalf("claims %v of what may have run", d.Outcome)
+		}
+		if !mayHaveRun && d.Outcome != vocab.OutcomeNotRun {
+			t.Fatalf("claims %v of what did not run", d.Outcome)
+		}
+		if d != Decide(f) {
+			t.Fatal("equal facts give different decisions")
+		}
+		if !d.Retry {
+			return
+		}
+		if mayHaveRun && !f.Idempotent {
+			t.Fatal("runs a non-idempotent request twice")
+		}
+		if !f.Replayable || f.Answering || f.Attempts >= maxAttempts || d.RetryAt >= f.Deadline {
+			t.Fatal("an attempt that cannot be made")
+		}
+		loads := f.Result == Unknown || f.Result == Attested && !f.Draining
+		if loads && (f.Shedding || d.RetryAt.Sub(f.Now) < firstBackoff/2) {
+			t.Fatal("adds load at once or while shedding")
+		}
+	})
+}
+
+// TestBudgetBoundsRetries checks the ratio over any sequence of attempts.
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudget()
+		first, retries := 0, 0
+		for _, earn := range rapid.SliceOf(rapid.Bool()).Draw(t, "sequence") {
+			if earn {
+				first++
+				b.Earn()
+			}
+			for range 3 {
+				if b.Spend() {
+					retries++
+				}
+			}
+			if float64(retries) > retriesPerAttempt*float64(first)+budgetCap {
+				t.Fatalf("%d retries of %d first attempts", retries, first)
+			}
+		}
+	})
+}
