--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"time"
+
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -120,6 +122,10 @@
 // of the team that has the most waiting for its weight.
 func (q *Queue) Push(now vocab.Instant, it Item) Verdict {
 	t := q.team(it.Team)
+	q.activate(t)
+	if !it.Again {
+		t.offered += time.Duration(t.meanRun * float64(time.Second))
+	}
 	if t.waiting >= q.teamBound(it.Team) {
 		return q.refused(now, TeamFull)
 	}
@@ -186,7 +192,6 @@
 	q.rate.waiting++
 	q.expiry.add(e)
 	t.waiting++
-	q.activate(t)
 	if it.NotBefore > now {
 		q.delayed.add(e)
 	} else {
--- a/internal/core/admission/serve.go
+++ b/internal/core/admission/serve.go
@@ -70,8 +70,8 @@
 	q.advanced = now
 	kept := q.active[:0]
 	for _, t := range q.active {
-		t.wanted += time.Duration(t.running+t.waiting) * elapsed
-		if t.running == 0 && t.waiting == 0 && t.wanted == 0 {
+		t.waited += time.Duration(t.waiting) * elapsed
+		if t.running == 0 && t.waiting == 0 && t.quiet {
 			t.active = false
 			continue
 		}
@@ -94,25 +94,29 @@
 	Team vocab.TeamID
 	// Attained is the slot time used since the queue was made.
 	Attained time.Duration
-	// Wanted is the slot time that running and waiting items would have used
-	// since the last Report.
+	// Wanted is the slot time that the team would have used since the last
+	// Report. It counts what was refused too, and so depends little on how much
+	// is let in.
 	Wanted time.Duration
 	// Present is the number of running and waiting items.
 	Present int
 }
 
 // Report calls yield for each team that used or wanted something since the
-// last Report, in the order in which they became active.
+// last Report, and once more when it no longer does, in the order in which they
+// became active.
 func (q *Queue) Report(yield func(Usage)) {
 	for _, t := range q.active {
-		u := Usage{Team: t.id, Attained: t.attained, Wanted: t.wanted, Present: t.running + t.waiting}
-		t.wanted = 0
+		u := Usage{Team: t.id, Attained: t.attained, Wanted: t.wanted(), Present: t.running + t.waiting}
+		t.quiet = u.Wanted == 0
+		t.waited, t.offered, t.reported = 0, 0, t.attained
 		yield(u)
 	}
 }
 
 // activate puts a team among those that Advance looks at.
 func (q *Queue) activate(t *team) {
+	t.quiet = false
 	if !t.active {
 		t.active = true
 		q.active = append(q.active, t)
--- a/internal/core/admission/team.go
+++ b/internal/core/admission/team.go
@@ -12,6 +12,9 @@
 	// mostAdvance bounds the slot seconds that a request is charged in advance,
 	// so that teams with long requests are not held back for their first ones.
 	mostAdvance = 1.0
+	// drainTime is the time in which waiting items are assumed to be served, in
+	// what a team is reported to want.
+	drainTime = 2.0
 	// firstRun is the run time assumed before any was observed, in seconds.
 	firstRun = 0.1
 	// runSmoothing is the weight of a new run time in the mean.
@@ -33,12 +36,17 @@
 	accrued vocab.Instant
 	meanRun float64 // seconds
 	key     float64
-	// attained is the slot time used since the queue was made, and wanted that
-	// of running and waiting items since the last Report.
-	attained, wanted time.Duration
+	// attained is the slot time used since the queue was made, and reported what
+	// the last Report said of it.
+	attained, reported time.Duration
+	// waited is the time that items waited and offered the usual run time of
+	// the items that came, let in or not, since the last Report.
+	waited, offered time.Duration
 	// Indexes in the heaps of the queue; -1 outside.
 	inReady, inUrgent, inExcess int
-	active                      bool
+	// active is set while Advance looks at the team, and quiet once a Report
+	// said that it wants nothing.
+	active, quiet bool
 }
 
 // ready returns the number of items that may go now.
@@ -68,6 +76,13 @@
 	return float64(t.waiting) / t.weight
 }
 
+// wanted returns the slot time that the team would have used since the last
+// Report: what came, and what waited as far as it can be served in drainTime.
+func (t *team) wanted() time.Duration {
+	drained := float64(t.waited) * min(1, t.meanRun/drainTime)
+	return max(t.attained-t.reported, t.offered+time.Duration(drained))
+}
+
 func (t *team) observeRun(seconds float64) {
 	t.meanRun += runSmoothing * (seconds - t.meanRun)
 }
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -42,6 +42,9 @@
 	if c.Withdrawn != "" {
 		s.endKey(c.Withdrawn)
 	}
+	if c.Members {
+		s.forgetShares()
+	}
 	if c.Config || c.Members {
 		s.foldLimits()
 	}
--- a/internal/core/share/correct.go
+++ b/internal/core/share/correct.go
@@ -9,6 +9,8 @@
 // teamSum is what an update knows of one team in one pool, over all nodes.
 type teamSum struct {
 	team     vocab.TeamID
+	weight   float64
+	nodes    int
 	target   float64
 	demand   float64
 	attained float64 // slot seconds since the last update
@@ -23,6 +25,12 @@
 	sums := p.sums(claims, targets)
 	p.settle(sums, interval)
 	p.parts = p.parts[:0]
+	level := 0.0
+	for _, sum := range sums {
+		if sum.level {
+			level = sum.target / sum.weight
+		}
+	}
 	at := 0
 	for i, t := range targets {
 		for sums[at].team != t.Team {
@@ -31,17 +39,31 @@
 		if t.Node != s.self {
 			continue
 		}
-		p.parts = append(p.parts, p.part(claims[i], t, sums[at]))
+		p.parts = append(p.parts, p.part(claims[i], t, sums[at], level))
+	}
+}
+
+// local returns the part of a team's weight that counts at the node of a claim,
+// given the level of slots per weight of the teams that the capacity holds
+// down; 0 if there is none. For such a team it is the claim's part of the
+// team's demand. It is larger the less of its share a team demands, so that its
+// requests wait for little.
+func (t teamSum) local(c Claim, level float64) float64 {
+	if t.demand <= 0 || level <= 0 {
+		return 1
 	}
+	part := c.Demand / t.demand
+	if t.level {
+		return part
+	}
+	headroom := max(1, level*t.weight/t.demand)
+	return min(1, max(part, 1/float64(t.nodes))*headroom)
 }
 
 // part returns this node's part of a team.
-func (p *pool) part(c Claim, t Target, sum teamSum) Part {
+func (p *pool) part(c Claim, t Target, sum teamSum, level float64) Part {
 	correction := p.correction(sum)
-	local := 0.0
-	if sum.demand > 0 {
-		local = c.Demand / sum.demand
-	}
+	local := sum.local(c, level)
 	return Part{
 		Team:        t.Team,
 		Target:      t.Slots,
@@ -77,10 +99,11 @@
 	var out []teamSum
 	for i, t := range targets {
 		if i == 0 || t.Team != targets[i-1].Team {
-			out = append(out, teamSum{team: t.Team, level: t.Level})
+			out = append(out, teamSum{team: t.Team, weight: claims[i].Weight, level: t.Level})
 		}
 		sum := &out[len(out)-1]
 		r := p.reports[reporter{team: t.Team, node: t.Node}]
+		sum.nodes++
 		sum.target += t.Slots
 		sum.demand += claims[i].Demand
 		sum.attained += (r.attained - r.counted).Seconds()
--- a/internal/core/share/state.go
+++ b/internal/core/share/state.go
@@ -19,6 +19,8 @@
 	// deficitBound is the most service, in time at the team's target, that a
 	// team can be owed or can owe.
 	deficitBound = 6 * time.Second
+	// demandSmoothing is the weight of a new observation in reported demand.
+	demandSmoothing = 0.25
 	// leastCorrection bounds how far a debt lowers a team's part.
 	leastCorrection = 0.2
 	// mostCorrection bounds how far a deficit raises a team's part.
@@ -54,10 +56,11 @@
 	Target float64
 	// Slots is the target corrected by what the team is owed over the fleet.
 	Slots float64
-	// Weight is the weight with which the local queue serves the team: the part
-	// of the team's share that its demand at this node has in its whole demand,
-	// corrected like Slots. A team with little demand keeps its whole weight, so
-	// that its requests wait for no other team's.
+	// Weight is the weight with which the local queue serves the team. If Level
+	// is set it is the part of the team's share that its demand at this node has
+	// in its whole demand, corrected like Slots. Else the team uses less than its
+	// share and has a larger part of it at each node, so that its requests hardly
+	// wait.
 	Weight float64
 	// Level is set if only the pool's capacity keeps the team from more.
 	Level bool
@@ -92,7 +95,9 @@
 }
 
 type report struct {
-	demand   float64
+	demand float64
+	// fresh is this node's own demand as last reported.
+	fresh    float64
 	attained time.Duration
 	// counted is the part of attained that an update has taken in.
 	counted time.Duration
@@ -122,30 +127,54 @@
 	s.pool(id).capacity = float64(n)
 }
 
-// Observe takes in a report, heard now.
+// Report smooths this node's own report, takes it in and returns what the
+// other nodes are to hear. Waiting requests come and go faster than reports, and
+// parts that followed them would make the nodes swing together. The node uses
+// its own report one update later, when the others have it too, so that the
+// parts of all nodes make one division.
+func (s *State) Report(now vocab.Instant, f Fact) Fact {
+	f.Node = s.self
+	r := s.report(f)
+	if f.Demand > 0 {
+		f.Demand = r.fresh + demandSmoothing*(f.Demand-r.fresh)
+	}
+	r.demand = r.fresh
+	r.fresh = f.Demand
+	r.attained = f.Attained
+	r.heard = now
+	return f
+}
+
+// Observe takes in a report of another node, heard now.
 func (s *State) Observe(now vocab.Instant, f Fact) {
+	r := s.report(f)
+	if f.Attained < r.attained {
+		return
+	}
+	r.demand = f.Demand
+	r.attained = f.Attained
+	r.heard = now
+}
+
+// report returns the report that a fact renews, making it if there is none.
+func (s *State) report(f Fact) *report {
 	p := s.pool(f.Pool)
 	key := reporter{team: f.Team, node: f.Node}
 	r, ok := p.reports[key]
 	if !ok {
 		// What was attained before the first report counts for no window.
-		r = &report{attained: f.Attained, counted: f.Attained}
+		r = &report{fresh: f.Demand, attained: f.Attained, counted: f.Attained}
 		p.reports[key] = r
 		p.order = append(p.order, key)
 		p.stale = true
 	}
-	if f.Attained < r.attained {
-		return
-	}
-	r.demand = f.Demand
-	r.attained = f.Attained
-	r.heard = now
+	return r
 }
 
-// Forget drops all reports of a node whose membership ended.
-func (s *State) Forget(node vocab.Incarnation) {
+// KeepMembers drops all reports of nodes whose membership ended.
+func (s *State) KeepMembers(member func(vocab.Incarnation) bool) {
 	for _, id := range s.names {
-		s.pools[id].drop(func(key reporter, _ *report) bool { return key.node == node })
+		s.pools[id].drop(func(key reporter, _ *report) bool { return !member(key.node) })
 	}
 }
 
--- a/internal/core/shares.go
+++ b/internal/core/shares.go
@@ -29,11 +29,6 @@
 	s.shares.Observe(s.now, f)
 }
 
-// ForgetShares drops the reports of a node whose membership ended.
-func (s *State) ForgetShares(node vocab.Incarnation) {
-	s.shares.Forget(node)
-}
-
 // ShareFacts returns this node's reports for the other nodes, sorted by
 // queue. Reports about idle teams are left out. The slice is valid until the
 // next Step.
@@ -41,6 +36,14 @@
 	return s.shares.facts
 }
 
+// forgetShares drops the reports of nodes whose membership ended.
+func (s *State) forgetShares() {
+	s.shares.KeepMembers(func(node vocab.Incarnation) bool {
+		_, ok := s.shared.Members[node]
+		return ok || node == s.self.Incarnation
+	})
+}
+
 // updateShares computes the parts of teams anew each share.UpdateInterval and
 // gives them to queues and limits.
 func (s *State) updateShares() {
@@ -63,7 +66,7 @@
 	}
 }
 
-// reportUsage turns what the queues observed into reports, and observes them.
+// reportUsage turns what the queues observed into reports.
 func (s *State) reportUsage(interval time.Duration) {
 	s.shares.facts = s.shares.facts[:0]
 	clear(s.shares.present)
@@ -71,18 +74,14 @@
 		q := s.queues[id]
 		q.waiting.Report(func(u admission.Usage) {
 			s.shares.present[u.Team] += vocab.Slots(u.Present)
-			s.shares.facts = append(s.shares.facts, share.Fact{
+			s.shares.facts = append(s.shares.facts, s.shares.Report(s.now, share.Fact{
 				Pool:     q.pool.Name,
 				Team:     u.Team,
-				Node:     s.self.Incarnation,
 				Demand:   float64(u.Wanted) / float64(interval),
 				Attained: u.Attained,
-			})
+			}))
 		})
 	}
-	for _, f := range s.shares.facts {
-		s.shares.Observe(s.now, f)
-	}
 	for _, t := range s.shared.Fleet.Teams {
 		s.limits.SetDemand(limit.TeamAccount(t.Name), s.shares.present[t.Name])
 	}
