--- a/internal/core/admission/estimate.go
+++ b/internal/core/admission/estimate.go
@@ -74,7 +74,7 @@
 	r.advance(now)
 	r.running--
 	r.runs++
-	r.run += runSmoothing * (seconds - r.run)
+	r.run += max(runSmoothing, 1/float64(r.runs)) * (seconds - r.run)
 }
 
 func (r *serviceRate) refused(now vocab.Instant) {
--- a/internal/core/admission/serve.go
+++ b/internal/core/admission/serve.go
@@ -188,9 +188,9 @@
 	t := q.team(id)
 	t.accrue(now)
 	t.running--
-	seconds := now.Sub(started).Seconds()
-	t.observeRun(seconds)
+	ran := now.Sub(started)
+	t.observeRun(ran)
 	t.accrue(now)
-	q.rate.ended(now, seconds)
+	q.rate.ended(now, ran.Seconds())
 	q.reorder(t)
 }
--- a/internal/core/admission/team.go
+++ b/internal/core/admission/team.go
@@ -34,7 +34,10 @@
 	// served is the slot time used, in seconds per weight, up to accrued.
 	served  float64
 	accrued vocab.Instant
-	meanRun float64 // seconds
+	// meanRun is the mean run time in seconds of the requests that ended, and
+	// runs their number.
+	meanRun float64
+	runs    int
 	key     float64
 	// attained is the slot time used since the queue was made, and reported what
 	// the last Report said of it.
@@ -83,8 +86,10 @@
 	return max(t.attained-t.reported, t.offered+time.Duration(drained))
 }
 
-func (t *team) observeRun(seconds float64) {
-	t.meanRun += runSmoothing * (seconds - t.meanRun)
+// observeRun takes in the run time of a request that ended.
+func (t *team) observeRun(ran time.Duration) {
+	t.runs++
+	t.meanRun += max(runSmoothing, 1/float64(t.runs)) * (ran.Seconds() - t.meanRun)
 }
 
 // before orders teams by service received.
--- a/internal/core/share/state.go
+++ b/internal/core/share/state.go
@@ -15,10 +15,10 @@
 	// unreachable node's demand is forgotten after it.
 	factLife = 4 * time.Second
 	// correctionTime is the time over which a deficit is made up for.
-	correctionTime = 4 * time.Second
+	correctionTime = 8 * time.Second
 	// deficitBound is the most service, in time at the team's target, that a
 	// team can be owed or can owe.
-	deficitBound = 6 * time.Second
+	deficitBound = 4 * time.Second
 	// demandSmoothing is the weight of a new observation in reported demand.
 	demandSmoothing = 0.25
 	// leastCorrection bounds how far a debt lowers a team's part.
