--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -70,7 +70,7 @@
 		Idempotent:  r.idempotent,
 		FirstByte:   r.service.Limits.FirstByte.D(),
 		Run:         r.service.Limits.Run.D(),
-		Connections: max(1, r.queue.pool.Connections/max(1, len(s.shared.Members))),
+		Connections: max(1, r.queue.pool.Connections/max(1, len(s.Shared().Members))),
 	})
 }
 
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -5,6 +5,7 @@
 
 	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/core/retry"
+	"github.com/sardinehead/sardinehead/internal/core/shared"
 	"github.com/sardinehead/sardinehead/internal/record"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -52,6 +53,23 @@
 	CaughtUp bool
 }
 
+// StreamBegins tells that the log keeps no record of the fleet stream before
+// Earliest, and that reading goes on there.
+type StreamBegins struct {
+	Earliest vocab.Offset
+}
+
+// SnapshotFetched is a snapshot that a peer gave.
+type SnapshotFetched struct {
+	Snapshot shared.Snapshot
+}
+
+// WithdrawKey is an operator's word, given to this node or heard from a peer,
+// that a key ends now.
+type WithdrawKey struct {
+	Key vocab.KeyID
+}
+
 // LogStatus tells whether the last call of the log service was answered.
 type LogStatus struct {
 	Up bool
@@ -81,6 +99,15 @@
 // IsEvent implements event.Event.
 func (RecordsRead) IsEvent() {}
 
+// IsEvent implements event.Event.
+func (StreamBegins) IsEvent() {}
+
+// IsEvent implements event.Event.
+func (SnapshotFetched) IsEvent() {}
+
+// IsEvent implements event.Event.
+func (WithdrawKey) IsEvent() {}
+
 // IsEvent implements event.Event.
 func (LogStatus) IsEvent() {}
 
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -16,30 +16,55 @@
 		if s.foldStopped {
 			return
 		}
-		change, err := s.shared.Apply(rec)
+		changes, err := s.fleet.Read(rec)
+		s.onChanges(changes)
 		if err != nil {
-			s.foldStopped = true
-			s.notice(NoticeFoldStopped, string(rec.Envelope.ID), err.Error())
+			s.stopFold(rec.Envelope.ID, err)
 			return
 		}
-		s.onChange(change)
 	}
-	if e.CaughtUp {
+	if e.CaughtUp && !s.fleet.Searching() {
 		s.join()
 	}
 }
 
+// onSnapshotFetched takes a peer's snapshot if it is later than the fold.
+func (s *State) onSnapshotFetched(e SnapshotFetched) {
+	changes, err := s.fleet.Adopt(e.Snapshot)
+	s.onChanges(changes)
+	if err != nil {
+		s.notice(NoticeSnapshotRefused, "", err.Error())
+	}
+}
+
+// stopFold makes the fold stand still: the configuration folded so far stays
+// in force.
+func (s *State) stopFold(id vocab.RecordID, err error) {
+	s.foldStopped = true
+	s.notice(NoticeFoldStopped, string(id), err.Error())
+}
+
+func (s *State) onChanges(changes []shared.Change) {
+	for _, c := range changes {
+		s.onChange(c)
+	}
+}
+
 func (s *State) onChange(c shared.Change) {
 	if c.Refused {
 		s.notice(NoticeConfigRefused, "", "the configuration was based on a revision no longer in force")
 	}
 	if c.Config {
 		s.adoptFleet()
-		s.notice(NoticeConfigInForce, s.shared.Fleet.Name, "")
+		s.notice(NoticeConfigInForce, s.Shared().Fleet.Name, "")
 	}
 	if c.Withdrawn != "" {
 		s.endKey(c.Withdrawn)
 	}
+	if c.Snapshot {
+		s.snapshotAt = s.now
+		s.endLostKeys()
+	}
 	if c.Config || c.Members {
 		s.foldLimits()
 	}
@@ -47,7 +72,7 @@
 
 // adoptFleet brings queues into line with the configuration in force.
 func (s *State) adoptFleet() {
-	fleet := s.shared.Fleet
+	fleet := s.Shared().Fleet
 	for i := range fleet.Services {
 		service := &fleet.Services[i]
 		q, ok := s.queues[service.Queue]
@@ -76,13 +101,13 @@
 
 func (s *State) configure(q *queue, service *spec.Service) {
 	q.service = service
-	q.pool, _ = s.shared.Fleet.Pool(service.Pool)
-	members := max(1, len(s.shared.Members))
+	q.pool, _ = s.Shared().Fleet.Pool(service.Pool)
+	members := max(1, len(s.Shared().Members))
 	q.waiting.SetBounds(admission.Bounds{
 		Queued:        max(1, service.Hold.Queued/members),
 		QueuedPerTeam: max(1, service.Hold.QueuedPerTeam/members),
 	})
-	for _, t := range s.shared.Fleet.Teams {
+	for _, t := range s.Shared().Fleet.Teams {
 		q.waiting.SetWeight(t.Name, t.Share)
 	}
 }
@@ -96,17 +121,6 @@
 	}
 }
 
-// endKey refuses what waits under a withdrawn key.
-func (s *State) endKey(key vocab.KeyID) {
-	s.notice(NoticeKeyWithdrawn, string(key), "")
-	for _, id := range s.names {
-		items := s.queues[id].waiting.RemoveIf(func(it admission.Item) bool { return it.Key == key })
-		for _, it := range items {
-			s.refuseWaiting(it.Request, notRun(CodeKeyRefused, 0, "the key was withdrawn while the request waited"))
-		}
-	}
-}
-
 func (s *State) onLogStatus(e LogStatus) {
 	if s.logDown == !e.Up {
 		return
@@ -134,6 +148,7 @@
 		}
 	}
 	s.effects = append(s.effects, s.limits.Tick(s.now)...)
+	s.takeSnapshotIfDue()
 	s.dispatchAll()
 }
 
--- a/internal/core/join.go
+++ b/internal/core/join.go
@@ -31,7 +31,7 @@
 // earlierProcesses returns the members that this process replaces, sorted.
 func (s *State) earlierProcesses() []vocab.Incarnation {
 	var out []vocab.Incarnation
-	for inc, m := range s.shared.Members {
+	for inc, m := range s.Shared().Members {
 		if m.Node == s.self.Node && inc != s.self.Incarnation {
 			out = append(out, inc)
 		}
--- a/internal/core/notice.go
+++ b/internal/core/notice.go
@@ -13,6 +13,8 @@
 	NoticeKeyWithdrawn NoticeID = 102
 	// NoticeFoldStopped: a record cannot be folded; the fold stands still.
 	NoticeFoldStopped NoticeID = 103
+	// NoticeSnapshotRefused: a snapshot cannot be used.
+	NoticeSnapshotRefused NoticeID = 104
 	// NoticeLogDown: the log service does not answer.
 	NoticeLogDown NoticeID = 110
 	// NoticeLogUp: the log service answers again.
@@ -32,15 +34,16 @@
 }
 
 var noticeTexts = map[NoticeID]noticeText{
-	NoticeConfigInForce: {text: "configuration in force"},
-	NoticeConfigRefused: {text: "configuration refused", grave: true},
-	NoticeKeyWithdrawn:  {text: "key withdrawn"},
-	NoticeFoldStopped:   {text: "log record cannot be folded", grave: true},
-	NoticeLogDown:       {text: "log service down", grave: true},
-	NoticeLogUp:         {text: "log service up"},
-	NoticeVMLeaving:     {text: "VM leaving"},
-	NoticeVMSilent:      {text: "VM silent", grave: true},
-	NoticeStopping:      {text: "graceful stop begun"},
+	NoticeConfigInForce:   {text: "configuration in force"},
+	NoticeConfigRefused:   {text: "configuration refused", grave: true},
+	NoticeKeyWithdrawn:    {text: "key withdrawn"},
+	NoticeFoldStopped:     {text: "log record cannot be folded", grave: true},
+	NoticeSnapshotRefused: {text: "snapshot refused", grave: true},
+	NoticeLogDown:         {text: "log service down", grave: true},
+	NoticeLogUp:           {text: "log service up"},
+	NoticeVMLeaving:       {text: "VM leaving"},
+	NoticeVMSilent:        {text: "VM silent", grave: true},
+	NoticeStopping:        {text: "graceful stop begun"},
 }
 
 // String returns the event's text.
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -77,7 +77,7 @@
 		p := notRun(CodeStopping, time.Second, "this entry node is stopping; send the request again")
 		return nil, "", &p
 	}
-	if s.shared.Fleet == nil {
+	if s.Shared().Fleet == nil {
 		p := notRun(CodeNoConfig, retryAfterOutage, "this entry node has no configuration yet")
 		return nil, "", &p
 	}
@@ -107,7 +107,7 @@
 		p := notRun(CodeKeyMissing, 0, "send the header \"Authorization: Bearer KEY\"")
 		return "", &p
 	}
-	key, ok := s.shared.ActiveKey(e.Key)
+	key, ok := s.activeKey(e.Key)
 	if !ok || subtle.ConstantTimeCompare(key.SecretHash, e.SecretHash[:]) != 1 {
 		p := notRun(CodeKeyRefused, 0, "the key is unknown or was withdrawn")
 		return "", &p
@@ -231,14 +231,6 @@
 	return s.enqueue(r) == nil
 }
 
-func (s *State) keyHolds(id vocab.KeyID) bool {
-	if id == "" {
-		return true
-	}
-	_, ok := s.shared.ActiveKey(id)
-	return ok
-}
-
 // refuseWaiting answers a request that was taken out of its queue.
 func (s *State) refuseWaiting(id vocab.RequestID, p Problem) {
 	r, ok := s.requests[id]
--- a/internal/core/shared/apply.go
+++ b/internal/core/shared/apply.go
@@ -26,6 +26,9 @@
 	Withdrawn vocab.KeyID
 	// Members is set if a member joined or was removed.
 	Members bool
+	// Snapshot is set if the record was a snapshot, or the state was replaced
+	// by one. Keys may then have ended without being named.
+	Snapshot bool
 }
 
 // Apply folds the next record. A record at or below the folded offset changes
@@ -76,6 +79,8 @@
 		s.foldJoined(b, change)
 	case record.NodeRemoved:
 		s.foldRemoved(b, change)
+	case record.SnapshotTaken:
+		change.Snapshot = true
 	}
 }
 
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -33,7 +33,7 @@
 type State struct {
 	self   Identity
 	now    vocab.Instant
-	shared *shared.State
+	fleet  *shared.Follower
 	vms    *observe.State
 	limits *limit.State
 
@@ -48,6 +48,10 @@
 	foldStopped bool
 	stopping    bool
 	joinAsked   bool
+	// snapshotAt is when a snapshot was last read or asked for.
+	snapshotAt vocab.Instant
+	// pendingWithdrawals holds keys that were withdrawn while the log was down.
+	pendingWithdrawals map[vocab.KeyID]bool
 
 	effects []event.Effect
 }
@@ -68,18 +72,20 @@
 func New(self Identity) *State {
 	return &State{
 		self:     self,
-		shared:   shared.New(),
+		fleet:    shared.NewFollower(),
 		vms:      observe.New(),
 		limits:   limit.New(limit.Config{Self: self.Incarnation}),
 		queues:   map[vocab.QueueID]*queue{},
 		requests: map[vocab.RequestID]*request{},
 		attempts: map[vocab.AttemptID]*request{},
+
+		pendingWithdrawals: map[vocab.KeyID]bool{},
 	}
 }
 
 // Shared returns the folded state. Callers must not change it.
 func (s *State) Shared() *shared.State {
-	return s.shared
+	return s.fleet.State()
 }
 
 // Step takes one event and returns what is to be done. Now must not go back
@@ -96,6 +102,12 @@
 		s.onAttemptEnded(e)
 	case RecordsRead:
 		s.onRecordsRead(e)
+	case StreamBegins:
+		s.fleet.Begin(e.Earliest)
+	case SnapshotFetched:
+		s.onSnapshotFetched(e)
+	case WithdrawKey:
+		s.withdrawKey(e.Key)
 	case LogStatus:
 		s.onLogStatus(e)
 	case VMsListed:
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -34,8 +34,11 @@
 	pause := newBackoff()
 	for ctx.Err() == nil {
 		batch, err := n.services.Log.Read(ctx, shared.Stream, next, longPoll)
-		if errors.Is(err, platform.ErrTrimmed) {
-			n.services.Events.Warn(core.NoticeFoldStopped, string(shared.Stream), err)
+		var trimmed *platform.TrimmedError
+		if errors.As(err, &trimmed) && trimmed.Earliest > next {
+			next = trimmed.Earliest
+			n.Post(core.StreamBegins{Earliest: next})
+			continue
 		}
 		if err != nil {
 			n.Post(core.LogStatus{Up: false})
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
 // callTimeout bounds one call beyond the time that the service was asked to wait.
@@ -89,13 +91,14 @@
 	}
 	var problem ErrorResponse
 	_ = json.Unmarshal(body, &problem)
+	if status == http.StatusGone {
+		return &TrimmedError{Earliest: vocab.Offset(problem.Earliest)}
+	}
 	return errors.Wrapf(errorOfStatus(status), "status %d: %s", status, problem.Error)
 }
 
 func errorOfStatus(status int) error {
 	switch {
-	case status == http.StatusGone:
-		return ErrTrimmed
 	case status == http.StatusPreconditionFailed:
 		return ErrStaleEpoch
 	case status >= http.StatusInternalServerError:
--- a/internal/platform/messages.go
+++ b/internal/platform/messages.go
@@ -32,4 +32,6 @@
 // ErrorResponse is the body of every answer that is not a success.
 type ErrorResponse struct {
 	Error string `json:"error"`
+	// Earliest is set in the answer to a read of records that are gone.
+	Earliest uint64 `json:"earliest,omitempty"`
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,22 @@
 // ErrTrimmed means that the log no longer keeps the offset that was asked for.
 var ErrTrimmed = errors.New("log records before the earliest kept offset are gone")
 
+// TrimmedError is the ErrTrimmed of one read.
+type TrimmedError struct {
+	// Earliest is the earliest offset that the log still keeps.
+	Earliest vocab.Offset
+}
+
+// Error implements error.
+func (e *TrimmedError) Error() string {
+	return ErrTrimmed.Error() + "; earliest kept offset is " + strconv.FormatUint(uint64(e.Earliest), 10)
+}
+
+// Is reports that every TrimmedError is an ErrTrimmed.
+func (e *TrimmedError) Is(target error) bool {
+	return target == ErrTrimmed
+}
+
 // ErrStaleEpoch means that an order carried a lower epoch than the receiver
 // has already seen.
 var ErrStaleEpoch = errors.New("order carries a stale epoch")
@@ -37,7 +54,7 @@
 	// records may have been appended all the same.
 	Append(ctx context.Context, stream vocab.StreamID, records []record.Envelope) (vocab.Offset, error)
 	// Read returns records from the offset on. With none to return it waits for
-	// up to wait. It fails with ErrTrimmed if the offset is no longer kept.
+	// up to wait. It fails with a TrimmedError if the offset is no longer kept.
 	Read(ctx context.Context, stream vocab.StreamID, from vocab.Offset, wait time.Duration) (Batch, error)
 }
 
--- /dev/null
+++ b/internal/record/snapshot.go
@@ -0,0 +1,25 @@
+package record
+
+import (
+	"encoding/json"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+func init() {
+	register[SnapshotTaken]()
+}
+
+// SnapshotTaken holds the fold of its stream up to and including Offset, which
+// is earlier than the record's own offset. A reader that begins after the
+// first record of the stream starts from it.
+type SnapshotTaken struct {
+	Version int          `json:"version"`
+	Offset  vocab.Offset `json:"offset"`
+	// Digest is the checksum of State in hexadecimal.
+	Digest string          `json:"digest"`
+	State  json.RawMessage `json:"state"`
+}
+
+// RecordKind implements Body.
+func (SnapshotTaken) RecordKind() Kind { return "snapshot.taken" }
--- a/internal/standin/handlers.go
+++ b/internal/standin/handlers.go
@@ -94,7 +94,12 @@
 	w.Header().Set("Content-Type", "application/json")
 	if err != nil {
 		w.WriteHeader(statusOf(err))
-		out = platform.ErrorResponse{Error: err.Error()}
+		problem := platform.ErrorResponse{Error: err.Error()}
+		var trimmed *platform.TrimmedError
+		if errors.As(err, &trimmed) {
+			problem.Earliest = uint64(trimmed.Earliest)
+		}
+		out = problem
 	}
 	_ = json.NewEncoder(w).Encode(out)
 }
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -137,7 +137,7 @@
 	s := l.stream(id)
 	batch := platform.Batch{Earliest: s.earliest, Next: s.next}
 	if from < s.earliest {
-		return batch, nil, errors.Wrapf(platform.ErrTrimmed, "offset %d, earliest %d", from, s.earliest)
+		return batch, nil, &platform.TrimmedError{Earliest: s.earliest}
 	}
 	if from < s.next {
 		rest := s.records[from-s.earliest:]
