Check the operators' files with every fault at once

Cause: encoding/json stops at the first fault, names no place, and lets doubled fields, null and trailing bytes pass. Change: package strictjson decodes with line and column; package spec checks names, references, budgets and bounds over all files, applies defaults, and gives a digest and a readable difference of two fleets.

--- /dev/null
+++ b/internal/spec/check_fleet.go
@@ -0,0 +1,160 @@
+package spec
+
+import (
+	"fmt"
+
+	"github.com/sardinehead/sardinehead/internal/strictjson"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+var (
+	fleetRequired = []required{
+		{"fleet", `"fleet": "duka-jaza"`},
+		{"regions", `"regions": [{"name": "nakuru", "zones": ["nakuru-a"]}]`},
+		{"teams", `"teams": [{"name": "kijiji", "share": 10, "upper_limit": 40}]`},
+		{"pools", `"pools": [{"name": "orders", "vms": 10, "slots": 8, "zones": ["nakuru-a"]}]`},
+	}
+	regionRequired = []required{
+		{"name", `"name": "nakuru"`},
+		{"zones", `"zones": ["nakuru-a", "nakuru-b"]`},
+	}
+	teamRequired = []required{
+		{"name", `"name": "kijiji"`},
+		{"share", `"share": 10`},
+		{"upper_limit", `"upper_limit": 40`},
+	}
+	poolRequired = []required{
+		{"name", `"name": "orders"`},
+		{"vms", `"vms": 10`},
+		{"slots", `"slots": 8`},
+		{"zones", `"zones": ["nakuru-a", "nakuru-b"]`},
+	}
+)
+
+func (t *tree) checkFleet() {
+	root := t.fleetDoc.Root()
+	requireAll(root, fleetRequired)
+	checkName(root.Field("fleet"), t.fleet.Name)
+	t.checkRegions(root.Field("regions"))
+	t.checkTeams(root.Field("teams"))
+	t.checkPools(root.Field("pools"))
+	checkMaintenance(root.Field("maintenance"), &t.fleet.Maintenance)
+}
+
+func (t *tree) checkRegions(at strictjson.Cursor) {
+	if len(t.fleet.Regions) == 0 {
+		at.Report("there are no regions", "at least one region with its zones")
+	}
+	regions, zones := newUnique("region"), newUnique("zone")
+	for i, r := range t.fleet.Regions {
+		item := at.Index(i)
+		requireAll(item, regionRequired)
+		checkName(item.Field("name"), string(r.Name))
+		regions.add(item.Field("name"), string(r.Name))
+		if len(r.Zones) == 0 {
+			item.Field("zones").Report(fmt.Sprintf("the region %q has no zones", r.Name), "at least one zone")
+		}
+		for j, zone := range r.Zones {
+			place := item.Field("zones").Index(j)
+			checkName(place, string(zone))
+			zones.add(place, string(zone))
+		}
+	}
+}
+
+func (t *tree) checkTeams(at strictjson.Cursor) {
+	names := newUnique("team")
+	for i, team := range t.fleet.Teams {
+		item := at.Index(i)
+		requireAll(item, teamRequired)
+		checkName(item.Field("name"), string(team.Name))
+		names.add(item.Field("name"), string(team.Name))
+		checkRange(item.Field("share"), "share", int64(team.Share), 1, maxShare)
+		checkRange(item.Field("upper_limit"), "upper_limit", int64(team.UpperLimit), 1, maxSlotsFleet)
+	}
+}
+
+func (t *tree) checkPools(at strictjson.Cursor) {
+	names := newUnique("pool")
+	zones := t.declareZones()
+	spare := ""
+	for i := range t.fleet.Pools {
+		pool, item := &t.fleet.Pools[i], at.Index(i)
+		names.add(item.Field("name"), string(pool.Name))
+		checkPool(item, pool, zones)
+		if !pool.Spare {
+			continue
+		}
+		if spare != "" {
+			item.Field("spare").Report("there is already a spare pool at "+spare, "false, or leave it out")
+			continue
+		}
+		spare = item.Place()
+	}
+}
+
+func checkPool(at strictjson.Cursor, pool *Pool, zones *declared) {
+	requireAll(at, poolRequired)
+	checkName(at.Field("name"), string(pool.Name))
+	checkRange(at.Field("vms"), "vms", int64(pool.VMs), 1, maxVMsPerPool)
+	checkRange(at.Field("slots"), "slots", int64(pool.Slots), 1, maxSlotsPerVM)
+	checkRange(at.Field("connections"), "connections", int64(pool.Connections), 1, maxConnections)
+	if at.Field("connections").Present() && pool.Connections < int(pool.Slots) {
+		at.Field("connections").Warn(
+			fmt.Sprintf("a VM with %d connections cannot fill its %d slots", pool.Connections, pool.Slots),
+			fmt.Sprintf("at least %d", pool.Slots))
+	}
+	checkPoolZones(at.Field("zones"), pool, zones)
+}
+
+func (t *tree) declareZones() *declared {
+	var names []string
+	for _, r := range t.fleet.Regions {
+		for _, zone := range r.Zones {
+			names = append(names, string(zone))
+		}
+	}
+	return declare("zone", names...)
+}
+
+func checkPoolZones(at strictjson.Cursor, pool *Pool, zones *declared) {
+	if len(pool.Zones) == 0 {
+		at.Report(fmt.Sprintf("the pool %q has no zones", pool.Name), "at least one zone")
+		return
+	}
+	names := newUnique("zone")
+	for i, zone := range pool.Zones {
+		zones.check(at.Index(i), string(zone))
+		names.add(at.Index(i), string(zone))
+	}
+	if pool.VMs > 0 && pool.VMs < len(pool.Zones) {
+		at.Warn(fmt.Sprintf("%d VMs cannot stand in %d zones", pool.VMs, len(pool.Zones)),
+			"as many zones as there are VMs, or fewer")
+	}
+}
+
+func checkMaintenance(at strictjson.Cursor, m *Maintenance) {
+	checkDuration(at.Field("every"), "every", m.Every, minEvery, maxEvery)
+	checkDuration(at.Field("drain"), "drain", m.Drain, minStage, maxStage)
+	checkDuration(at.Field("reboot"), "reboot", m.Reboot, minStage, maxStage)
+	checkRange(at.Field("stop_after"), "stop_after", int64(m.StopAfter), 0, maxVMsPerPool)
+}
+
+// checkPoolsServed reports pools that serve nothing and are not the spare.
+func (t *tree) checkPoolsServed() {
+	served := make(map[vocab.PoolID]bool, len(t.services))
+	for _, s := range t.services {
+		if !s.doc.OK() {
+			return
+		}
+		served[s.service.Pool] = true
+	}
+	for i, pool := range t.fleet.Pools {
+		if served[pool.Name] || pool.Spare || pool.Name == "" {
+			continue
+		}
+		at := t.fleetDoc.Root().Field("pools").Index(i)
+		at.Field("name").Report(fmt.Sprintf("no service uses the pool %q", pool.Name),
+			fmt.Sprintf(`"pool": %q in a %s, or "spare": true here`, pool.Name, ServiceFileName))
+	}
+}
--- /dev/null
+++ b/internal/spec/golden_test.go
@@ -0,0 +1,60 @@
+package spec_test
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+	"testing"
+	"testing/fstest"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/sardinehead/sardinehead/internal/spec"
+)
+
+// bytesOf lets golden files spell bytes that text files cannot hold.
+var bytesOf = strings.NewReplacer(`\xef`, "\xef", `\xbb`, "\xbb", `\xbf`, "\xbf", `\xff`, "\xff")
+
+// parseTree splits "-- path --" sections into files over a copy of base. An
+// empty section with the word "absent" removes the file.
+func parseTree(base fstest.MapFS, input string) fstest.MapFS {
+	tree := maps.Clone(base)
+	for _, section := range strings.Split("\n"+input, "\n-- ")[1:] {
+		name, body, _ := strings.Cut(section, " --")
+		body = strings.TrimPrefix(body, "\n")
+		if body == "absent" {
+			delete(tree, name)
+			continue
+		}
+		tree[name] = &fstest.MapFile{Data: []byte(bytesOf.Replace(body))}
+	}
+	return tree
+}
+
+func TestGolden(t *testing.T) {
+	base := fstest.MapFS{}
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			tree := parseTree(base, td.Input)
+			fleet, problems, err := spec.Check(tree)
+			if err != nil {
+				t.Fatal(err)
+			}
+			switch td.Cmd {
+			case "base":
+				base = tree
+			case "diff":
+				before, _, _ := spec.Check(base)
+				var out strings.Builder
+				for _, c := range spec.Diff(before, fleet) {
+					fmt.Fprintln(&out, c)
+				}
+				return out.String()
+			}
+			if len(problems) == 0 {
+				return "no problems"
+			}
+			return problems.Error()
+		})
+	})
+}
--- a/internal/spec/load.go
+++ b/internal/spec/load.go
@@ -1,14 +1,14 @@
 package spec
 
 import (
-	"bytes"
-	"encoding/json"
 	"io/fs"
 	"os"
 	"path"
-	"sort"
+	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/sardinehead/sardinehead/internal/strictjson"
 )
 
 const (
@@ -18,40 +18,81 @@
 	ServiceFileName = "sardinehead.json"
 )
 
-// Load reads the tree of operators' files below a directory.
+// ErrUnreadable is returned when a file or directory of the tree cannot be read.
+var ErrUnreadable = errors.New("operators' files cannot be read")
+
+// Load reads and checks the tree of operators' files below a directory. The
+// error is strictjson.Problems with every error of every file, or wraps
+// ErrUnreadable.
 func Load(dir string) (Fleet, error) {
 	return LoadFS(os.DirFS(dir))
 }
 
-// LoadFS reads the tree of operators' files of a file system.
+// LoadFS reads and checks the tree of operators' files of a file system, as
+// Load does. Warnings are dropped.
 func LoadFS(fsys fs.FS) (Fleet, error) {
-	var fleet Fleet
+	fleet, problems, err := Check(fsys)
+	if err != nil {
+		return Fleet{}, err
+	}
+	if err := problems.Err(); err != nil {
+		return Fleet{}, err
+	}
+	return fleet, nil
+}
+
+// Check reads the tree of operators' files of a file system and returns all
+// errors and warnings. The fleet may be used only if none is an error. The
+// error wraps ErrUnreadable.
+func Check(fsys fs.FS) (Fleet, strictjson.Problems, error) {
+	files, err := collect(fsys)
+	if err != nil {
+		return Fleet{}, nil, err
+	}
+	t := decodeTree(files)
+	t.check()
+	t.applyDefaults()
+	fleet := t.fleet
+	for _, s := range t.services {
+		fleet.Services = append(fleet.Services, *s.service)
+	}
+	return fleet.Normalized(), t.allProblems(), nil
+}
+
+// file is one operators' file as it was read.
+type file struct {
+	name string
+	data []byte
+}
+
+// collect returns the operators' files of the tree in lexical order of their
+// paths. It does not enter directories whose names begin with a dot.
+func collect(fsys fs.FS) ([]file, error) {
+	var files []file
 	err := fs.WalkDir(fsys, ".", func(name string, entry fs.DirEntry, err error) error {
 		if err != nil {
 			return err
 		}
-		switch path.Base(name) {
-		case FleetFileName:
-			return decodeFile(fsys, name, &fleet)
-		case ServiceFileName:
-			service := Service{File: name}
-			if err := decodeFile(fsys, name, &service); err != nil {
-				return err
-			}
-			fleet.Services = append(fleet.Services, service)
+		if entry.IsDir() {
+			return skipHidden(name)
 		}
-		return nil
+		base := path.Base(name)
+		if base != FleetFileName && base != ServiceFileName {
+			return nil
+		}
+		data, err := fs.ReadFile(fsys, name)
+		files = append(files, file{name: name, data: data})
+		return err
 	})
-	sort.Slice(fleet.Services, func(i, j int) bool { return fleet.Services[i].Queue < fleet.Services[j].Queue })
-	return fleet, err
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "reading the tree"), ErrUnreadable)
+	}
+	return files, nil
 }
 
-func decodeFile(fsys fs.FS, name string, into any) error {
-	data, err := fs.ReadFile(fsys, name)
-	if err != nil {
-		return errors.Wrapf(err, "reading %s", name)
+func skipHidden(name string) error {
+	if name != "." && strings.HasPrefix(path.Base(name), ".") {
+		return fs.SkipDir
 	}
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	return errors.Wrapf(dec.Decode(into), "file %s", name)
+	return nil
 }
