--- a/internal/spec/check_fleet.go
+++ b/internal/spec/check_fleet.go
@@ -8,33 +8,33 @@
 )
 
 var (
-	fleetRequired = []required{
-		{"fleet", `"fleet": "duka-jaza"`},
-		{"regions", `"regions": [{"name": "nakuru", "zones": ["nakuru-a"]}]`},
-		{"teams", `"teams": [{"name": "kijiji", "share": 10, "upper_limit": 40}]`},
-		{"pools", `"pools": [{"name": "orders", "vms": 10, "slots": 8, "zones": ["nakuru-a"]}]`},
+	fleetRequired = []strictjson.Required{
+		{Name: "fleet", Example: `"fleet": "duka-jaza"`},
+		{Name: "regions", Example: `"regions": [{"name": "nakuru", "zones": ["nakuru-a"]}]`},
+		{Name: "teams", Example: `"teams": [{"name": "kijiji", "share": 10, "upper_limit": 40}]`},
+		{Name: "pools", Example: `"pools": [{"name": "orders", "vms": 10, "slots": 8, "zones": ["nakuru-a"]}]`},
 	}
-	regionRequired = []required{
-		{"name", `"name": "nakuru"`},
-		{"zones", `"zones": ["nakuru-a", "nakuru-b"]`},
+	regionRequired = []strictjson.Required{
+		{Name: "name", Example: `"name": "nakuru"`},
+		{Name: "zones", Example: `"zones": ["nakuru-a", "nakuru-b"]`},
 	}
-	teamRequired = []required{
-		{"name", `"name": "kijiji"`},
-		{"share", `"share": 10`},
-		{"upper_limit", `"upper_limit": 40`},
+	teamRequired = []strictjson.Required{
+		{Name: "name", Example: `"name": "kijiji"`},
+		{Name: "share", Example: `"share": 10`},
+		{Name: "upper_limit", Example: `"upper_limit": 40`},
 	}
-	poolRequired = []required{
-		{"name", `"name": "orders"`},
-		{"vms", `"vms": 10`},
-		{"slots", `"slots": 8`},
-		{"zones", `"zones": ["nakuru-a", "nakuru-b"]`},
+	poolRequired = []strictjson.Required{
+		{Name: "name", Example: `"name": "orders"`},
+		{Name: "vms", Example: `"vms": 10`},
+		{Name: "slots", Example: `"slots": 8`},
+		{Name: "zones", Example: `"zones": ["nakuru-a", "nakuru-b"]`},
 	}
 )
 
 func (t *tree) checkFleet() {
 	root := t.fleetDoc.Root()
-	requireAll(root, fleetRequired)
-	checkName(root.Field("fleet"), t.fleet.Name)
+	strictjson.RequireAll(root, fleetRequired)
+	strictjson.CheckName(root.Field("fleet"), t.fleet.Name)
 	t.checkRegions(root.Field("regions"))
 	t.checkTeams(root.Field("teams"))
 	t.checkPools(root.Field("pools"))
@@ -48,15 +48,15 @@
 	regions, zones := newUnique("region"), newUnique("zone")
 	for i, r := range t.fleet.Regions {
 		item := at.Index(i)
-		requireAll(item, regionRequired)
-		checkName(item.Field("name"), string(r.Name))
+		strictjson.RequireAll(item, regionRequired)
+		strictjson.CheckName(item.Field("name"), string(r.Name))
 		regions.add(item.Field("name"), string(r.Name))
 		if len(r.Zones) == 0 {
 			item.Field("zones").Report(fmt.Sprintf("the region %q has no zones", r.Name), "at least one zone")
 		}
 		for j, zone := range r.Zones {
 			place := item.Field("zones").Index(j)
-			checkName(place, string(zone))
+			strictjson.CheckName(place, string(zone))
 			zones.add(place, string(zone))
 		}
 	}
@@ -66,11 +66,11 @@
 	names := newUnique("team")
 	for i, team := range t.fleet.Teams {
 		item := at.Index(i)
-		requireAll(item, teamRequired)
-		checkName(item.Field("name"), string(team.Name))
+		strictjson.RequireAll(item, teamRequired)
+		strictjson.CheckName(item.Field("name"), string(team.Name))
 		names.add(item.Field("name"), string(team.Name))
-		checkRange(item.Field("share"), "share", int64(team.Share), 1, maxShare)
-		checkRange(item.Field("upper_limit"), "upper_limit", int64(team.UpperLimit), 1, maxSlotsFleet)
+		strictjson.CheckRange(item.Field("share"), "share", int64(team.Share), 1, maxShare)
+		strictjson.CheckRange(item.Field("upper_limit"), "upper_limit", int64(team.UpperLimit), 1, maxSlotsFleet)
 	}
 }
 
@@ -94,11 +94,11 @@
 }
 
 func checkPool(at strictjson.Cursor, pool *Pool, zones *declared) {
-	requireAll(at, poolRequired)
-	checkName(at.Field("name"), string(pool.Name))
-	checkRange(at.Field("vms"), "vms", int64(pool.VMs), 1, maxVMsPerPool)
-	checkRange(at.Field("slots"), "slots", int64(pool.Slots), 1, maxSlotsPerVM)
-	checkRange(at.Field("connections"), "connections", int64(pool.Connections), 1, maxConnections)
+	strictjson.RequireAll(at, poolRequired)
+	strictjson.CheckName(at.Field("name"), string(pool.Name))
+	strictjson.CheckRange(at.Field("vms"), "vms", int64(pool.VMs), 1, maxVMsPerPool)
+	strictjson.CheckRange(at.Field("slots"), "slots", int64(pool.Slots), 1, maxSlotsPerVM)
+	strictjson.CheckRange(at.Field("connections"), "connections", int64(pool.Connections), 1, maxConnections)
 	if at.Field("connections").Present() && pool.Connections < int(pool.Slots) {
 		at.Field("connections").Warn(
 			fmt.Sprintf("a VM with %d connections cannot fill its %d slots", pool.Connections, pool.Slots),
@@ -134,10 +134,10 @@
 }
 
 func checkMaintenance(at strictjson.Cursor, m *Maintenance) {
-	checkDuration(at.Field("every"), "every", m.Every, minEvery, maxEvery)
-	checkDuration(at.Field("drain"), "drain", m.Drain, minStage, maxStage)
-	checkDuration(at.Field("reboot"), "reboot", m.Reboot, minStage, maxStage)
-	checkRange(at.Field("stop_after"), "stop_after", int64(m.StopAfter), 0, maxVMsPerPool)
+	strictjson.CheckDuration(at.Field("every"), "every", m.Every.D(), minEvery, maxEvery)
+	strictjson.CheckDuration(at.Field("drain"), "drain", m.Drain.D(), minStage, maxStage)
+	strictjson.CheckDuration(at.Field("reboot"), "reboot", m.Reboot.D(), minStage, maxStage)
+	strictjson.CheckRange(at.Field("stop_after"), "stop_after", int64(m.StopAfter), 0, maxVMsPerPool)
 }
 
 // checkPoolsServed reports pools that serve nothing and are not the spare.
--- a/internal/spec/check_keep.go
+++ b/internal/spec/check_keep.go
@@ -8,9 +8,9 @@
 
 // checkKeep compares an availability budget with the pool that has to meet it.
 func (t *tree) checkKeep(at strictjson.Cursor, s *Service) {
-	requireAll(at, keepRequired)
-	checkRange(at.Field("ready"), "ready", int64(s.Keep.Ready), 0, maxVMsPerPool)
-	checkRange(at.Field("ready_per_zone"), "ready_per_zone", int64(s.Keep.ReadyPerZone), 0, maxVMsPerPool)
+	strictjson.RequireAll(at, keepRequired)
+	strictjson.CheckRange(at.Field("ready"), "ready", int64(s.Keep.Ready), 0, maxVMsPerPool)
+	strictjson.CheckRange(at.Field("ready_per_zone"), "ready_per_zone", int64(s.Keep.ReadyPerZone), 0, maxVMsPerPool)
 	pool, known := t.fleet.Pool(s.Pool)
 	if !known || pool.VMs <= 0 || len(pool.Zones) == 0 {
 		return
--- a/internal/spec/check_service.go
+++ b/internal/spec/check_service.go
@@ -7,13 +7,13 @@
 )
 
 var (
-	serviceRequired = []required{
-		{"service", `"service": "orders"`},
-		{"pool", `"pool": "orders"`},
-		{"keep", `"keep": {"ready": 8, "ready_per_zone": 2}`},
+	serviceRequired = []strictjson.Required{
+		{Name: "service", Example: `"service": "orders"`},
+		{Name: "pool", Example: `"pool": "orders"`},
+		{Name: "keep", Example: `"keep": {"ready": 8, "ready_per_zone": 2}`},
 	}
-	keepRequired = []required{{"ready", `"ready": 8`}}
-	ruleRequired = []required{{"path_prefix", `"path_prefix": "/"`}}
+	keepRequired = []strictjson.Required{{Name: "ready", Example: `"ready": 8`}}
+	ruleRequired = []strictjson.Required{{Name: "path_prefix", Example: `"path_prefix": "/"`}}
 )
 
 // methods are the HTTP methods that callers may use.
@@ -21,7 +21,7 @@
 
 func (t *tree) checkService(f *serviceFile) {
 	s, root := f.service, f.doc.Root()
-	requireAll(root, serviceRequired)
+	strictjson.RequireAll(root, serviceRequired)
 	t.checkQueueName(f)
 	t.checkServicePool(f)
 	t.checkServiceTeams(root, s)
@@ -35,7 +35,7 @@
 
 func (t *tree) checkQueueName(f *serviceFile) {
 	at, name := f.doc.Root().Field("service"), f.service.Queue
-	checkName(at, string(name))
+	strictjson.CheckName(at, string(name))
 	if name == reservedQueue {
 		at.Report(fmt.Sprintf("%q is the path of the callers' tasks", name), "another name")
 	}
@@ -92,9 +92,9 @@
 }
 
 func checkHold(at strictjson.Cursor, h *Hold) {
-	checkRange(at.Field("queued"), "queued", int64(h.Queued), 1, maxQueued)
-	checkRange(at.Field("queued_per_team"), "queued_per_team", int64(h.QueuedPerTeam), 1, maxQueued)
-	checkRange(at.Field("body_bytes"), "body_bytes", h.BodyBytes, 0, maxBodyBytes)
+	strictjson.CheckRange(at.Field("queued"), "queued", int64(h.Queued), 1, maxQueued)
+	strictjson.CheckRange(at.Field("queued_per_team"), "queued_per_team", int64(h.QueuedPerTeam), 1, maxQueued)
+	strictjson.CheckRange(at.Field("body_bytes"), "body_bytes", h.BodyBytes, 0, maxBodyBytes)
 	if at.Field("queued").Present() && h.QueuedPerTeam > h.Queued {
 		at.Field("queued_per_team").Report(
 			fmt.Sprintf(`"queued_per_team" is %d, more than "queued"`, h.QueuedPerTeam),
@@ -103,9 +103,9 @@
 }
 
 func (t *tree) checkLimits(at strictjson.Cursor, l *TimeLimits) {
-	checkDuration(at.Field("queue"), "queue", l.Queue, minTimeLimit, maxTimeLimit)
-	checkDuration(at.Field("first_byte"), "first_byte", l.FirstByte, minTimeLimit, maxTimeLimit)
-	checkDuration(at.Field("run"), "run", l.Run, minTimeLimit, maxTimeLimit)
+	strictjson.CheckDuration(at.Field("queue"), "queue", l.Queue.D(), minTimeLimit, maxTimeLimit)
+	strictjson.CheckDuration(at.Field("first_byte"), "first_byte", l.FirstByte.D(), minTimeLimit, maxTimeLimit)
+	strictjson.CheckDuration(at.Field("run"), "run", l.Run.D(), minTimeLimit, maxTimeLimit)
 	run := at.Field("run")
 	if run.Present() && l.FirstByte > l.Run {
 		at.Field("first_byte").Report(
@@ -120,7 +120,7 @@
 }
 
 func checkRule(at strictjson.Cursor, r *RequestRule) {
-	requireAll(at, ruleRequired)
+	strictjson.RequireAll(at, ruleRequired)
 	names := newUnique("method")
 	for i, method := range r.Methods {
 		methods.check(at.Field("methods").Index(i), method)
--- a/internal/spec/check_values.go
+++ b/internal/spec/check_values.go
@@ -2,65 +2,10 @@
 
 import (
 	"fmt"
-	"strings"
-	"time"
 
 	"github.com/sardinehead/sardinehead/internal/strictjson"
 )
 
-// nameCharacters are the characters of names: those that stand in a URL path
-// without escaping.
-const nameCharacters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~"
-
-// checkName reports a name that cannot stand in a URL path.
-func checkName(at strictjson.Cursor, name string) {
-	write := `a name of letters, digits and -._~ such as "orders"`
-	switch {
-	case name == "":
-		at.Report("the name is empty", write)
-	case name == "." || name == "..":
-		at.Report(fmt.Sprintf("%q is not a name", name), write)
-	case len(name) > maxNameLength:
-		at.Report(fmt.Sprintf("the name has %d characters", len(name)),
-			fmt.Sprintf("a name of at most %d characters", maxNameLength))
-	case strings.Trim(name, nameCharacters) != "":
-		bad := strings.TrimLeft(name, nameCharacters)
-		at.Report(fmt.Sprintf("the name %q has %q, which cannot stand in a URL path", name, []rune(bad)[0]), write)
-	}
-}
-
-// checkRange reports a number outside its bounds.
-func checkRange(at strictjson.Cursor, field string, value, low, high int64) {
-	if value < low {
-		at.Report(fmt.Sprintf("%q is %d", field, value), fmt.Sprintf("at least %d", low))
-	}
-	if value > high {
-		at.Report(fmt.Sprintf("%q is %d", field, value), fmt.Sprintf("at most %d", high))
-	}
-}
-
-// checkDuration reports a duration outside its bounds.
-func checkDuration(at strictjson.Cursor, field string, value Duration, low, high time.Duration) {
-	if value.D() < low {
-		at.Report(fmt.Sprintf("%q is %s", field, value.D()), fmt.Sprintf("at least %q", low))
-	}
-	if value.D() > high {
-		at.Report(fmt.Sprintf("%q is %s", field, value.D()), fmt.Sprintf("at most %q", high))
-	}
-}
-
-// required is a field that must be present, with an example of it.
-type required struct {
-	name    string
-	example string
-}
-
-func requireAll(at strictjson.Cursor, fields []required) {
-	for _, f := range fields {
-		at.Require(f.name, f.example)
-	}
-}
-
 // unique finds names that stand twice in one set.
 type unique struct {
 	noun  string
--- a/internal/spec/limits.go
+++ b/internal/spec/limits.go
@@ -23,8 +23,6 @@
 	minTimeLimit = time.Millisecond
 	maxTimeLimit = 15 * time.Minute
 
-	// maxNameLength is in characters.
-	maxNameLength = 63
 	// reservedQueue is the path under which callers find their tasks.
 	reservedQueue = "tasks"
 )
