--- /dev/null
+++ b/internal/core/dump.go
@@ -0,0 +1,149 @@
+package core
+
+import (
+	"github.com/sardinehead/sardinehead/internal/core/limit"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// Dump is a copy of a node's state for operators. It holds no secrets and no
+// hashes of them.
+type Dump struct {
+	Node        vocab.NodeID      `json:"node"`
+	Incarnation vocab.Incarnation `json:"incarnation"`
+	Zone        vocab.ZoneID      `json:"zone"`
+	Ready       bool              `json:"ready"`
+	NotReady    []string          `json:"not_ready,omitempty"`
+	Stopping    bool              `json:"stopping"`
+	LogUp       bool              `json:"log_up"`
+	Offset      vocab.Offset      `json:"offset"`
+	Revision    vocab.Revision    `json:"revision"`
+	Digest      string            `json:"digest"`
+	Fleet       string            `json:"fleet"`
+	Members     []MemberDump      `json:"members"`
+	Keys        []KeyDump         `json:"keys"`
+	Queues      []QueueDump       `json:"queues"`
+	VMs         []VMDump          `json:"vms"`
+	Limits      limit.Dump        `json:"limits"`
+	Running     int               `json:"running"`
+	// PendingWithdrawals lists keys whose withdrawal is not yet on the log.
+	PendingWithdrawals []vocab.KeyID `json:"pending_withdrawals,omitempty"`
+}
+
+// MemberDump is one member of the fleet.
+type MemberDump struct {
+	Node        vocab.NodeID      `json:"node"`
+	Incarnation vocab.Incarnation `json:"incarnation"`
+	Zone        vocab.ZoneID      `json:"zone"`
+	PeerAddress string            `json:"peer_address"`
+}
+
+// KeyDump is one key without its hash.
+type KeyDump struct {
+	ID        vocab.KeyID  `json:"id"`
+	Team      vocab.TeamID `json:"team"`
+	Withdrawn bool         `json:"withdrawn"`
+}
+
+// QueueDump is one queue of this node.
+type QueueDump struct {
+	Queue   vocab.QueueID `json:"queue"`
+	Pool    vocab.PoolID  `json:"pool"`
+	Waiting int           `json:"waiting"`
+	Teams   []TeamWaiting `json:"teams,omitempty"`
+	Avoided []vocab.VMID  `json:"avoided,omitempty"`
+	ReadyVM int           `json:"ready_vms"`
+	Budget  int           `json:"ready_budget"`
+	Slots   vocab.Slots   `json:"free_slots_here"`
+}
+
+// TeamWaiting counts the waiting requests of one team.
+type TeamWaiting struct {
+	Team    vocab.TeamID `json:"team"`
+	Waiting int          `json:"waiting"`
+}
+
+// VMDump is what this node concludes about one VM.
+type VMDump struct {
+	VM          vocab.VMID          `json:"vm"`
+	Incarnation vocab.VMIncarnation `json:"incarnation"`
+	Pool        vocab.PoolID        `json:"pool"`
+	Zone        vocab.ZoneID        `json:"zone"`
+	Phase       string              `json:"phase"`
+}
+
+// Dump copies the state.
+func (s *State) Dump() Dump {
+	sh := s.Shared()
+	d := Dump{
+		Node:               s.self.Node,
+		Incarnation:        s.self.Incarnation,
+		Zone:               s.self.Zone,
+		NotReady:           s.NotReady(),
+		Stopping:           s.stopping,
+		LogUp:              !s.logDown,
+		Offset:             sh.Offset,
+		Revision:           sh.Revision,
+		Digest:             sh.Digest(),
+		Limits:             s.limits.Snapshot(),
+		Running:            len(s.attempts),
+		PendingWithdrawals: s.PendingWithdrawals(),
+	}
+	d.Ready = len(d.NotReady) == 0
+	if sh.Fleet != nil {
+		d.Fleet = sh.Fleet.Name
+	}
+	for _, m := range sh.SortedMembers() {
+		d.Members = append(d.Members, MemberDump{Node: m.Node, Incarnation: m.Incarnation, Zone: m.Zone, PeerAddress: m.PeerAddress})
+	}
+	for _, k := range sh.SortedKeys() {
+		d.Keys = append(d.Keys, KeyDump{ID: k.ID, Team: k.Team, Withdrawn: k.Withdrawn || s.pendingWithdrawals[k.ID]})
+	}
+	for _, id := range s.names {
+		d.Queues = append(d.Queues, s.dumpQueue(s.queues[id]))
+	}
+	for _, vm := range s.vms.All() {
+		d.VMs = append(d.VMs, VMDump{VM: vm.Name, Incarnation: vm.Incarnation, Pool: vm.Pool, Zone: vm.Zone, Phase: vm.Phase.String()})
+	}
+	return d
+}
+
+func (s *State) dumpQueue(q *queue) QueueDump {
+	d := QueueDump{
+		Queue:   q.id,
+		Pool:    q.service.Pool,
+		Waiting: q.waiting.Len(),
+		ReadyVM: len(s.vms.Ready(q.service.Pool)),
+		Budget:  q.service.Keep.Ready,
+	}
+	for _, t := range s.Shared().Fleet.Teams {
+		if n := q.waiting.Waiting(t.Name); n > 0 {
+			d.Teams = append(d.Teams, TeamWaiting{Team: t.Name, Waiting: n})
+		}
+	}
+	for _, vm := range s.vms.Ready(q.service.Pool) {
+		d.Slots += s.limits.Free(s.now, vmAccount(vm))
+		if s.now < q.avoid[vm.Name] {
+			d.Avoided = append(d.Avoided, vm.Name)
+		}
+	}
+	return d
+}
+
+// NotReady returns the reasons why the node should get no callers; none if it
+// should.
+func (s *State) NotReady() []string {
+	var why []string
+	if s.Shared().Fleet == nil {
+		why = append(why, "no configuration yet")
+	}
+	if s.fleet.Searching() && s.Shared().Fleet == nil {
+		why = append(why, "the log keeps no snapshot to start from")
+	}
+	if len(s.vms.All()) == 0 {
+		why = append(why, "the VM list was not read yet")
+	}
+	if s.leaving {
+		why = append(why, "stopping")
+	}
+	return why
+}
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -84,9 +84,17 @@
 // Tick makes time pass. The node sends one every TickInterval.
 type Tick struct{}
 
-// StopRequested begins a graceful stop: no new request is taken.
+// LeaveRequested begins a graceful stop: the node withdraws its readiness and
+// goes on serving until the balancer has noticed.
+type LeaveRequested struct{}
+
+// StopRequested is the second step of a graceful stop: no new request is taken.
 type StopRequested struct{}
 
+// LastRequestEnded is the last step of a graceful stop: all callers have their
+// answers.
+type LastRequestEnded struct{}
+
 // IsEvent implements event.Event.
 func (RequestArrived) IsEvent() {}
 
@@ -117,5 +125,11 @@
 // IsEvent implements event.Event.
 func (Tick) IsEvent() {}
 
+// IsEvent implements event.Event.
+func (LeaveRequested) IsEvent() {}
+
+// IsEvent implements event.Event.
+func (LastRequestEnded) IsEvent() {}
+
 // IsEvent implements event.Event.
 func (StopRequested) IsEvent() {}
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core/admission"
 	"github.com/sardinehead/sardinehead/internal/core/retry"
@@ -152,19 +151,6 @@
 	s.dispatchAll()
 }
 
-func (s *State) onStopRequested() {
-	if s.stopping {
-		return
-	}
-	s.stopping = true
-	s.notice(NoticeStopping, string(s.self.Node), "")
-	for _, id := range s.names {
-		for _, it := range s.queues[id].waiting.RemoveIf(func(admission.Item) bool { return true }) {
-			s.refuseWaiting(it.Request, notRun(CodeStopping, time.Second, "this entry node is stopping; send the request again"))
-		}
-	}
-}
-
 // dispatchAll tries every queue.
 func (s *State) dispatchAll() {
 	for _, id := range s.names {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -74,7 +74,7 @@
 // admit checks whether the request may be taken at all.
 func (s *State) admit(e RequestArrived) (*spec.Service, vocab.TeamID, *Problem) {
 	if s.stopping {
-		p := notRun(CodeStopping, time.Second, "this entry node is stopping; send the request again")
+		p := stoppingProblem()
 		return nil, "", &p
 	}
 	if s.Shared().Fleet == nil {
@@ -112,14 +112,9 @@
 		p := notRun(CodeKeyRefused, 0, "the key is unknown or was withdrawn")
 		return "", &p
 	}
-	if service.Open {
+	if service.Admits(key.Team) {
 		return key.Team, nil
 	}
-	for _, t := range service.Teams {
-		if t == key.Team {
-			return key.Team, nil
-		}
-	}
 	p := notRun(CodeTeamRefused, 0, "team "+string(key.Team)+" may not send work to "+string(service.Queue))
 	return "", &p
 }
--- a/internal/core/shared/state.go
+++ b/internal/core/shared/state.go
@@ -5,6 +5,10 @@
 package shared
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -93,3 +97,17 @@
 	}
 	return k, true
 }
+
+// SortedMembers returns the members in order of incarnation.
+func (s *State) SortedMembers() []Member {
+	out := slices.Collect(maps.Values(s.Members))
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return out
+}
+
+// SortedKeys returns all keys in order of their IDs.
+func (s *State) SortedKeys() []Key {
+	out := slices.Collect(maps.Values(s.Keys))
+	slices.SortFunc(out, func(a, b Key) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- a/internal/core/snapshots.go
+++ b/internal/core/snapshots.go
@@ -1,11 +1,9 @@
 package core
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/record"
-	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
 const (
@@ -39,10 +37,10 @@
 
 // rank returns this member's place among the members in order of incarnation.
 func (s *State) rank() (int, bool) {
-	members := make([]vocab.Incarnation, 0, len(s.Shared().Members))
-	for inc := range s.Shared().Members {
-		members = append(members, inc)
+	for at, m := range s.Shared().SortedMembers() {
+		if m.Incarnation == s.self.Incarnation {
+			return at, true
+		}
 	}
-	slices.Sort(members)
-	return slices.BinarySearch(members, s.self.Incarnation)
+	return 0, false
 }
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -46,8 +46,14 @@
 	lastRecord  uint64
 	logDown     bool
 	foldStopped bool
-	stopping    bool
-	joinAsked   bool
+	// leaving is set once a graceful stop began: the node still serves, and
+	// tells the balancer that it is not ready.
+	leaving bool
+	// stopping is set once no new request is taken.
+	stopping bool
+	// left is set once the end of the membership was asked for.
+	left      bool
+	joinAsked bool
 	// snapshotAt is when a snapshot was last read or asked for.
 	snapshotAt vocab.Instant
 	// pendingWithdrawals holds keys that were withdrawn while the log was down.
@@ -114,8 +120,13 @@
 		s.onVMsListed(e)
 	case Tick:
 		s.onTick()
+	case LeaveRequested:
+		s.leaving = true
+		s.notice(NoticeStopping, string(s.self.Node), "readiness withdrawn")
 	case StopRequested:
 		s.onStopRequested()
+	case LastRequestEnded:
+		s.onLastRequestEnded()
 	}
 	return s.effects
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -131,6 +131,7 @@
 	for ctx.Err() == nil {
 		_, err := n.services.Log.Append(ctx, stream, envelopes)
 		if err == nil {
+			n.unappended.Add(-int64(len(envelopes)))
 			return
 		}
 		sleep(ctx, pause.NextBackOff())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,9 @@
 	stopped  chan struct{}
 	requests *requestTable
 	appends  chan core.Append
+	metrics  *nodeMetrics
+	// unappended counts records that the log has not answered for.
+	unappended atomic.Int64
 }
 
 // query reads the state from within the loop.
@@ -64,6 +68,7 @@
 		stopped:  make(chan struct{}),
 		requests: newRequestTable(),
 		appends:  make(chan core.Append, eventBacklog),
+		metrics:  newNodeMetrics(),
 	}
 }
 
@@ -114,6 +119,7 @@
 
 func (n *Node) step(ev event.Event) {
 	now := vocab.Instant(time.Since(n.started))
+	n.metrics.steps.Inc()
 	for _, effect := range n.state.Step(now, ev) {
 		n.carryOut(effect)
 	}
@@ -124,8 +130,10 @@
 	case core.Dispatch:
 		n.requests.decide(e.Request, Decision{Dispatch: &e})
 	case core.Answer:
+		n.metrics.refused(e.Problem)
 		n.requests.decide(e.Request, Decision{Problem: &e.Problem})
 	case core.Append:
+		n.unappended.Add(1)
 		n.appends <- e
 	case core.Notice:
 		n.services.Events.Notice(e)
--- a/internal/spec/lookup.go
+++ b/internal/spec/lookup.go
@@ -1,6 +1,7 @@
 package spec
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/sardinehead/sardinehead/internal/vocab"
@@ -46,6 +47,11 @@
 	return Service{}, false
 }
 
+// Admits reports whether the team may send work to this service.
+func (s *Service) Admits(team vocab.TeamID) bool {
+	return s.Open || slices.Contains(s.Teams, team)
+}
+
 // Rule returns the properties of a request to this service.
 func (s *Service) Rule(method, path string) RequestRule {
 	for _, r := range s.Requests {
