Prove true outcomes over sockets; never let net/http resend

Cause: a scenario with connections reset after the request showed 4 runs of a GET where 3 attempts were allowed: net/http resends on its own over a reused connection. A late second answer made 16 of 60 requests fail, because retries met other poisoned connections. Change: every request on a reused connection has a body that cannot be replayed; retries use fresh connections; a VM whose connection failed gets fresh ones for 10 s. The stand-in flushes before it cuts an answer.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -67,7 +67,7 @@
 		Attempt:     a.id,
 		VM:          vm.Name,
 		Address:     vm.Address,
-		Idempotent:  r.idempotent,
+		Reuse:       r.idempotent && r.attempts == 1,
 		FirstByte:   r.service.Limits.FirstByte.D(),
 		Run:         r.service.Limits.Run.D(),
 		Connections: max(1, r.queue.pool.Connections/max(1, len(s.Shared().Members))),
--- a/internal/core/dump.go
+++ b/internal/core/dump.go
@@ -147,3 +147,40 @@
 	}
 	return why
 }
+
+// Serving reports whether the node is ready and has a part of every pool.
+func (s *State) Serving() bool {
+	if len(s.NotReady()) > 0 || !s.isMember() {
+		return false
+	}
+	for _, id := range s.names {
+		if s.dumpQueue(s.queues[id]).Slots == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// LogUp reports whether the log service answered last time.
+func (s *State) LogUp() bool {
+	return !s.logDown
+}
+
+// KeyHolds reports whether work may be taken under the key.
+func (s *State) KeyHolds(id vocab.KeyID) bool {
+	return s.keyHolds(id)
+}
+
+// Waiting returns the number of requests that wait in a queue of this node.
+func (s *State) Waiting(id vocab.QueueID) int {
+	q, ok := s.queues[id]
+	if !ok {
+		return 0
+	}
+	return q.waiting.Len()
+}
+
+// Running returns the number of attempts of this node that run.
+func (s *State) Running() int {
+	return len(s.attempts)
+}
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -13,8 +13,9 @@
 	Attempt vocab.AttemptID
 	VM      vocab.VMID
 	Address string
-	// Idempotent allows a pooled connection; other requests need a fresh one.
-	Idempotent bool
+	// Reuse allows a connection that served another request before. Requests
+	// that are not idempotent, and retries, need a fresh one.
+	Reuse bool
 	// FirstByte bounds the wait for the first byte of the answer.
 	FirstByte time.Duration
 	// Run bounds the whole attempt.
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -13,6 +13,7 @@
 	"math/big"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -62,6 +63,8 @@
 	Node    *node.Node
 	Address string
 	Forward *forward.Client
+	callers *http.Server
+	cancel  context.CancelFunc
 }
 
 // Start starts an installation. It serves until Close.
@@ -196,11 +199,26 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(ctx)
 	go func() { _ = n.Run(ctx) }()
-	in.Nodes = append(in.Nodes, &Entry{ID: id, Node: n, Address: address, Forward: f})
+	in.Nodes = append(in.Nodes, &Entry{
+		ID:      id,
+		Node:    n,
+		Address: address,
+		Forward: f,
+		callers: in.servers[len(in.servers)-1],
+		cancel:  cancel,
+	})
 	return nil
 }
 
+// StopNode stops an entry node gracefully.
+func (in *Installation) StopNode(ctx context.Context, i int) error {
+	e := in.Nodes[i]
+	defer e.cancel()
+	return e.Node.Stop(ctx, node.StopPlan{Drain: e.callers.Shutdown, LeaveWait: time.Second})
+}
+
 // serve starts an HTTP server on loopback and returns its address.
 func (in *Installation) serve(handler http.Handler, port int) (string, error) {
 	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
--- /dev/null
+++ b/internal/dev/scenario_test.go
@@ -0,0 +1,307 @@
+package dev_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/sardinehead/sardinehead/internal/core"
+	"github.com/sardinehead/sardinehead/internal/dev"
+	"github.com/sardinehead/sardinehead/internal/node"
+	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/spec"
+	"github.com/sardinehead/sardinehead/internal/standin"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// TestScenarios runs the scripts under testdata against whole installations
+// over real sockets. docs/SCENARIOS.md describes the commands.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata/scenarios", func(t *testing.T, path string) {
+		s := &scenario{t: t, answers: map[string]chan string{}}
+		defer s.close()
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+// scenario is one script's installation.
+type scenario struct {
+	t       *testing.T
+	in      *dev.Installation
+	answers map[string]chan string
+	client  http.Client
+}
+
+func (s *scenario) close() {
+	if s.in != nil {
+		s.in.Close()
+	}
+}
+
+func (s *scenario) run(t *testing.T, d *datadriven.TestData) string {
+	commands := map[string]func(*datadriven.TestData) string{
+		"start": s.start, "fault": s.fault, "log": s.log, "vm": s.vm, "send": s.send,
+		"begin": s.begin, "answer": s.answer, "runs": s.runs, "withdraw": s.withdraw,
+		"stop": s.stop, "burst": s.burst, "wait": s.wait, "most": s.most,
+	}
+	command, ok := commands[d.Cmd]
+	if !ok {
+		d.Fatalf(t, "no command %q", d.Cmd)
+	}
+	return command(d)
+}
+
+// start nodes=N config=DIR
+func (s *scenario) start(d *datadriven.TestData) string {
+	nodes, config := 1, "duka-jaza"
+	d.MaybeScanArgs(s.t, "nodes", &nodes)
+	d.MaybeScanArgs(s.t, "config", &config)
+	fleet, err := spec.Load(filepath.Join("../../examples", config))
+	if err != nil {
+		d.Fatalf(s.t, "%v", err)
+	}
+	for i := range fleet.Services {
+		fleet.Services[i].Limits.FirstByte = spec.Duration(time.Second)
+		fleet.Services[i].Limits.Run = spec.Duration(4 * time.Second)
+	}
+	s.in, err = dev.Start(dev.Options{Fleet: fleet, Nodes: nodes, Events: io.Discard})
+	if err != nil {
+		d.Fatalf(s.t, "%v", err)
+	}
+	return s.untilReady()
+}
+
+// untilReady waits until every node has a part of every limit.
+func (s *scenario) untilReady() string {
+	for _, n := range s.in.Nodes {
+		s.until(func(st *core.State) bool { return st.Serving() }, n.Node)
+	}
+	return "ready\n"
+}
+
+func (s *scenario) until(done func(*core.State) bool, n *node.Node) {
+	for range 2000 {
+		var ok bool
+		if err := n.Read(func(st *core.State) { ok = done(st) }); err != nil || ok {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	s.t.Fatal("the condition did not come about within 10 s")
+}
+
+// fault vms=PREFIX silent|reset|draining|refuse|cut=BYTES|work=TIME|late; without a kind it clears.
+func (s *scenario) fault(d *datadriven.TestData) string {
+	var prefix, work string
+	var faults standin.UpstreamFaults
+	d.ScanArgs(s.t, "vms", &prefix)
+	faults.Silent = d.HasArg("silent")
+	faults.Reset = d.HasArg("reset")
+	faults.Draining = d.HasArg("draining")
+	faults.Refuse = d.HasArg("refuse")
+	faults.Late = d.HasArg("late")
+	d.MaybeScanArgs(s.t, "cut", &faults.CutAfter)
+	d.MaybeScanArgs(s.t, "work", &work)
+	faults.Work, _ = time.ParseDuration(work)
+	for vm, u := range s.in.Upstreams {
+		if strings.HasPrefix(string(vm), prefix) {
+			u.SetFaults(faults)
+		}
+	}
+	return ""
+}
+
+// log down|up|lose=N
+func (s *scenario) log(d *datadriven.TestData) string {
+	faults := standin.LogFaults{Down: d.HasArg("down")}
+	d.MaybeScanArgs(s.t, "lose", &faults.LoseAnswers)
+	s.in.Log.SetFaults(faults)
+	if faults.Down {
+		for _, n := range s.in.Nodes {
+			s.until(func(st *core.State) bool { return !st.LogUp() }, n.Node)
+		}
+	}
+	return ""
+}
+
+// vm name=VM phase=PHASE, or vm list=frozen
+func (s *scenario) vm(d *datadriven.TestData) string {
+	if d.HasArg("list") {
+		s.in.VMs.SetFaults(standin.VMFaults{Frozen: true})
+		return ""
+	}
+	var name, phase string
+	d.ScanArgs(s.t, "name", &name)
+	d.ScanArgs(s.t, "phase", &phase)
+	s.in.VMs.SetPhase(vocab.VMID(name), platform.VMPhase(phase))
+	return ""
+}
+
+// send queue=Q team=T method=M path=P id=ID node=N patience=TIME
+func (s *scenario) send(d *datadriven.TestData) string {
+	return s.exchange(s.request(d))
+}
+
+// begin as send, but does not wait; answer id=ID waits.
+func (s *scenario) begin(d *datadriven.TestData) string {
+	req, id := s.request(d), ""
+	d.ScanArgs(s.t, "id", &id)
+	done := make(chan string, 1)
+	s.answers[id] = done
+	go func() { done <- s.exchange(req) }()
+	return ""
+}
+
+func (s *scenario) answer(d *datadriven.TestData) string {
+	var id string
+	d.ScanArgs(s.t, "id", &id)
+	return <-s.answers[id]
+}
+
+func (s *scenario) request(d *datadriven.TestData) *http.Request {
+	queue, team, method, path, id, patience, node := "orders", "", "GET", "/stock", "", "", 1
+	d.MaybeScanArgs(s.t, "queue", &queue)
+	d.MaybeScanArgs(s.t, "team", &team)
+	d.MaybeScanArgs(s.t, "method", &method)
+	d.MaybeScanArgs(s.t, "path", &path)
+	d.MaybeScanArgs(s.t, "id", &id)
+	d.MaybeScanArgs(s.t, "patience", &patience)
+	d.MaybeScanArgs(s.t, "node", &node)
+	url := "http://" + s.in.Nodes[node-1].Address + "/v1/" + queue + path
+	req, err := http.NewRequest(method, url, strings.NewReader(""))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Header.Set("Order", id)
+	req.Header.Set("Sardinehead-Timeout", patience)
+	if team != "" {
+		req.Header.Set("Authorization", "Bearer "+s.in.Keys[vocab.TeamID(team)])
+	}
+	return req
+}
+
+// exchange sends a request and describes its end in one line.
+func (s *scenario) exchange(req *http.Request) string {
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return "no answer\n"
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "answer cut\n"
+	}
+	line := fmt.Sprintf("%d %s", resp.StatusCode, resp.Header.Get("Sardinehead-Outcome"))
+	if resp.Header.Get("Content-Type") == "application/problem+json" {
+		_, code, _ := strings.Cut(string(body), `"code":"`)
+		code, _, _ = strings.Cut(code, `"`)
+		line += " " + code
+	}
+	if id := req.Header.Get("Order"); resp.Header.Get("Order") != "" && resp.Header.Get("Order") != id {
+		line += " answer to another request"
+	}
+	return line + "\n"
+}
+
+// burst n=N and the arguments of send: sends N at once and counts the ends.
+func (s *scenario) burst(d *datadriven.TestData) string {
+	var n int
+	d.ScanArgs(s.t, "n", &n)
+	nodes := len(s.in.Nodes)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	counts := map[string]int{}
+	for i := range n {
+		req := s.request(d)
+		if !d.HasArg("node") {
+			req.URL.Host = s.in.Nodes[i%nodes].Address
+		}
+		wg.Go(func() {
+			line := s.exchange(req)
+			mu.Lock()
+			defer mu.Unlock()
+			counts[line]++
+		})
+	}
+	wg.Wait()
+	var lines []string
+	for line, count := range counts {
+		lines = append(lines, fmt.Sprintf("%d x %s", count, line))
+	}
+	sort.Strings(lines)
+	return strings.Join(lines, "")
+}
+
+// runs id=ID: how often upstreams ran the request.
+func (s *scenario) runs(d *datadriven.TestData) string {
+	var id string
+	d.ScanArgs(s.t, "id", &id)
+	total := 0
+	for _, u := range s.in.Upstreams {
+		total += u.Runs(id)
+	}
+	return fmt.Sprintln(total)
+}
+
+// most vms=PREFIX limit=N: whether one upstream ever ran more than N at once.
+func (s *scenario) most(d *datadriven.TestData) string {
+	var prefix string
+	var limit int
+	d.ScanArgs(s.t, "vms", &prefix)
+	d.ScanArgs(s.t, "limit", &limit)
+	for vm, u := range s.in.Upstreams {
+		if strings.HasPrefix(string(vm), prefix) && u.MostRunning() > limit {
+			return fmt.Sprintf("%s ran %d\n", vm, u.MostRunning())
+		}
+	}
+	return "never above\n"
+}
+
+// withdraw team=T node=N
+func (s *scenario) withdraw(d *datadriven.TestData) string {
+	var team string
+	at := 1
+	d.ScanArgs(s.t, "team", &team)
+	d.MaybeScanArgs(s.t, "node", &at)
+	key := vocab.KeyID("dev-" + team)
+	s.in.Nodes[at-1].Node.Post(core.WithdrawKey{Key: key})
+	for _, n := range s.in.Nodes {
+		s.until(func(st *core.State) bool { return !st.KeyHolds(key) }, n.Node)
+	}
+	return ""
+}
+
+// stop node=N: a graceful stop, to its end.
+func (s *scenario) stop(d *datadriven.TestData) string {
+	at := 1
+	d.MaybeScanArgs(s.t, "node", &at)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := s.in.StopNode(ctx, at-1); err != nil {
+		return err.Error() + "\n"
+	}
+	return "stopped\n"
+}
+
+// wait queue=Q waiting=N node=N: until so many requests wait, or
+// wait running=N: until so many attempts run.
+func (s *scenario) wait(d *datadriven.TestData) string {
+	queue, waiting, running, at := "orders", -1, -1, 1
+	d.MaybeScanArgs(s.t, "queue", &queue)
+	d.MaybeScanArgs(s.t, "waiting", &waiting)
+	d.MaybeScanArgs(s.t, "running", &running)
+	d.MaybeScanArgs(s.t, "node", &at)
+	s.until(func(st *core.State) bool {
+		return (waiting < 0 || st.Waiting(vocab.QueueID(queue)) == waiting) && (running < 0 || st.Running() == running)
+	}, s.in.Nodes[at-1].Node)
+	return ""
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -74,7 +74,7 @@
 		ID:          d.Attempt,
 		VM:          d.VM,
 		Address:     d.Address,
-		Idempotent:  d.Idempotent,
+		Reuse:       d.Reuse,
 		FirstByte:   d.FirstByte,
 		Run:         d.Run,
 		Connections: d.Connections,
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -37,7 +37,7 @@
 	ID          vocab.AttemptID
 	VM          vocab.VMID
 	Address     string
-	Idempotent  bool
+	Reuse       bool
 	FirstByte   time.Duration
 	Run         time.Duration
 	Connections int
@@ -106,11 +106,11 @@
 	defer stopWait()
 
 	var wrote atomic.Bool
-	req, err := c.newRequest(traceWrites(ctx, &wrote), a, &wrote)
+	req, err := c.newRequest(traceWrites(ctx, &wrote), a)
 	if err != nil {
 		return Report{Result: retry.NotSent, Cause: err}
 	}
-	resp, err := conns.transport(a.Idempotent).RoundTrip(req)
+	resp, err := conns.transport(a.Reuse).RoundTrip(req)
 	if err != nil {
 		return c.failed(ctx, conns, err, wrote.Load())
 	}
@@ -134,14 +134,7 @@
 	})
 }
 
-func (p *pool) transport(idempotent bool) *http.Transport {
-	if idempotent {
-		return p.kept
-	}
-	return p.fresh
-}
-
-func (c *Client) newRequest(ctx context.Context, a Attempt, wrote *atomic.Bool) (*http.Request, error) {
+func (c *Client) newRequest(ctx context.Context, a Attempt) (*http.Request, error) {
 	target, err := url.ParseRequestURI(a.Target)
 	if err != nil {
 		return nil, errors.Wrap(err, "target of the request")
@@ -155,7 +148,9 @@
 		Header:        upstreamHeader(a.Header),
 		ContentLength: a.BodyBytes,
 	}
-	if a.BodyBytes != 0 {
+	// A body that cannot be obtained again, even an empty one, keeps net/http
+	// from sending the request a second time on its own.
+	if a.BodyBytes != 0 || a.Reuse {
 		req.Body = io.NopCloser(a.Body)
 	}
 	req.Header.Set(HeaderAttempt, c.attemptName(a.ID))
@@ -177,8 +172,6 @@
 		report.Cause = ErrFirstByte
 		report.Silent = true
 	}
-	// What went wrong with one connection may hold for all that took the same
-	// path: the others are opened anew.
-	conns.closeIdle()
+	conns.distrust()
 	return report
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -57,7 +57,7 @@
 func (c *Client) relay(conns *pool, a Attempt, resp *http.Response, w http.ResponseWriter) Report {
 	report := Report{Result: retry.Completed, Draining: draining(resp)}
 	if echo := resp.Header.Get(HeaderAttempt); echo != "" && echo != c.attemptName(a.ID) {
-		conns.closeIdle()
+		conns.distrust()
 		report.Result = retry.Unknown
 		report.Cause = ErrMisplaced
 		return report
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,6 +27,8 @@
 	probeInterval = 1 * time.Second
 	// probeCount is the number of lost probes that ends a connection.
 	probeCount = 2
+	// distrustTime is how long no connection is reused after one failed.
+	distrustTime = 10 * time.Second
 	// unackedTimeout ends a connection whose data stays unacknowledged.
 	unackedTimeout = 3 * time.Second
 )
@@ -33,10 +36,13 @@
 // pool holds the connections to one VM.
 type pool struct {
 	address string
-	// kept reuses connections; only idempotent requests go over it.
+	// kept reuses connections.
 	kept *http.Transport
 	// fresh opens a connection for each request.
 	fresh *http.Transport
+	// distrusted is the time, in nanoseconds since the epoch, until which no
+	// connection is reused.
+	distrusted atomic.Int64
 }
 
 // pools holds one pool for each VM.
@@ -74,6 +80,22 @@
 	p.kept.CloseIdleConnections()
 }
 
+// distrust closes the pooled connections and reuses none for a while: what
+// went wrong with one may hold for all that took the same path.
+func (p *pool) distrust() {
+	p.distrusted.Store(time.Now().Add(distrustTime).UnixNano())
+	p.closeIdle()
+}
+
+// transport returns what carries an attempt. Reuse allows a connection that
+// served another request before.
+func (p *pool) transport(reuse bool) *http.Transport {
+	if reuse && time.Now().UnixNano() >= p.distrusted.Load() {
+		return p.kept
+	}
+	return p.fresh
+}
+
 func newTransport(connections int) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -34,6 +34,8 @@
 	CutAfter int
 	// Draining makes every answer say that the upstream is leaving.
 	Draining bool
+	// Late answers twice: a second answer follows on the same connection.
+	Late bool
 	// Refuse makes the upstream attest that it did not run the request.
 	Refuse bool
 }
@@ -81,6 +83,7 @@
 	faults := u.currentFaults()
 	w.Header().Set("Sardinehead-Attempt", r.Header.Get("Sardinehead-Attempt"))
 	w.Header().Set("Upstream", u.Name)
+	w.Header().Set("Order", r.Header.Get("Order"))
 	if faults.Draining {
 		w.Header().Set("Sardinehead-Draining", "true")
 	}
@@ -104,9 +107,12 @@
 		<-r.Context().Done()
 	case faults.Reset:
 		panic(http.ErrAbortHandler)
+	case faults.Late:
+		answerTwice(w, r)
 	case faults.CutAfter > 0:
 		w.Header().Set("Content-Length", strconv.Itoa(faults.CutAfter*2))
 		writeBytes(w, faults.CutAfter)
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	default:
 		if n, err := strconv.Atoi(r.URL.Query().Get("bytes")); err == nil {
@@ -157,3 +163,20 @@
 		n -= k
 	}
 }
+
+// answerTwice sends the same whole answer twice on the connection, the second
+// one a moment later.
+func answerTwice(w http.ResponseWriter, r *http.Request) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	text := "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nOrder: " + r.Header.Get("Order") +
+		"\r\nSardinehead-Attempt: " + r.Header.Get("Sardinehead-Attempt") + "\r\n\r\nyes"
+	for range 2 {
+		_, _ = buffer.WriteString(text)
+		_ = buffer.Flush()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
