Bound how long a silent platform connection keeps news away

Cause: the keys scenario took 10 s: a long poll outlived the start of an outage. A silent connection would have kept configuration away for 15 s. Change: long polls of 2 s with 3 s for the answer; the VM list gives changes only, so that short polls cost little; stand-ins end polls when they go down.

--- a/internal/core/dump.go
+++ b/internal/core/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sardinehead/sardinehead/internal/core/limit"
+	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -184,3 +185,9 @@
 func (s *State) Running() int {
 	return len(s.attempts)
 }
+
+// Takes reports whether a VM may get new work.
+func (s *State) Takes(id vocab.VMID) bool {
+	vm := s.vms.Get(id)
+	return vm != nil && vm.Phase == observe.PhaseReady
+}
--- a/internal/dev/scenario_test.go
+++ b/internal/dev/scenario_test.go
@@ -41,6 +41,11 @@
 	client  http.Client
 }
 
+// matches reports whether a VM is of the named pool, or is the named VM.
+func matches(vm vocab.VMID, name string) bool {
+	return string(vm) == name || strings.HasPrefix(string(vm), name+"-")
+}
+
 func (s *scenario) close() {
 	if s.in != nil {
 		s.in.Close()
@@ -51,7 +56,7 @@
 	commands := map[string]func(*datadriven.TestData) string{
 		"start": s.start, "fault": s.fault, "log": s.log, "vm": s.vm, "send": s.send,
 		"begin": s.begin, "answer": s.answer, "runs": s.runs, "withdraw": s.withdraw,
-		"stop": s.stop, "burst": s.burst, "wait": s.wait, "most": s.most,
+		"stop": s.stop, "burst": s.burst, "wait": s.wait, "most": s.most, "fresh": s.fresh,
 	}
 	command, ok := commands[d.Cmd]
 	if !ok {
@@ -62,6 +67,7 @@
 
 // start nodes=N config=DIR
 func (s *scenario) start(d *datadriven.TestData) string {
+	s.close()
 	nodes, config := 1, "duka-jaza"
 	d.MaybeScanArgs(s.t, "nodes", &nodes)
 	d.MaybeScanArgs(s.t, "config", &config)
@@ -99,7 +105,7 @@
 	s.t.Fatal("the condition did not come about within 10 s")
 }
 
-// fault vms=PREFIX silent|reset|draining|refuse|cut=BYTES|work=TIME|late; without a kind it clears.
+// fault vms=NAME silent|reset|draining|refuse|cut=BYTES|work=TIME|late; without a kind it clears.
 func (s *scenario) fault(d *datadriven.TestData) string {
 	var prefix, work string
 	var faults standin.UpstreamFaults
@@ -113,7 +119,7 @@
 	d.MaybeScanArgs(s.t, "work", &work)
 	faults.Work, _ = time.ParseDuration(work)
 	for vm, u := range s.in.Upstreams {
-		if strings.HasPrefix(string(vm), prefix) {
+		if matches(vm, prefix) {
 			u.SetFaults(faults)
 		}
 	}
@@ -151,13 +157,14 @@
 	return s.exchange(s.request(d))
 }
 
-// begin as send, but does not wait; answer id=ID waits.
+// begin as burst, but does not wait; answer id=ID waits.
 func (s *scenario) begin(d *datadriven.TestData) string {
-	req, id := s.request(d), ""
+	var id string
 	d.ScanArgs(s.t, "id", &id)
+	requests := s.requests(d)
 	done := make(chan string, 1)
 	s.answers[id] = done
-	go func() { done <- s.exchange(req) }()
+	go func() { done <- s.exchangeAll(requests) }()
 	return ""
 }
 
@@ -212,19 +219,30 @@
 	return line + "\n"
 }
 
-// burst n=N and the arguments of send: sends N at once and counts the ends.
+// burst n=N and the arguments of send: sends N at once, to the nodes in turn
+// unless one is named, and counts the ends.
 func (s *scenario) burst(d *datadriven.TestData) string {
-	var n int
-	d.ScanArgs(s.t, "n", &n)
-	nodes := len(s.in.Nodes)
+	return s.exchangeAll(s.requests(d))
+}
+
+func (s *scenario) requests(d *datadriven.TestData) []*http.Request {
+	n := 1
+	d.MaybeScanArgs(s.t, "n", &n)
+	out := make([]*http.Request, n)
+	for i := range out {
+		out[i] = s.request(d)
+		if !d.HasArg("node") {
+			out[i].URL.Host = s.in.Nodes[i%len(s.in.Nodes)].Address
+		}
+	}
+	return out
+}
+
+func (s *scenario) exchangeAll(requests []*http.Request) string {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	counts := map[string]int{}
-	for i := range n {
-		req := s.request(d)
-		if !d.HasArg("node") {
-			req.URL.Host = s.in.Nodes[i%nodes].Address
-		}
+	for _, req := range requests {
 		wg.Go(func() {
 			line := s.exchange(req)
 			mu.Lock()
@@ -252,14 +270,27 @@
 	return fmt.Sprintln(total)
 }
 
-// most vms=PREFIX limit=N: whether one upstream ever ran more than N at once.
+// fresh vms=NAME id=ID: whether those upstreams ran none of the requests.
+func (s *scenario) fresh(d *datadriven.TestData) string {
+	var prefix, id string
+	d.ScanArgs(s.t, "vms", &prefix)
+	d.ScanArgs(s.t, "id", &id)
+	for vm, u := range s.in.Upstreams {
+		if matches(vm, prefix) && u.Runs(id) > 0 {
+			return fmt.Sprintf("%s ran %d\n", vm, u.Runs(id))
+		}
+	}
+	return "none\n"
+}
+
+// most vms=NAME limit=N: whether one upstream ever ran more than N at once.
 func (s *scenario) most(d *datadriven.TestData) string {
 	var prefix string
 	var limit int
 	d.ScanArgs(s.t, "vms", &prefix)
 	d.ScanArgs(s.t, "limit", &limit)
 	for vm, u := range s.in.Upstreams {
-		if strings.HasPrefix(string(vm), prefix) && u.MostRunning() > limit {
+		if matches(vm, prefix) && u.MostRunning() > limit {
 			return fmt.Sprintf("%s ran %d\n", vm, u.MostRunning())
 		}
 	}
@@ -293,15 +324,17 @@
 }
 
 // wait queue=Q waiting=N node=N: until so many requests wait, or
-// wait running=N: until so many attempts run.
+// wait running=N: until so many attempts run, or wait gone=VM: until the VM
+// gets no new work.
 func (s *scenario) wait(d *datadriven.TestData) string {
-	queue, waiting, running, at := "orders", -1, -1, 1
+	queue, gone, waiting, running, at := "orders", "", -1, -1, 1
+	d.MaybeScanArgs(s.t, "gone", &gone)
 	d.MaybeScanArgs(s.t, "queue", &queue)
 	d.MaybeScanArgs(s.t, "waiting", &waiting)
 	d.MaybeScanArgs(s.t, "running", &running)
 	d.MaybeScanArgs(s.t, "node", &at)
 	s.until(func(st *core.State) bool {
-		return (waiting < 0 || st.Waiting(vocab.QueueID(queue)) == waiting) && (running < 0 || st.Running() == running)
+		return (gone == "" || !st.Takes(vocab.VMID(gone))) && (waiting < 0 || st.Waiting(vocab.QueueID(queue)) == waiting) && (running < 0 || st.Running() == running)
 	}, s.in.Nodes[at-1].Node)
 	return ""
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -15,8 +18,10 @@
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
-// longPoll is how long a read of the log or the VM list waits for news.
-const longPoll = 10 * time.Second
+// longPoll is how long a read of the log or the VM list waits for news. It
+// bounds, with the client's time limit, how long a silent connection keeps
+// news away.
+const longPoll = 2 * time.Second
 
 // appendLimit is the most records in one append.
 const appendLimit = 256
@@ -55,6 +60,7 @@
 // followVMs reads the VM list and turns its readings into events.
 func (n *Node) followVMs(ctx context.Context) {
 	var seen uint64
+	list := vmList{}
 	pause := newBackoff()
 	for ctx.Err() == nil {
 		listing, err := n.services.VMs.List(ctx, seen, longPoll)
@@ -63,28 +69,43 @@
 			continue
 		}
 		pause.Reset()
+		if listing.Version == seen {
+			continue
+		}
 		seen = listing.Version
-		n.Post(core.VMsListed{Version: listing.Version, Rows: rows(listing.VMs)})
+		n.Post(core.VMsListed{Version: listing.Version, Rows: list.merge(listing)})
 	}
 }
 
-func rows(vms []platform.VM) []observe.Row {
-	out := make([]observe.Row, len(vms))
-	for i, vm := range vms {
-		out[i] = observe.Row{
-			Name:        vm.Name,
-			Incarnation: vm.Incarnation,
-			Pool:        vm.Pool,
-			Region:      vm.Region,
-			Zone:        vm.Zone,
-			Rack:        vm.Rack,
-			Address:     vm.Address,
-			Phase:       observe.ListPhase(vm.Phase),
-		}
+// vmList is the VM list as put together from its changes.
+type vmList map[vocab.VMID]observe.Row
+
+// merge takes a reading and returns all rows, sorted by name.
+func (l vmList) merge(listing platform.Listing) []observe.Row {
+	if listing.Full {
+		clear(l)
 	}
+	for _, vm := range listing.VMs {
+		l[vm.Name] = row(vm)
+	}
+	out := slices.Collect(maps.Values(l))
+	slices.SortFunc(out, func(a, b observe.Row) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
+func row(vm platform.VM) observe.Row {
+	return observe.Row{
+		Name:        vm.Name,
+		Incarnation: vm.Incarnation,
+		Pool:        vm.Pool,
+		Region:      vm.Region,
+		Zone:        vm.Zone,
+		Rack:        vm.Rack,
+		Address:     vm.Address,
+		Phase:       observe.ListPhase(vm.Phase),
+	}
+}
+
 // appendRecords appends what the reducer asks for, in batches, until the log
 // has answered. A record appended twice has one ID and is folded once.
 func (n *Node) appendRecords(ctx context.Context) {
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -15,7 +15,7 @@
 )
 
 // callTimeout bounds one call beyond the time that the service was asked to wait.
-const callTimeout = 5 * time.Second
+const callTimeout = 3 * time.Second
 
 // maxAnswerBytes bounds the body of one answer.
 const maxAnswerBytes = 64 << 20
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -94,8 +94,9 @@
 
 // VMList is the platform's list of VMs.
 type VMList interface {
-	// List returns all VMs. With since equal to the version last seen it waits
-	// for a change for up to wait.
+	// List returns the VMs that changed after the version since, or all of them
+	// for since 0 or a version that the list no longer knows. With nothing to
+	// return it waits for up to wait.
 	List(ctx context.Context, since uint64, wait time.Duration) (Listing, error)
 }
 
@@ -103,7 +104,9 @@
 type Listing struct {
 	// Version grows with every change of the list.
 	Version uint64 `json:"version"`
-	VMs     []VM   `json:"vms"`
+	// Full is set if VMs holds every VM, not only those that changed.
+	Full bool `json:"full"`
+	VMs  []VM `json:"vms"`
 }
 
 // Pools carries out orders on the VMs of pools. Every order carries the epoch
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -44,6 +44,12 @@
 	grown    chan struct{}
 }
 
+// wake ends the waits of readers, who look again.
+func (s *stream) wake() {
+	close(s.grown)
+	s.grown = make(chan struct{})
+}
+
 // NewLog returns an empty log.
 func NewLog() *Log {
 	return &Log{streams: map[vocab.StreamID]*stream{}}
@@ -54,6 +60,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.faults = f
+	for _, s := range l.streams {
+		s.wake()
+	}
 }
 
 // Appends returns the number of append calls that took effect.
@@ -99,8 +108,7 @@
 		s.records = append(s.records, record.Sequenced{Offset: s.next, Envelope: r})
 		s.next++
 	}
-	close(s.grown)
-	s.grown = make(chan struct{})
+	s.wake()
 	l.appends++
 	if l.faults.LoseAnswers > 0 {
 		l.faults.LoseAnswers--
--- a/internal/standin/vms.go
+++ b/internal/standin/vms.go
@@ -16,6 +16,7 @@
 type VMs struct {
 	mu      sync.Mutex
 	rows    []platform.VM
+	changes map[vocab.VMID]uint64 // version of each VM's last change
 	epochs  map[vocab.VMID]vocab.Epoch
 	version uint64
 	changed chan struct{}
@@ -38,6 +39,7 @@
 func NewVMs(rows []platform.VM) *VMs {
 	return &VMs{
 		rows:    append([]platform.VM(nil), rows...),
+		changes: map[vocab.VMID]uint64{},
 		epochs:  map[vocab.VMID]vocab.Epoch{},
 		version: 1,
 		changed: make(chan struct{}),
@@ -49,7 +51,6 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.faults = f
-	v.bump()
 }
 
 // SetPhase changes what the list says of a VM.
@@ -58,7 +59,7 @@
 	defer v.mu.Unlock()
 	if row := v.row(vm); row != nil {
 		row.Phase = phase
-		v.bump()
+		v.bump(vm)
 	}
 }
 
@@ -71,7 +72,7 @@
 	} else {
 		v.rows = append(v.rows, vm)
 	}
-	v.bump()
+	v.bump(vm.Name)
 }
 
 func (v *VMs) row(name vocab.VMID) *platform.VM {
@@ -83,11 +84,13 @@
 	return nil
 }
 
-func (v *VMs) bump() {
+// bump makes a change of a VM visible, unless the list is frozen.
+func (v *VMs) bump(vm vocab.VMID) {
 	if v.faults.Frozen {
 		return
 	}
 	v.version++
+	v.changes[vm] = v.version
 	close(v.changed)
 	v.changed = make(chan struct{})
 }
@@ -97,7 +100,7 @@
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
-		listing, changed, err := v.listNow()
+		listing, changed, err := v.listNow(since)
 		if err != nil || listing.Version != since {
 			return listing, err
 		}
@@ -111,14 +114,19 @@
 	}
 }
 
-func (v *VMs) listNow() (platform.Listing, <-chan struct{}, error) {
+func (v *VMs) listNow(since uint64) (platform.Listing, <-chan struct{}, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.faults.Down {
 		return platform.Listing{}, nil, errors.Wrap(platform.ErrUnavailable, "VM list down")
 	}
-	rows := append([]platform.VM(nil), v.rows...)
-	return platform.Listing{Version: v.version, VMs: rows}, v.changed, nil
+	listing := platform.Listing{Version: v.version, Full: since == 0 || since > v.version}
+	for _, row := range v.rows {
+		if listing.Full || v.changes[row.Name] > since {
+			listing.VMs = append(listing.VMs, row)
+		}
+	}
+	return listing, v.changed, nil
 }
 
 // Drain implements platform.Pools.
@@ -158,7 +166,7 @@
 	v.epochs[order.VM] = order.Epoch
 	if row.Incarnation == order.Incarnation {
 		change(row)
-		v.bump()
+		v.bump(row.Name)
 	}
 	if v.faults.LoseAnswers > 0 {
 		v.faults.LoseAnswers--
