Add the commands check, publish and key

Cause: operators change the fleet by files and keys only. Change: thin commands over packages spec and publish, with text or JSON output; exit code 3 for a refused publish, 4 for an unknown outcome.

--- /dev/null
+++ b/internal/command/publish.go
@@ -0,0 +1,93 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sardinehead/sardinehead/internal/publish"
+	"github.com/sardinehead/sardinehead/internal/spec"
+)
+
+// Publish puts a tree of operators' files on the log. Beyond the common exit
+// codes it has ExitRefused and ExitUnknown.
+type Publish struct {
+	Operator
+	DryRun bool `long:"dry-run" description:"show the difference only"`
+	Args   struct {
+		Dir string `positional-arg-name:"DIR" required:"yes" description:"tree of the operators' files"`
+	} `positional-args:"yes"`
+}
+
+// publishResult is the JSON output of Publish.
+type publishResult struct {
+	publish.Plan
+	// Published is missing if there was nothing to publish, or on a dry run.
+	Published *publish.Published `json:"published,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (p *Publish) Execute([]string) error {
+	fleet, problems, err := spec.Check(os.DirFS(p.Args.Dir))
+	if err != nil {
+		return err
+	}
+	for _, problem := range problems {
+		fmt.Fprintln(os.Stderr, problem)
+	}
+	if err := refuseBroken(problems); err != nil {
+		return err
+	}
+	return p.run(func(ctx context.Context, client *publish.Client) error {
+		return p.publish(ctx, client, fleet)
+	})
+}
+
+func (p *Publish) publish(ctx context.Context, client *publish.Client, fleet spec.Fleet) error {
+	plan, err := client.Plan(ctx, fleet)
+	if err != nil {
+		return err
+	}
+	result := publishResult{Plan: plan}
+	if p.DryRun || len(plan.Changes) == 0 {
+		return p.print(result, result.lines())
+	}
+	published, err := client.Publish(ctx, plan)
+	if err != nil {
+		return errors.Wrap(err, "publish (once the log answers, --dry-run shows whether it was taken)")
+	}
+	result.Published = &published
+	if err := p.print(result, result.lines()); err != nil {
+		return err
+	}
+	if !published.Accepted {
+		refused := errors.New("refused: another configuration was accepted first; bring its changes into your files and publish again")
+		return withExitCode(refused, ExitRefused)
+	}
+	return nil
+}
+
+func (r *publishResult) lines() []string {
+	var lines []string
+	for _, change := range r.Changes {
+		lines = append(lines, change.String())
+	}
+	switch {
+	case len(r.Changes) == 0:
+		return append(lines, fmt.Sprintf("no difference to revision %d", r.Base))
+	case r.Published == nil:
+		return append(lines, fmt.Sprintf("not published; this would change revision %d", r.Base))
+	case r.Published.Accepted:
+		return append(lines, fmt.Sprintf("accepted as revision %d, changing revision %d", r.Published.Revision, r.Base))
+	}
+	lines = append(lines, fmt.Sprintf("refused: revision %d is no longer in force", r.Base))
+	for _, other := range r.Published.Others {
+		lines = append(lines, fmt.Sprintf("revision %d was published by %s", other.Revision, other.Operator))
+	}
+	for _, change := range r.Published.Since {
+		lines = append(lines, "changed meanwhile: "+change.String())
+	}
+	return lines
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -23,6 +23,10 @@
 type root struct {
 	Dev  Dev  `command:"dev" description:"Run a whole installation on loopback, with stand-ins of the platform and the upstreams"`
 	Send Send `command:"send" description:"Send one request as a caller"`
+
+	Check   Check   `command:"check" description:"Report every fault of the operators' files"`
+	Publish Publish `command:"publish" description:"Put the operators' files into force"`
+	Key     Key     `command:"key" description:"Give, withdraw and list keys"`
 }
 
 // Main runs the command line and returns the exit code.
@@ -51,5 +55,5 @@
 		return ExitUsage
 	}
 	fmt.Fprintln(os.Stderr, "sardinehead:", err)
-	return ExitFailed
+	return codeOf(err)
 }
