--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,82 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sardinehead/sardinehead/internal/spec"
+	"github.com/sardinehead/sardinehead/internal/strictjson"
+)
+
+const (
+	// DefaultBalancer is the default of Times.Balancer.
+	DefaultBalancer = 5 * time.Second
+	// DefaultStop is the default of Times.Stop. It is above the longest run
+	// limit that an operators' file may give.
+	DefaultStop = 16 * time.Minute
+)
+
+// ErrUnreadable is returned when the settings file cannot be read.
+var ErrUnreadable = errors.New("the settings file cannot be read")
+
+// ReadFile returns the content of a file.
+type ReadFile func(path string) ([]byte, error)
+
+// Load reads and checks a settings file. Relative paths in it count from its
+// directory. The error is strictjson.Problems with every error, or wraps
+// ErrUnreadable. Warnings are returned beside the settings.
+func Load(path string) (Settings, strictjson.Problems, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, nil, errors.Mark(errors.Wrap(err, "settings"), ErrUnreadable)
+	}
+	s, problems := Check(path, data, os.ReadFile)
+	if err := problems.Err(); err != nil {
+		return Settings{}, problems, err
+	}
+	return s, problems, nil
+}
+
+// Check decodes and checks the bytes of a settings file. The settings may be
+// used only if no problem is an error. read gives the content of the files
+// that the settings name.
+func Check(path string, data []byte, read ReadFile) (Settings, strictjson.Problems) {
+	var s Settings
+	doc := strictjson.Parse(path, data)
+	doc.Decode(&s)
+	if doc.OK() {
+		s.resolvePaths(filepath.Dir(path))
+		c := checker{settings: &s, root: doc.Root(), read: read}
+		c.check()
+		s.applyDefaults(doc.Root())
+	}
+	problems := doc.Problems()
+	problems.Sort()
+	return s, problems
+}
+
+// resolvePaths makes relative paths count from a directory.
+func (s *Settings) resolvePaths(dir string) {
+	paths := []*string{&s.PeerSecretFile}
+	for _, l := range []*Listener{&s.Callers, &s.Peers, &s.Operators} {
+		paths = append(paths, &l.TLS.Certificate, &l.TLS.Key, &l.TLS.Authority)
+	}
+	for _, path := range paths {
+		if *path != "" && !filepath.IsAbs(*path) {
+			*path = filepath.Join(dir, *path)
+		}
+	}
+}
+
+func (s *Settings) applyDefaults(root strictjson.Cursor) {
+	times := root.Field("times")
+	if !times.Field("balancer").Present() {
+		s.Times.Balancer = spec.Duration(DefaultBalancer)
+	}
+	if !times.Field("stop").Present() {
+		s.Times.Stop = spec.Duration(DefaultStop)
+	}
+}
