--- a/internal/command/operators_test.go
+++ b/internal/command/operators_test.go
@@ -67,8 +67,9 @@
 	}
 	text := strings.TrimSpace(d.out.String())
 	key, ok := credential.Parse(text)
-	if !ok {
-		t.Fatalf("not a key: %q", text)
+	recorded, err := (&publish.Client{Log: d.log}).ListKeys(context.Background())
+	if !ok || err != nil || !key.Matches(recorded[0].SecretHash) {
+		t.Fatalf("not a key that the log knows: %q, %v", text, err)
 	}
 	withdraw := KeyWithdraw{Operator: d.operator()}
 	withdraw.Args.ID = string(key.ID)
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -20,7 +20,7 @@
 )
 
 // faultyLog fails appends as drawn: an answer is lost, the request is lost, or
-// the request arrives late, after a later append. It lets others act first.
+// the request arrives late, before or after a later append. It lets others act first.
 type faultyLog struct {
 	*standin.Log
 	fault func() string
@@ -42,6 +42,8 @@
 		return 0, errNoAnswer
 	case "race":
 		l.race()
+	case "late first":
+		l.deliverLate(ctx, s)
 	}
 	offset, err := l.Log.Append(ctx, s, records)
 	l.deliverLate(ctx, s)
@@ -94,7 +96,7 @@
 	}
 	log.race = func() { apply(other, func() {}) }
 	log.fault = func() string {
-		return rapid.SampledFrom([]string{"none", "race", "answer lost", "late", "request lost"}).Draw(t, "fault")
+		return rapid.SampledFrom([]string{"none", "race", "answer lost", "late", "late first", "request lost"}).Draw(t, "fault")
 	}
 	apply(other, func() {})
 	for i := range rapid.IntRange(1, 5).Draw(t, "operations") {
