--- a/internal/publish/keys.go
+++ b/internal/publish/keys.go
@@ -46,7 +46,7 @@
 	for i, t := range fleet.Teams {
 		names[i] = string(t.Name)
 	}
-	return errors.Wrapf(ErrNoTeam, "team %q; write %s", team, strictjson.OneOf(string(team), names))
+	return errors.Mark(errors.Newf("there is no team %q; write %s", team, strictjson.OneOf(string(team), names)), ErrNoTeam)
 }
 
 // WithdrawKey ends a key for good. A key that the stream does not know fails
@@ -59,7 +59,8 @@
 	}
 	key, known := state.Keys[id]
 	if !known && !unknown {
-		return errors.Wrapf(ErrNoKey, "key %q; write %s", id, strictjson.OneOf(string(id), activeIDs(state)))
+		proposal := strictjson.OneOf(string(id), activeIDs(state))
+		return errors.Mark(errors.Newf("there is no key %q; write %s", id, proposal), ErrNoKey)
 	}
 	if key.Withdrawn {
 		return nil
