--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -21,8 +21,9 @@
 
 // root lists the commands.
 type root struct {
-	Dev  Dev  `command:"dev" description:"Run a whole installation on loopback, with stand-ins of the platform and the upstreams"`
-	Send Send `command:"send" description:"Send one request as a caller"`
+	Entry Entry `command:"entry" description:"Run the daemon of an entry VM"`
+	Dev   Dev   `command:"dev" description:"Run a whole installation on loopback, with stand-ins of the platform and the upstreams"`
+	Send  Send  `command:"send" description:"Send one request as a caller"`
 
 	Check   Check   `command:"check" description:"Report every fault of the operators' files"`
 	Publish Publish `command:"publish" description:"Put the operators' files into force"`
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -17,7 +17,7 @@
 	// Key is the ID of the key that came with the request; empty without one.
 	Key vocab.KeyID
 	// SecretHash is the SHA-256 of the secret that came with the key.
-	SecretHash [32]byte
+	SecretHash []byte
 	Method     string
 	// Path is the path after the queue's name, starting with "/".
 	Path string
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -108,7 +108,7 @@
 		return "", &p
 	}
 	key, ok := s.activeKey(e.Key)
-	if !ok || subtle.ConstantTimeCompare(key.SecretHash, e.SecretHash[:]) != 1 {
+	if !ok || subtle.ConstantTimeCompare(key.SecretHash, e.SecretHash) != 1 {
 		p := notRun(CodeKeyRefused, 0, "the key is unknown or was withdrawn")
 		return "", &p
 	}
--- /dev/null
+++ b/internal/daemon/process.go
@@ -0,0 +1,54 @@
+// Package daemon puts the parts of one entry process together and runs them.
+package daemon
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"io"
+	"net/http"
+
+	"github.com/sardinehead/sardinehead/internal/core"
+	"github.com/sardinehead/sardinehead/internal/entry"
+	"github.com/sardinehead/sardinehead/internal/eventlog"
+	"github.com/sardinehead/sardinehead/internal/forward"
+	"github.com/sardinehead/sardinehead/internal/node"
+	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// Process is one entry process without its listeners.
+type Process struct {
+	Node      *node.Node
+	Forward   *forward.Client
+	Callers   http.Handler
+	Operators http.Handler
+}
+
+// Platform holds the base addresses of the platform's services.
+type Platform struct {
+	Log    string
+	VMList string
+}
+
+// NewProcess puts a process together. Events are written to w.
+func NewProcess(self core.Identity, p Platform, w io.Writer) *Process {
+	n := node.New(self, node.Services{
+		Log:    platform.NewLogClient(p.Log),
+		VMs:    platform.NewVMClient(p.VMList),
+		Events: eventlog.New(w, string(self.Node)),
+	})
+	f := forward.New(string(self.Node))
+	return &Process{
+		Node:      n,
+		Forward:   f,
+		Callers:   entry.NewCallers(n, f).Handler(),
+		Operators: entry.OperatorsHandler(n),
+	}
+}
+
+// NewIncarnation draws an incarnation for a process that starts. It is never 0.
+func NewIncarnation() vocab.Incarnation {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:])
+	return vocab.Incarnation(binary.LittleEndian.Uint64(raw[:]) | 1)
+}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -6,11 +6,8 @@
 import (
 	"context"
 	"crypto/rand"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"io"
-	"math/big"
 	"net"
 	"net/http"
 	"time"
@@ -20,9 +17,8 @@
 
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
-	"github.com/sardinehead/sardinehead/internal/entry"
-	"github.com/sardinehead/sardinehead/internal/eventlog"
-	"github.com/sardinehead/sardinehead/internal/forward"
+	"github.com/sardinehead/sardinehead/internal/credential"
+	"github.com/sardinehead/sardinehead/internal/daemon"
 	"github.com/sardinehead/sardinehead/internal/node"
 	"github.com/sardinehead/sardinehead/internal/platform"
 	"github.com/sardinehead/sardinehead/internal/record"
@@ -59,12 +55,14 @@
 
 // Entry is one entry node of an installation.
 type Entry struct {
-	ID      vocab.NodeID
-	Node    *node.Node
-	Address string
-	Forward *forward.Client
-	callers *http.Server
-	cancel  context.CancelFunc
+	*daemon.Process
+	ID vocab.NodeID
+	// Address and Operators are the IP:port of the callers' and the
+	// operators' side.
+	Address   string
+	Operators string
+	callers   *http.Server
+	cancel    context.CancelFunc
 }
 
 // Start starts an installation. It serves until Close.
@@ -157,11 +155,9 @@
 func (in *Installation) publish(ctx context.Context, fleet spec.Fleet) error {
 	bodies := []record.Body{record.ConfigPublished{Operator: "dev", Fleet: fleet}}
 	for _, t := range fleet.Teams {
-		key := vocab.KeyID("dev-" + string(t.Name))
-		secret := randomSecret()
-		hash := sha256.Sum256([]byte(secret))
-		in.Keys[t.Name] = "sh_" + string(key) + "_" + secret
-		bodies = append(bodies, record.KeyGiven{Key: key, Team: t.Name, SecretHash: hash[:], Operator: "dev"})
+		key, _ := credential.Parse("sh_dev-" + string(t.Name) + "_" + rand.Text())
+		in.Keys[t.Name] = key.Text()
+		bodies = append(bodies, record.KeyGiven{Key: key.ID, Team: t.Name, SecretHash: key.Hash(), Operator: "dev"})
 	}
 	for _, body := range bodies {
 		envelope, err := record.Encode(vocab.RecordID(uuid.NewString()), body)
@@ -181,33 +177,33 @@
 	zone := zones[i%len(zones)]
 	self := core.Identity{
 		Node:        id,
-		Incarnation: randomIncarnation(),
+		Incarnation: daemon.NewIncarnation(),
 		Zone:        zone,
 		Region:      o.Fleet.Regions[0].Name,
 	}
-	n := node.New(self, node.Services{
-		Log:    platform.NewLogClient(in.PlatformURL),
-		VMs:    platform.NewVMClient(in.PlatformURL),
-		Events: eventlog.New(o.Events, string(id)),
-	})
-	f := forward.New(string(id))
+	process := daemon.NewProcess(self, daemon.Platform{Log: in.PlatformURL, VMList: in.PlatformURL}, o.Events)
 	port := 0
 	if o.FirstPort > 0 {
 		port = o.FirstPort + i
 	}
-	address, err := in.serve(entry.NewCallers(n, f).Handler(), port)
+	address, err := in.serve(process.Callers, port)
+	if err != nil {
+		return err
+	}
+	callers := in.servers[len(in.servers)-1]
+	operators, err := in.serve(process.Operators, 0)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	go func() { _ = n.Run(ctx) }()
+	go func() { _ = process.Node.Run(ctx) }()
 	in.Nodes = append(in.Nodes, &Entry{
-		ID:      id,
-		Node:    n,
-		Address: address,
-		Forward: f,
-		callers: in.servers[len(in.servers)-1],
-		cancel:  cancel,
+		ID:        id,
+		Process:   process,
+		Address:   address,
+		Operators: operators,
+		callers:   callers,
+		cancel:    cancel,
 	})
 	return nil
 }
@@ -241,17 +237,3 @@
 		e.Forward.Close()
 	}
 }
-
-func randomSecret() string {
-	raw := make([]byte, 24)
-	_, _ = rand.Read(raw)
-	return hex.EncodeToString(raw)
-}
-
-func randomIncarnation() vocab.Incarnation {
-	n, err := rand.Int(rand.Reader, big.NewInt(1<<62))
-	if err != nil {
-		panic(err)
-	}
-	return vocab.Incarnation(n.Uint64() + 1)
-}
--- a/internal/entry/credentials.go
+++ b/internal/entry/credentials.go
@@ -1,29 +1,29 @@
 package entry
 
 import (
-	"crypto/sha256"
 	"net/http"
 	"strings"
 
+	"github.com/sardinehead/sardinehead/internal/credential"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
-// keyPrefix begins every key: "sh_ID_SECRET".
-const keyPrefix = "sh_"
+// malformedKey is an ID that no key has.
+const malformedKey vocab.KeyID = "malformed_"
 
 // credentials reads the key from the Authorization header. A header that holds
 // no key of the right form gives an ID that no key has.
-func credentials(r *http.Request) (vocab.KeyID, [sha256.Size]byte) {
+func credentials(r *http.Request) (vocab.KeyID, []byte) {
 	value := r.Header.Get("Authorization")
 	if value == "" {
-		return "", [sha256.Size]byte{}
+		return "", nil
 	}
-	_, key, _ := strings.Cut(value, " ")
-	id, secret, ok := strings.Cut(strings.TrimPrefix(strings.TrimSpace(key), keyPrefix), "_")
-	if !ok || id == "" {
-		return "malformed", [sha256.Size]byte{}
+	_, text, _ := strings.Cut(value, " ")
+	key, ok := credential.Parse(strings.TrimSpace(text))
+	if !ok {
+		return malformedKey, nil
 	}
-	return vocab.KeyID(id), sha256.Sum256([]byte(secret))
+	return key.ID, key.Hash()
 }
 
 // pathAfterQueue returns the escaped path that follows "/v1/QUEUE".
