--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -3,6 +3,8 @@
 
 import (
 	"fmt"
+	"io"
+	"log"
 	"os"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +34,8 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
+	// Libraries write pieces of requests and answers to the standard logger.
+	log.SetOutput(io.Discard)
 	parser := flags.NewNamedParser("sardinehead", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "manager of fleet capacity and maintenance"
 	if _, err := parser.AddGroup("", "", &root{}); err != nil {
--- a/internal/core/dump.go
+++ b/internal/core/dump.go
@@ -123,7 +123,7 @@
 	}
 	for _, vm := range s.vms.Ready(q.service.Pool) {
 		d.Slots += s.limits.Free(s.now, vmAccount(vm))
-		if s.now < q.avoid[vm.Name] {
+		if q.health.Standing(s.now, healthKey(vm)).Avoided {
 			d.Avoided = append(d.Avoided, vm.Name)
 		}
 	}
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -20,8 +20,9 @@
 	FirstByte time.Duration
 	// Run bounds the whole attempt.
 	Run time.Duration
-	// Connections is the most connections of this node to the VM.
-	Connections int
+	// IdleConnections is the most idle connections of this node to the VM. The
+	// VM's slots bound the busy ones.
+	IdleConnections int
 }
 
 // Answer gives a request its final answer, made by sardinehead itself.
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -71,18 +71,18 @@
 	// The attempt outlives a caller that goes away: its end tells when the
 	// upstream is free again.
 	report := c.forward.Send(context.WithoutCancel(r.Context()), forward.Attempt{
-		ID:          d.Attempt,
-		VM:          d.VM,
-		Address:     d.Address,
-		Reuse:       d.Reuse,
-		FirstByte:   d.FirstByte,
-		Run:         d.Run,
-		Connections: d.Connections,
-		Method:      r.Method,
-		Target:      target(r, path),
-		Header:      r.Header,
-		Body:        body.reader(),
-		BodyBytes:   r.ContentLength,
+		ID:        d.Attempt,
+		VM:        d.VM,
+		Address:   d.Address,
+		Reuse:     d.Reuse,
+		FirstByte: d.FirstByte,
+		Run:       d.Run,
+		Idle:      d.IdleConnections,
+		Method:    r.Method,
+		Target:    target(r, path),
+		Header:    r.Header,
+		Body:      body.reader(),
+		BodyBytes: r.ContentLength,
 	}, w)
 	p.Ended(core.AttemptEnded{
 		Attempt:   d.Attempt,
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -34,13 +34,14 @@
 
 // Attempt is one sending of a request.
 type Attempt struct {
-	ID          vocab.AttemptID
-	VM          vocab.VMID
-	Address     string
-	Reuse       bool
-	FirstByte   time.Duration
-	Run         time.Duration
-	Connections int
+	ID        vocab.AttemptID
+	VM        vocab.VMID
+	Address   string
+	Reuse     bool
+	FirstByte time.Duration
+	Run       time.Duration
+	// Idle is the most idle connections to the VM.
+	Idle int
 
 	Method string
 	// Target is the path and query for the upstream.
@@ -99,7 +100,7 @@
 // Send carries out an attempt and relays the answer to w. It returns when the
 // answer is whole or the attempt has failed.
 func (c *Client) Send(ctx context.Context, a Attempt, w http.ResponseWriter) Report {
-	conns := c.pools.get(a.VM, a.Address, a.Connections)
+	conns := c.pools.get(a.VM, a.Address, a.Idle)
 	ctx, cancel := context.WithTimeoutCause(ctx, a.Run, ErrCut)
 	defer cancel()
 	ctx, stopWait := firstByteLimit(ctx, a.FirstByte)
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -36,6 +36,7 @@
 // pool holds the connections to one VM.
 type pool struct {
 	address string
+	idle    int
 	// kept reuses connections.
 	kept *http.Transport
 	// fresh opens a connection for each request.
@@ -51,28 +52,30 @@
 	byVM map[vocab.VMID]*pool
 }
 
-// get returns the pool of a VM. A VM that came back under another address gets
-// a new pool.
-func (p *pools) get(vm vocab.VMID, address string, connections int) *pool {
+// get returns the pool of a VM. A VM that came back under another address, or
+// that may keep another number of idle connections, gets a new pool.
+func (p *pools) get(vm vocab.VMID, address string, idle int) *pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	found, ok := p.byVM[vm]
-	if ok && found.address == address {
+	if ok && found.address == address && found.idle == idle {
 		return found
 	}
 	if ok {
 		found.closeIdle()
 	}
-	created := newPool(address, connections)
+	created := newPool(address, idle)
 	p.byVM[vm] = created
 	return created
 }
 
-func newPool(address string, connections int) *pool {
-	kept := newTransport(connections)
-	fresh := newTransport(connections)
-	fresh.DisableKeepAlives = true
-	return &pool{address: address, kept: kept, fresh: fresh}
+func newPool(address string, idle int) *pool {
+	return &pool{
+		address: address,
+		idle:    idle,
+		kept:    newTransport(idle),
+		fresh:   newTransport(0),
+	}
 }
 
 // closeIdle closes all connections that carry no request.
@@ -96,7 +99,9 @@
 	return p.fresh
 }
 
-func newTransport(connections int) *http.Transport {
+// newTransport returns a transport that keeps so many idle connections; with
+// none it opens a connection for each request.
+func newTransport(idle int) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		Control: setUnackedTimeout,
@@ -109,12 +114,12 @@
 	}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
+		MaxIdleConnsPerHost: idle,
+		DisableKeepAlives:   idle == 0,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-		WriteBufferSize:     16 << 10,
-		ReadBufferSize:      16 << 10,
+		WriteBufferSize:     copyBytes,
+		ReadBufferSize:      copyBytes,
 	}
 }
 
