--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -40,7 +40,7 @@
 func printInstallation(in *dev.Installation) {
 	fmt.Println("platform stand-in:", in.PlatformURL)
 	for _, n := range in.Nodes {
-		fmt.Printf("%s: http://%s\n", n.ID, n.Address)
+		fmt.Printf("%s: callers http://%s, operators http://%s\n", n.ID, n.Address, n.Operators)
 	}
 	var teams []vocab.TeamID
 	for team := range in.Keys {
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -34,6 +34,10 @@
 	Nodes int
 	// FirstPort is the callers' port of the first node; 0 takes free ports.
 	FirstPort int
+	// PlatformPort is the port of the platform's stand-in; 0 takes a free one.
+	PlatformPort int
+	// Unpublished leaves the log empty.
+	Unpublished bool
 	// Events receives the nodes' logs.
 	Events io.Writer
 }
@@ -88,13 +92,15 @@
 		return err
 	}
 	in.VMs = standin.NewVMs(rows)
-	address, err := in.serve(standin.PlatformHandler(in.Log, in.VMs), 0)
+	address, err := in.serve(standin.PlatformHandler(in.Log, in.VMs), o.PlatformPort)
 	if err != nil {
 		return err
 	}
 	in.PlatformURL = "http://" + address
-	if err := in.publish(ctx, o.Fleet); err != nil {
-		return err
+	if !o.Unpublished {
+		if err := in.publish(ctx, o.Fleet); err != nil {
+			return err
+		}
 	}
 	for i := range o.Nodes {
 		if err := in.startEntry(ctx, o, i); err != nil {
