Say unknown whenever a record was handed over and not met again

Cause: an unreadable record between the append and its own record ended the operation as if nothing had been changed. Change: after the first append every error but a rejected first try is ErrUnknown; a rejected call has this layer's own error.

--- a/internal/publish/append.go
+++ b/internal/publish/append.go
@@ -22,7 +22,8 @@
 // append appends one record and folds up to it. After an append without an
 // answer it first looks for the record on the stream. If the record is not
 // there it is appended again under the same ID, so that the fold counts it
-// once even if the first append arrives late.
+// once even if the first append arrives late. Every error but a rejected first
+// append is ErrUnknown.
 func (f *fold) append(ctx context.Context, body record.Body) (appended, error) {
 	envelope, err := record.Encode(vocab.RecordID(uuid.NewString()), body)
 	if err != nil {
@@ -30,17 +31,18 @@
 	}
 	own := f.watchFor(envelope.ID)
 	pauses := newPauses()
-	for {
+	for tries := 1; ; tries++ {
 		_, err := f.client.Log.Append(ctx, shared.Stream, []record.Envelope{envelope})
-		if err != nil && !errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, platform.ErrRejected) && tries == 1 {
 			return appended{}, fromPlatform(err)
 		}
-		if err := f.readToEnd(ctx); err != nil {
-			return appended{}, err
-		}
+		err = f.readToEnd(ctx)
 		if own.offset != 0 {
 			return *own, nil
 		}
+		if err != nil {
+			return appended{}, errors.Mark(err, ErrUnknown)
+		}
 		if err := pause(ctx, pauses); err != nil {
 			return appended{}, err
 		}
--- a/internal/publish/client.go
+++ b/internal/publish/client.go
@@ -125,7 +125,7 @@
 	case errors.Is(err, platform.ErrTrimmed):
 		return errors.Mark(err, ErrHistoryGone)
 	case errors.Is(err, platform.ErrRejected):
-		return err
+		return errors.Mark(errors.Wrap(err, "log"), ErrRejected)
 	default:
 		return errors.Mark(errors.Wrap(err, ErrUnknown.Error()), ErrUnknown)
 	}
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -176,6 +176,17 @@
 		if err := client.WithdrawKey(short(), "k", true); err != nil {
 			t.Errorf("unknown key, withdrawn all the same: %v", err)
 		}
+		newer := &faultyLog{Log: log, fault: func() string { return "race" }}
+		newer.race = func() {
+			_, _ = log.Append(short(), shared.Stream, []record.Envelope{{ID: "n", Kind: "of.a.later.version"}})
+		}
+		client.Log = newer
+		if err := client.WithdrawKey(short(), "k2", true); !errors.Is(err, publish.ErrUnknown) {
+			t.Errorf("unreadable record before the own one: %v", err)
+		}
+		if _, err := client.ListKeys(short()); !errors.Is(err, publish.ErrNewerRecords) || errors.Is(err, publish.ErrUnknown) {
+			t.Errorf("unreadable record: %v", err)
+		}
 		log.Trim(shared.Stream, 2)
 		if _, err := client.ListKeys(short()); !errors.Is(err, publish.ErrHistoryGone) {
 			t.Errorf("trimmed stream: %v", err)
