--- /dev/null
+++ b/internal/core/bench_test.go
@@ -0,0 +1,111 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/core"
+	"github.com/sardinehead/sardinehead/internal/core/observe"
+	"github.com/sardinehead/sardinehead/internal/core/retry"
+	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/spec"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// designFleet returns a configuration of the given size: one pool for each
+// service, one key for each team.
+func designFleet(teams, pools int) spec.Fleet {
+	zones := []vocab.ZoneID{"a", "b", "c", "d", "e", "f", "g", "h"}
+	fleet := spec.Fleet{Name: "design", Regions: []spec.Region{{Name: "r", Zones: zones}}}
+	for i := range teams {
+		fleet.Teams = append(fleet.Teams, spec.Team{Name: teamName(i), Share: 1 + i%7, UpperLimit: 200})
+	}
+	for i := range pools {
+		name := fmt.Sprintf("pool-%d", i)
+		fleet.Pools = append(fleet.Pools, spec.Pool{Name: vocab.PoolID(name), VMs: 22, Slots: 8, Connections: 64, Zones: zones})
+		fleet.Services = append(fleet.Services, spec.Service{
+			Queue: vocab.QueueID(name), Pool: vocab.PoolID(name), Open: true,
+			Hold:     spec.Hold{Queued: 4000, QueuedPerTeam: 1000},
+			Limits:   spec.TimeLimits{Queue: spec.Duration(10 * time.Second), FirstByte: spec.Duration(time.Second), Run: spec.Duration(30 * time.Second)},
+			Requests: []spec.RequestRule{{PathPrefix: "/", Idempotent: true}},
+		})
+	}
+	return fleet
+}
+
+func teamName(i int) vocab.TeamID {
+	return vocab.TeamID(fmt.Sprintf("team-%d", i))
+}
+
+// designState returns a sole member that folded the configuration, a key for
+// each team, and a listing of vms VMs.
+func designState(b *testing.B, teams, pools, vms int) *core.State {
+	s := core.New(core.Identity{Node: "n", Incarnation: 1, Zone: "a"})
+	bodies := []record.Body{
+		record.ConfigPublished{Fleet: designFleet(teams, pools)},
+		record.NodeJoined{Node: "n", Incarnation: 1, Zone: "a"},
+	}
+	for i := range teams {
+		bodies = append(bodies, record.KeyGiven{Key: vocab.KeyID(teamName(i)), Team: teamName(i), SecretHash: []byte("h")})
+	}
+	var records []record.Sequenced
+	for i, body := range bodies {
+		envelope, err := record.Encode(vocab.RecordID(fmt.Sprint(i)), body)
+		if err != nil {
+			b.Fatal(err)
+		}
+		records = append(records, record.Sequenced{Offset: vocab.Offset(i + 1), Envelope: envelope})
+	}
+	s.Step(1, core.RecordsRead{Records: records})
+	var rows []observe.Row
+	for i := range vms {
+		name := fmt.Sprintf("vm-%d", i)
+		rows = append(rows, observe.Row{Name: vocab.VMID(name), Incarnation: 1, Pool: vocab.PoolID(fmt.Sprintf("pool-%d", i%pools)), Zone: "a", Address: "10.0.0.1:1", Phase: observe.ListLive})
+	}
+	s.Step(2, core.VMsListed{Version: 1, Rows: rows})
+	return s
+}
+
+// BenchmarkReducer measures events per second of whole requests (an arrival
+// and an end each) with a tick every 100 ms of their time, at the design size.
+func BenchmarkReducer(b *testing.B) {
+	for _, size := range []struct{ teams, pools, vms int }{{6, 5, 50}, {100, 20, 400}, {570, 74, 1600}, {1200, 148, 3200}} {
+		b.Run(fmt.Sprintf("teams=%d/vms=%d", size.teams, size.vms), func(b *testing.B) {
+			s := designState(b, size.teams, size.pools, size.vms)
+			const inFlight = 256
+			now := vocab.Instant(time.Second)
+			var attempts []vocab.AttemptID
+			events := 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(20 * time.Microsecond)
+				if i%5000 == 0 {
+					s.Step(now, core.Tick{})
+				}
+				team := teamName(i % size.teams)
+				effects := s.Step(now, core.RequestArrived{
+					Request: vocab.RequestID(i + 1), Queue: vocab.QueueID(fmt.Sprintf("pool-%d", i%size.pools)),
+					Key: vocab.KeyID(team), SecretHash: []byte("h"), Method: "GET", Path: "/x", Replayable: true,
+				})
+				events++
+				for _, e := range effects {
+					if d, ok := e.(core.Dispatch); ok {
+						attempts = append(attempts, d.Attempt)
+					}
+				}
+				if len(attempts) > inFlight {
+					s.Step(now, core.AttemptEnded{Attempt: attempts[0], Result: retry.Completed})
+					attempts = attempts[1:]
+					events++
+				}
+			}
+			b.StopTimer()
+			if len(attempts) < inFlight && b.N > 2*inFlight {
+				b.Fatalf("only %d attempts run: requests were refused", len(attempts))
+			}
+			b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+		})
+	}
+}
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -66,6 +66,9 @@
 		s.snapshotAt = s.now
 		s.endLostKeys()
 	}
+	if c.Members {
+		s.forgetShares()
+	}
 	if c.Config || c.Members {
 		s.foldLimits()
 	}
