--- /dev/null
+++ b/internal/command/measure.go
@@ -0,0 +1,56 @@
+package command
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sardinehead/sardinehead/internal/measure/shares"
+)
+
+// Measure runs the measures of the decisions, each with its baselines and
+// bounds in the same run.
+type Measure struct {
+	Seed uint64 `long:"seed" default:"1" description:"seed of the random events"`
+	Args struct {
+		Names []string `positional-arg-name:"NAME" description:"measures to run; all without a name"`
+	} `positional-args:"yes"`
+}
+
+// measure is one measure.
+type measure struct {
+	name string
+	run  func(seed uint64) string
+}
+
+func measures() []measure {
+	return []measure{
+		{name: "shares", run: func(seed uint64) string { return shares.Run(seed).String() }},
+	}
+}
+
+// Execute implements flags.Commander.
+func (m *Measure) Execute([]string) error {
+	known := measures()
+	for _, name := range m.Args.Names {
+		if !slices.ContainsFunc(known, func(k measure) bool { return k.name == name }) {
+			return withExitCode(errors.Newf("no measure is named %q; write one of %s", name, namesOf(known)), ExitUsage)
+		}
+	}
+	for _, k := range known {
+		if len(m.Args.Names) == 0 || slices.Contains(m.Args.Names, k.name) {
+			fmt.Printf("== %s, seed %d\n%s\n", k.name, m.Seed, k.run(m.Seed))
+		}
+	}
+	return nil
+}
+
+func namesOf(known []measure) string {
+	names := make([]string, len(known))
+	for i, k := range known {
+		names[i] = k.name
+	}
+	return strings.Join(names, ", ")
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -30,6 +30,7 @@
 	Dump    Dump    `command:"dump" description:"Print the whole state of nodes as JSON"`
 	Explain Explain `command:"explain" description:"Say why work waits or a VM gets none"`
 	Load    Load    `command:"load" description:"Send requests at a fixed rate and report latencies"`
+	Measure Measure `command:"measure" description:"Run the measures of the decisions against baselines and bounds"`
 	Send    Send    `command:"send" description:"Send one request as a caller"`
 
 	Check   Check   `command:"check" description:"Report every fault of the operators' files"`
