--- /dev/null
+++ b/internal/eventlog/catalogue_test.go
@@ -0,0 +1,27 @@
+package eventlog_test
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/sardinehead/sardinehead/internal/core"
+)
+
+// TestCatalogue compares docs/LOG-EVENTS.md with the events of the code.
+func TestCatalogue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	page, err := os.ReadFile("../../docs/LOG-EVENTS.md")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var documented, known []string
+	for _, m := range regexp.MustCompile(`(?m)^\| (\d+) \| ([^|]+?) \|`).FindAllStringSubmatch(string(page), -1) {
+		documented = append(documented, m[1]+" "+m[2])
+	}
+	for id, text := range core.Notices() {
+		known = append(known, fmt.Sprintf("%d %s", id, text))
+	}
+	g.Expect(documented).To(gomega.ConsistOf(known))
+}
