Keep moves and maintenance in a ledger, plan and apply them

Cause: pools must keep their budgets through failures, moves and waves of maintenance, whichever node plans.

--- /dev/null
+++ b/internal/core/maintenance/demand.go
@@ -0,0 +1,98 @@
+package maintenance
+
+import (
+	"math"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+const (
+	// levelTime is the time constant over which demand is averaged. A spike of a
+	// few seconds hardly moves the average.
+	levelTime = 300 * time.Second
+	// trendTime is the time constant of the slower average that the spread is
+	// measured against.
+	trendTime = 1200 * time.Second
+	// spreadTime is the time constant of the average spread.
+	spreadTime = time.Hour
+	// spreadLimit bounds the spread as a part of the level.
+	spreadLimit = 0.25
+)
+
+// demand follows the demand on one pool, in slots.
+type demand struct {
+	started bool
+	level   float64
+	trend   float64
+	spread  float64 // average distance of the level from the trend
+	days    profile
+
+	lackCost float64 // weighted VM-seconds, see moveCost
+	idleCost float64
+}
+
+// observe takes in the demand of the last dt.
+func (d *demand) observe(dt time.Duration, unix int64, slots float64) {
+	if !d.started {
+		d.started = true
+		d.level, d.trend = slots, slots
+	}
+	d.level += weight(dt, levelTime) * (slots - d.level)
+	d.trend += weight(dt, trendTime) * (slots - d.trend)
+	d.spread += weight(dt, spreadTime) * (math.Abs(d.level-d.trend) - d.spread)
+	d.days.observe(unix, dt, slots)
+}
+
+// weight returns the weight of the newest dt in an average with that time constant.
+func weight(dt, constant time.Duration) float64 {
+	return -math.Expm1(-float64(dt) / float64(constant))
+}
+
+// expected returns the slots that the pool should be ready for now.
+func (d *demand) expected() float64 {
+	return d.level + min(d.spread, spreadLimit*d.level)
+}
+
+// need returns what demand asks of a pool whose VMs have that many slots.
+func (d *demand) need(pool vocab.PoolID, slots vocab.Slots, unix int64) PoolNeed {
+	now := d.expected()
+	soon := max(now, d.days.most(unix, forecastSoon))
+	later := max(soon, d.days.most(unix, forecastLater))
+	return PoolNeed{
+		Pool: pool, Demand: vmsFor(soon, slots), Later: vmsFor(later, slots),
+		LackCost: d.lackCost, IdleCost: d.idleCost,
+	}
+}
+
+// vmsFor returns the least number of VMs with that many slots in all.
+func vmsFor(demand float64, slots vocab.Slots) int {
+	if slots <= 0 {
+		return 0
+	}
+	return int(math.Ceil(demand/float64(slots) - vmTolerance))
+}
+
+// vmTolerance is the part of a VM that demand may exceed whole VMs by.
+const vmTolerance = 0.02
+
+// account adds the cost of the pool's lack and idleness over dt. A cost that no
+// longer grows wears off at the rate of one VM.
+func (d *demand) account(dt time.Duration, p *tally) {
+	rate := 0.0
+	switch {
+	case p.has() < p.keep.Ready:
+		rate = budgetWeight * float64(p.wants()-p.has())
+	case p.has() < p.wants():
+		rate = lackWeight * float64(p.wants()-p.has())
+	}
+	d.lackCost = accumulate(d.lackCost, rate, lackWeight, dt)
+	d.idleCost = accumulate(d.idleCost, idleWeight*float64(p.has()-p.wantsLater()), idleWeight, dt)
+}
+
+func accumulate(cost, rate, decay float64, dt time.Duration) float64 {
+	if rate <= 0 {
+		rate = -decay
+	}
+	return max(0, cost+rate*dt.Seconds())
+}
--- /dev/null
+++ b/internal/core/maintenance/moves.go
@@ -0,0 +1,185 @@
+package maintenance
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// planMoves moves VMs to pools whose lack has cost more than a move, and takes
+// idle VMs back to the spare pool when holding them has cost more than a move.
+func planMoves(s *Snapshot, t *tallies, plan *Plan) {
+	for _, name := range t.byLack() {
+		p := t.byName[name]
+		if p.need.LackCost < moveCost {
+			continue
+		}
+		for p.has() < p.wants() && t.fill(s, p, plan) {
+			continue
+		}
+	}
+	spare := t.spare()
+	if spare == nil {
+		return
+	}
+	for _, name := range t.names {
+		p := t.byName[name]
+		if p == spare {
+			continue
+		}
+		if zone, ok := p.stuckZone(s); ok {
+			t.unblock(s, spare, p, zone, plan)
+			continue
+		}
+		if p.need.IdleCost < moveCost || p.hasDue(s) {
+			continue
+		}
+		for p.has() > p.wantsLater() && t.move(s, p, spare, p.vms, "idle for long", plan) {
+			continue
+		}
+	}
+}
+
+// stuckZone returns a zone whose VMs the wave cannot reach because the pool has
+// no more of them ready there than it must keep.
+func (p *tally) stuckZone(s *Snapshot) (vocab.ZoneID, bool) {
+	if s.Ledger.Wave.Paused != 0 || p.keep.ReadyPerZone == 0 || len(p.occupied) > 0 || p.incoming > 0 {
+		return "", false
+	}
+	for _, v := range p.vms {
+		if due(s, v) && v.counted() && p.byZone[v.Zone] <= p.keep.ReadyPerZone {
+			return v.Zone, true
+		}
+	}
+	return "", false
+}
+
+// unblock lends the pool a VM of the spare pool in the zone.
+func (t *tallies) unblock(s *Snapshot, spare, p *tally, zone vocab.ZoneID, plan *Plan) {
+	if t.lendable(spare, true) <= 0 {
+		return
+	}
+	inZone := slices.DeleteFunc(slices.Clone(spare.vms), func(v *VM) bool { return v.Zone != zone })
+	t.move(s, spare, p, inZone, fmt.Sprintf("the wave needs one more VM in zone %s", zone), plan)
+}
+
+// hasDue reports whether VMs of the pool wait for the wave.
+func (p *tally) hasDue(s *Snapshot) bool {
+	return s.Ledger.Wave.Paused == 0 && slices.ContainsFunc(p.vms, func(v *VM) bool { return due(s, v) })
+}
+
+// byLack returns the pools with the highest cost of lack first. Pools below
+// their budget come before those that only lack VMs for demand.
+func (t *tallies) byLack() []vocab.PoolID {
+	names := slices.Clone(t.names)
+	slices.SortStableFunc(names, func(a, b vocab.PoolID) int {
+		p, q := t.byName[a], t.byName[b]
+		if p.belowBudget() != q.belowBudget() {
+			if p.belowBudget() {
+				return -1
+			}
+			return 1
+		}
+		return int(q.need.LackCost - p.need.LackCost)
+	})
+	return names
+}
+
+func (p *tally) belowBudget() bool {
+	return p.has() < p.budgetVMs()
+}
+
+func (t *tallies) spare() *tally {
+	for _, name := range t.names {
+		if p := t.byName[name]; p.spec.Spare {
+			return p
+		}
+	}
+	return nil
+}
+
+// fill moves one VM into the pool: from the spare pool, else from the pool with
+// the most VMs beyond its wants.
+func (t *tallies) fill(s *Snapshot, p *tally, plan *Plan) bool {
+	forBudget := p.belowBudget()
+	var donor *tally
+	for _, name := range t.names {
+		q := t.byName[name]
+		if q == p || t.lendable(q, forBudget) <= 0 {
+			continue
+		}
+		if donor == nil || t.betterDonor(q, donor, forBudget) {
+			donor = q
+		}
+	}
+	if donor == nil {
+		return false
+	}
+	reason := fmt.Sprintf("pool %s holds %d VMs and wants %d", p.spec.Name, p.has(), p.wants())
+	return t.move(s, donor, p, donor.vms, reason, plan)
+}
+
+func (t *tallies) betterDonor(q, donor *tally, forBudget bool) bool {
+	if q.spec.Spare != donor.spec.Spare {
+		return q.spec.Spare
+	}
+	return t.lendable(q, forBudget) > t.lendable(donor, forBudget)
+}
+
+// move plans the move of the candidate that leaves both pools best balanced over
+// their zones. It reports whether there was one.
+func (t *tallies) move(s *Snapshot, from, to *tally, candidates []*VM, reason string, plan *Plan) bool {
+	var best *VM
+	for _, v := range candidates {
+		if refuseMove(s, from, to, v) == "" && (best == nil || balances(from, to, v, best)) {
+			best = v
+		}
+	}
+	if best == nil {
+		return false
+	}
+	from.take(best)
+	from.held--
+	to.incoming++
+	to.arriving[best.Zone]++
+	from.vms = slices.DeleteFunc(slices.Clone(from.vms), func(v *VM) bool { return v == best })
+	plan.step(Step{
+		Kind: StepMove, VM: best.Name, Incarnation: best.Incarnation,
+		From: from.spec.Name, To: to.spec.Name, Reason: reason,
+	})
+	return true
+}
+
+// balances reports whether moving v leaves the zones better balanced than w.
+func balances(from, to *tally, v, w *VM) bool {
+	lackV, lackW := to.lacksIn(v.Zone), to.lacksIn(w.Zone)
+	if lackV != lackW {
+		return lackV
+	}
+	return from.byZone[v.Zone]-to.inZone(v.Zone) > from.byZone[w.Zone]-to.inZone(w.Zone)
+}
+
+// inZone returns the VMs that the pool has in the zone or is about to get there.
+func (p *tally) inZone(zone vocab.ZoneID) int {
+	return p.byZone[zone] + p.arriving[zone]
+}
+
+func (p *tally) lacksIn(zone vocab.ZoneID) bool {
+	return p.inZone(zone) < p.keep.ReadyPerZone
+}
+
+// refuseMove returns why the VM cannot move now, or "".
+func refuseMove(s *Snapshot, from, to *tally, v *VM) string {
+	switch {
+	case s.Hold != "":
+		return s.Hold
+	case s.Ledger.VMs[v.Name].busy():
+		return "a move or maintenance of the VM is under way"
+	case !v.counted():
+		return fmt.Sprintf("the VM is %s and not steadily ready", v.Phase)
+	case !slices.Contains(to.spec.Zones, v.Zone):
+		return fmt.Sprintf("pool %s has no part in zone %s", to.spec.Name, v.Zone)
+	}
+	return from.refuseTaking(v, 0)
+}
--- a/internal/core/observe/state.go
+++ b/internal/core/observe/state.go
@@ -146,13 +146,13 @@
 	return nil
 }
 
-// ListedPool returns the pool in which the platform's list has the VM. It
-// differs from the VM's pool while the platform has yet to carry out a move.
-func (s *State) ListedPool(vm vocab.VMID) vocab.PoolID {
+// Listed returns the newest row of the VM list that was believed, and whether
+// the newest reading still has the VM.
+func (s *State) Listed(vm vocab.VMID) (Row, bool) {
 	if f, ok := s.byName[vm]; ok {
-		return f.listed.Pool
+		return f.listed, f.present
 	}
-	return ""
+	return Row{}, false
 }
 
 // All returns every VM in the order of their names.
