Wire moves and maintenance into the reducer

Cause: the planner has to run on every node, owned through the log. Explain, dump and status show it.

--- a/internal/core/dump.go
+++ b/internal/core/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sardinehead/sardinehead/internal/core/limit"
+	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -26,6 +27,8 @@
 	VMs         []VMDump          `json:"vms"`
 	Limits      limit.Dump        `json:"limits"`
 	Running     int               `json:"running"`
+
+	Maintenance maintenance.Status `json:"maintenance"`
 	// PendingWithdrawals lists keys whose withdrawal is not yet on the log.
 	PendingWithdrawals []vocab.KeyID `json:"pending_withdrawals,omitempty"`
 }
@@ -88,6 +91,7 @@
 		Limits:             s.limits.Snapshot(),
 		Running:            len(s.attempts),
 		PendingWithdrawals: s.PendingWithdrawals(),
+		Maintenance:        s.upkeep.Status(),
 	}
 	d.Ready = len(d.NotReady) == 0
 	if sh.Fleet != nil {
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -37,6 +37,8 @@
 	Stream vocab.StreamID
 	ID     vocab.RecordID
 	Body   record.Body
+	// Once asks for one try only: the record is worth nothing later.
+	Once bool
 }
 
 // Notice asks for a numbered event in the process's log.
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -82,7 +82,11 @@
 }
 
 // Tick makes time pass. The node sends one every TickInterval.
-type Tick struct{}
+type Tick struct {
+	// Unix is the wall clock in seconds since the Unix epoch. It serves
+	// forecasts and deadlines of days, never leases.
+	Unix int64
+}
 
 // LeaveRequested begins a graceful stop: the node withdraws its readiness and
 // goes on serving until the balancer has noticed.
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -32,6 +32,9 @@
 		return []string{fmt.Sprintf("VM %s is not on the VM list", name)}
 	}
 	out := []string{fmt.Sprintf("VM %s is %s in pool %q, zone %s, incarnation %d", name, vm.Phase, vm.Pool, vm.Zone, vm.Incarnation)}
+	if why := s.upkeep.Explain(name); why != "" {
+		out = append(out, why)
+	}
 	if vm.Phase != observe.PhaseReady {
 		return append(out, "it gets no new work until it is ready again")
 	}
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -5,6 +5,7 @@
 
 	"github.com/sardinehead/sardinehead/internal/core/admission"
 	"github.com/sardinehead/sardinehead/internal/core/limit"
+	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/core/retry"
 	"github.com/sardinehead/sardinehead/internal/core/routing"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
@@ -57,6 +58,7 @@
 	}
 	if c.Config {
 		s.adoptFleet()
+		s.upkeep.Step(s.now, maintenance.FleetChanged{Fleet: s.Shared().Fleet})
 		s.notice(NoticeConfigInForce, s.Shared().Fleet.Name, "")
 	}
 	if c.Withdrawn != "" {
@@ -65,10 +67,14 @@
 	if c.Snapshot {
 		s.snapshotAt = s.now
 		s.endLostKeys()
+		s.upkeep.Adopt(s.now, s.Shared().Maintenance)
 	}
 	if c.Members {
 		s.forgetShares()
 	}
+	if c.Maintenance != nil {
+		s.upkeep.Step(s.now, *c.Maintenance)
+	}
 	if c.Config || c.Members {
 		s.foldLimits()
 	}
@@ -145,7 +151,7 @@
 	s.dispatchAll()
 }
 
-func (s *State) onTick() {
+func (s *State) onTick(e Tick) {
 	for _, id := range s.names {
 		q := s.queues[id]
 		for _, it := range q.waiting.Expire(s.now) {
@@ -157,6 +163,7 @@
 	s.updateShares()
 	s.effects = append(s.effects, s.limits.Tick(s.now)...)
 	s.takeSnapshotIfDue()
+	s.maintain(e.Unix)
 	s.dispatchAll()
 }
 
--- a/internal/core/maintenance/controller.go
+++ b/internal/core/maintenance/controller.go
@@ -62,6 +62,8 @@
 		c.fleet = e.Fleet
 	case RecordFolded:
 		c.fold(now, e)
+	case LedgerChanged:
+		c.noteLedger(now, e)
 	case OrderAnswered:
 		c.answered(now, e)
 	case Tick:
@@ -72,17 +74,33 @@
 
 // fold applies a record to the ledger and follows what it changed.
 func (c *Controller) fold(now vocab.Instant, e RecordFolded) {
-	before := c.ledger.Owner.Epoch
-	changed, accepted := c.ledger.Apply(e.Offset, e.Body)
-	for _, vm := range changed {
+	c.noteLedger(now, c.ledger.Fold(e.Offset, e.Body))
+}
+
+// noteLedger takes in what one record changed in the ledger.
+func (c *Controller) noteLedger(now vocab.Instant, e LedgerChanged) {
+	for _, vm := range e.VMs {
 		c.follow(now, vm)
 	}
-	if !accepted {
+	if !e.Accepted {
 		return
 	}
 	c.lease.folded(now, e.Body)
 	delete(c.appends, appendKey(e.Body))
-	if c.ledger.Owner.Epoch != before {
+	if e.NewOwner {
+		c.takeOver(now)
+	}
+}
+
+// Adopt replaces the ledger by one from a snapshot of a later offset.
+func (c *Controller) Adopt(now vocab.Instant, ledger *Ledger) {
+	changed := ledger.Owner.Epoch != c.ledger.Owner.Epoch
+	known := sortedKeys(c.ledger.VMs)
+	c.ledger = ledger
+	for _, vm := range append(known, sortedKeys(ledger.VMs)...) {
+		c.follow(now, vm)
+	}
+	if changed {
 		c.takeOver(now)
 	}
 }
--- a/internal/core/maintenance/effects.go
+++ b/internal/core/maintenance/effects.go
@@ -79,6 +79,21 @@
 // IsEvent implements event.Event.
 func (RecordFolded) IsEvent() {}
 
+// LedgerChanged tells what one record changed in the ledger, where the ledger's
+// holder applied it.
+type LedgerChanged struct {
+	Body record.Body
+	// VMs lists the VMs whose entries changed.
+	VMs []vocab.VMID
+	// Accepted is set if the record had an effect.
+	Accepted bool
+	// NewOwner is set if the record made another process the owner.
+	NewOwner bool
+}
+
+// IsEvent implements event.Event.
+func (LedgerChanged) IsEvent() {}
+
 // FleetChanged brings the configuration in force.
 type FleetChanged struct{ Fleet *spec.Fleet }
 
--- a/internal/core/maintenance/fold.go
+++ b/internal/core/maintenance/fold.go
@@ -6,6 +6,13 @@
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
+// Fold applies one record and tells what it changed.
+func (l *Ledger) Fold(offset vocab.Offset, body record.Body) LedgerChanged {
+	before := l.Owner.Epoch
+	changed, accepted := l.Apply(offset, body)
+	return LedgerChanged{Body: body, VMs: changed, Accepted: accepted, NewOwner: l.Owner.Epoch != before}
+}
+
 // Apply folds one record. It returns the VMs whose entries changed, in the
 // order of the record, and whether the record was accepted. A record under
 // another epoch than the one in force changes nothing.
--- a/internal/core/notice.go
+++ b/internal/core/notice.go
@@ -15,6 +15,8 @@
 	NoticeFoldStopped NoticeID = 103
 	// NoticeSnapshotRefused: a snapshot cannot be used.
 	NoticeSnapshotRefused NoticeID = 104
+	// NoticeNotEncoded: a record cannot be encoded and was dropped.
+	NoticeNotEncoded NoticeID = 105
 	// NoticeLogDown: the log service does not answer.
 	NoticeLogDown NoticeID = 110
 	// NoticeLogUp: the log service answers again.
@@ -39,6 +41,7 @@
 	NoticeKeyWithdrawn:    {text: "key withdrawn"},
 	NoticeFoldStopped:     {text: "log record cannot be folded", grave: true},
 	NoticeSnapshotRefused: {text: "snapshot refused", grave: true},
+	NoticeNotEncoded:      {text: "record cannot be encoded", grave: true},
 	NoticeLogDown:         {text: "log service down", grave: true},
 	NoticeLogUp:           {text: "log service up"},
 	NoticeVMLeaving:       {text: "VM leaving"},
--- a/internal/core/shared/apply.go
+++ b/internal/core/shared/apply.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cockroachdb/errors"
 
+	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/record"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -29,6 +30,9 @@
 	// Snapshot is set if the record was a snapshot, or the state was replaced
 	// by one. Keys may then have ended without being named.
 	Snapshot bool
+	// Maintenance tells what the record changed in the ledger of maintenance;
+	// nil if it was of another kind.
+	Maintenance *maintenance.LedgerChanged
 }
 
 // Apply folds the next record. A record at or below the folded offset changes
@@ -81,6 +85,9 @@
 		s.foldRemoved(b, change)
 	case record.SnapshotTaken:
 		change.Snapshot = true
+	default:
+		ledger := s.Maintenance.Fold(s.Offset, body)
+		change.Maintenance = &ledger
 	}
 }
 
--- a/internal/core/shared/state.go
+++ b/internal/core/shared/state.go
@@ -9,6 +9,7 @@
 	"maps"
 	"slices"
 
+	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -34,6 +35,8 @@
 	// LimitsOffset is the offset of the last change to members, team limits or
 	// pools. Parts of limits are computed as of this offset.
 	LimitsOffset vocab.Offset `json:"limits_offset"`
+	// Maintenance is the ledger of moves and maintenance.
+	Maintenance *maintenance.Ledger `json:"maintenance"`
 	// Recent remembers the IDs of the latest records, oldest first, so that a
 	// record appended twice is folded once.
 	Recent []vocab.RecordID `json:"recent"`
@@ -86,6 +89,8 @@
 		Members: map[vocab.Incarnation]Member{},
 		Removed: map[vocab.Incarnation]Removal{},
 		seen:    map[vocab.RecordID]struct{}{},
+
+		Maintenance: maintenance.NewLedger(),
 	}
 }
 
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -10,6 +10,7 @@
 	"github.com/sardinehead/sardinehead/internal/core/admission"
 	"github.com/sardinehead/sardinehead/internal/core/event"
 	"github.com/sardinehead/sardinehead/internal/core/limit"
+	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/core/retry"
 	"github.com/sardinehead/sardinehead/internal/core/routing"
@@ -37,6 +38,7 @@
 	fleet  *shared.Follower
 	vms    *observe.State
 	limits *limit.State
+	upkeep *maintenance.Controller
 	shares shareState
 
 	queues   map[vocab.QueueID]*queue
@@ -56,6 +58,8 @@
 	// left is set once the end of the membership was asked for.
 	left      bool
 	joinAsked bool
+	// upkeepAt is when moves and maintenance were last looked at.
+	upkeepAt vocab.Instant
 	// snapshotAt is when a snapshot was last read or asked for.
 	snapshotAt vocab.Instant
 	// pendingWithdrawals holds keys that were withdrawn while the log was down.
@@ -81,7 +85,7 @@
 
 // New returns the state of a process that has just started.
 func New(self Identity) *State {
-	return &State{
+	s := &State{
 		self:     self,
 		fleet:    shared.NewFollower(),
 		vms:      observe.New(),
@@ -93,6 +97,8 @@
 
 		pendingWithdrawals: map[vocab.KeyID]bool{},
 	}
+	s.upkeep = maintenance.NewController(self.Node, self.Incarnation, s.Shared().Maintenance, s.vms)
+	return s
 }
 
 // Shared returns the folded state. Callers must not change it.
@@ -124,8 +130,10 @@
 		s.onLogStatus(e)
 	case VMsListed:
 		s.onVMsListed(e)
+	case maintenance.OrderAnswered:
+		s.effects = append(s.effects, s.upkeep.Step(s.now, e)...)
 	case Tick:
-		s.onTick()
+		s.onTick(e)
 	case LeaveRequested:
 		s.leaving = true
 		s.notice(NoticeStopping, string(s.self.Node), "readiness withdrawn")
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -32,9 +32,11 @@
 
 // NewProcess puts a process together. Events are written to w.
 func NewProcess(self core.Identity, p Platform, w io.Writer) *Process {
+	vms := platform.NewVMClient(p.VMList)
 	n := node.New(self, node.Services{
 		Log:    platform.NewLogClient(p.Log),
-		VMs:    platform.NewVMClient(p.VMList),
+		VMs:    vms,
+		Pools:  vms,
 		Events: eventlog.New(w, string(self.Node)),
 	})
 	f := forward.New(string(self.Node))
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -14,7 +14,6 @@
 	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
 	"github.com/sardinehead/sardinehead/internal/platform"
-	"github.com/sardinehead/sardinehead/internal/record"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -23,9 +22,6 @@
 // news away.
 const longPoll = 2 * time.Second
 
-// appendLimit is the most records in one append.
-const appendLimit = 256
-
 func newBackoff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = 50 * time.Millisecond
@@ -106,59 +102,6 @@
 	}
 }
 
-// appendRecords appends what the reducer asks for, in batches, until the log
-// has answered. A record appended twice has one ID and is folded once.
-func (n *Node) appendRecords(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case first := <-n.appends:
-			n.appendBatch(ctx, n.moreAppends(first))
-		}
-	}
-}
-
-func (n *Node) moreAppends(first core.Append) []core.Append {
-	batch := []core.Append{first}
-	for len(batch) < appendLimit {
-		select {
-		case a := <-n.appends:
-			batch = append(batch, a)
-		default:
-			return batch
-		}
-	}
-	return batch
-}
-
-func (n *Node) appendBatch(ctx context.Context, batch []core.Append) {
-	byStream := map[vocab.StreamID][]record.Envelope{}
-	for _, a := range batch {
-		envelope, err := record.Encode(a.ID, a.Body)
-		if err != nil {
-			n.services.Events.Warn(core.NoticeFoldStopped, string(a.ID), err)
-			continue
-		}
-		byStream[a.Stream] = append(byStream[a.Stream], envelope)
-	}
-	for stream, envelopes := range byStream {
-		n.appendUntilAnswered(ctx, stream, envelopes)
-	}
-}
-
-func (n *Node) appendUntilAnswered(ctx context.Context, stream vocab.StreamID, envelopes []record.Envelope) {
-	pause := newBackoff()
-	for ctx.Err() == nil {
-		_, err := n.services.Log.Append(ctx, stream, envelopes)
-		if err == nil {
-			n.unappended.Add(-int64(len(envelopes)))
-			return
-		}
-		sleep(ctx, pause.NextBackOff())
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/core/event"
+	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/platform"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -25,6 +26,7 @@
 type Services struct {
 	Log    platform.Log
 	VMs    platform.VMList
+	Pools  platform.Pools
 	Events EventLog
 }
 
@@ -89,7 +91,7 @@
 		case ev := <-n.events:
 			n.step(ev)
 		case <-ticker.C:
-			n.step(core.Tick{})
+			n.step(core.Tick{Unix: time.Now().Unix()})
 		case q := <-n.queries:
 			q.read(n.state)
 			close(q.done)
@@ -135,6 +137,8 @@
 	case core.Append:
 		n.unappended.Add(1)
 		n.appends <- e
+	case maintenance.OrderDrain, maintenance.OrderReboot, maintenance.OrderAssign:
+		go n.giveOrder(e)
 	case core.Notice:
 		n.services.Events.Notice(e)
 	}
