--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -3,6 +3,8 @@
 
 import (
 	"fmt"
+	"io"
+	"log"
 	"os"
 
 	"github.com/cockroachdb/errors"
@@ -21,12 +23,25 @@
 
 // root lists the commands.
 type root struct {
-	Dev  Dev  `command:"dev" description:"Run a whole installation on loopback, with stand-ins of the platform and the upstreams"`
-	Send Send `command:"send" description:"Send one request as a caller"`
+	Entry   Entry   `command:"entry" description:"Run the daemon of an entry VM"`
+	Dev     Dev     `command:"dev" description:"Run a whole installation on loopback, with stand-ins of the platform and the upstreams"`
+	Standin Standin `command:"standin" description:"Run the stand-ins of the platform and the upstreams only"`
+	Status  Status  `command:"status" description:"Show each node and what disagrees"`
+	Dump    Dump    `command:"dump" description:"Print the whole state of nodes as JSON"`
+	Explain Explain `command:"explain" description:"Say why work waits or a VM gets none"`
+	Load    Load    `command:"load" description:"Send requests at a fixed rate and report latencies"`
+	Measure Measure `command:"measure" description:"Run the measures of the decisions against baselines and bounds"`
+	Send    Send    `command:"send" description:"Send one request as a caller"`
+
+	Check   Check   `command:"check" description:"Report every fault of the operators' files"`
+	Publish Publish `command:"publish" description:"Put the operators' files into force"`
+	Key     Key     `command:"key" description:"Give, withdraw and list keys"`
 }
 
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
+	// Libraries write pieces of requests and answers to the standard logger.
+	log.SetOutput(io.Discard)
 	parser := flags.NewNamedParser("sardinehead", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "manager of fleet capacity and maintenance"
 	if _, err := parser.AddGroup("", "", &root{}); err != nil {
@@ -51,5 +66,5 @@
 		return ExitUsage
 	}
 	fmt.Fprintln(os.Stderr, "sardinehead:", err)
-	return ExitFailed
+	return codeOf(err)
 }
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -6,6 +6,7 @@
 	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/core/routing"
+	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -87,17 +88,25 @@
 	s.attempts[a.id] = r
 	r.queue.health.Started(s.now, healthKey(vm))
 	s.emit(Dispatch{
-		Request:     r.id,
-		Attempt:     a.id,
-		VM:          vm.Name,
-		Address:     vm.Address,
-		Idempotent:  r.idempotent,
-		FirstByte:   r.service.Limits.FirstByte.D(),
-		Run:         r.service.Limits.Run.D(),
-		Connections: max(1, r.queue.pool.Connections/max(1, len(s.shared.Members))),
+		Request:   r.id,
+		Attempt:   a.id,
+		VM:        vm.Name,
+		Address:   vm.Address,
+		Reuse:     r.idempotent && r.attempts == 1,
+		FirstByte: r.service.Limits.FirstByte.D(),
+		Run:       r.service.Limits.Run.D(),
+
+		IdleConnections: s.idleConnections(&r.queue.pool),
 	})
 }
 
+// idleConnections divides the connections that a VM accepts beyond its slots
+// among the members.
+func (s *State) idleConnections(pool *spec.Pool) int {
+	spare := pool.Connections - int(pool.Slots)
+	return max(0, spare/max(1, len(s.Shared().Members)))
+}
+
 func (s *State) takeTokens(r *request, vm *observe.VM) []limit.Token {
 	var tokens []limit.Token
 	if t, ok := s.limits.Take(s.now, vmAccount(vm)); ok {
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -13,14 +13,16 @@
 	Attempt vocab.AttemptID
 	VM      vocab.VMID
 	Address string
-	// Idempotent allows a pooled connection; other requests need a fresh one.
-	Idempotent bool
+	// Reuse allows a connection that served another request before. Requests
+	// that are not idempotent, and retries, need a fresh one.
+	Reuse bool
 	// FirstByte bounds the wait for the first byte of the answer.
 	FirstByte time.Duration
 	// Run bounds the whole attempt.
 	Run time.Duration
-	// Connections is the most connections of this node to the VM.
-	Connections int
+	// IdleConnections is the most idle connections of this node to the VM. The
+	// VM's slots bound the busy ones.
+	IdleConnections int
 }
 
 // Answer gives a request its final answer, made by sardinehead itself.
@@ -35,6 +37,8 @@
 	Stream vocab.StreamID
 	ID     vocab.RecordID
 	Body   record.Body
+	// Once asks for one try only: the record is worth nothing later.
+	Once bool
 }
 
 // Notice asks for a numbered event in the process's log.
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -5,6 +5,7 @@
 
 	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/core/retry"
+	"github.com/sardinehead/sardinehead/internal/core/shared"
 	"github.com/sardinehead/sardinehead/internal/record"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -16,7 +17,7 @@
 	// Key is the ID of the key that came with the request; empty without one.
 	Key vocab.KeyID
 	// SecretHash is the SHA-256 of the secret that came with the key.
-	SecretHash [32]byte
+	SecretHash []byte
 	Method     string
 	// Path is the path after the queue's name, starting with "/".
 	Path string
@@ -52,6 +53,23 @@
 	CaughtUp bool
 }
 
+// StreamBegins tells that the log keeps no record of the fleet stream before
+// Earliest, and that reading goes on there.
+type StreamBegins struct {
+	Earliest vocab.Offset
+}
+
+// SnapshotFetched is a snapshot that a peer gave.
+type SnapshotFetched struct {
+	Snapshot shared.Snapshot
+}
+
+// WithdrawKey is an operator's word, given to this node or heard from a peer,
+// that a key ends now.
+type WithdrawKey struct {
+	Key vocab.KeyID
+}
+
 // LogStatus tells whether the last call of the log service was answered.
 type LogStatus struct {
 	Up bool
@@ -64,11 +82,23 @@
 }
 
 // Tick makes time pass. The node sends one every TickInterval.
-type Tick struct{}
+type Tick struct {
+	// Unix is the wall clock in seconds since the Unix epoch. It serves
+	// forecasts and deadlines of days, never leases.
+	Unix int64
+}
 
-// StopRequested begins a graceful stop: no new request is taken.
+// LeaveRequested begins a graceful stop: the node withdraws its readiness and
+// goes on serving until the balancer has noticed.
+type LeaveRequested struct{}
+
+// StopRequested is the second step of a graceful stop: no new request is taken.
 type StopRequested struct{}
 
+// LastRequestEnded is the last step of a graceful stop: all callers have their
+// answers.
+type LastRequestEnded struct{}
+
 // IsEvent implements event.Event.
 func (RequestArrived) IsEvent() {}
 
@@ -81,6 +111,15 @@
 // IsEvent implements event.Event.
 func (RecordsRead) IsEvent() {}
 
+// IsEvent implements event.Event.
+func (StreamBegins) IsEvent() {}
+
+// IsEvent implements event.Event.
+func (SnapshotFetched) IsEvent() {}
+
+// IsEvent implements event.Event.
+func (WithdrawKey) IsEvent() {}
+
 // IsEvent implements event.Event.
 func (LogStatus) IsEvent() {}
 
@@ -90,5 +129,11 @@
 // IsEvent implements event.Event.
 func (Tick) IsEvent() {}
 
+// IsEvent implements event.Event.
+func (LeaveRequested) IsEvent() {}
+
+// IsEvent implements event.Event.
+func (LastRequestEnded) IsEvent() {}
+
 // IsEvent implements event.Event.
 func (StopRequested) IsEvent() {}
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -2,10 +2,10 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core/admission"
 	"github.com/sardinehead/sardinehead/internal/core/limit"
+	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/core/retry"
 	"github.com/sardinehead/sardinehead/internal/core/routing"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
@@ -18,33 +18,63 @@
 		if s.foldStopped {
 			return
 		}
-		change, err := s.shared.Apply(rec)
+		changes, err := s.fleet.Read(rec)
+		s.onChanges(changes)
 		if err != nil {
-			s.foldStopped = true
-			s.notice(NoticeFoldStopped, string(rec.Envelope.ID), err.Error())
+			s.stopFold(rec.Envelope.ID, err)
 			return
 		}
-		s.onChange(change)
 	}
-	if e.CaughtUp {
+	if e.CaughtUp && !s.fleet.Searching() {
 		s.join()
 	}
 }
 
+// onSnapshotFetched takes a peer's snapshot if it is later than the fold.
+func (s *State) onSnapshotFetched(e SnapshotFetched) {
+	changes, err := s.fleet.Adopt(e.Snapshot)
+	s.onChanges(changes)
+	if err != nil {
+		s.notice(NoticeSnapshotRefused, "", err.Error())
+	}
+}
+
+// stopFold makes the fold stand still: the configuration folded so far stays
+// in force.
+func (s *State) stopFold(id vocab.RecordID, err error) {
+	s.foldStopped = true
+	s.notice(NoticeFoldStopped, string(id), err.Error())
+}
+
+func (s *State) onChanges(changes []shared.Change) {
+	for _, c := range changes {
+		s.onChange(c)
+	}
+}
+
 func (s *State) onChange(c shared.Change) {
 	if c.Refused {
 		s.notice(NoticeConfigRefused, "", "the configuration was based on a revision no longer in force")
 	}
 	if c.Config {
 		s.adoptFleet()
-		s.notice(NoticeConfigInForce, s.shared.Fleet.Name, "")
+		s.upkeep.Step(s.now, maintenance.FleetChanged{Fleet: s.Shared().Fleet})
+		s.notice(NoticeConfigInForce, s.Shared().Fleet.Name, "")
 	}
 	if c.Withdrawn != "" {
 		s.endKey(c.Withdrawn)
 	}
+	if c.Snapshot {
+		s.snapshotAt = s.now
+		s.endLostKeys()
+		s.upkeep.Adopt(s.now, s.Shared().Maintenance)
+	}
 	if c.Members {
 		s.forgetShares()
 	}
+	if c.Maintenance != nil {
+		s.upkeep.Step(s.now, *c.Maintenance)
+	}
 	if c.Config || c.Members {
 		s.foldLimits()
 	}
@@ -52,7 +82,7 @@
 
 // adoptFleet brings queues into line with the configuration in force.
 func (s *State) adoptFleet() {
-	fleet := s.shared.Fleet
+	fleet := s.Shared().Fleet
 	for i := range fleet.Services {
 		service := &fleet.Services[i]
 		q, ok := s.queues[service.Queue]
@@ -83,13 +113,13 @@
 
 func (s *State) configure(q *queue, service *spec.Service) {
 	q.service = service
-	q.pool, _ = s.shared.Fleet.Pool(service.Pool)
-	members := max(1, len(s.shared.Members))
+	q.pool, _ = s.Shared().Fleet.Pool(service.Pool)
+	members := max(1, len(s.Shared().Members))
 	q.waiting.SetBounds(admission.Bounds{
 		Queued:        max(1, service.Hold.Queued/members),
 		QueuedPerTeam: max(1, service.Hold.QueuedPerTeam/members),
 	})
-	for _, t := range s.shared.Fleet.Teams {
+	for _, t := range s.Shared().Fleet.Teams {
 		q.waiting.SetWeight(t.Name, float64(t.Share))
 	}
 }
@@ -103,17 +133,6 @@
 	}
 }
 
-// endKey refuses what waits under a withdrawn key.
-func (s *State) endKey(key vocab.KeyID) {
-	s.notice(NoticeKeyWithdrawn, string(key), "")
-	for _, id := range s.names {
-		items := s.queues[id].waiting.RemoveIf(func(it admission.Item) bool { return it.Key == key })
-		for _, it := range items {
-			s.refuseWaiting(it.Request, notRun(CodeKeyRefused, 0, "the key was withdrawn while the request waited"))
-		}
-	}
-}
-
 func (s *State) onLogStatus(e LogStatus) {
 	if s.logDown == !e.Up {
 		return
@@ -132,7 +151,7 @@
 	s.dispatchAll()
 }
 
-func (s *State) onTick() {
+func (s *State) onTick(e Tick) {
 	for _, id := range s.names {
 		q := s.queues[id]
 		for _, it := range q.waiting.Expire(s.now) {
@@ -143,22 +162,11 @@
 	}
 	s.updateShares()
 	s.effects = append(s.effects, s.limits.Tick(s.now)...)
+	s.takeSnapshotIfDue()
+	s.maintain(e.Unix)
 	s.dispatchAll()
 }
 
-func (s *State) onStopRequested() {
-	if s.stopping {
-		return
-	}
-	s.stopping = true
-	s.notice(NoticeStopping, string(s.self.Node), "")
-	for _, id := range s.names {
-		for _, it := range s.queues[id].waiting.RemoveIf(func(admission.Item) bool { return true }) {
-			s.refuseWaiting(it.Request, notRun(CodeStopping, time.Second, "this entry node is stopping; send the request again"))
-		}
-	}
-}
-
 // dispatchAll tries every queue.
 func (s *State) dispatchAll() {
 	for _, id := range s.names {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -73,10 +73,10 @@
 // admit checks whether the request may be taken at all.
 func (s *State) admit(e RequestArrived) (*spec.Service, vocab.TeamID, *Problem) {
 	if s.stopping {
-		p := notRun(CodeStopping, time.Second, "this entry node is stopping; send the request again")
+		p := stoppingProblem()
 		return nil, "", &p
 	}
-	if s.shared.Fleet == nil {
+	if s.Shared().Fleet == nil {
 		p := notRun(CodeNoConfig, retryAfterOutage, "this entry node has no configuration yet")
 		return nil, "", &p
 	}
@@ -106,19 +106,14 @@
 		p := notRun(CodeKeyMissing, 0, "send the header \"Authorization: Bearer KEY\"")
 		return "", &p
 	}
-	key, ok := s.shared.ActiveKey(e.Key)
-	if !ok || subtle.ConstantTimeCompare(key.SecretHash, e.SecretHash[:]) != 1 {
+	key, ok := s.activeKey(e.Key)
+	if !ok || subtle.ConstantTimeCompare(key.SecretHash, e.SecretHash) != 1 {
 		p := notRun(CodeKeyRefused, 0, "the key is unknown or was withdrawn")
 		return "", &p
 	}
-	if service.Open {
+	if service.Admits(key.Team) {
 		return key.Team, nil
 	}
-	for _, t := range service.Teams {
-		if t == key.Team {
-			return key.Team, nil
-		}
-	}
 	p := notRun(CodeTeamRefused, 0, "team "+string(key.Team)+" may not send work to "+string(service.Queue))
 	return "", &p
 }
@@ -244,14 +239,6 @@
 	return s.enqueue(r) == nil
 }
 
-func (s *State) keyHolds(id vocab.KeyID) bool {
-	if id == "" {
-		return true
-	}
-	_, ok := s.shared.ActiveKey(id)
-	return ok
-}
-
 // refuseWaiting answers a request that was taken out of its queue.
 func (s *State) refuseWaiting(id vocab.RequestID, p Problem) {
 	r, ok := s.requests[id]
--- a/internal/core/shared/state.go
+++ b/internal/core/shared/state.go
@@ -5,6 +5,11 @@
 package shared
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -30,6 +35,8 @@
 	// LimitsOffset is the offset of the last change to members, team limits or
 	// pools. Parts of limits are computed as of this offset.
 	LimitsOffset vocab.Offset `json:"limits_offset"`
+	// Maintenance is the ledger of moves and maintenance.
+	Maintenance *maintenance.Ledger `json:"maintenance"`
 	// Recent remembers the IDs of the latest records, oldest first, so that a
 	// record appended twice is folded once.
 	Recent []vocab.RecordID `json:"recent"`
@@ -82,6 +89,8 @@
 		Members: map[vocab.Incarnation]Member{},
 		Removed: map[vocab.Incarnation]Removal{},
 		seen:    map[vocab.RecordID]struct{}{},
+
+		Maintenance: maintenance.NewLedger(),
 	}
 }
 
@@ -93,3 +102,17 @@
 	}
 	return k, true
 }
+
+// SortedMembers returns the members in order of incarnation.
+func (s *State) SortedMembers() []Member {
+	out := slices.Collect(maps.Values(s.Members))
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return out
+}
+
+// SortedKeys returns all keys in order of their IDs.
+func (s *State) SortedKeys() []Key {
+	out := slices.Collect(maps.Values(s.Keys))
+	slices.SortFunc(out, func(a, b Key) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- a/internal/core/shares.go
+++ b/internal/core/shares.go
@@ -39,7 +39,7 @@
 // forgetShares drops the reports of nodes whose membership ended.
 func (s *State) forgetShares() {
 	s.shares.KeepMembers(func(node vocab.Incarnation) bool {
-		_, ok := s.shared.Members[node]
+		_, ok := s.Shared().Members[node]
 		return ok || node == s.self.Incarnation
 	})
 }
@@ -47,7 +47,7 @@
 // updateShares computes the parts of teams anew each share.UpdateInterval and
 // gives them to queues and limits.
 func (s *State) updateShares() {
-	if s.shared.Fleet == nil {
+	if s.Shared().Fleet == nil {
 		return
 	}
 	if s.now.Sub(s.shares.updated) < share.UpdateInterval {
@@ -57,7 +57,7 @@
 	s.shares.updated = s.now
 	s.reportUsage(interval)
 	s.shares.SetTeams(s.shareTeams())
-	for _, p := range s.shared.Fleet.Pools {
+	for _, p := range s.Shared().Fleet.Pools {
 		s.shares.SetCapacity(p.Name, vocab.Slots(len(s.vms.Ready(p.Name)))*p.Slots)
 	}
 	s.shares.Update(s.now)
@@ -82,14 +82,14 @@
 			}))
 		})
 	}
-	for _, t := range s.shared.Fleet.Teams {
+	for _, t := range s.Shared().Fleet.Teams {
 		s.limits.SetDemand(limit.TeamAccount(t.Name), s.shares.present[t.Name])
 	}
 }
 
 func (s *State) shareTeams() []share.Team {
-	out := make([]share.Team, len(s.shared.Fleet.Teams))
-	for i, t := range s.shared.Fleet.Teams {
+	out := make([]share.Team, len(s.Shared().Fleet.Teams))
+	for i, t := range s.Shared().Fleet.Teams {
 		out[i] = share.Team{Name: t.Name, Weight: float64(t.Share), Limit: t.UpperLimit}
 	}
 	return out
@@ -99,12 +99,12 @@
 func (s *State) applyShares(q *queue) {
 	for _, part := range s.shares.Parts(q.pool.Name) {
 		q.waiting.SetWeight(part.Team, part.Weight)
-		q.waiting.SetTeamBound(part.Team, share.Bound(q.service.Hold.QueuedPerTeam, len(s.shared.Members), part.Demand, part.FleetDemand))
+		q.waiting.SetTeamBound(part.Team, share.Bound(q.service.Hold.QueuedPerTeam, len(s.Shared().Members), part.Demand, part.FleetDemand))
 	}
 	own, fleet := s.shares.Demand(q.pool.Name)
 	q.waiting.SetBounds(admission.Bounds{
-		Queued:        share.Bound(q.service.Hold.Queued, len(s.shared.Members), own, fleet),
-		QueuedPerTeam: share.Bound(q.service.Hold.QueuedPerTeam, len(s.shared.Members), 0, 0),
+		Queued:        share.Bound(q.service.Hold.Queued, len(s.Shared().Members), own, fleet),
+		QueuedPerTeam: share.Bound(q.service.Hold.QueuedPerTeam, len(s.Shared().Members), 0, 0),
 	})
 	want := vocab.Slots(math.Ceil(s.shares.NodeTarget(q.pool.Name)))
 	if !s.shares.Contended(q.pool.Name) {
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -10,6 +10,7 @@
 	"github.com/sardinehead/sardinehead/internal/core/admission"
 	"github.com/sardinehead/sardinehead/internal/core/event"
 	"github.com/sardinehead/sardinehead/internal/core/limit"
+	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/core/retry"
 	"github.com/sardinehead/sardinehead/internal/core/routing"
@@ -34,9 +35,10 @@
 type State struct {
 	self   Identity
 	now    vocab.Instant
-	shared *shared.State
+	fleet  *shared.Follower
 	vms    *observe.State
 	limits *limit.State
+	upkeep *maintenance.Controller
 	shares shareState
 
 	queues   map[vocab.QueueID]*queue
@@ -48,8 +50,20 @@
 	lastRecord  uint64
 	logDown     bool
 	foldStopped bool
-	stopping    bool
-	joinAsked   bool
+	// leaving is set once a graceful stop began: the node still serves, and
+	// tells the balancer that it is not ready.
+	leaving bool
+	// stopping is set once no new request is taken.
+	stopping bool
+	// left is set once the end of the membership was asked for.
+	left      bool
+	joinAsked bool
+	// upkeepAt is when moves and maintenance were last looked at.
+	upkeepAt vocab.Instant
+	// snapshotAt is when a snapshot was last read or asked for.
+	snapshotAt vocab.Instant
+	// pendingWithdrawals holds keys that were withdrawn while the log was down.
+	pendingWithdrawals map[vocab.KeyID]bool
 
 	effects []event.Effect
 }
@@ -71,21 +85,25 @@
 
 // New returns the state of a process that has just started.
 func New(self Identity) *State {
-	return &State{
+	s := &State{
 		self:     self,
-		shared:   shared.New(),
+		fleet:    shared.NewFollower(),
 		vms:      observe.New(),
 		shares:   newShareState(self.Incarnation),
 		limits:   limit.New(limit.Config{Self: self.Incarnation}),
 		queues:   map[vocab.QueueID]*queue{},
 		requests: map[vocab.RequestID]*request{},
 		attempts: map[vocab.AttemptID]*request{},
+
+		pendingWithdrawals: map[vocab.KeyID]bool{},
 	}
+	s.upkeep = maintenance.NewController(self.Node, self.Incarnation, s.Shared().Maintenance, s.vms)
+	return s
 }
 
 // Shared returns the folded state. Callers must not change it.
 func (s *State) Shared() *shared.State {
-	return s.shared
+	return s.fleet.State()
 }
 
 // Step takes one event and returns what is to be done. Now must not go back
@@ -102,14 +120,27 @@
 		s.onAttemptEnded(e)
 	case RecordsRead:
 		s.onRecordsRead(e)
+	case StreamBegins:
+		s.fleet.Begin(e.Earliest)
+	case SnapshotFetched:
+		s.onSnapshotFetched(e)
+	case WithdrawKey:
+		s.withdrawKey(e.Key)
 	case LogStatus:
 		s.onLogStatus(e)
 	case VMsListed:
 		s.onVMsListed(e)
+	case maintenance.OrderAnswered:
+		s.effects = append(s.effects, s.upkeep.Step(s.now, e)...)
 	case Tick:
-		s.onTick()
+		s.onTick(e)
+	case LeaveRequested:
+		s.leaving = true
+		s.notice(NoticeStopping, string(s.self.Node), "readiness withdrawn")
 	case StopRequested:
 		s.onStopRequested()
+	case LastRequestEnded:
+		s.onLastRequestEnded()
 	}
 	return s.effects
 }
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -6,22 +6,19 @@
 import (
 	"context"
 	"crypto/rand"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"io"
-	"math/big"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
-	"github.com/sardinehead/sardinehead/internal/entry"
-	"github.com/sardinehead/sardinehead/internal/eventlog"
-	"github.com/sardinehead/sardinehead/internal/forward"
+	"github.com/sardinehead/sardinehead/internal/credential"
+	"github.com/sardinehead/sardinehead/internal/daemon"
 	"github.com/sardinehead/sardinehead/internal/node"
 	"github.com/sardinehead/sardinehead/internal/platform"
 	"github.com/sardinehead/sardinehead/internal/record"
@@ -37,6 +34,10 @@
 	Nodes int
 	// FirstPort is the callers' port of the first node; 0 takes free ports.
 	FirstPort int
+	// PlatformPort is the port of the platform's stand-in; 0 takes a free one.
+	PlatformPort int
+	// Unpublished leaves the log empty.
+	Unpublished bool
 	// Events receives the nodes' logs.
 	Events io.Writer
 }
@@ -58,10 +59,14 @@
 
 // Entry is one entry node of an installation.
 type Entry struct {
-	ID      vocab.NodeID
-	Node    *node.Node
-	Address string
-	Forward *forward.Client
+	*daemon.Process
+	ID vocab.NodeID
+	// Address and Operators are the IP:port of the callers' and the
+	// operators' side.
+	Address   string
+	Operators string
+	callers   *http.Server
+	cancel    context.CancelFunc
 }
 
 // Start starts an installation. It serves until Close.
@@ -87,13 +92,15 @@
 		return err
 	}
 	in.VMs = standin.NewVMs(rows)
-	address, err := in.serve(standin.PlatformHandler(in.Log, in.VMs), 0)
+	address, err := in.serve(standin.PlatformHandler(in.Log, in.VMs), o.PlatformPort)
 	if err != nil {
 		return err
 	}
 	in.PlatformURL = "http://" + address
-	if err := in.publish(ctx, o.Fleet); err != nil {
-		return err
+	if !o.Unpublished {
+		if err := in.publish(ctx, o.Fleet); err != nil {
+			return err
+		}
 	}
 	for i := range o.Nodes {
 		if err := in.startEntry(ctx, o, i); err != nil {
@@ -154,11 +161,9 @@
 func (in *Installation) publish(ctx context.Context, fleet spec.Fleet) error {
 	bodies := []record.Body{record.ConfigPublished{Operator: "dev", Fleet: fleet}}
 	for _, t := range fleet.Teams {
-		key := vocab.KeyID("dev-" + string(t.Name))
-		secret := randomSecret()
-		hash := sha256.Sum256([]byte(secret))
-		in.Keys[t.Name] = "sh_" + string(key) + "_" + secret
-		bodies = append(bodies, record.KeyGiven{Key: key, Team: t.Name, SecretHash: hash[:], Operator: "dev"})
+		key, _ := credential.Parse("sh_dev-" + string(t.Name) + "_" + rand.Text())
+		in.Keys[t.Name] = key.Text()
+		bodies = append(bodies, record.KeyGiven{Key: key.ID, Team: t.Name, SecretHash: key.Hash(), Operator: "dev"})
 	}
 	for _, body := range bodies {
 		envelope, err := record.Encode(vocab.RecordID(uuid.NewString()), body)
@@ -178,29 +183,44 @@
 	zone := zones[i%len(zones)]
 	self := core.Identity{
 		Node:        id,
-		Incarnation: randomIncarnation(),
+		Incarnation: daemon.NewIncarnation(),
 		Zone:        zone,
 		Region:      o.Fleet.Regions[0].Name,
 	}
-	n := node.New(self, node.Services{
-		Log:    platform.NewLogClient(in.PlatformURL),
-		VMs:    platform.NewVMClient(in.PlatformURL),
-		Events: eventlog.New(o.Events, string(id)),
-	})
-	f := forward.New(string(id))
+	process := daemon.NewProcess(self, daemon.Platform{Log: in.PlatformURL, VMList: in.PlatformURL}, o.Events)
 	port := 0
 	if o.FirstPort > 0 {
 		port = o.FirstPort + i
 	}
-	address, err := in.serve(entry.NewCallers(n, f).Handler(), port)
+	address, err := in.serve(process.Callers, port)
 	if err != nil {
 		return err
 	}
-	go func() { _ = n.Run(ctx) }()
-	in.Nodes = append(in.Nodes, &Entry{ID: id, Node: n, Address: address, Forward: f})
+	callers := in.servers[len(in.servers)-1]
+	operators, err := in.serve(process.Operators, 0)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	go func() { _ = process.Node.Run(ctx) }()
+	in.Nodes = append(in.Nodes, &Entry{
+		ID:        id,
+		Process:   process,
+		Address:   address,
+		Operators: operators,
+		callers:   callers,
+		cancel:    cancel,
+	})
 	return nil
 }
 
+// StopNode stops an entry node gracefully.
+func (in *Installation) StopNode(ctx context.Context, i int) error {
+	e := in.Nodes[i]
+	defer e.cancel()
+	return e.Node.Stop(ctx, node.StopPlan{Drain: e.callers.Shutdown, LeaveWait: time.Second})
+}
+
 // serve starts an HTTP server on loopback and returns its address.
 func (in *Installation) serve(handler http.Handler, port int) (string, error) {
 	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
@@ -223,17 +243,3 @@
 		e.Forward.Close()
 	}
 }
-
-func randomSecret() string {
-	raw := make([]byte, 24)
-	_, _ = rand.Read(raw)
-	return hex.EncodeToString(raw)
-}
-
-func randomIncarnation() vocab.Incarnation {
-	n, err := rand.Int(rand.Reader, big.NewInt(1<<62))
-	if err != nil {
-		panic(err)
-	}
-	return vocab.Incarnation(n.Uint64() + 1)
-}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -34,13 +34,14 @@
 
 // Attempt is one sending of a request.
 type Attempt struct {
-	ID          vocab.AttemptID
-	VM          vocab.VMID
-	Address     string
-	Idempotent  bool
-	FirstByte   time.Duration
-	Run         time.Duration
-	Connections int
+	ID        vocab.AttemptID
+	VM        vocab.VMID
+	Address   string
+	Reuse     bool
+	FirstByte time.Duration
+	Run       time.Duration
+	// Idle is the most idle connections to the VM.
+	Idle int
 
 	Method string
 	// Target is the path and query for the upstream.
@@ -99,18 +100,18 @@
 // Send carries out an attempt and relays the answer to w. It returns when the
 // answer is whole or the attempt has failed.
 func (c *Client) Send(ctx context.Context, a Attempt, w http.ResponseWriter) Report {
-	conns := c.pools.get(a.VM, a.Address, a.Connections)
+	conns := c.pools.get(a.VM, a.Address, a.Idle)
 	ctx, cancel := context.WithTimeoutCause(ctx, a.Run, ErrCut)
 	defer cancel()
 	ctx, stopWait := firstByteLimit(ctx, a.FirstByte)
 	defer stopWait()
 
 	var wrote atomic.Bool
-	req, err := c.newRequest(traceWrites(ctx, &wrote), a, &wrote)
+	req, err := c.newRequest(traceWrites(ctx, &wrote), a)
 	if err != nil {
 		return Report{Result: retry.NotSent, Cause: err}
 	}
-	resp, err := conns.transport(a.Idempotent).RoundTrip(req)
+	resp, err := conns.transport(a.Reuse).RoundTrip(req)
 	if err != nil {
 		return c.failed(ctx, conns, err, wrote.Load())
 	}
@@ -134,14 +135,7 @@
 	})
 }
 
-func (p *pool) transport(idempotent bool) *http.Transport {
-	if idempotent {
-		return p.kept
-	}
-	return p.fresh
-}
-
-func (c *Client) newRequest(ctx context.Context, a Attempt, wrote *atomic.Bool) (*http.Request, error) {
+func (c *Client) newRequest(ctx context.Context, a Attempt) (*http.Request, error) {
 	target, err := url.ParseRequestURI(a.Target)
 	if err != nil {
 		return nil, errors.Wrap(err, "target of the request")
@@ -155,7 +149,9 @@
 		Header:        upstreamHeader(a.Header),
 		ContentLength: a.BodyBytes,
 	}
-	if a.BodyBytes != 0 {
+	// A body that cannot be obtained again, even an empty one, keeps net/http
+	// from sending the request a second time on its own.
+	if a.BodyBytes != 0 || a.Reuse {
 		req.Body = io.NopCloser(a.Body)
 	}
 	req.Header.Set(HeaderAttempt, c.attemptName(a.ID))
@@ -177,8 +173,6 @@
 		report.Cause = ErrFirstByte
 		report.Silent = true
 	}
-	// What went wrong with one connection may hold for all that took the same
-	// path: the others are opened anew.
-	conns.closeIdle()
+	conns.distrust()
 	return report
 }
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,6 +27,8 @@
 	probeInterval = 1 * time.Second
 	// probeCount is the number of lost probes that ends a connection.
 	probeCount = 2
+	// distrustTime is how long no connection is reused after one failed.
+	distrustTime = 10 * time.Second
 	// unackedTimeout ends a connection whose data stays unacknowledged.
 	unackedTimeout = 3 * time.Second
 )
@@ -33,10 +36,14 @@
 // pool holds the connections to one VM.
 type pool struct {
 	address string
-	// kept reuses connections; only idempotent requests go over it.
+	idle    int
+	// kept reuses connections.
 	kept *http.Transport
 	// fresh opens a connection for each request.
 	fresh *http.Transport
+	// distrusted is the time, in nanoseconds since the epoch, until which no
+	// connection is reused.
+	distrusted atomic.Int64
 }
 
 // pools holds one pool for each VM.
@@ -45,28 +52,30 @@
 	byVM map[vocab.VMID]*pool
 }
 
-// get returns the pool of a VM. A VM that came back under another address gets
-// a new pool.
-func (p *pools) get(vm vocab.VMID, address string, connections int) *pool {
+// get returns the pool of a VM. A VM that came back under another address, or
+// that may keep another number of idle connections, gets a new pool.
+func (p *pools) get(vm vocab.VMID, address string, idle int) *pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	found, ok := p.byVM[vm]
-	if ok && found.address == address {
+	if ok && found.address == address && found.idle == idle {
 		return found
 	}
 	if ok {
 		found.closeIdle()
 	}
-	created := newPool(address, connections)
+	created := newPool(address, idle)
 	p.byVM[vm] = created
 	return created
 }
 
-func newPool(address string, connections int) *pool {
-	kept := newTransport(connections)
-	fresh := newTransport(connections)
-	fresh.DisableKeepAlives = true
-	return &pool{address: address, kept: kept, fresh: fresh}
+func newPool(address string, idle int) *pool {
+	return &pool{
+		address: address,
+		idle:    idle,
+		kept:    newTransport(idle),
+		fresh:   newTransport(0),
+	}
 }
 
 // closeIdle closes all connections that carry no request.
@@ -74,7 +83,25 @@
 	p.kept.CloseIdleConnections()
 }
 
-func newTransport(connections int) *http.Transport {
+// distrust closes the pooled connections and reuses none for a while: what
+// went wrong with one may hold for all that took the same path.
+func (p *pool) distrust() {
+	p.distrusted.Store(time.Now().Add(distrustTime).UnixNano())
+	p.closeIdle()
+}
+
+// transport returns what carries an attempt. Reuse allows a connection that
+// served another request before.
+func (p *pool) transport(reuse bool) *http.Transport {
+	if reuse && time.Now().UnixNano() >= p.distrusted.Load() {
+		return p.kept
+	}
+	return p.fresh
+}
+
+// newTransport returns a transport that keeps so many idle connections; with
+// none it opens a connection for each request.
+func newTransport(idle int) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		Control: setUnackedTimeout,
@@ -87,12 +114,12 @@
 	}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
+		MaxIdleConnsPerHost: idle,
+		DisableKeepAlives:   idle == 0,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-		WriteBufferSize:     16 << 10,
-		ReadBufferSize:      16 << 10,
+		WriteBufferSize:     copyBytes,
+		ReadBufferSize:      copyBytes,
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/core/event"
+	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/platform"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -24,6 +26,7 @@
 type Services struct {
 	Log    platform.Log
 	VMs    platform.VMList
+	Pools  platform.Pools
 	Events EventLog
 }
 
@@ -45,6 +48,9 @@
 	stopped  chan struct{}
 	requests *requestTable
 	appends  chan core.Append
+	metrics  *nodeMetrics
+	// unappended counts records that the log has not answered for.
+	unappended atomic.Int64
 }
 
 // query reads the state from within the loop.
@@ -64,6 +70,7 @@
 		stopped:  make(chan struct{}),
 		requests: newRequestTable(),
 		appends:  make(chan core.Append, eventBacklog),
+		metrics:  newNodeMetrics(),
 	}
 }
 
@@ -84,7 +91,7 @@
 		case ev := <-n.events:
 			n.step(ev)
 		case <-ticker.C:
-			n.step(core.Tick{})
+			n.step(core.Tick{Unix: time.Now().Unix()})
 		case q := <-n.queries:
 			q.read(n.state)
 			close(q.done)
@@ -114,6 +121,7 @@
 
 func (n *Node) step(ev event.Event) {
 	now := vocab.Instant(time.Since(n.started))
+	n.metrics.steps.Inc()
 	for _, effect := range n.state.Step(now, ev) {
 		n.carryOut(effect)
 	}
@@ -124,9 +132,13 @@
 	case core.Dispatch:
 		n.requests.decide(e.Request, Decision{Dispatch: &e})
 	case core.Answer:
+		n.metrics.refused(e.Problem)
 		n.requests.decide(e.Request, Decision{Problem: &e.Problem})
 	case core.Append:
+		n.unappended.Add(1)
 		n.appends <- e
+	case maintenance.OrderDrain, maintenance.OrderReboot, maintenance.OrderAssign:
+		go n.giveOrder(e)
 	case core.Notice:
 		n.services.Events.Notice(e)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,22 @@
 // ErrTrimmed means that the log no longer keeps the offset that was asked for.
 var ErrTrimmed = errors.New("log records before the earliest kept offset are gone")
 
+// TrimmedError is the ErrTrimmed of one read.
+type TrimmedError struct {
+	// Earliest is the earliest offset that the log still keeps.
+	Earliest vocab.Offset
+}
+
+// Error implements error.
+func (e *TrimmedError) Error() string {
+	return ErrTrimmed.Error() + "; earliest kept offset is " + strconv.FormatUint(uint64(e.Earliest), 10)
+}
+
+// Is reports that every TrimmedError is an ErrTrimmed.
+func (e *TrimmedError) Is(target error) bool {
+	return target == ErrTrimmed
+}
+
 // ErrStaleEpoch means that an order carried a lower epoch than the receiver
 // has already seen.
 var ErrStaleEpoch = errors.New("order carries a stale epoch")
@@ -37,7 +54,7 @@
 	// records may have been appended all the same.
 	Append(ctx context.Context, stream vocab.StreamID, records []record.Envelope) (vocab.Offset, error)
 	// Read returns records from the offset on. With none to return it waits for
-	// up to wait. It fails with ErrTrimmed if the offset is no longer kept.
+	// up to wait. It fails with a TrimmedError if the offset is no longer kept.
 	Read(ctx context.Context, stream vocab.StreamID, from vocab.Offset, wait time.Duration) (Batch, error)
 }
 
@@ -77,8 +94,9 @@
 
 // VMList is the platform's list of VMs.
 type VMList interface {
-	// List returns all VMs. With since equal to the version last seen it waits
-	// for a change for up to wait.
+	// List returns the VMs that changed after the version since, or all of them
+	// for since 0 or a version that the list no longer knows. With nothing to
+	// return it waits for up to wait.
 	List(ctx context.Context, since uint64, wait time.Duration) (Listing, error)
 }
 
@@ -86,7 +104,9 @@
 type Listing struct {
 	// Version grows with every change of the list.
 	Version uint64 `json:"version"`
-	VMs     []VM   `json:"vms"`
+	// Full is set if VMs holds every VM, not only those that changed.
+	Full bool `json:"full"`
+	VMs  []VM `json:"vms"`
 }
 
 // Pools carries out orders on the VMs of pools. Every order carries the epoch
