Charge up to three seconds of a run in advance

A node that was behind with runs of 4 s started too many at once, since only 1 s of each was charged in advance. Change: mostAdvance is 3 s.

--- a/internal/core/admission/team.go
+++ b/internal/core/admission/team.go
@@ -11,7 +11,7 @@
 	leastWeight = 0.01
 	// mostAdvance bounds the slot seconds that a request is charged in advance,
 	// so that teams with long requests are not held back for their first ones.
-	mostAdvance = 1.0
+	mostAdvance = 3.0
 	// drainTime is the time in which waiting items are assumed to be served, in
 	// what a team is reported to want.
 	drainTime = 2.0
