Exchange gossip between entry processes

Cause: parts of limits become usable only when all members have confirmed them, so three nodes refused every request (seen with 'dev').

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 
+	"github.com/sardinehead/sardinehead/internal/core/gossip"
 	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/core/routing"
@@ -86,6 +87,7 @@
 	r.running = a
 	r.attempts++
 	s.attempts[a.id] = r
+	s.running[vm.Name]++
 	r.queue.health.Started(s.now, healthKey(vm))
 	s.emit(Dispatch{
 		Request:   r.id,
@@ -125,6 +127,8 @@
 func (s *State) learn(r *request, a *attempt, e AttemptEnded) {
 	if e.Draining && s.vms.MarkLeaving(a.vm, a.incarnation) {
 		s.notice(NoticeVMLeaving, string(a.vm), "the upstream said that it is leaving")
+		s.peers.gossip.AddLeaving(s.now, gossip.Leaving{VM: a.vm, Incarnation: a.incarnation})
+		s.pushGossip()
 	}
 	if e.Silent {
 		s.notice(NoticeVMSilent, string(a.vm), "a connection gave no sign of life")
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sardinehead/sardinehead/internal/core/gossip"
 	"github.com/sardinehead/sardinehead/internal/record"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -41,6 +42,33 @@
 	Once bool
 }
 
+// SendGossip exchanges gossip with the process at an address.
+type SendGossip struct {
+	Address string
+	Message gossip.Message
+}
+
+// ReplyGossip answers a peer's call.
+type ReplyGossip struct {
+	Call    uint64
+	Message gossip.Message
+}
+
+// FetchSnapshot asks the process at an address for a later shared state.
+type FetchSnapshot struct {
+	Address string
+	Folded  vocab.Offset
+}
+
+// IsEffect implements event.Effect.
+func (SendGossip) IsEffect() {}
+
+// IsEffect implements event.Effect.
+func (ReplyGossip) IsEffect() {}
+
+// IsEffect implements event.Effect.
+func (FetchSnapshot) IsEffect() {}
+
 // Notice asks for a numbered event in the process's log.
 type Notice struct {
 	Event NoticeID
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sardinehead/sardinehead/internal/core/gossip"
 	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/core/retry"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
@@ -70,6 +71,17 @@
 	Key vocab.KeyID
 }
 
+// GossipArrived is gossip that a peer sent; ReplyGossip answers the call.
+type GossipArrived struct {
+	Call    uint64
+	Message gossip.Message
+}
+
+// GossipAnswered is the answer to SendGossip.
+type GossipAnswered struct {
+	Message gossip.Message
+}
+
 // LogStatus tells whether the last call of the log service was answered.
 type LogStatus struct {
 	Up bool
@@ -120,6 +132,12 @@
 // IsEvent implements event.Event.
 func (WithdrawKey) IsEvent() {}
 
+// IsEvent implements event.Event.
+func (GossipArrived) IsEvent() {}
+
+// IsEvent implements event.Event.
+func (GossipAnswered) IsEvent() {}
+
 // IsEvent implements event.Event.
 func (LogStatus) IsEvent() {}
 
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -83,6 +83,7 @@
 // adoptFleet brings queues into line with the configuration in force.
 func (s *State) adoptFleet() {
 	fleet := s.Shared().Fleet
+	s.numbers = number(fleet)
 	for i := range fleet.Services {
 		service := &fleet.Services[i]
 		q, ok := s.queues[service.Queue]
@@ -162,6 +163,9 @@
 	}
 	s.updateShares()
 	s.effects = append(s.effects, s.limits.Tick(s.now)...)
+	s.endLingering()
+	s.gossipRound()
+	s.seekSnapshot()
 	s.takeSnapshotIfDue()
 	s.maintain(e.Unix)
 	s.dispatchAll()
--- /dev/null
+++ b/internal/core/gossip/state.go
@@ -0,0 +1,207 @@
+package gossip
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+const (
+	// factLife is how long a leaving VM is spread after it was first heard of.
+	factLife = 30 * time.Second
+	// keyLife is how long a withdrawn key is spread; it covers an outage of the
+	// log, after which the record spreads by itself.
+	keyLife = 4 * time.Hour
+	// reportLife is how long a report is passed on after its counter last grew.
+	reportLife = 2 * time.Minute
+)
+
+// State holds the newest report of each process and the facts under way.
+type State struct {
+	self    vocab.Incarnation
+	counter uint64
+	heard   map[vocab.Incarnation]*heard
+	leaving map[Leaving]vocab.Instant
+	keys    map[vocab.KeyID]vocab.Instant
+	// sent counts messages, to take turns between reports.
+	sent int
+}
+
+// heard is the newest report of a process.
+type heard struct {
+	report Report
+	// at is when its counter last grew here.
+	at vocab.Instant
+}
+
+// News is what a message told that was not known.
+type News struct {
+	// Reports are the newer reports, by process.
+	Reports   []Report
+	Leaving   []Leaving
+	Withdrawn []vocab.KeyID
+}
+
+// New returns the state of a process that has heard nothing.
+func New(self vocab.Incarnation) *State {
+	return &State{
+		self:    self,
+		heard:   map[vocab.Incarnation]*heard{},
+		leaving: map[Leaving]vocab.Instant{},
+		keys:    map[vocab.KeyID]vocab.Instant{},
+	}
+}
+
+// SetOwn replaces this process's own report and gives it the next counter.
+func (s *State) SetOwn(now vocab.Instant, r Report) {
+	s.counter++
+	r.Process = s.self
+	r.Counter = s.counter
+	r.Demand = r.Demand[:min(len(r.Demand), maxDemands)]
+	s.heard[s.self] = &heard{report: r, at: now}
+}
+
+// AddLeaving spreads a leaving VM. It reports whether that was news.
+func (s *State) AddLeaving(now vocab.Instant, l Leaving) bool {
+	if _, known := s.leaving[l]; known {
+		return false
+	}
+	s.leaving[l] = now
+	return true
+}
+
+// AddWithdrawn spreads a withdrawn key. It reports whether that was news.
+func (s *State) AddWithdrawn(now vocab.Instant, key vocab.KeyID) bool {
+	if _, known := s.keys[key]; known {
+		return false
+	}
+	s.keys[key] = now
+	return true
+}
+
+// Merge takes in a message and returns what was new.
+func (s *State) Merge(now vocab.Instant, m Message) News {
+	var news News
+	for _, r := range m.Reports {
+		if s.merge(now, r) {
+			news.Reports = append(news.Reports, r)
+		}
+	}
+	for _, l := range m.Leaving {
+		if s.AddLeaving(now, l) {
+			news.Leaving = append(news.Leaving, l)
+		}
+	}
+	for _, key := range m.Withdrawn {
+		if s.AddWithdrawn(now, key) {
+			news.Withdrawn = append(news.Withdrawn, key)
+		}
+	}
+	return news
+}
+
+func (s *State) merge(now vocab.Instant, r Report) bool {
+	known, ok := s.heard[r.Process]
+	if r.Process == s.self || (ok && r.Counter <= known.report.Counter) {
+		return false
+	}
+	s.heard[r.Process] = &heard{report: r, at: now}
+	return true
+}
+
+// Compose returns the message for the next exchange: the own report, and of
+// the others as many as fit, the latest heard first with turns between them.
+func (s *State) Compose(now vocab.Instant) Message {
+	s.expire(now)
+	s.sent++
+	m := Message{From: s.self}
+	bytes := 0
+	if own, ok := s.heard[s.self]; ok {
+		m.Reports = append(m.Reports, own.report)
+		bytes = own.report.size()
+	}
+	for _, h := range s.others() {
+		if bytes+h.report.size() > maxReportBytes {
+			continue
+		}
+		bytes += h.report.size()
+		m.Reports = append(m.Reports, h.report)
+	}
+	m.Leaving = s.composeLeaving()
+	m.Withdrawn = firstKeys(s.keys, cmp.Compare[vocab.KeyID])
+	return m
+}
+
+// others returns the reports of the others: half of the places go to the
+// latest heard, the rest take turns, so that none is passed over for ever.
+func (s *State) others() []*heard {
+	ids := s.Processes()
+	out := make([]*heard, 0, len(ids))
+	for i := range ids {
+		out = append(out, s.heard[ids[(i+s.sent)%len(ids)]])
+	}
+	if s.sent%2 == 0 {
+		slices.SortStableFunc(out, func(a, b *heard) int { return cmp.Compare(b.at, a.at) })
+	}
+	return out
+}
+
+// Processes returns the other processes heard of, sorted.
+func (s *State) Processes() []vocab.Incarnation {
+	out := make([]vocab.Incarnation, 0, len(s.heard))
+	for id := range s.heard {
+		if id != s.self {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Report returns the newest report of a process and when its counter last grew.
+func (s *State) Report(id vocab.Incarnation) (Report, vocab.Instant, bool) {
+	h, ok := s.heard[id]
+	if !ok {
+		return Report{}, 0, false
+	}
+	return h.report, h.at, true
+}
+
+func (s *State) composeLeaving() []Leaving {
+	return firstKeys(s.leaving, func(a, b Leaving) int {
+		return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+}
+
+// firstKeys returns the latest maxFacts keys, in a fixed order.
+func firstKeys[K comparable](m map[K]vocab.Instant, compare func(a, b K) int) []K {
+	out := make([]K, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.SortFunc(out, func(a, b K) int {
+		return cmp.Or(cmp.Compare(m[b], m[a]), compare(a, b))
+	})
+	return out[:min(len(out), maxFacts)]
+}
+
+// expire forgets what is no longer worth spreading.
+func (s *State) expire(now vocab.Instant) {
+	forget(s.leaving, now, factLife)
+	forget(s.keys, now, keyLife)
+	for id, h := range s.heard {
+		if id != s.self && now.Sub(h.at) > reportLife {
+			delete(s.heard, id)
+		}
+	}
+}
+
+func forget[K comparable](m map[K]vocab.Instant, now vocab.Instant, life time.Duration) {
+	for k, at := range m {
+		if now.Sub(at) > life {
+			delete(m, k)
+		}
+	}
+}
--- a/internal/core/keys.go
+++ b/internal/core/keys.go
@@ -25,6 +25,9 @@
 	}
 	s.pendingWithdrawals[id] = true
 	s.endKey(id)
+	if s.peers.gossip.AddWithdrawn(s.now, id) {
+		s.pushGossip()
+	}
 	s.append(record.KeyWithdrawn{Key: id, Operator: string(s.self.Node)})
 }
 
--- a/internal/core/notice.go
+++ b/internal/core/notice.go
@@ -17,6 +17,14 @@
 	NoticeSnapshotRefused NoticeID = 104
 	// NoticeNotEncoded: a record cannot be encoded and was dropped.
 	NoticeNotEncoded NoticeID = 105
+	// NoticeDiverged: another node folded the same records to another state.
+	NoticeDiverged NoticeID = 106
+	// NoticeNodeSuspect: an entry node is suspected to have failed.
+	NoticeNodeSuspect NoticeID = 400
+	// NoticeNodeBack: a suspected entry node answers again.
+	NoticeNodeBack NoticeID = 401
+	// NoticeZoneLost: all entry nodes of a zone are silent.
+	NoticeZoneLost NoticeID = 402
 	// NoticeLogDown: the log service does not answer.
 	NoticeLogDown NoticeID = 110
 	// NoticeLogUp: the log service answers again.
@@ -42,6 +50,10 @@
 	NoticeFoldStopped:     {text: "log record cannot be folded", grave: true},
 	NoticeSnapshotRefused: {text: "snapshot refused", grave: true},
 	NoticeNotEncoded:      {text: "record cannot be encoded", grave: true},
+	NoticeDiverged:        {text: "shared state differs", grave: true},
+	NoticeNodeSuspect:     {text: "node suspect", grave: true},
+	NoticeNodeBack:        {text: "node back"},
+	NoticeZoneLost:        {text: "zone silent", grave: true},
 	NoticeLogDown:         {text: "log service down", grave: true},
 	NoticeLogUp:           {text: "log service up"},
 	NoticeVMLeaving:       {text: "VM leaving"},
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -185,9 +185,14 @@
 // settleTokens gives tokens back once the upstream has certainly ended; else
 // they stay taken for as long as the upstream may run the request.
 func (s *State) settleTokens(r *request, a *attempt, result retry.Result) {
+	var until vocab.Instant
+	if result == retry.Unknown {
+		until = a.started.Add(r.service.Limits.Run.D())
+	}
+	s.leaveVM(a.vm, until)
 	for _, token := range a.tokens {
-		if result == retry.Unknown {
-			s.limits.ReleaseAt(token, a.started.Add(r.service.Limits.Run.D()))
+		if until > s.now {
+			s.limits.ReleaseAt(token, until)
 			continue
 		}
 		s.limits.Release(s.now, token)
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -29,6 +29,8 @@
 	Zone        vocab.ZoneID
 	Region      vocab.RegionID
 	PeerAddress string
+	// FirstPeers are peer addresses to ask when the log is down at the start.
+	FirstPeers []string
 }
 
 // State is the state of one entry node.
@@ -39,7 +41,17 @@
 	vms    *observe.State
 	limits *limit.State
 	upkeep *maintenance.Controller
-	shares shareState
+	peers  peerState
+	// numbers are those of the configuration in force.
+	numbers numbering
+	// running counts the requests that may run on each VM for this node.
+	running   map[vocab.VMID]int
+	lingering []linger
+	// notTaking is since when a VM gets no new work from this node.
+	notTaking map[vocab.VMID]vocab.Instant
+	// soughtAt is when peers were last asked for a snapshot.
+	soughtAt vocab.Instant
+	shares   shareState
 
 	queues   map[vocab.QueueID]*queue
 	names    []vocab.QueueID // keys of queues, sorted
@@ -96,6 +108,10 @@
 		attempts: map[vocab.AttemptID]*request{},
 
 		pendingWithdrawals: map[vocab.KeyID]bool{},
+
+		peers:     newPeerState(self.Incarnation),
+		running:   map[vocab.VMID]int{},
+		notTaking: map[vocab.VMID]vocab.Instant{},
 	}
 	s.upkeep = maintenance.NewController(self.Node, self.Incarnation, s.Shared().Maintenance, s.vms)
 	return s
@@ -126,6 +142,11 @@
 		s.onSnapshotFetched(e)
 	case WithdrawKey:
 		s.withdrawKey(e.Key)
+	case GossipArrived:
+		s.takeGossip(e.Message)
+		s.emit(ReplyGossip{Call: e.Call, Message: s.peers.gossip.Compose(s.now)})
+	case GossipAnswered:
+		s.takeGossip(e.Message)
 	case LogStatus:
 		s.onLogStatus(e)
 	case VMsListed:
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -3,6 +3,7 @@
 
 import (
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 	"github.com/sardinehead/sardinehead/internal/eventlog"
 	"github.com/sardinehead/sardinehead/internal/forward"
 	"github.com/sardinehead/sardinehead/internal/node"
+	"github.com/sardinehead/sardinehead/internal/peer"
 	"github.com/sardinehead/sardinehead/internal/platform"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -22,6 +24,16 @@
 	Forward   *forward.Client
 	Callers   http.Handler
 	Operators http.Handler
+	Peers     http.Handler
+	client    *peer.Client
+}
+
+// Trust is how entry processes know each other.
+type Trust struct {
+	// Secret is shared by all entry processes.
+	Secret []byte
+	// TLS is the configuration for calls to peers; nil for plain text.
+	TLS *tls.Config
 }
 
 // Platform holds the base addresses of the platform's services.
@@ -31,13 +43,15 @@
 }
 
 // NewProcess puts a process together. Events are written to w.
-func NewProcess(self core.Identity, p Platform, w io.Writer) *Process {
+func NewProcess(self core.Identity, p Platform, trust Trust, w io.Writer) *Process {
+	client := peer.NewClient(trust.Secret, trust.TLS)
 	vms := platform.NewVMClient(p.VMList)
 	n := node.New(self, node.Services{
 		Log:    platform.NewLogClient(p.Log),
 		VMs:    vms,
 		Pools:  vms,
 		Events: eventlog.New(w, string(self.Node)),
+		Peers:  client,
 	})
 	f := forward.New(string(self.Node))
 	return &Process{
@@ -45,9 +59,17 @@
 		Forward:   f,
 		Callers:   entry.NewCallers(n, f).Handler(),
 		Operators: entry.OperatorsHandler(n),
+		Peers:     peer.Handler(n, trust.Secret),
+		client:    client,
 	}
 }
 
+// Close closes the idle connections of the process.
+func (p *Process) Close() {
+	p.Forward.Close()
+	p.client.Close()
+}
+
 // NewIncarnation draws an incarnation for a process that starts. It is never 0.
 func NewIncarnation() vocab.Incarnation {
 	var raw [8]byte
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -36,8 +37,15 @@
 		Region:      s.Region,
 		PeerAddress: s.Peers.Address.String(),
 	}
-	process := NewProcess(self, Platform{Log: string(s.Platform.Log), VMList: string(s.Platform.VMList)}, w)
-	defer process.Forward.Close()
+	for _, address := range s.FirstPeers {
+		self.FirstPeers = append(self.FirstPeers, address.String())
+	}
+	trust, err := trustOf(s)
+	if err != nil {
+		return err
+	}
+	process := NewProcess(self, Platform{Log: string(s.Platform.Log), VMList: string(s.Platform.VMList)}, trust, w)
+	defer process.Close()
 
 	var group run.Group
 	callers, err := addServer(&group, s.Callers, process.Callers)
@@ -47,6 +55,9 @@
 	if _, err := addServer(&group, s.Operators, process.Operators); err != nil {
 		return err
 	}
+	if _, err := addServer(&group, s.Peers, process.Peers); err != nil {
+		return err
+	}
 	addLoop(ctx, &group, process.Node)
 	addSignals(ctx, &group, process.Node, node.StopPlan{
 		BalancerWait: s.Times.Balancer.D(),
@@ -56,6 +67,24 @@
 	return group.Run()
 }
 
+// trustOf reads what the peers' side needs.
+func trustOf(s settings.Settings) (Trust, error) {
+	secret, err := os.ReadFile(s.PeerSecretFile)
+	if err != nil {
+		return Trust{}, errors.Wrap(err, "peer secret")
+	}
+	trust := Trust{Secret: bytes.TrimSpace(secret)}
+	if s.Peers.Plain {
+		return trust, nil
+	}
+	source, err := tlsfiles.Open(tlsfiles.Files(s.Peers.TLS))
+	if err != nil {
+		return Trust{}, errors.Wrap(err, "peers' side")
+	}
+	trust.TLS = source.Client()
+	return trust, nil
+}
+
 // addLoop runs the node's loop as a member of the group.
 func addLoop(ctx context.Context, group *run.Group, n *node.Node) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -53,6 +53,7 @@
 	// Keys holds one key for each team, ready for an Authorization header.
 	Keys map[vocab.TeamID]string
 
+	trust   daemon.Trust
 	servers []*http.Server
 	cancel  context.CancelFunc
 }
@@ -65,8 +66,10 @@
 	// operators' side.
 	Address   string
 	Operators string
-	callers   *http.Server
-	cancel    context.CancelFunc
+	// PeerAddress is the IP:port of the peers' side.
+	PeerAddress string
+	callers     *http.Server
+	cancel      context.CancelFunc
 }
 
 // Start starts an installation. It serves until Close.
@@ -76,6 +79,7 @@
 		Log:       standin.NewLog(),
 		Upstreams: map[vocab.VMID]*standin.Upstream{},
 		Keys:      map[vocab.TeamID]string{},
+		trust:     daemon.Trust{Secret: []byte(rand.Text())},
 		cancel:    cancel,
 	}
 	err := in.start(ctx, o)
@@ -178,16 +182,23 @@
 }
 
 func (in *Installation) startEntry(ctx context.Context, o Options, i int) error {
-	id := vocab.NodeID(fmt.Sprintf("entry-%d", i+1))
 	zones := o.Fleet.Regions[0].Zones
-	zone := zones[i%len(zones)]
 	self := core.Identity{
-		Node:        id,
+		Node:        vocab.NodeID(fmt.Sprintf("entry-%d", i+1)),
 		Incarnation: daemon.NewIncarnation(),
-		Zone:        zone,
+		Zone:        zones[i%len(zones)],
 		Region:      o.Fleet.Regions[0].Name,
 	}
-	process := daemon.NewProcess(self, daemon.Platform{Log: in.PlatformURL, VMList: in.PlatformURL}, o.Events)
+	peers, err := net.Listen("tcp", loopback(0))
+	if err != nil {
+		return errors.Wrap(err, "listening on loopback")
+	}
+	self.PeerAddress = peers.Addr().String()
+	for _, other := range in.Nodes {
+		self.FirstPeers = append(self.FirstPeers, other.PeerAddress)
+	}
+	process := daemon.NewProcess(self, daemon.Platform{Log: in.PlatformURL, VMList: in.PlatformURL}, in.trust, o.Events)
+	in.serveOn(peers, process.Peers)
 	port := 0
 	if o.FirstPort > 0 {
 		port = o.FirstPort + i
@@ -204,12 +215,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	go func() { _ = process.Node.Run(ctx) }()
 	in.Nodes = append(in.Nodes, &Entry{
-		ID:        id,
-		Process:   process,
-		Address:   address,
-		Operators: operators,
-		callers:   callers,
-		cancel:    cancel,
+		Process:     process,
+		ID:          self.Node,
+		Address:     address,
+		Operators:   operators,
+		PeerAddress: self.PeerAddress,
+		callers:     callers,
+		cancel:      cancel,
 	})
 	return nil
 }
@@ -221,16 +233,24 @@
 	return e.Node.Stop(ctx, node.StopPlan{Drain: e.callers.Shutdown, LeaveWait: time.Second})
 }
 
+func loopback(port int) string {
+	return fmt.Sprintf("127.0.0.1:%d", port)
+}
+
 // serve starts an HTTP server on loopback and returns its address.
 func (in *Installation) serve(handler http.Handler, port int) (string, error) {
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	listener, err := net.Listen("tcp", loopback(port))
 	if err != nil {
 		return "", errors.Wrap(err, "listening on loopback")
 	}
+	in.serveOn(listener, handler)
+	return listener.Addr().String(), nil
+}
+
+func (in *Installation) serveOn(listener net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler}
 	in.servers = append(in.servers, server)
 	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String(), nil
 }
 
 // Close stops everything at once.
@@ -240,6 +260,6 @@
 		_ = s.Close()
 	}
 	for _, e := range in.Nodes {
-		e.Forward.Close()
+		e.Process.Close()
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,7 +11,10 @@
 
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/core/event"
+	"github.com/sardinehead/sardinehead/internal/core/gossip"
+	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/maintenance"
+	"github.com/sardinehead/sardinehead/internal/core/shared"
 	"github.com/sardinehead/sardinehead/internal/platform"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -28,6 +31,16 @@
 	VMs    platform.VMList
 	Pools  platform.Pools
 	Events EventLog
+	// Peers calls other entry processes.
+	Peers Peers
+}
+
+// Peers calls other entry processes by the IP:port of their peer service.
+type Peers interface {
+	Exchange(ctx context.Context, address string, m gossip.Message) (gossip.Message, error)
+	Borrow(ctx context.Context, address string, ask limit.Ask) (limit.Answer, error)
+	GiveBack(ctx context.Context, address string, r limit.Return) error
+	FetchSnapshot(ctx context.Context, address string, folded vocab.Offset) (shared.Snapshot, bool, error)
 }
 
 // EventLog writes numbered events.
@@ -49,6 +62,7 @@
 	requests *requestTable
 	appends  chan core.Append
 	metrics  *nodeMetrics
+	calls    *callTable
 	// unappended counts records that the log has not answered for.
 	unappended atomic.Int64
 }
@@ -71,6 +85,7 @@
 		requests: newRequestTable(),
 		appends:  make(chan core.Append, eventBacklog),
 		metrics:  newNodeMetrics(),
+		calls:    newCallTable(),
 	}
 }
 
@@ -139,6 +154,12 @@
 		n.appends <- e
 	case maintenance.OrderDrain, maintenance.OrderReboot, maintenance.OrderAssign:
 		go n.giveOrder(e)
+	case core.SendGossip:
+		go n.sendGossip(e)
+	case core.ReplyGossip:
+		n.calls.reply(e.Call, e.Message)
+	case core.FetchSnapshot:
+		go n.fetchSnapshot(e)
 	case core.Notice:
 		n.services.Events.Notice(e)
 	}
