Lend tokens between nodes under leases

Cause: an even split strands most of a limit when demand is skewed.

Change: core/limit lends on demand; the giver subtracts first, the borrower starts work until its lease lapses, the giver takes back after lease, guard and run limit or on an idempotent return. Property test over several copies with a fake log and network.

--- a/internal/core/limit/account.go
+++ b/internal/core/limit/account.go
@@ -14,12 +14,15 @@
 	KindTeam Kind = 1
 	// KindVM counts what a VM has running for all entry nodes.
 	KindVM Kind = 2
+	// KindPool stands for any VMs of a pool, in demands and in asks. It has no
+	// total of its own.
+	KindPool Kind = 3
 )
 
 // Account names something whose use over the whole fleet has a total.
 type Account struct {
 	Kind Kind
-	// Name is a vocab.TeamID or a vocab.VMID, by Kind.
+	// Name is a vocab.TeamID, vocab.VMID or vocab.PoolID, by Kind.
 	Name string
 }
 
@@ -33,6 +36,11 @@
 	return Account{Kind: KindVM, Name: string(vm)}
 }
 
+// PoolAccount stands for the slots of any VMs of a pool.
+func PoolAccount(pool vocab.PoolID) Account {
+	return Account{Kind: KindPool, Name: string(pool)}
+}
+
 // Compare orders accounts by kind, then by name.
 func (a Account) Compare(b Account) int {
 	if c := cmp.Compare(a.Kind, b.Kind); c != 0 {
--- a/internal/core/limit/part.go
+++ b/internal/core/limit/part.go
@@ -17,7 +17,7 @@
 	if total <= 0 || len(members) == 0 {
 		return 0
 	}
-	name := xxhash.Sum64String(a.Name) + uint64(a.Kind)
+	name := nameHash(a)
 	own := placement(name, self)
 	rank := 0
 	present := false
@@ -41,6 +41,11 @@
 	return part
 }
 
+// nameHash hashes an account.
+func nameHash(a Account) uint64 {
+	return xxhash.Sum64String(a.Name) + uint64(a.Kind)
+}
+
 // before orders members by hash, and by incarnation if the hashes are equal.
 func before(h uint64, m vocab.Incarnation, own uint64, self vocab.Incarnation) bool {
 	if h != own {
--- a/internal/core/limit/state.go
+++ b/internal/core/limit/state.go
@@ -25,10 +25,16 @@
 	// over holds the accounts with more in use than the smallest part of the window.
 	over map[Account]*account
 	// pending holds the accounts whose window has more than one part.
-	pending map[Account]*account
-	running map[uint64]*work
-	nextID  uint64
-	timers  timers
+	pending  map[Account]*account
+	running  map[uint64]*work
+	nextID   uint64
+	timers   timers
+	giver    giver
+	borrower borrower
+	// draining means that this node lends nothing more and returns what it can.
+	draining bool
+	// closed means that this node takes and lends nothing for good.
+	closed bool
 }
 
 // account is one account's state on this node.
@@ -41,6 +47,8 @@
 	own vocab.Slots
 	// lent counts what borrowers may use of this node's part.
 	lent vocab.Slots
+	// recalling counts those of lent whose renewal was refused.
+	recalling vocab.Slots
 	// borrowed lists loans from others, oldest first.
 	borrowed  []*loan
 	demand    vocab.Slots
@@ -76,6 +84,8 @@
 		complete: true,
 		over:     map[Account]*account{},
 		pending:  map[Account]*account{},
+		giver:    newGiver(),
+		borrower: newBorrower(),
 		running:  map[uint64]*work{},
 	}
 }
--- a/internal/core/limit/token.go
+++ b/internal/core/limit/token.go
@@ -21,14 +21,14 @@
 // reports false if there is none.
 func (s *State) Take(now vocab.Instant, id Account) (Token, bool) {
 	a, ok := s.accounts[id]
-	if !ok {
+	if !ok || s.closed {
 		return Token{}, false
 	}
 	w := &work{account: a}
 	if a.free() > 0 {
 		a.own++
 	} else {
-		w.loan = a.usableLoan(now)
+		w.loan = s.usableLoan(now, a)
 		if w.loan == nil {
 			return Token{}, false
 		}
@@ -47,12 +47,12 @@
 	if !ok {
 		return false
 	}
-	return w.loan == nil || now.Before(w.loan.lapse)
+	return w.loan == nil || w.loan.live(now, s.longestRun)
 }
 
 // Release ends the use of a token: the work was not started, or it has
 // certainly ended upstream. Releasing a token twice has no effect.
-func (s *State) Release(now vocab.Instant, t Token) {
+func (s *State) Release(_ vocab.Instant, t Token) {
 	w, ok := s.running[t.ID]
 	if !ok {
 		return
@@ -64,7 +64,6 @@
 		return
 	}
 	w.loan.running--
-	s.dropLapsed(now, w.account)
 }
 
 // ReleaseAt ends the use of a token at a later instant: the start of the work
@@ -81,7 +80,7 @@
 	if !ok {
 		return 0
 	}
-	return a.free() + a.borrowedFree(now)
+	return a.free() + s.borrowedFree(now, a)
 }
 
 // InUse returns how many tokens of the account this node's work holds.
