Lend tokens between nodes over the peer service

Cause: with an even split a node under skew could use a third of a pool. Change: asks, answers and returns go over twirp; a leaving node drains its loans.

--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -162,7 +162,7 @@
 		q.waiting.Advance(s.now)
 	}
 	s.updateShares()
-	s.effects = append(s.effects, s.limits.Tick(s.now)...)
+	s.emitLoans(s.limits.Tick(s.now))
 	s.endLingering()
 	s.gossipRound()
 	s.seekSnapshot()
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -212,7 +212,7 @@
 	}
 	before := s.peers.view
 	s.peers.view = membership.Judge(s.now, others)
-	// s.limits.SetReachable(s.peers.view.Reachable)
+	s.limits.SetReachable(s.peers.view.Reachable)
 	s.noteView(before)
 }
 
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -147,6 +147,16 @@
 		s.emit(ReplyGossip{Call: e.Call, Message: s.peers.gossip.Compose(s.now)})
 	case GossipAnswered:
 		s.takeGossip(e.Message)
+	case AskArrived:
+		s.emit(ReplyAsk{Call: e.Call, Answer: s.limits.OnAsk(s.now, e.Ask)})
+	case limit.AnswerArrived:
+		s.emitLoans(s.limits.OnAnswer(s.now, e.Answer))
+		s.dispatchAll()
+	case limit.AskFailed:
+		s.emitLoans(s.limits.OnAskFailed(s.now, e.Seq))
+	case limit.ReturnArrived:
+		s.limits.OnReturn(s.now, e.Return)
+		s.dispatchAll()
 	case LogStatus:
 		s.onLogStatus(e)
 	case VMsListed:
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -18,6 +18,7 @@
 	}
 	s.leaving = true
 	s.stopping = true
+	s.limits.Drain()
 	s.notice(NoticeStopping, string(s.self.Node), "no new request is taken")
 	for _, id := range s.names {
 		for _, it := range s.queues[id].waiting.RemoveIf(func(admission.Item) bool { return true }) {
@@ -34,23 +35,12 @@
 	}
 	s.left = true
 	reason := record.RemovalLeft
-	if s.busy() {
+	if !s.limits.Close() {
 		reason = record.RemovalReplaced
 	}
 	s.append(record.NodeRemoved{Node: s.self.Node, Incarnation: s.self.Incarnation, Reason: reason})
 }
 
-// busy reports whether work of this node, or of a node that it lent to, may
-// still run upstream.
-func (s *State) busy() bool {
-	for _, a := range s.limits.Snapshot().Accounts {
-		if a.Own > 0 || a.Lent > 0 || a.BorrowedRunning > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *State) isMember() bool {
 	_, ok := s.Shared().Members[s.self.Incarnation]
 	return ok
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,6 +158,12 @@
 		go n.sendGossip(e)
 	case core.ReplyGossip:
 		n.calls.reply(e.Call, e.Message)
+	case core.SendAsk:
+		go n.sendAsk(e)
+	case core.SendReturn:
+		go n.sendReturn(e)
+	case core.ReplyAsk:
+		n.calls.reply(e.Call, e.Answer)
 	case core.FetchSnapshot:
 		go n.fetchSnapshot(e)
 	case core.Notice:
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -104,6 +104,20 @@
 	}
 }
 
+func (n *Node) sendAsk(e core.SendAsk) {
+	answer, err := n.services.Peers.Borrow(context.Background(), e.Address, e.Ask)
+	if err != nil {
+		n.Post(limit.AskFailed{Seq: e.Ask.Seq})
+		return
+	}
+	n.Post(limit.AnswerArrived{Answer: answer})
+}
+
+// sendReturn is not repeated: what it does not give back lapses with its lease.
+func (n *Node) sendReturn(e core.SendReturn) {
+	_ = n.services.Peers.GiveBack(context.Background(), e.Address, e.Return)
+}
+
 func (n *Node) fetchSnapshot(e core.FetchSnapshot) {
 	snap, later, err := n.services.Peers.FetchSnapshot(context.Background(), e.Address, e.Folded)
 	if err == nil && later {
