--- a/internal/core/maintenance/explain.go
+++ b/internal/core/maintenance/explain.go
@@ -63,6 +63,7 @@
 		w.Missing++
 	case e.Upkeep.Stage != observe.UpkeepNone:
 		w.Under++
+	case w.Number == 0:
 	case e.Wave == w.Number:
 		w.Done++
 	default:
--- a/internal/core/maintenance/fold.go
+++ b/internal/core/maintenance/fold.go
@@ -130,10 +130,12 @@
 	if e.Upkeep.Stage == observe.UpkeepNone || b.Incarnation <= e.Upkeep.Incarnation {
 		return false
 	}
+	if e.Upkeep.Stage != observe.UpkeepFailed {
+		l.Wave.Returned++ // one that is back late proves nothing
+	}
 	e.Upkeep = observe.Upkeep{}
 	e.Wave = l.Wave.Number
 	e.MaintainedAt = b.At
-	l.Wave.Returned++
 	return true
 }
 
@@ -161,7 +163,8 @@
 		if b.Wave != l.Wave.Number || l.Wave.Paused == 0 || b.Paused != l.Wave.Paused {
 			return false
 		}
-		l.Wave.Paused, l.Wave.Reason, l.Wave.Failed = 0, "", 0
+		l.Wave.Paused, l.Wave.Reason = 0, ""
+		l.Wave.Failed, l.Wave.Returned = 0, 0
 		return true
 	default:
 		return false
--- a/internal/core/maintenance/ledger.go
+++ b/internal/core/maintenance/ledger.go
@@ -31,7 +31,8 @@
 	Number uint64 `json:"number"`
 	// StartedAt is in seconds since the Unix epoch.
 	StartedAt int64 `json:"started_at"`
-	// Returned counts VMs that came back since the last one that did not.
+	// Returned counts VMs that came back in time since the wave began or was
+	// resumed, or since the last one that did not.
 	Returned int `json:"returned"`
 	// Failed counts VMs that did not come back since the wave was last resumed.
 	Failed int `json:"failed"`
--- a/internal/core/maintenance/moves.go
+++ b/internal/core/maintenance/moves.go
@@ -1,6 +1,7 @@
 package maintenance
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -66,7 +67,7 @@
 
 // hasDue reports whether VMs of the pool wait for the wave.
 func (p *tally) hasDue(s *Snapshot) bool {
-	return s.Ledger.Wave.Paused == 0 && slices.ContainsFunc(p.vms, func(v *VM) bool { return due(s, v) })
+	return slices.ContainsFunc(p.vms, func(v *VM) bool { return due(s, v) })
 }
 
 // byLack returns the pools with the highest cost of lack first. Pools below
@@ -143,6 +144,7 @@
 	from.held--
 	to.incoming++
 	to.arriving[best.Zone]++
+	to.racks[rackKey{best.Zone, best.Rack}]++
 	from.vms = slices.DeleteFunc(slices.Clone(from.vms), func(v *VM) bool { return v == best })
 	plan.step(Step{
 		Kind: StepMove, VM: best.Name, Incarnation: best.Incarnation,
@@ -151,15 +153,30 @@
 	return true
 }
 
-// balances reports whether moving v leaves the zones better balanced than w.
+// balances reports whether moving v leaves the pools better spread than w. The
+// pool that serves a queue counts first, the spare pool second.
 func balances(from, to *tally, v, w *VM) bool {
 	lackV, lackW := to.lacksIn(v.Zone), to.lacksIn(w.Zone)
 	if lackV != lackW {
 		return lackV
 	}
-	return from.byZone[v.Zone]-to.inZone(v.Zone) > from.byZone[w.Zone]-to.inZone(w.Zone)
+	give := cmp.Compare(from.crowding(v), from.crowding(w))
+	take := cmp.Compare(to.crowding(w), to.crowding(v))
+	if to.spec.Spare {
+		return cmp.Or(give, take) > 0
+	}
+	return cmp.Or(take, give) > 0
+}
+
+// crowding grows with the pool's VMs in the VM's zone and then with those in
+// its rack.
+func (p *tally) crowding(v *VM) int {
+	return p.inZone(v.Zone)*rackWeight + p.racks[rackKey{v.Zone, v.Rack}]
 }
 
+// rackWeight exceeds the VMs of one pool in one rack.
+const rackWeight = 1000
+
 // inZone returns the VMs that the pool has in the zone or is about to get there.
 func (p *tally) inZone(zone vocab.ZoneID) int {
 	return p.byZone[zone] + p.arriving[zone]
--- a/internal/core/maintenance/tally.go
+++ b/internal/core/maintenance/tally.go
@@ -20,6 +20,7 @@
 	ready    int
 	byZone   map[vocab.ZoneID]int // ready VMs
 	arriving map[vocab.ZoneID]int // VMs on their way into the pool
+	racks    map[rackKey]int      // ready VMs
 	rackPart int                  // most ready VMs in one rack
 	occupied map[string]int       // VMs out of service by failure domain
 	inFlight int                  // maintenance under way
@@ -36,7 +37,8 @@
 	for _, p := range s.Fleet.Pools {
 		t.names = append(t.names, p.Name)
 		t.byName[p.Name] = &tally{
-			spec: p, byZone: map[vocab.ZoneID]int{}, arriving: map[vocab.ZoneID]int{}, occupied: map[string]int{},
+			spec: p, byZone: map[vocab.ZoneID]int{}, arriving: map[vocab.ZoneID]int{},
+			racks: map[rackKey]int{}, occupied: map[string]int{},
 		}
 	}
 	for _, svc := range s.Fleet.Services {
@@ -94,14 +96,13 @@
 	}
 }
 
-// countRacks finds the largest part of the pool's ready VMs in one rack.
+// countRacks counts ready VMs by rack and finds the largest part of the pool's ready VMs in one rack.
 func (p *tally) countRacks() {
-	racks := map[rackKey]int{}
 	for _, v := range p.vms {
 		if v.counted() {
 			k := rackKey{v.Zone, v.Rack}
-			racks[k]++
-			p.rackPart = max(p.rackPart, racks[k])
+			p.racks[k]++
+			p.rackPart = max(p.rackPart, p.racks[k])
 		}
 	}
 }
--- a/internal/core/maintenance/world_test.go
+++ b/internal/core/maintenance/world_test.go
@@ -1,8 +1,10 @@
 package maintenance
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core/event"
@@ -209,9 +211,18 @@
 	if begun, ok := b.(record.DisruptionsBegun); ok && accepted {
 		w.checkOwnActs(begun)
 	}
-	if w.trace != nil {
-		w.trace(fmt.Sprintf("log %d %s %+v accepted=%v", len(w.log), b.RecordKind(), b, accepted))
+	if _, heartbeat := b.(record.MaintenanceHeld); w.trace != nil && !heartbeat {
+		w.trace(describe(b, accepted))
+	}
+}
+
+func describe(b record.Body, accepted bool) string {
+	text, _ := json.Marshal(b)
+	verdict := ""
+	if !accepted {
+		verdict = " REFUSED"
 	}
+	return fmt.Sprintf("log    %s %s%s", b.RecordKind(), strings.ReplaceAll(string(text), "\"", ""), verdict)
 }
 
 // order is the platform: it refuses lower epochs and other incarnations.
@@ -237,7 +248,7 @@
 
 func (w *world) carryOut(n *fakeNode, kind OrderKind, v *fakeVM, pool vocab.PoolID) {
 	if w.trace != nil {
-		w.trace(fmt.Sprintf("order %s %s %s", [...]string{"drain", "reboot", "assign"}[kind], v.row.Name, pool))
+		w.trace(fmt.Sprintf("order  %s %s %s by %s", [...]string{"drain", "reboot", "assign"}[kind], v.row.Name, pool, n.name))
 	}
 	switch kind {
 	case KindDrain:
