--- a/internal/core/maintenance/controller.go
+++ b/internal/core/maintenance/controller.go
@@ -10,7 +10,8 @@
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
-// planEvery is the time between two plans.
+// planEvery is the longest time between two plans. A record or answer that
+// concerns a VM brings the next plan forward to the next tick.
 const planEvery = 5 * time.Second
 
 // Controller is the local state of one node's part in moves and maintenance. It
@@ -29,7 +30,7 @@
 	unix     int64
 	lastTick vocab.Instant
 	lastPlan vocab.Instant
-	planned  bool
+	planned  bool // the last plan is not out of date
 
 	lease    lease
 	appends  map[string]vocab.Instant // when a body of that key was last appended
@@ -76,6 +77,7 @@
 	changed, accepted := c.ledger.Apply(e.Offset, e.Body)
 	for _, vm := range changed {
 		c.follow(now, vm)
+		c.planned = false
 	}
 	if !accepted {
 		return
@@ -121,6 +123,7 @@
 	if e.Result == ResultStale {
 		c.lease.fenced = e.Order.Epoch
 	}
+	c.planned = false
 	w := c.watch(e.Order.VM)
 	if e.Kind == KindAssign && e.Pool != w.assignTo {
 		return
@@ -153,9 +156,6 @@
 // replan makes a new plan and carries it out if this process is the owner.
 func (c *Controller) replan(now vocab.Instant) []event.Effect {
 	dt := min(now.Sub(c.lastPlan), maxTickGap)
-	if !c.planned {
-		dt = 0
-	}
 	c.lastPlan, c.planned = now, true
 	s := c.Snapshot(now)
 	t := newTallies(s)
--- a/internal/core/maintenance/demand.go
+++ b/internal/core/maintenance/demand.go
@@ -28,7 +28,7 @@
 	spread  float64 // average distance of the level from the trend
 	days    profile
 
-	lackCost float64 // weighted VM-seconds, see moveCost
+	lackCost float64 // weighted VM-seconds, see MoveCost
 	idleCost float64
 }
 
@@ -82,12 +82,12 @@
 	rate := 0.0
 	switch {
 	case p.has() < p.keep.Ready:
-		rate = budgetWeight * float64(p.wants()-p.has())
+		rate = BudgetWeight * float64(p.wants()-p.has())
 	case p.has() < p.wants():
-		rate = lackWeight * float64(p.wants()-p.has())
+		rate = LackWeight * float64(p.wants()-p.has())
 	}
-	d.lackCost = accumulate(d.lackCost, rate, lackWeight, dt)
-	d.idleCost = accumulate(d.idleCost, idleWeight*float64(p.has()-p.wantsLater()), idleWeight, dt)
+	d.lackCost = accumulate(d.lackCost, rate, LackWeight, dt)
+	d.idleCost = accumulate(d.idleCost, IdleWeight*float64(p.has()-p.wantsLater()), IdleWeight, dt)
 }
 
 func accumulate(cost, rate, decay float64, dt time.Duration) float64 {
--- a/internal/core/maintenance/moves.go
+++ b/internal/core/maintenance/moves.go
@@ -13,7 +13,7 @@
 func planMoves(s *Snapshot, t *tallies, plan *Plan) {
 	for _, name := range t.byLack() {
 		p := t.byName[name]
-		if p.need.LackCost < moveCost {
+		if p.need.LackCost < MoveCost {
 			continue
 		}
 		for p.has() < p.wants() && t.fill(s, p, plan) {
@@ -33,7 +33,7 @@
 			t.unblock(s, spare, p, zone, plan)
 			continue
 		}
-		if p.need.IdleCost < moveCost || p.hasDue(s) {
+		if p.need.IdleCost < MoveCost || p.hasDue(s) {
 			continue
 		}
 		for p.has() > p.wantsLater() && t.move(s, p, spare, p.vms, "idle for long", plan) {
--- a/internal/core/maintenance/policy.go
+++ b/internal/core/maintenance/policy.go
@@ -5,15 +5,15 @@
 // Costs that weigh a move against leaving the VMs where they are. The unit is
 // the VM-second: one VM missing or idle for one second.
 const (
-	// moveCost is what one move costs: the VM serves nobody while it drains and
+	// MoveCost is what one move costs: the VM serves nobody while it drains and
 	// is assigned, and its new pool warms it up.
-	moveCost = 600.0
-	// budgetWeight is the cost of a VM-second below the availability budget.
-	budgetWeight = 10.0
-	// lackWeight is the cost of a VM-second below what demand needs.
-	lackWeight = 2.0
-	// idleWeight is the cost of a VM-second held beyond the need.
-	idleWeight = 0.2
+	MoveCost = 600.0
+	// BudgetWeight is the cost of a VM-second below the availability budget.
+	BudgetWeight = 10.0
+	// LackWeight is the cost of a VM-second below what demand needs.
+	LackWeight = 2.0
+	// IdleWeight is the cost of a VM-second held beyond the need.
+	IdleWeight = 0.2
 )
 
 const (
--- a/internal/core/maintenance/session_test.go
+++ b/internal/core/maintenance/session_test.go
@@ -22,7 +22,7 @@
 // bad-image VM; lose KIND...; answers lost|kept; log up|down; pause NODE;
 // wake NODE; keep N; demand SLOTS; resume; status; explain VM.
 func TestSessions(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
 		s := &session{}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			s.out.Reset()
--- a/internal/core/maintenance/snapshot.go
+++ b/internal/core/maintenance/snapshot.go
@@ -71,7 +71,7 @@
 	// Later is the most that demand is expected to need within the time for
 	// which it is not worth giving a VM away.
 	Later int
-	// LackCost and IdleCost are in weighted VM-seconds; see moveCost.
+	// LackCost and IdleCost are in weighted VM-seconds; see MoveCost.
 	LackCost float64
 	IdleCost float64
 }
