--- /dev/null
+++ b/internal/core/placement/placement_test.go
@@ -0,0 +1,229 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+	"github.com/sardinehead/sardinehead/internal/worker"
+)
+
+const gib = 1 << 30
+
+// account admits up to limit slots of each team.
+type account struct {
+	limit int
+	taken map[vocab.TeamID]int
+}
+
+func (a *account) Take(team vocab.TeamID) bool {
+	if a.taken[team] >= a.limit {
+		return false
+	}
+	a.taken[team]++
+	return true
+}
+func (a *account) Adopt(team vocab.TeamID)   { a.taken[team]++ }
+func (a *account) Release(team vocab.TeamID) { a.taken[team]-- }
+
+func testFleet(count int) *Fleet {
+	var list []worker.Info
+	for i := range count {
+		list = append(list, worker.Info{
+			Worker: vocab.VMID(fmt.Sprintf("w%04d", i)), Incarnation: 1, Zone: vocab.ZoneID(fmt.Sprint("z", i%8)),
+			Rack: vocab.RackID(fmt.Sprint("r", i/4)), Capacity: Size{MilliCPU: 32000, MemoryBytes: 64 * gib, Accelerators: int64(i % 2)},
+		})
+	}
+	f := NewFleet()
+	f.Set(list)
+	return f
+}
+
+func testInput(f *Fleet, limit int) Input {
+	return Input{
+		Waiting: NewWaiting(), Fleet: f, Learner: NewLearner(), Limit: 1 << 20,
+		Account: &account{limit: limit, taken: map[vocab.TeamID]int{}},
+		Weight:  func(team vocab.TeamID) int { return int(team[len(team)-1]-'0') + 1 },
+	}
+}
+
+func testItem(i int, rnd *rand.Rand) Item {
+	return Item{
+		Task: vocab.TaskID(fmt.Sprintf("t%06d", i)), Accepted: vocab.Offset(i + 1),
+		Class: Class{
+			Queue: vocab.QueueID(fmt.Sprint("q", rnd.IntN(20))), Team: vocab.TeamID(fmt.Sprint("team", rnd.IntN(10))),
+			Urgent: rnd.IntN(20) == 0, Idempotent: rnd.IntN(2) == 0, Checkpoints: rnd.IntN(2) == 0, DeclaredRun: time.Minute,
+			Declared: Size{MilliCPU: int64(1+rnd.IntN(8)) * 500, MemoryBytes: int64(1+rnd.IntN(8)) * gib, Accelerators: int64(rnd.IntN(10) / 9)},
+		},
+	}
+}
+
+// TestPassKeepsRoomAndLimits: after each pass no worker holds more than it
+// has, but for room that victims are about to give, and no team more slots
+// than its limit; tasks that fit no worker are parked, and no other.
+func TestPassKeepsRoomAndLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2))
+		in := testInput(testFleet(1+rnd.IntN(12)), 1+rnd.IntN(60))
+		all := map[vocab.TaskID]Item{}
+		for pass := range 5 {
+			for range rnd.IntN(80) {
+				it := testItem(len(all), rnd)
+				if rnd.IntN(40) == 0 {
+					it.Declared.MemoryBytes = 100 * gib
+				}
+				all[it.Task] = it
+				in.Waiting.Add(it)
+			}
+			in.Now = vocab.Instant(pass) * vocab.Instant(time.Second)
+			checkPass(t, in, all, Plan(in))
+			for _, n := range in.Fleet.nodes {
+				for len(n.runs) > 0 && rnd.IntN(3) > 0 {
+					in.Account.Release(n.runs[0].Team)
+					in.Fleet.Release(n.info.Worker, n.runs[0].Task)
+				}
+			}
+		}
+	})
+}
+
+func checkPass(t *rapid.T, in Input, all map[vocab.TaskID]Item, out Output) {
+	for _, p := range out.Parkings {
+		if in.Fleet.Fits(all[p.Task].Declared) {
+			t.Fatalf("parked %s, which fits: %s", p.Task, p.Reason)
+		}
+	}
+	for _, n := range in.Fleet.nodes {
+		held := n.held
+		for _, r := range n.runs {
+			if all[r.Task].Urgent && !in.Waiting.Has(r.Task) {
+				held = sub(held, r.holds())
+			}
+		}
+		if !fits(held, n.info.Capacity) {
+			t.Fatalf("%s holds %s of %s", n.info.Worker, Describe(held), Describe(n.info.Capacity))
+		}
+	}
+	for team, taken := range in.Account.(*account).taken {
+		if taken > in.Account.(*account).limit {
+			t.Fatalf("%s has %d slots", team, taken)
+		}
+	}
+}
+
+// TestSharesFollowWeights: with more work than room, the teams' use of the
+// fleet is in the proportion of their weights, within one task.
+func TestSharesFollowWeights(t *testing.T) {
+	in := testInput(testFleet(20), 1<<20)
+	for i := range 6000 {
+		it := testItem(i, rand.New(rand.NewPCG(1, 1)))
+		it.Team, it.Urgent = vocab.TeamID(fmt.Sprint("team", i%3)), false
+		it.Declared = Size{MilliCPU: 1000, MemoryBytes: gib}
+		in.Waiting.Add(it)
+	}
+	Plan(in)
+	for team, weight := range map[vocab.TeamID]float64{"team0": 1, "team1": 2, "team2": 3} {
+		got := ratio(in.Fleet.Use(team).MilliCPU, in.Fleet.Total().MilliCPU)
+		if want := weight / 6; got < want-0.01 || got > want+0.01 {
+			t.Errorf("%s has %.3f of the fleet, want %.3f", team, got, want)
+		}
+	}
+}
+
+// TestUrgentFindsRoomInFullFleet: processor time is taken by throttling where
+// memory allows, and by a checkpoint otherwise.
+func TestUrgentFindsRoomInFullFleet(t *testing.T) {
+	for method, memory := range map[Method]int64{Throttle: gib, Checkpoint: 64 * gib} {
+		in := testInput(testFleet(1), 100)
+		victim := Item{Task: "a", Class: Class{Team: "team0", Checkpoints: true, Declared: Size{MilliCPU: 32000, MemoryBytes: memory}}}
+		in.Waiting.Add(victim)
+		Plan(in)
+		in.Waiting.Add(Item{Task: "b", Class: Class{Team: "team1", Urgent: true, Declared: Size{MilliCPU: 8000, MemoryBytes: 8 * gib}}})
+		out := Plan(in)
+		if len(out.Preemptions) != 1 || out.Preemptions[0].Victims[0].Method != method {
+			t.Errorf("want one %s, got %+v", method, out)
+		}
+	}
+}
+
+// TestFailingWorkerIsSetAsideAndReturns: only the worker that fails more than
+// the others is set aside; two probes that succeed bring it back.
+func TestFailingWorkerIsSetAsideAndReturns(t *testing.T) {
+	f := testFleet(10)
+	now := vocab.Instant(0)
+	for round := range 20 {
+		for i, n := range f.nodes {
+			now = now.Add(time.Second)
+			// One queue fails everywhere, the other only on the first worker.
+			f.NoteAttempt(now, n.info.Worker, "poison", true)
+			f.NoteAttempt(now, n.info.Worker, "good", i == 0 || round == i)
+		}
+	}
+	for i, n := range f.nodes {
+		if _, aside := f.Aside(n.info.Worker); aside != (i == 0) {
+			t.Errorf("%s aside: %v", n.info.Worker, aside)
+		}
+	}
+	now = now.Add(probationLongest)
+	for range probesToReturn {
+		if i, ok := f.probe(now); !ok || i != 0 {
+			t.Fatal("no probe of the worker set aside")
+		}
+		f.NoteAttempt(now, f.nodes[0].info.Worker, "good", false)
+	}
+	if _, aside := f.Aside(f.nodes[0].info.Worker); aside {
+		t.Error("still aside after its probes succeeded")
+	}
+}
+
+// TestLearnerFollowsUse: with declared sizes ten times too large or too small,
+// the estimate comes within a bucket of what is used, whether tasks use a fixed
+// amount or a fixed part of what they declare.
+func TestLearnerFollowsUse(t *testing.T) {
+	l := NewLearner()
+	for i := range 200 {
+		declared := Size{MilliCPU: int64(1000 + i*100), MemoryBytes: int64(1+i) * gib}
+		l.Observe("fixed", declared, Size{MilliCPU: 500, MemoryBytes: 4 * gib}, time.Hour, time.Minute)
+		l.Observe("relative", declared, Size{MilliCPU: declared.MilliCPU / 10, MemoryBytes: declared.MemoryBytes * 2}, time.Minute, time.Hour)
+	}
+	declared := Size{MilliCPU: 40000, MemoryBytes: 10 * gib}
+	within := func(name string, got, want float64) {
+		if got < want*0.8 || got > want*1.25 {
+			t.Errorf("%s: got %g, want about %g", name, got, want)
+		}
+	}
+	fixed, relative := l.Estimate("fixed", declared, time.Hour, 0), l.Estimate("relative", declared, time.Minute, 0)
+	within("fixed CPU", float64(fixed.Size.MilliCPU), 500)
+	within("fixed memory", float64(fixed.Size.MemoryBytes), 4*gib)
+	within("fixed run time", fixed.Typical.Seconds(), 60)
+	within("relative CPU", float64(relative.Size.MilliCPU), 4000)
+	within("relative memory", float64(relative.Size.MemoryBytes), 20*gib)
+}
+
+// BenchmarkPlan10000On1600 places 10,000 waiting tasks on 1,600 workers.
+func BenchmarkPlan10000On1600(b *testing.B) {
+	for _, load := range []string{"room", "full"} {
+		b.Run(load, func(b *testing.B) {
+			placed := 0
+			for range b.N {
+				b.StopTimer()
+				in := testInput(testFleet(1600), 1<<20)
+				rnd := rand.New(rand.NewPCG(1, 1))
+				for i := range 10000 {
+					it := testItem(i, rnd)
+					if load == "full" {
+						it.Declared.MilliCPU *= 8
+					}
+					in.Waiting.Add(it)
+				}
+				b.StartTimer()
+				placed += len(Plan(in).Bindings)
+			}
+			b.ReportMetric(float64(placed)/float64(b.N), "placed/op")
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/workers/worker.go
@@ -0,0 +1,329 @@
+// Package workers stands in for the platform's workers: a state machine that
+// keeps the rules of package worker, shares its processor time and memory among
+// the attempts it runs, and shows faults on demand, and an HTTP handler that
+// serves it.
+package workers
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+	"github.com/sardinehead/sardinehead/internal/worker"
+)
+
+// Actual is what an attempt really needs.
+type Actual struct {
+	Use     record.TaskSize
+	RunTime time.Duration
+	// Fails makes the attempt fail at its end.
+	Fails bool
+	// Hangs makes the attempt never end.
+	Hangs bool
+}
+
+// Profile tells what an attempt really needs.
+type Profile func(ref worker.Ref, job worker.Job) Actual
+
+// Faults are the ways in which a worker misbehaves.
+type Faults struct {
+	// FailAll makes each attempt fail soon after its start.
+	FailAll bool
+	// HangAll makes no attempt end.
+	HangAll bool
+	// Nonsense makes reports carry impossible figures.
+	Nonsense bool
+	// LoseOrders drops orders before they take effect, LoseAnswers after.
+	LoseOrders, LoseAnswers bool
+}
+
+// failAfter is the run time of attempts on a worker that fails all of them.
+const failAfter = 200 * time.Millisecond
+
+// Worker is one worker. It is not safe for use by several goroutines.
+type Worker struct {
+	Info    worker.Info
+	Faults  Faults
+	Profile Profile
+	// OnStart is called for each attempt that begins to run; it may be nil.
+	OnStart func(worker.Ref, worker.Job)
+
+	epochs   map[vocab.StreamID]vocab.Epoch
+	attempts []*attempt
+	fenced   map[worker.Ref]bool
+	now      vocab.Instant
+	sequence uint64
+	// busy is the useful processor time so far, in milli-CPU seconds.
+	busy float64
+}
+
+type attempt struct {
+	ref     worker.Ref
+	job     worker.Job
+	actual  Actual
+	phase   worker.Phase
+	until   vocab.Instant
+	began   vocab.Instant
+	ended   vocab.Instant
+	done    time.Duration
+	percent int
+	mark    string
+	// reported means that the end was handed out in a usage report.
+	reported bool
+}
+
+// New returns an idle worker.
+func New(info worker.Info, profile Profile) *Worker {
+	return &Worker{
+		Info:    info,
+		Profile: profile,
+		epochs:  map[vocab.StreamID]vocab.Epoch{},
+		fenced:  map[worker.Ref]bool{},
+	}
+}
+
+// Restart gives the worker its next incarnation, with nothing running.
+func (w *Worker) Restart() {
+	w.Info.Incarnation++
+	w.attempts = nil
+	w.fenced = map[worker.Ref]bool{}
+	w.epochs = map[vocab.StreamID]vocab.Epoch{}
+}
+
+// Order carries out an order. It reports false if the answer is lost.
+func (w *Worker) Order(now vocab.Instant, o worker.Order) (worker.Answer, bool) {
+	w.Advance(now)
+	if w.Faults.LoseOrders {
+		return worker.Answer{}, false
+	}
+	answer := w.carryOut(o)
+	return answer, !w.Faults.LoseAnswers
+}
+
+func (w *Worker) carryOut(o worker.Order) worker.Answer {
+	if o.Incarnation != w.Info.Incarnation {
+		return worker.Answer{Code: worker.WrongIncarnation}
+	}
+	if o.Epoch < w.epochs[o.Shard] {
+		return worker.Answer{Code: worker.StaleEpoch}
+	}
+	w.epochs[o.Shard] = o.Epoch
+	w.forget(o.Forget)
+	answer := worker.Answer{Code: worker.Done}
+	for _, ref := range o.Attempts {
+		if o.Kind == worker.Start && !w.start(ref, o) {
+			return worker.Answer{Code: worker.NoRoom}
+		}
+		answer.Attempts = append(answer.Attempts, w.apply(ref, o))
+	}
+	return answer
+}
+
+func (w *Worker) find(ref worker.Ref) *attempt {
+	for _, a := range w.attempts {
+		if a.ref == ref {
+			return a
+		}
+	}
+	return nil
+}
+
+func (w *Worker) forget(refs []worker.Ref) {
+	w.attempts = slices.DeleteFunc(w.attempts, func(a *attempt) bool {
+		return a.phase != worker.Running && slices.Contains(refs, a.ref)
+	})
+}
+
+// start begins an attempt; it reports false if there is no room.
+func (w *Worker) start(ref worker.Ref, o worker.Order) bool {
+	if w.fenced[ref] || w.find(ref) != nil {
+		return true
+	}
+	if !w.hasRoom(o.Job.Size) {
+		w.fenced[ref] = true
+		return false
+	}
+	a := &attempt{
+		ref: ref, job: *o.Job, actual: w.Profile(ref, *o.Job), phase: worker.Running,
+		until: w.now.Add(o.Lease), began: w.now, percent: 100,
+	}
+	a.resume()
+	w.attempts = append(w.attempts, a)
+	if w.OnStart != nil {
+		w.OnStart(ref, a.job)
+	}
+	return true
+}
+
+// markPrefix begins the names of checkpoints; the time done follows.
+const markPrefix = "saved-"
+
+// resume takes the time done from the checkpoint to continue from.
+func (a *attempt) resume() {
+	text, ok := strings.CutPrefix(a.job.Checkpoint, markPrefix)
+	if !ok {
+		return
+	}
+	if done, err := time.ParseDuration(text); err == nil {
+		a.done = done
+	}
+}
+
+func (w *Worker) hasRoom(size record.TaskSize) bool {
+	memory, accelerators := size.MemoryBytes, size.Accelerators
+	for _, a := range w.running() {
+		memory += a.job.Size.MemoryBytes
+		accelerators += a.job.Size.Accelerators
+	}
+	return memory <= w.Info.Capacity.MemoryBytes && accelerators <= w.Info.Capacity.Accelerators
+}
+
+// apply carries out the part of an order that is about one attempt.
+func (w *Worker) apply(ref worker.Ref, o worker.Order) worker.AttemptReport {
+	a := w.find(ref)
+	if a == nil {
+		if o.Kind == worker.Ask || o.Kind == worker.Stop {
+			w.fenced[ref] = true
+		}
+		return worker.AttemptReport{Ref: ref, Phase: worker.NeverSeen}
+	}
+	if a.phase == worker.Running {
+		w.change(a, o)
+	}
+	return w.report(a)
+}
+
+func (w *Worker) change(a *attempt, o worker.Order) {
+	switch o.Kind {
+	case worker.Renew:
+		a.until = w.now.Add(o.Lease)
+	case worker.Stop:
+		a.end(w.now, worker.Stopped)
+	case worker.Checkpoint:
+		a.mark = markPrefix + a.done.String()
+		a.end(w.now, worker.Checkpointed)
+	case worker.Throttle:
+		a.percent = o.Percent
+	}
+}
+
+func (a *attempt) end(now vocab.Instant, p worker.Phase) {
+	a.phase = p
+	a.ended = now
+}
+
+func (w *Worker) report(a *attempt) worker.AttemptReport {
+	end := w.now
+	if a.phase != worker.Running {
+		end = a.ended
+	}
+	r := worker.AttemptReport{
+		Ref: a.ref, Phase: a.phase, Peak: a.actual.Use, RunTime: end.Sub(a.began), Checkpoint: a.mark,
+	}
+	if w.Faults.Nonsense {
+		r.Peak.MilliCPU = -1
+	}
+	return r
+}
+
+// Running returns the attempts that run.
+func (w *Worker) Running() []worker.Ref {
+	var refs []worker.Ref
+	for _, a := range w.running() {
+		refs = append(refs, a.ref)
+	}
+	return refs
+}
+
+func (w *Worker) running() []*attempt {
+	var list []*attempt
+	for _, a := range w.attempts {
+		if a.phase == worker.Running {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// Usage returns a report with the use now and the ends not reported yet.
+func (w *Worker) Usage(now vocab.Instant) worker.Usage {
+	w.Advance(now)
+	w.sequence++
+	u := worker.Usage{Sequence: w.sequence}
+	for _, a := range w.attempts {
+		if a.phase == worker.Running {
+			u.Used.MilliCPU += a.actual.Use.MilliCPU
+			u.Used.MemoryBytes += a.actual.Use.MemoryBytes
+			u.Used.Accelerators += a.actual.Use.Accelerators
+			continue
+		}
+		if !a.reported {
+			a.reported = true
+			u.Ended = append(u.Ended, w.report(a))
+		}
+	}
+	return u
+}
+
+// Busy returns the processor time used so far, in milli-CPU seconds.
+func (w *Worker) Busy() float64 { return w.busy }
+
+// Advance lets the attempts run up to now. Attempts share the processors in
+// proportion to their use; the latest attempt fails if memory runs out.
+func (w *Worker) Advance(now vocab.Instant) {
+	step := now.Sub(w.now)
+	w.now = now
+	if step <= 0 {
+		return
+	}
+	list := w.running()
+	w.lackMemory(list)
+	rate := w.rate(list)
+	for _, a := range list {
+		if a.phase == worker.Running {
+			w.progress(a, step, rate)
+		}
+	}
+}
+
+func (w *Worker) rate(list []*attempt) float64 {
+	var cpu int64
+	for _, a := range list {
+		cpu += a.actual.Use.MilliCPU * int64(a.percent) / 100
+	}
+	if cpu <= w.Info.Capacity.MilliCPU {
+		return 1
+	}
+	return float64(w.Info.Capacity.MilliCPU) / float64(cpu)
+}
+
+func (w *Worker) lackMemory(list []*attempt) {
+	var used int64
+	for _, a := range slices.SortedStableFunc(slices.Values(list), func(a, b *attempt) int { return cmp.Compare(a.began, b.began) }) {
+		used += a.actual.Use.MemoryBytes
+		if used > w.Info.Capacity.MemoryBytes {
+			used -= a.actual.Use.MemoryBytes
+			a.end(w.now, worker.OutOfMemory)
+		}
+	}
+}
+
+func (w *Worker) progress(a *attempt, step time.Duration, rate float64) {
+	part := rate * float64(a.percent) / 100
+	a.done += time.Duration(float64(step) * part)
+	w.busy += step.Seconds() * part * float64(a.actual.Use.MilliCPU)
+	switch {
+	case w.now >= a.until:
+		a.end(w.now, worker.Stopped)
+	case w.Faults.FailAll && a.done >= failAfter:
+		a.end(w.now, worker.Failed)
+	case w.Faults.HangAll || a.actual.Hangs || a.done < a.actual.RunTime:
+	case a.actual.Fails:
+		a.end(w.now, worker.Failed)
+	default:
+		a.end(w.now, worker.Succeeded)
+	}
+}
