--- a/internal/core/placement/heaps.go
+++ b/internal/core/placement/heaps.go
@@ -1,10 +1,19 @@
 package placement
 
-import "github.com/sardinehead/sardinehead/internal/vocab"
+import (
+	"container/heap"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
 
 // teamWork is a team with the classes of its waiting tasks.
 type teamWork struct {
+	lane *lane
 	name vocab.TeamID
+	// next is the position in the lane of the next class to look at.
+	next int
+	// misses counts the classes in a row that found no room.
+	misses int
 	// use is the team's dominant part of the fleet, divided by its share.
 	use     float64
 	classes classHeap
@@ -12,6 +21,16 @@
 	blocked bool
 }
 
+// refill looks at further classes of the lane, up to a window of them.
+func (t *teamWork) refill() {
+	for t.classes.Len() < classWindow && t.next < len(t.lane.classes) {
+		if q := t.lane.classes[t.next]; !q.empty {
+			heap.Push(&t.classes, q)
+		}
+		t.next++
+	}
+}
+
 // teamHeap has the team with the least weighted use first.
 type teamHeap []*teamWork
 
--- a/internal/core/placement/plan.go
+++ b/internal/core/placement/plan.go
@@ -54,6 +54,14 @@
 	Reason string
 }
 
+const (
+	// classWindow is the number of a team's classes that are looked at together.
+	classWindow = 32
+	// maxMisses is the number of classes in a row for which a team may find no
+	// room before it waits for the next pass.
+	maxMisses = 32
+)
+
 type planner struct {
 	Input
 	out Output
@@ -77,7 +85,7 @@
 // with the least use for its share first.
 func Plan(in Input) Output {
 	p := &planner{Input: in, probes: true}
-	in.Waiting.compact()
+	in.Learner.MemoryBytes = in.Fleet.typicalMemory()
 	p.lane(true)
 	p.preempt()
 	p.lane(false)
@@ -100,29 +108,25 @@
 			heap.Fix(&teams, 0)
 			continue
 		}
-		if t.blocked || t.classes.Len() == 0 {
+		t.refill()
+		if t.blocked || t.misses >= maxMisses || t.classes.Len() == 0 {
 			heap.Pop(&teams)
 		}
 	}
 }
 
 func (p *planner) teams(urgent bool) teamHeap {
-	byName := map[vocab.TeamID]*teamWork{}
 	var teams teamHeap
-	for _, q := range p.Waiting.order {
-		if q.Urgent != urgent {
+	for _, l := range p.Waiting.order {
+		if l.urgent != urgent || len(l.classes) == 0 {
 			continue
 		}
-		t, ok := byName[q.Team]
-		if !ok {
-			t = &teamWork{name: q.Team, use: p.weightedUse(q.Team)}
-			byName[q.Team] = t
+		l.trim(classWindow)
+		t := &teamWork{lane: l, name: l.team, use: p.weightedUse(l.team)}
+		t.refill()
+		if t.classes.Len() > 0 {
 			teams = append(teams, t)
 		}
-		t.classes = append(t.classes, q)
-	}
-	for _, t := range teams {
-		heap.Init(&t.classes)
 	}
 	heap.Init(&teams)
 	return teams
@@ -138,6 +142,7 @@
 	q := t.classes[0]
 	head, ok := p.Waiting.head(q)
 	if !ok {
+		p.Waiting.drop(q)
 		heap.Pop(&t.classes)
 		return false
 	}
@@ -153,6 +158,7 @@
 	}
 	if p.bind(q, head, need) {
 		heap.Fix(&t.classes, 0)
+		t.misses = 0
 		return true
 	}
 	p.Account.Release(t.name)
@@ -160,6 +166,7 @@
 		p.short = append(p.short, shortage{entry: head, class: q, need: need})
 	}
 	heap.Pop(&t.classes)
+	t.misses++
 	return false
 }
 
@@ -228,6 +235,11 @@
 	return all
 }
 
+// typicalMemory returns the mean memory of a listed worker.
+func (f *Fleet) typicalMemory() int64 {
+	return f.total.MemoryBytes / int64(max(1, len(f.nodes)))
+}
+
 // Fits reports whether some listed worker could run the size if it were empty.
 func (f *Fleet) Fits(need Size) bool {
 	return slices.ContainsFunc(f.largest(), func(c Size) bool { return fits(need, c) })
--- a/internal/core/placement/sketch.go
+++ b/internal/core/placement/sketch.go
@@ -4,11 +4,11 @@
 
 const (
 	// sketchBuckets is the number of buckets of a sketch.
-	sketchBuckets = 256
+	sketchBuckets = 512
 	// bucketsPerOctave is the number of buckets for a doubling of the value.
-	bucketsPerOctave = 4
+	bucketsPerOctave = 8
 	// sketchZero is the bucket of the value 1.
-	sketchZero = 96
+	sketchZero = 128
 	// sketchGrowth is the factor by which each observation outweighs the one
 	// before it: half of the weight is on the last 140 observations.
 	sketchGrowth = 1.005
@@ -31,9 +31,9 @@
 	return min(max(b, 0), sketchBuckets-1)
 }
 
-// valueOf returns the upper edge of a bucket.
+// valueOf returns the middle of a bucket.
 func valueOf(bucket int) float64 {
-	return math.Exp2((float64(bucket-sketchZero) + 0.5) / bucketsPerOctave)
+	return math.Exp2(float64(bucket-sketchZero) / bucketsPerOctave)
 }
 
 func (s *sketch) add(v float64) {
--- a/internal/core/placement/waiting.go
+++ b/internal/core/placement/waiting.go
@@ -34,18 +34,33 @@
 // class in the order of acceptance. Adding in that order and removing are O(1).
 type Waiting struct {
 	classes map[Class]*classQueue
-	// order has the classes in the order in which they came up.
-	order []*classQueue
+	lanes   map[laneKey]*lane
+	// order has the lanes in the order in which they came up.
+	order []*lane
 	// entries has the sequence number of each task's valid entry.
 	entries  map[vocab.TaskID]uint64
 	sequence uint64
 }
 
+// laneKey names the urgent or the other tasks of a team.
+type laneKey struct {
+	team   vocab.TeamID
+	urgent bool
+}
+
+// lane has the classes of a team in the order of their oldest tasks.
+type lane struct {
+	laneKey
+	classes []*classQueue
+}
+
 type classQueue struct {
 	Class
-	// first is the sequence of the class's first entry; it orders classes.
-	first   uint64
+	// first is the acceptance of the class's first entry; it orders classes.
+	first   vocab.Offset
 	entries []entry
+	// empty means that the class was dropped.
+	empty bool
 }
 
 type entry struct {
@@ -59,6 +74,7 @@
 func NewWaiting() *Waiting {
 	return &Waiting{
 		classes: map[Class]*classQueue{},
+		lanes:   map[laneKey]*lane{},
 		entries: map[vocab.TaskID]uint64{},
 	}
 }
@@ -77,9 +93,9 @@
 	w.sequence++
 	q, ok := w.classes[it.Class]
 	if !ok {
-		q = &classQueue{Class: it.Class, first: w.sequence}
+		q = &classQueue{Class: it.Class, first: it.Accepted}
 		w.classes[it.Class] = q
-		w.order = append(w.order, q)
+		w.lane(laneKey{team: it.Team, urgent: it.Urgent}).add(q)
 	}
 	w.entries[it.Task] = w.sequence
 	e := entry{task: it.Task, accepted: it.Accepted, sequence: w.sequence, avoid: it.Avoid}
@@ -111,13 +127,50 @@
 	return entry{}, false
 }
 
-// compact drops the classes without valid entries.
-func (w *Waiting) compact() {
-	w.order = slices.DeleteFunc(w.order, func(q *classQueue) bool {
-		if _, ok := w.head(q); ok {
-			return false
-		}
-		delete(w.classes, q.Class)
-		return true
+func (w *Waiting) lane(key laneKey) *lane {
+	l, ok := w.lanes[key]
+	if !ok {
+		l = &lane{laneKey: key}
+		w.lanes[key] = l
+		w.order = append(w.order, l)
+	}
+	return l
+}
+
+func (l *lane) add(q *classQueue) {
+	last := len(l.classes) - 1
+	if last < 0 || l.classes[last].first <= q.first {
+		l.classes = append(l.classes, q)
+		return
+	}
+	at, _ := slices.BinarySearchFunc(l.classes, q, func(a, b *classQueue) int {
+		return cmp.Compare(a.first, b.first)
 	})
+	l.classes = slices.Insert(l.classes, at, q)
+}
+
+// drop takes out a class without valid entries.
+func (w *Waiting) drop(q *classQueue) {
+	q.empty = true
+	delete(w.classes, q.Class)
+}
+
+// trim drops the empty classes at the beginning of a lane, and those among the
+// classes before the given number of others.
+func (l *lane) trim(count int) {
+	live, visited := 0, 0
+	for visited < len(l.classes) && live < count {
+		if !l.classes[visited].empty {
+			live++
+		}
+		visited++
+	}
+	keep := visited
+	for i := visited - 1; i >= 0; i-- {
+		if q := l.classes[i]; !q.empty {
+			keep--
+			l.classes[keep] = q
+		}
+	}
+	l.classes = l.classes[keep:]
 }
--- a/internal/core/task/loader_test.go
+++ b/internal/core/task/loader_test.go
@@ -33,7 +33,7 @@
 		"gap after it": {from: ledger.Offset() + 2, want: ErrRetentionGap},
 		"damaged": {from: 1000, want: ErrSnapshotDamaged, change: func(c []record.TaskSnapshotChunk) []record.TaskSnapshotChunk {
 			c[1].Data = slices.Clone(c[1].Data)
-			c[1].Data[99] ^= 1
+			c[1].Data[len(c[1].Data)-100] ^= 1
 			return c
 		}},
 		"newer version": {from: 1000, want: ErrSnapshotVersion, change: func(c []record.TaskSnapshotChunk) []record.TaskSnapshotChunk {
--- a/internal/standin/workers/worker.go
+++ b/internal/standin/workers/worker.go
@@ -50,6 +50,9 @@
 	Profile Profile
 	// OnStart is called for each attempt that begins to run; it may be nil.
 	OnStart func(worker.Ref, worker.Job)
+	// OnEnd is called for each attempt that ends, with the time that it ran at
+	// its full use; it may be nil.
+	OnEnd func(ref worker.Ref, actual Actual, phase worker.Phase, worked time.Duration)
 
 	epochs   map[vocab.StreamID]vocab.Epoch
 	attempts []*attempt
@@ -61,14 +64,16 @@
 }
 
 type attempt struct {
-	ref     worker.Ref
-	job     worker.Job
-	actual  Actual
-	phase   worker.Phase
-	until   vocab.Instant
-	began   vocab.Instant
-	ended   vocab.Instant
-	done    time.Duration
+	ref    worker.Ref
+	job    worker.Job
+	actual Actual
+	phase  worker.Phase
+	until  vocab.Instant
+	began  vocab.Instant
+	ended  vocab.Instant
+	done   time.Duration
+	// resumed is the part of done that a checkpoint brought.
+	resumed time.Duration
 	percent int
 	mark    string
 	// reported means that the end was handed out in a usage report.
@@ -88,6 +93,9 @@
 // Restart gives the worker its next incarnation, with nothing running.
 func (w *Worker) Restart() {
 	w.Info.Incarnation++
+	for _, a := range w.running() {
+		w.end(a, worker.Stopped)
+	}
 	w.attempts = nil
 	w.fenced = map[worker.Ref]bool{}
 	w.epochs = map[vocab.StreamID]vocab.Epoch{}
@@ -168,7 +176,7 @@
 		return
 	}
 	if done, err := time.ParseDuration(text); err == nil {
-		a.done = done
+		a.done, a.resumed = done, done
 	}
 }
 
@@ -201,18 +209,28 @@
 	case worker.Renew:
 		a.until = w.now.Add(o.Lease)
 	case worker.Stop:
-		a.end(w.now, worker.Stopped)
+		w.end(a, worker.Stopped)
 	case worker.Checkpoint:
 		a.mark = markPrefix + a.done.String()
-		a.end(w.now, worker.Checkpointed)
+		w.end(a, worker.Checkpointed)
 	case worker.Throttle:
 		a.percent = o.Percent
 	}
 }
 
-func (a *attempt) end(now vocab.Instant, p worker.Phase) {
+func (w *Worker) end(a *attempt, p worker.Phase) {
 	a.phase = p
-	a.ended = now
+	a.ended = w.now
+	if w.OnEnd != nil {
+		w.OnEnd(a.ref, a.actual, p, a.done-a.resumed)
+	}
+}
+
+// Visit calls f for each attempt that runs.
+func (w *Worker) Visit(f func(worker.Ref, Actual)) {
+	for _, a := range w.running() {
+		f(a.ref, a.actual)
+	}
 }
 
 func (w *Worker) report(a *attempt) worker.AttemptReport {
@@ -306,7 +324,7 @@
 		used += a.actual.Use.MemoryBytes
 		if used > w.Info.Capacity.MemoryBytes {
 			used -= a.actual.Use.MemoryBytes
-			a.end(w.now, worker.OutOfMemory)
+			w.end(a, worker.OutOfMemory)
 		}
 	}
 }
@@ -317,13 +335,13 @@
 	w.busy += step.Seconds() * part * float64(a.actual.Use.MilliCPU)
 	switch {
 	case w.now >= a.until:
-		a.end(w.now, worker.Stopped)
+		w.end(a, worker.Stopped)
 	case w.Faults.FailAll && a.done >= failAfter:
-		a.end(w.now, worker.Failed)
+		w.end(a, worker.Failed)
 	case w.Faults.HangAll || a.actual.Hangs || a.done < a.actual.RunTime:
 	case a.actual.Fails:
-		a.end(w.now, worker.Failed)
+		w.end(a, worker.Failed)
 	default:
-		a.end(w.now, worker.Succeeded)
+		w.end(a, worker.Succeeded)
 	}
 }
