--- a/internal/core/placement/learner.go
+++ b/internal/core/placement/learner.go
@@ -20,12 +20,10 @@
 	longRunLevel = len(levels) - 1
 	// medianLevel is the level of the median.
 	medianLevel = 0
-	// memoryStep is the factor on memory after each lack of memory.
-	memoryStep = 2
 	// trustedObservations is the number of observations from which on the
 	// learned run time bounds an attempt.
 	trustedObservations = 8
-	// maxSteps bounds the steps of memory after lacks of memory.
+	// maxSteps bounds how often memory is doubled after lacks of memory.
 	maxSteps = 6
 	// riskDeviations is the number of standard deviations of a worker's total
 	// memory use for which room is kept: about one chance in 100 to lack it.
