--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,245 @@
+// Package dev runs a whole installation in one process on loopback: stand-ins
+// of the platform and of every upstream, and several entry nodes. It is meant
+// for trying sardinehead out and for tests over real sockets.
+package dev
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/sardinehead/sardinehead/internal/core"
+	"github.com/sardinehead/sardinehead/internal/core/shared"
+	"github.com/sardinehead/sardinehead/internal/credential"
+	"github.com/sardinehead/sardinehead/internal/daemon"
+	"github.com/sardinehead/sardinehead/internal/node"
+	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/spec"
+	"github.com/sardinehead/sardinehead/internal/standin"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// Options are the choices of an installation.
+type Options struct {
+	Fleet spec.Fleet
+	// Nodes is the number of entry nodes.
+	Nodes int
+	// FirstPort is the callers' port of the first node; 0 takes free ports.
+	FirstPort int
+	// PlatformPort is the port of the platform's stand-in; 0 takes a free one.
+	PlatformPort int
+	// Unpublished leaves the log empty.
+	Unpublished bool
+	// Events receives the nodes' logs.
+	Events io.Writer
+}
+
+// Installation is a running installation.
+type Installation struct {
+	Log       *standin.Log
+	VMs       *standin.VMs
+	Upstreams map[vocab.VMID]*standin.Upstream
+	Nodes     []*Entry
+	// PlatformURL is the base address of the platform's stand-in.
+	PlatformURL string
+	// Keys holds one key for each team, ready for an Authorization header.
+	Keys map[vocab.TeamID]string
+
+	servers []*http.Server
+	cancel  context.CancelFunc
+}
+
+// Entry is one entry node of an installation.
+type Entry struct {
+	*daemon.Process
+	ID vocab.NodeID
+	// Address and Operators are the IP:port of the callers' and the
+	// operators' side.
+	Address   string
+	Operators string
+	callers   *http.Server
+	cancel    context.CancelFunc
+}
+
+// Start starts an installation. It serves until Close.
+func Start(o Options) (*Installation, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	in := &Installation{
+		Log:       standin.NewLog(),
+		Upstreams: map[vocab.VMID]*standin.Upstream{},
+		Keys:      map[vocab.TeamID]string{},
+		cancel:    cancel,
+	}
+	err := in.start(ctx, o)
+	if err != nil {
+		in.Close()
+		return nil, err
+	}
+	return in, nil
+}
+
+func (in *Installation) start(ctx context.Context, o Options) error {
+	rows, err := in.startUpstreams(&o.Fleet)
+	if err != nil {
+		return err
+	}
+	in.VMs = standin.NewVMs(rows)
+	address, err := in.serve(standin.PlatformHandler(in.Log, in.VMs), o.PlatformPort)
+	if err != nil {
+		return err
+	}
+	in.PlatformURL = "http://" + address
+	if !o.Unpublished {
+		if err := in.publish(ctx, o.Fleet); err != nil {
+			return err
+		}
+	}
+	for i := range o.Nodes {
+		if err := in.startEntry(ctx, o, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startUpstreams starts one upstream for each VM of each pool.
+func (in *Installation) startUpstreams(fleet *spec.Fleet) ([]platform.VM, error) {
+	var rows []platform.VM
+	for _, pool := range fleet.Pools {
+		for i := range pool.VMs {
+			row, err := in.startUpstream(fleet, pool, i)
+			if err != nil {
+				return nil, err
+			}
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+func (in *Installation) startUpstream(fleet *spec.Fleet, pool spec.Pool, i int) (platform.VM, error) {
+	name := vocab.VMID(fmt.Sprintf("%s-%d", pool.Name, i+1))
+	upstream := standin.NewUpstream(string(name))
+	address, err := in.serve(upstream, 0)
+	if err != nil {
+		return platform.VM{}, err
+	}
+	in.Upstreams[name] = upstream
+	zone := pool.Zones[i%len(pool.Zones)]
+	return platform.VM{
+		Name:        name,
+		Incarnation: 1,
+		Pool:        pool.Name,
+		Region:      regionOf(fleet, zone),
+		Zone:        zone,
+		Rack:        vocab.RackID(fmt.Sprintf("%s-rack-%d", zone, i/len(pool.Zones)/4+1)),
+		Address:     address,
+		Phase:       platform.VMLive,
+	}, nil
+}
+
+func regionOf(fleet *spec.Fleet, zone vocab.ZoneID) vocab.RegionID {
+	for _, r := range fleet.Regions {
+		for _, z := range r.Zones {
+			if z == zone {
+				return r.Name
+			}
+		}
+	}
+	return ""
+}
+
+// publish puts the configuration and one key for each team on the log.
+func (in *Installation) publish(ctx context.Context, fleet spec.Fleet) error {
+	bodies := []record.Body{record.ConfigPublished{Operator: "dev", Fleet: fleet}}
+	for _, t := range fleet.Teams {
+		key, _ := credential.Parse("sh_dev-" + string(t.Name) + "_" + rand.Text())
+		in.Keys[t.Name] = key.Text()
+		bodies = append(bodies, record.KeyGiven{Key: key.ID, Team: t.Name, SecretHash: key.Hash(), Operator: "dev"})
+	}
+	for _, body := range bodies {
+		envelope, err := record.Encode(vocab.RecordID(uuid.NewString()), body)
+		if err != nil {
+			return err
+		}
+		if _, err := in.Log.Append(ctx, shared.Stream, []record.Envelope{envelope}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (in *Installation) startEntry(ctx context.Context, o Options, i int) error {
+	id := vocab.NodeID(fmt.Sprintf("entry-%d", i+1))
+	zones := o.Fleet.Regions[0].Zones
+	zone := zones[i%len(zones)]
+	self := core.Identity{
+		Node:        id,
+		Incarnation: daemon.NewIncarnation(),
+		Zone:        zone,
+		Region:      o.Fleet.Regions[0].Name,
+	}
+	process := daemon.NewProcess(self, daemon.Platform{Log: in.PlatformURL, VMList: in.PlatformURL}, o.Events)
+	port := 0
+	if o.FirstPort > 0 {
+		port = o.FirstPort + i
+	}
+	address, err := in.serve(process.Callers, port)
+	if err != nil {
+		return err
+	}
+	callers := in.servers[len(in.servers)-1]
+	operators, err := in.serve(process.Operators, 0)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	go func() { _ = process.Node.Run(ctx) }()
+	in.Nodes = append(in.Nodes, &Entry{
+		ID:        id,
+		Process:   process,
+		Address:   address,
+		Operators: operators,
+		callers:   callers,
+		cancel:    cancel,
+	})
+	return nil
+}
+
+// StopNode stops an entry node gracefully.
+func (in *Installation) StopNode(ctx context.Context, i int) error {
+	e := in.Nodes[i]
+	defer e.cancel()
+	return e.Node.Stop(ctx, node.StopPlan{Drain: e.callers.Shutdown, LeaveWait: time.Second})
+}
+
+// serve starts an HTTP server on loopback and returns its address.
+func (in *Installation) serve(handler http.Handler, port int) (string, error) {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	if err != nil {
+		return "", errors.Wrap(err, "listening on loopback")
+	}
+	server := &http.Server{Handler: handler}
+	in.servers = append(in.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+// Close stops everything at once.
+func (in *Installation) Close() {
+	in.cancel()
+	for _, s := range in.servers {
+		_ = s.Close()
+	}
+	for _, e := range in.Nodes {
+		e.Forward.Close()
+	}
+}
