--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -4,10 +4,14 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/sardinehead/sardinehead/internal/core/task"
+	"github.com/sardinehead/sardinehead/internal/measure/capacity"
 	"github.com/sardinehead/sardinehead/internal/measure/shares"
+	"github.com/sardinehead/sardinehead/internal/measure/tasks"
 )
 
 // Measure runs the measures of the decisions, each with its baselines and
@@ -28,9 +32,33 @@
 func measures() []measure {
 	return []measure{
 		{name: "shares", run: func(seed uint64) string { return shares.Run(seed).String() }},
+		{name: "capacity", run: measureCapacity},
+		{name: "tasks", run: measureTasks},
 	}
 }
 
+func measureCapacity(seed uint64) string {
+	var reports []capacity.Report
+	for _, size := range capacity.Sizes() {
+		reports = append(reports, capacity.Run(seed, size))
+	}
+	return capacity.Table(reports)
+}
+
+// taskWorkers is the number of workers of either first user.
+const taskWorkers = 50
+
+func measureTasks(seed uint64) string {
+	return tasks.Run(seed, tasks.Options{
+		Workers:     taskWorkers,
+		Length:      10 * time.Minute,
+		AppendEvery: task.AppendEvery(taskNodes, 1),
+	}).String()
+}
+
+// taskNodes is the number of entry nodes that share the log's appends.
+const taskNodes = 8
+
 // Execute implements flags.Commander.
 func (m *Measure) Execute([]string) error {
 	known := measures()
