Keep slots above the node's target free while teams compete

Change: share.State.Most bounds what a node runs in a contended pool by its target; dispatch stops there. The model lends free slots only, as limit does.

--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -96,6 +96,12 @@
 	return len(q.entries)
 }
 
+// RunningAll returns the number of items of all teams that Next gave out and
+// that have not ended.
+func (q *Queue) RunningAll() int {
+	return q.rate.running
+}
+
 // Present returns the number of waiting and running items.
 func (q *Queue) Present() int {
 	return len(q.entries) + q.rate.running
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -13,7 +13,7 @@
 
 // dispatch starts as many attempts as tokens and VMs allow.
 func (s *State) dispatch(q *queue) {
-	for q.waiting.Len() > 0 {
+	for q.waiting.Len() > 0 && vocab.Slots(q.waiting.RunningAll()) < q.most {
 		s.fillCandidates(q)
 		at, ok := routing.Choose(q.candidates, s.self.Zone, q.turn)
 		if !ok {
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"math"
 	"slices"
 
 	"github.com/sardinehead/sardinehead/internal/core/admission"
@@ -95,6 +96,7 @@
 				turn:     uint64(s.self.Incarnation),
 				accounts: map[routing.Key]limit.Account{},
 				health:   routing.NewHealth(),
+				most:     math.MaxInt32,
 			}
 			s.queues[service.Queue] = q
 		}
--- a/internal/core/share/state.go
+++ b/internal/core/share/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -205,6 +206,21 @@
 	return p.parts
 }
 
+// Most returns the number of slots of a pool that this node uses at most. While
+// teams compete it is the node's target, so that slots above it stay free for
+// nodes below theirs; else it has no bound. A node that hears of no other node
+// has the whole pool as its target.
+func (s *State) Most(id vocab.PoolID) vocab.Slots {
+	if !s.Contended(id) {
+		return math.MaxInt32
+	}
+	target := 0.0
+	for _, part := range s.Parts(id) {
+		target += part.Target
+	}
+	return vocab.Slots(math.Ceil(max(target, s.NodeTarget(id))))
+}
+
 // Contended reports whether a team could use more of a pool than it gets.
 func (s *State) Contended(id vocab.PoolID) bool {
 	return slices.ContainsFunc(s.Parts(id), func(p Part) bool { return p.Level })
--- a/internal/core/shares.go
+++ b/internal/core/shares.go
@@ -110,6 +110,7 @@
 	if !s.shares.Contended(q.pool.Name) {
 		want = max(want, vocab.Slots(q.waiting.Present()))
 	}
+	q.most = s.shares.Most(q.pool.Name)
 	s.limits.SetDemand(limit.PoolAccount(q.pool.Name), want)
 	q.health.Prune(s.now)
 }
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -88,7 +88,10 @@
 	waiting *admission.Queue
 	budget  *retry.Budget
 	health  *routing.Health
-	turn    uint64
+	// most is the number of requests that this node runs at most, so that the
+	// slots above its target can be lent.
+	most vocab.Slots
+	turn uint64
 	// candidates and candidateVMs are scratch space of dispatch.
 	candidates   []routing.Candidate
 	candidateVMs []*observe.VM
--- a/internal/measure/shares/model.go
+++ b/internal/measure/shares/model.go
@@ -64,8 +64,6 @@
 	held, running int
 	// coming is the number of slots on their way to the node.
 	coming int
-	// promised lists the nodes that get the next slots that come free.
-	promised []*node
 	lost     bool
 }
 
@@ -214,7 +212,7 @@
 }
 
 func (m *model) serve(n *node) {
-	for n.running < n.held && !n.lost {
+	for n.running < min(n.held, n.decider.most()) && !n.lost {
 		it, ok := n.decider.next(m.now)
 		if !ok {
 			return
@@ -233,7 +231,6 @@
 	m.after(run, func() {
 		n.running--
 		m.record.ended(c)
-		m.deliver(n)
 		n.decider.ended(m.now, it.Team, started)
 		m.serve(n)
 	})
@@ -267,39 +264,24 @@
 	})
 }
 
-// lend lets nodes below their target ask nodes above it for slots. A slot that
-// is in use follows when its request ends.
+// lend lets nodes below their target ask the others, which lend half of their
+// free slots above their own target, rounded up.
 func (m *model) lend() {
-	for _, n := range m.nodes {
-		n.promised = n.promised[:0]
-	}
 	for _, from := range m.nodes {
 		for _, to := range m.nodes {
-			spare := from.held - len(from.promised) - from.decider.target()
-			need := to.decider.target() - to.held - to.coming
-			if from.lost || to.lost {
+			spare := from.held - max(from.running, from.decider.target())
+			n := min((spare+1)/2, to.decider.target()-to.held-to.coming)
+			if from.lost || to.lost || n <= 0 {
 				continue
 			}
-			for range min(spare, need) {
-				from.promised = append(from.promised, to)
-			}
+			from.held -= n
+			to.coming += n
+			m.after(lendDelay, func() {
+				to.coming -= n
+				to.held += n
+				m.serve(to)
+			})
 		}
-		m.deliver(from)
-	}
-}
-
-// deliver hands over promised slots that are free.
-func (m *model) deliver(from *node) {
-	for len(from.promised) > 0 && from.running < from.held {
-		to := from.promised[0]
-		from.promised = from.promised[1:]
-		from.held--
-		to.coming++
-		m.after(lendDelay, func() {
-			to.coming--
-			to.held++
-			m.serve(to)
-		})
 	}
 }
 
--- a/internal/measure/shares/policy.go
+++ b/internal/measure/shares/policy.go
@@ -33,6 +33,8 @@
 	hear(now vocab.Instant, f share.Fact)
 	// target is the number of slots that the node should hold.
 	target() int
+	// most is the number of slots that the node uses at most.
+	most() int
 }
 
 func newDecider(p Policy, node int, teams []teamLoad) decider {
@@ -89,6 +91,8 @@
 
 func (p *perNode) target() int { return poolSlots / nodes }
 
+func (p *perNode) most() int { return poolSlots }
+
 // fleet decides by the queue and by what the nodes report to each other.
 type fleet struct {
 	*perNode
@@ -130,6 +134,10 @@
 	return want
 }
 
+func (f *fleet) most() int {
+	return int(f.state.Most(pool))
+}
+
 // arrival serves in the order of arrival, whoever it is.
 type arrival struct {
 	waiting []admission.Item
@@ -176,3 +184,5 @@
 func (a *arrival) hear(vocab.Instant, share.Fact) {}
 
 func (a *arrival) target() int { return poolSlots / nodes }
+
+func (a *arrival) most() int { return poolSlots }
