--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -77,6 +77,15 @@
 			now := vocab.Instant(time.Second)
 			var attempts []vocab.AttemptID
 			events := 0
+			keys := make([]vocab.KeyID, size.teams)
+			for i := range keys {
+				keys[i] = vocab.KeyID(teamName(i))
+			}
+			queues := make([]vocab.QueueID, size.pools)
+			for i := range queues {
+				queues[i] = vocab.QueueID(fmt.Sprintf("pool-%d", i))
+			}
+			hash := []byte("h")
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
@@ -84,10 +93,9 @@
 				if i%5000 == 0 {
 					s.Step(now, core.Tick{})
 				}
-				team := teamName(i % size.teams)
 				effects := s.Step(now, core.RequestArrived{
-					Request: vocab.RequestID(i + 1), Queue: vocab.QueueID(fmt.Sprintf("pool-%d", i%size.pools)),
-					Key: vocab.KeyID(team), SecretHash: []byte("h"), Method: "GET", Path: "/x", Replayable: true,
+					Request: vocab.RequestID(i + 1), Queue: queues[i%size.pools],
+					Key: keys[i%size.teams], SecretHash: hash, Method: "GET", Path: "/x", Replayable: true,
 				})
 				events++
 				for _, e := range effects {
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -13,10 +13,12 @@
 
 // dispatch starts as many attempts as tokens and VMs allow.
 func (s *State) dispatch(q *queue) {
+	q.blocked = false
 	for q.waiting.Len() > 0 && vocab.Slots(q.waiting.RunningAll()) < q.most {
 		s.fillCandidates(q)
-		at, ok := routing.Choose(q.candidates, s.self.Zone, q.turn)
+		at, ok := routing.Choose(q.candidates, s.self.Zone, 0)
 		if !ok {
+			q.blocked = true
 			return
 		}
 		item, ok := q.waiting.Next(s.now, s.teamHasToken)
@@ -24,34 +26,90 @@
 			return
 		}
 		q.turn++
-		s.start(s.requests[item.Request], q.candidateVMs[at])
+		s.start(s.requests[item.Request], q.chosen[at])
 	}
 }
 
-// mostAccounts bounds the account names kept for one queue.
-const mostAccounts = 1024
+// dispatchNew is dispatch after an arrival: if no VM had a free slot for those
+// that wait, none has one for a newcomer either.
+func (s *State) dispatchNew(q *queue) {
+	if !q.blocked {
+		s.dispatch(q)
+	}
+}
+
+// The number of VMs with a free slot that one choice compares, of the node's
+// own zone and of others.
+const (
+	nearSample = 4
+	farSample  = 4
+)
+
+// server is a ready VM of a queue's pool with the names under which it is known
+// elsewhere.
+type server struct {
+	vm      *observe.VM
+	account limit.Account
+	health  routing.Key
+}
 
-// fillCandidates lists the ready VMs of the queue's pool.
+// fillCandidates lists some VMs with free slots, beginning at another place
+// each time, so that all of a large pool are used alike.
 func (s *State) fillCandidates(q *queue) {
+	s.refreshServers(q)
 	q.candidates = q.candidates[:0]
-	q.candidateVMs = s.vms.Ready(q.service.Pool)
-	if len(q.accounts) > mostAccounts {
-		clear(q.accounts)
+	q.chosen = q.chosen[:0]
+	s.sample(q, q.near, nearSample)
+	s.sample(q, q.far, farSample)
+}
+
+// refreshServers lists the pool's ready VMs anew if any VM has changed.
+func (s *State) refreshServers(q *queue) {
+	ready := s.vms.Ready(q.service.Pool)
+	if q.generation == s.vms.Generation() && q.listed == q.service.Pool {
+		return
+	}
+	q.generation = s.vms.Generation()
+	q.listed = q.service.Pool
+	q.near, q.far = q.near[:0], q.far[:0]
+	for _, vm := range ready {
+		sv := server{vm: vm, account: vmAccount(vm), health: healthKey(vm)}
+		if vm.Zone == s.self.Zone {
+			q.near = append(q.near, sv)
+		} else {
+			q.far = append(q.far, sv)
+		}
 	}
-	for _, vm := range q.candidateVMs {
-		standing := q.health.Standing(s.now, healthKey(vm))
-		free := s.limits.Free(s.now, q.account(vm))
+}
+
+// sample adds servers with a free slot to the candidates until enough of them
+// are in favour.
+func (s *State) sample(q *queue, servers []server, enough int) {
+	for i := range servers {
+		sv := &servers[(q.turn+uint64(i))%uint64(len(servers))]
+		free := s.limits.Free(s.now, sv.account)
+		standing := q.health.Standing(s.now, sv.health)
 		if standing.Bounded {
 			free = min(free, standing.Room)
 		}
+		if free <= 0 {
+			continue
+		}
+		q.chosen = append(q.chosen, sv)
 		q.candidates = append(q.candidates, routing.Candidate{
-			VM:      vm.Name,
-			Zone:    vm.Zone,
+			VM:      sv.vm.Name,
+			Zone:    sv.vm.Zone,
 			Free:    free,
 			Load:    standing.Running,
 			Slots:   q.pool.Slots,
 			Avoided: standing.Avoided,
 		})
+		if !standing.Avoided {
+			enough--
+		}
+		if enough == 0 {
+			return
+		}
 	}
 }
 
@@ -59,23 +117,13 @@
 	return routing.Key{VM: vm.Name, Incarnation: vm.Incarnation}
 }
 
-// account returns vmAccount without building its name each time.
-func (q *queue) account(vm *observe.VM) limit.Account {
-	key := healthKey(vm)
-	a, ok := q.accounts[key]
-	if !ok {
-		a = vmAccount(vm)
-		q.accounts[key] = a
-	}
-	return a
-}
-
 func (s *State) teamHasToken(team vocab.TeamID) bool {
 	return team == "" || s.limits.Free(s.now, limit.TeamAccount(team)) > 0
 }
 
 // start takes the tokens of an attempt and sends it.
-func (s *State) start(r *request, vm *observe.VM) {
+func (s *State) start(r *request, sv *server) {
+	vm := sv.vm
 	s.lastAttempt++
 	a := &attempt{
 		id:          s.lastAttempt,
@@ -83,12 +131,12 @@
 		incarnation: vm.Incarnation,
 		started:     s.now,
 	}
-	a.tokens = s.takeTokens(r, vm)
+	a.tokens = s.takeTokens(r, sv)
 	r.running = a
 	r.attempts++
 	s.attempts[a.id] = r
 	s.running[vm.Name]++
-	r.queue.health.Started(s.now, healthKey(vm))
+	r.queue.health.Started(s.now, sv.health)
 	s.emit(Dispatch{
 		Request:   r.id,
 		Attempt:   a.id,
@@ -109,9 +157,9 @@
 	return max(0, spare/max(1, len(s.Shared().Members)))
 }
 
-func (s *State) takeTokens(r *request, vm *observe.VM) []limit.Token {
+func (s *State) takeTokens(r *request, sv *server) []limit.Token {
 	var tokens []limit.Token
-	if t, ok := s.limits.Take(s.now, vmAccount(vm)); ok {
+	if t, ok := s.limits.Take(s.now, sv.account); ok {
 		tokens = append(tokens, t)
 	}
 	if r.team == "" {
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/sardinehead/sardinehead/internal/core/admission"
-	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/core/retry"
 	"github.com/sardinehead/sardinehead/internal/core/routing"
@@ -90,13 +89,12 @@
 		q, ok := s.queues[service.Queue]
 		if !ok {
 			q = &queue{
-				id:       service.Queue,
-				waiting:  admission.New(admission.Bounds{}),
-				budget:   retry.NewBudget(),
-				turn:     uint64(s.self.Incarnation),
-				accounts: map[routing.Key]limit.Account{},
-				health:   routing.NewHealth(),
-				most:     math.MaxInt32,
+				id:      service.Queue,
+				waiting: admission.New(admission.Bounds{}),
+				budget:  retry.NewBudget(),
+				turn:    uint64(s.self.Incarnation),
+				health:  routing.NewHealth(),
+				most:    math.MaxInt32,
 			}
 			s.queues[service.Queue] = q
 		}
--- a/internal/core/observe/state.go
+++ b/internal/core/observe/state.go
@@ -23,6 +23,8 @@
 	names   []vocab.VMID // sorted
 	ready   map[vocab.PoolID][]*VM
 	stale   bool // ready must be built again
+	// generation grows each time ready is built.
+	generation uint64
 }
 
 // New returns a State that knows no VM.
@@ -173,6 +175,12 @@
 	return s.ready[pool]
 }
 
+// Generation returns a number that grows whenever a result of Ready changes. It
+// holds for the results returned since the last change.
+func (s *State) Generation() uint64 {
+	return s.generation
+}
+
 func (s *State) index() {
 	s.ready = map[vocab.PoolID][]*VM{}
 	for _, name := range s.names {
@@ -182,6 +190,7 @@
 		}
 	}
 	s.stale = false
+	s.generation++
 }
 
 func (s *State) advance(now vocab.Instant) {
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -67,7 +67,7 @@
 	}
 	r.queue.budget.Earn()
 	s.requests[r.id] = r
-	s.dispatch(r.queue)
+	s.dispatchNew(r.queue)
 }
 
 // admit checks whether the request may be taken at all.
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -92,10 +92,16 @@
 	// slots above its target can be lent.
 	most vocab.Slots
 	turn uint64
-	// candidates and candidateVMs are scratch space of dispatch.
-	candidates   []routing.Candidate
-	candidateVMs []*observe.VM
-	accounts     map[routing.Key]limit.Account
+	// blocked is set while no VM has a free slot for what waits.
+	blocked bool
+	// near and far are the pool's ready VMs in the node's own zone and in
+	// others, as of a generation of the observed VMs.
+	near, far  []server
+	generation uint64
+	listed     vocab.PoolID
+	// candidates and chosen are scratch space of dispatch.
+	candidates []routing.Candidate
+	chosen     []*server
 }
 
 // New returns the state of a process that has just started.
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -48,6 +48,8 @@
 	VMs       *standin.VMs
 	Upstreams map[vocab.VMID]*standin.Upstream
 	Nodes     []*Entry
+	// Rows are the VMs as first listed.
+	Rows []platform.VM
 	// PlatformURL is the base address of the platform's stand-in.
 	PlatformURL string
 	// Keys holds one key for each team, ready for an Authorization header.
@@ -95,6 +97,7 @@
 	if err != nil {
 		return err
 	}
+	in.Rows = rows
 	in.VMs = standin.NewVMs(rows)
 	address, err := in.serve(standin.PlatformHandler(in.Log, in.VMs), o.PlatformPort)
 	if err != nil {
