--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -274,6 +274,21 @@
 	f.refresh(i)
 }
 
+// Resize changes the room that is reserved for an attempt.
+func (f *Fleet) Resize(name vocab.VMID, task vocab.TaskID, need Size) {
+	i, k := f.find(name, task)
+	if k < 0 {
+		return
+	}
+	n := f.nodes[i]
+	r := &n.runs[k]
+	n.held = sub(n.held, r.holds())
+	f.byTeam[r.Team] = add(sub(f.byTeam[r.Team], r.Need), need)
+	r.Need = need
+	n.held = add(n.held, r.holds())
+	f.refresh(i)
+}
+
 // Worker returns what is known of a listed worker.
 func (f *Fleet) Worker(name vocab.VMID) (worker.Info, bool) {
 	i, ok := f.index[name]
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -150,6 +150,33 @@
 	}
 }
 
+// TestLargeTaskIsNotStarved: a task that needs a whole worker gets one although
+// small tasks keep arriving.
+func TestLargeTaskIsNotStarved(t *testing.T) {
+	in := testInput(testFleet(2), 1<<20)
+	var held *Preemption
+	for i := range 600 {
+		in.Now = in.Now.Add(time.Second)
+		small := Item{Task: vocab.TaskID(fmt.Sprint("small", i)), Accepted: vocab.Offset(i), Since: in.Now}
+		small.Class = Class{Team: "team0", Declared: Size{MilliCPU: 8000, MemoryBytes: gib}}
+		in.Waiting.Add(small)
+		if i == 10 {
+			in.Waiting.Add(Item{Task: "large", Since: in.Now, Class: Class{Team: "team1", Declared: Size{MilliCPU: 32000, MemoryBytes: gib}}})
+		}
+		for _, p := range Plan(in).Preemptions {
+			held = &p
+		}
+		if held != nil && in.Fleet.HasRoom(held.Worker) {
+			return
+		}
+		// Each small task runs for seven seconds.
+		for _, n := range in.Fleet.nodes {
+			in.Fleet.Release(n.info.Worker, vocab.TaskID(fmt.Sprint("small", i-7)))
+		}
+	}
+	t.Error("the large task found no room in 600 s")
+}
+
 // TestFailingWorkerIsSetAsideAndReturns: only the worker that fails more than
 // the others is set aside; two probes that succeed bring it back.
 func TestFailingWorkerIsSetAsideAndReturns(t *testing.T) {
--- a/internal/core/placement/plan.go
+++ b/internal/core/placement/plan.go
@@ -30,6 +30,9 @@
 	Weight func(vocab.TeamID) int
 	// Limit is the most bindings and parkings of the pass.
 	Limit int
+	// Drains is the number of workers on which room is being held already for
+	// tasks that waited long.
+	Drains int
 }
 
 // Output is what one pass decided.
@@ -85,7 +88,7 @@
 // with the least use for its share first.
 func Plan(in Input) Output {
 	p := &planner{Input: in, probes: true}
-	in.Learner.MemoryBytes = in.Fleet.typicalMemory()
+	in.Learner.MemoryBytes = in.Fleet.typical().MemoryBytes
 	p.lane(true)
 	p.preempt()
 	p.lane(false)
@@ -165,6 +168,9 @@
 	if q.Urgent {
 		p.short = append(p.short, shortage{entry: head, class: q, need: need})
 	}
+	if !q.Urgent && p.drain(q, head, need) {
+		return true
+	}
 	heap.Pop(&t.classes)
 	t.misses++
 	return false
@@ -235,9 +241,14 @@
 	return all
 }
 
-// typicalMemory returns the mean memory of a listed worker.
-func (f *Fleet) typicalMemory() int64 {
-	return f.total.MemoryBytes / int64(max(1, len(f.nodes)))
+// typical returns the mean capacity of a listed worker.
+func (f *Fleet) typical() Size {
+	count := int64(max(1, len(f.nodes)))
+	return Size{
+		MilliCPU:     f.total.MilliCPU / count,
+		MemoryBytes:  f.total.MemoryBytes / count,
+		Accelerators: f.total.Accelerators / count,
+	}
 }
 
 // Fits reports whether some listed worker could run the size if it were empty.
--- a/internal/core/placement/preempt.go
+++ b/internal/core/placement/preempt.go
@@ -41,7 +41,7 @@
 
 // Preemption holds room on a worker for an urgent task. The slot is taken and
 // the room reserved, and the task left Waiting; it may start when the victims
-// have given theirs.
+// have given theirs, or without victims when the worker has room.
 type Preemption struct {
 	Task    vocab.TaskID
 	Worker  vocab.VMID
--- a/internal/core/placement/waiting.go
+++ b/internal/core/placement/waiting.go
@@ -12,6 +12,8 @@
 type Item struct {
 	Task     vocab.TaskID
 	Accepted vocab.Offset
+	// Since is when the task began to wait, as this owner saw it.
+	Since vocab.Instant
 	// Avoid lists workers on which the task failed.
 	Avoid []vocab.VMID
 	Class
@@ -67,6 +69,7 @@
 	task     vocab.TaskID
 	accepted vocab.Offset
 	sequence uint64
+	since    vocab.Instant
 	avoid    []vocab.VMID
 }
 
@@ -98,7 +101,7 @@
 		w.lane(laneKey{team: it.Team, urgent: it.Urgent}).add(q)
 	}
 	w.entries[it.Task] = w.sequence
-	e := entry{task: it.Task, accepted: it.Accepted, sequence: w.sequence, avoid: it.Avoid}
+	e := entry{task: it.Task, accepted: it.Accepted, sequence: w.sequence, since: it.Since, avoid: it.Avoid}
 	last := len(q.entries) - 1
 	if last < 0 || q.entries[last].accepted <= e.accepted {
 		q.entries = append(q.entries, e)
--- a/internal/core/task/controller.go
+++ b/internal/core/task/controller.go
@@ -192,6 +192,11 @@
 }
 
 func (c *Controller) noteEnd(t *Task, failed bool) {
+	info, listed := c.fleet.Worker(t.Worker)
+	if !listed || info.Incarnation != t.Incarnation {
+		// A replaced worker is not judged by what came before.
+		return
+	}
 	if c.fleet.NoteAttempt(c.now, t.Worker, t.Queue, failed) {
 		reason, _ := c.fleet.Aside(t.Worker)
 		c.emit(SetAside{Worker: t.Worker, Reason: reason})
--- a/internal/core/task/place.go
+++ b/internal/core/task/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core/placement"
 	"github.com/sardinehead/sardinehead/internal/record"
@@ -12,7 +13,7 @@
 // task is not tried again by itself.
 const reasonPoison = "failed on several workers"
 
-// nomination is an urgent task for which room is being made on a worker.
+// nomination is a task for which room is being made on a worker.
 type nomination struct {
 	worker  vocab.VMID
 	since   vocab.Instant
@@ -42,6 +43,7 @@
 		Account: c.set.Account,
 		Weight:  c.set.Weight,
 		Limit:   room,
+		Drains:  c.drains(),
 	})
 	c.carryOut(out)
 }
@@ -177,7 +179,7 @@
 		case c.roomMade(n):
 			c.removeNominee(id)
 			c.intend(placement.Binding{Task: id, Worker: n.worker, Need: n.need})
-		case age > preemptLimit:
+		case age > n.limit():
 			c.dropNomination(id)
 			if t, ok := c.loader.ledger.Task(id); ok {
 				c.sync(t)
@@ -189,8 +191,30 @@
 	}
 }
 
+// limit returns the time after which the task is placed anew.
+func (n *nomination) limit() time.Duration {
+	if len(n.victims) == 0 {
+		return drainLimit
+	}
+	return preemptLimit
+}
+
+// drains returns the number of workers that make room by letting attempts end.
+func (c *Controller) drains() int {
+	count := 0
+	for _, n := range c.held.nominated {
+		if len(n.victims) == 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // roomMade reports whether no victim holds its room any more.
 func (c *Controller) roomMade(n *nomination) bool {
+	if len(n.victims) == 0 {
+		return c.fleet.HasRoom(n.worker)
+	}
 	for _, v := range n.victims {
 		r := c.held.runs[v.Task]
 		_, planned := c.held.bound[v.Task]
--- a/internal/core/task/reports.go
+++ b/internal/core/task/reports.go
@@ -11,6 +11,10 @@
 // capacity of its worker.
 const peakTolerance = 2
 
+// resizeObservations is the number of observations of a queue from which on the
+// room of its running attempts is corrected.
+const resizeObservations = 8
+
 // report applies what a worker says of an attempt.
 func (c *Controller) report(r *run, rep *worker.AttemptReport, kind worker.Kind) {
 	if !c.plausible(r, rep) {
@@ -19,6 +23,9 @@
 	}
 	switch rep.Phase {
 	case worker.Running:
+		if kind == worker.Renew {
+			c.resize(r, rep)
+		}
 		c.reportRunning(r, kind)
 	case worker.NeverSeen:
 		c.reportNeverSeen(r, kind)
@@ -49,6 +56,20 @@
 	}
 }
 
+// resize corrects the room reserved for an attempt, which was started before
+// its queue was known as it is now, by what was learned and what it uses.
+func (c *Controller) resize(r *run, rep *worker.AttemptReport) {
+	t := r.task
+	e := c.learner.Estimate(t.Queue, t.Size, t.RunTime.D(), t.OutOfMemory)
+	if e.Observations < resizeObservations {
+		return
+	}
+	need := e.Size
+	need.MemoryBytes = max(need.MemoryBytes, rep.Peak.MemoryBytes)
+	c.fleet.Resize(r.at.worker, r.ref.Task, need)
+	c.held.changed = true
+}
+
 // reportNeverSeen handles an attempt of which the worker knows nothing. Only
 // the answers to Ask and Stop bind the worker never to start it.
 func (c *Controller) reportNeverSeen(r *run, kind worker.Kind) {
--- a/internal/core/task/run.go
+++ b/internal/core/task/run.go
@@ -121,14 +121,15 @@
 		c.addOwned(record.TaskParked{Epoch: h.epoch, Task: t.Task, Seen: t.Changed, Reason: reasonPoison})
 		return
 	}
-	h.waiting.Add(itemOf(t))
+	h.waiting.Add(itemOf(c.now, t))
 	h.changed = true
 }
 
-func itemOf(t *Task) placement.Item {
+func itemOf(now vocab.Instant, t *Task) placement.Item {
 	return placement.Item{
 		Task:     t.Task,
 		Accepted: t.Accepted,
+		Since:    now,
 		Avoid:    t.FailedOn,
 		Class: placement.Class{
 			Queue:       t.Queue,
--- a/internal/core/task/settings.go
+++ b/internal/core/task/settings.go
@@ -55,6 +55,8 @@
 	// urgent task is placed anew.
 	preemptPatience = 2 * time.Second
 	preemptLimit    = 4 * time.Second
+	// drainLimit is the time for which a worker holds room for one task.
+	drainLimit = 10 * time.Minute
 	// unparkEvery is the time between two checks of parked tasks.
 	unparkEvery = 30 * time.Second
 	// placeEvery is the time between two passes of placement without a change.
--- a/internal/measure/tasks/trial.go
+++ b/internal/measure/tasks/trial.go
@@ -237,6 +237,11 @@
 			t.log = append(t.log, record.Sequenced{Offset: vocab.Offset(len(t.log) + 1), Envelope: e})
 		}
 		t.inbox = append(t.inbox, task.AppendAnswered{Batch: f.Batch, Code: task.Appended})
+	case task.SetAside:
+		t.result.SetAside++
+		if t.byName[f.Worker].Faults == (workers.Faults{}) {
+			t.result.Wrongly++
+		}
 	case task.OrderWorker:
 		answer, ok := t.byName[f.To.Worker].Order(t.now, f.To)
 		if !ok {
--- /dev/null
+++ b/internal/platform/workers_client.go
@@ -0,0 +1,72 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+	"github.com/sardinehead/sardinehead/internal/worker"
+)
+
+// PathWorkers is the list of workers; followed by "/NAME/order" it takes
+// orders, and by "/NAME/usage" it gives a worker's reports.
+const PathWorkers = "/v1/workers"
+
+// WorkersClient calls the workers service over HTTP. It implements Workers.
+type WorkersClient struct {
+	caller caller
+}
+
+// NewWorkersClient returns a client of the service at base.
+func NewWorkersClient(base string) *WorkersClient {
+	return &WorkersClient{caller: newCaller(base)}
+}
+
+// List implements Workers.
+func (c *WorkersClient) List(ctx context.Context, since uint64, wait time.Duration) (WorkerListing, error) {
+	query := url.Values{}
+	query.Set("since", strconv.FormatUint(since, 10))
+	query.Set("wait", wait.String())
+	var listing WorkerListing
+	err := c.caller.call(ctx, http.MethodGet, PathWorkers+"?"+query.Encode(), nil, &listing, wait)
+	return listing, err
+}
+
+// Order implements Workers.
+func (c *WorkersClient) Order(ctx context.Context, order worker.Order) (worker.Answer, error) {
+	var answer worker.Answer
+	err := c.caller.call(ctx, http.MethodPost, workerPath(order.Worker, "order"), order, &answer, 0)
+	return answer, err
+}
+
+// Usage implements Workers.
+func (c *WorkersClient) Usage(ctx context.Context, name vocab.VMID, after uint64, wait time.Duration) (worker.Usage, error) {
+	query := url.Values{}
+	query.Set("after", strconv.FormatUint(after, 10))
+	query.Set("wait", wait.String())
+	var usage worker.Usage
+	err := c.caller.call(ctx, http.MethodGet, workerPath(name, "usage")+"?"+query.Encode(), nil, &usage, wait)
+	return usage, err
+}
+
+func workerPath(name vocab.VMID, verb string) string {
+	return PathWorkers + "/" + url.PathEscape(string(name)) + "/" + verb
+}
+
+// AnswerOf turns the result of Workers.Order into an answer: an order of which
+// it is not known whether it took effect has the code worker.NoAnswer.
+func AnswerOf(answer worker.Answer, err error) worker.Answer {
+	switch {
+	case err == nil:
+		return answer
+	case errors.Is(err, ErrRejected):
+		return worker.Answer{Code: worker.NotSent}
+	default:
+		return worker.Answer{Code: worker.NoAnswer}
+	}
+}
--- a/internal/standin/workers/worker.go
+++ b/internal/standin/workers/worker.go
@@ -32,7 +32,7 @@
 type Faults struct {
 	// FailAll makes each attempt fail soon after its start.
 	FailAll bool
-	// HangAll makes no attempt end.
+	// HangAll makes no attempt get on or end.
 	HangAll bool
 	// Nonsense makes reports carry impossible figures.
 	Nonsense bool
@@ -180,10 +180,11 @@
 	}
 }
 
+// hasRoom compares a new attempt with what the others really use.
 func (w *Worker) hasRoom(size record.TaskSize) bool {
 	memory, accelerators := size.MemoryBytes, size.Accelerators
 	for _, a := range w.running() {
-		memory += a.job.Size.MemoryBytes
+		memory += a.actual.Use.MemoryBytes
 		accelerators += a.job.Size.Accelerators
 	}
 	return memory <= w.Info.Capacity.MemoryBytes && accelerators <= w.Info.Capacity.Accelerators
@@ -331,6 +332,9 @@
 
 func (w *Worker) progress(a *attempt, step time.Duration, rate float64) {
 	part := rate * float64(a.percent) / 100
+	if w.Faults.HangAll {
+		part = 0
+	}
 	a.done += time.Duration(float64(step) * part)
 	w.busy += step.Seconds() * part * float64(a.actual.Use.MilliCPU)
 	switch {
