Judge workers by the chance of their failures

Change: failures of a worker are compared with the chance of as many, given the rates of the others on the same queues; failures and hangs are counted apart.

--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -69,7 +69,7 @@
 	spread map[vocab.QueueID]map[domain]int
 	// throttled is the number of runs with less than their full processor time.
 	throttled int
-	queues    map[vocab.QueueID]*failureCount
+	queues    map[vocab.QueueID]*failures
 	aside     int
 	cursor    int
 	// HealthOff keeps failing workers in use.
@@ -82,7 +82,7 @@
 		index:  map[vocab.VMID]int{},
 		byTeam: map[vocab.TeamID]Size{},
 		spread: map[vocab.QueueID]map[domain]int{},
-		queues: map[vocab.QueueID]*failureCount{},
+		queues: map[vocab.QueueID]*failures{},
 	}
 }
 
--- a/internal/core/placement/health.go
+++ b/internal/core/placement/health.go
@@ -10,11 +10,10 @@
 const (
 	// minFailures is the least number of failures to set a worker aside.
 	minFailures = 3
-	// excessDeviations is the number of standard deviations by which a worker's
-	// failures must exceed those of other workers on the same queues.
-	excessDeviations = 3
-	// varianceFloor keeps a handful of attempts from looking certain.
-	varianceFloor = 0.5
+	// chanceOfFailures is how unlikely a worker's failures must be, were it like
+	// the other workers on the same queues. It is small because some thousand
+	// workers are compared all day.
+	chanceOfFailures = 3e-5
 	// failureHalfLife is the time after which a failure counts half.
 	failureHalfLife = 10 * time.Minute
 	// maxNonsense is the number of contradictory reports that a worker may make.
@@ -56,6 +55,29 @@
 	}
 }
 
+// Verdict is how an attempt ended, as far as its worker is to be judged by it.
+type Verdict int
+
+const (
+	// VerdictGood: the worker did its part.
+	VerdictGood Verdict = iota - 1
+	// VerdictFailed: the attempt failed.
+	VerdictFailed
+	// VerdictHung: the attempt did not end, or its worker fell silent.
+	VerdictHung
+	// badVerdicts is the number of ways to fail, which are counted apart.
+	badVerdicts = iota - 1
+)
+
+// failures counts the attempts of a queue, for each way to fail.
+type failures [badVerdicts]failureCount
+
+func (c *failures) note(now vocab.Instant, v Verdict) {
+	for kind := range c {
+		c[kind].note(now, Verdict(kind) == v)
+	}
+}
+
 type workerHealth struct {
 	queues   []queueFailures
 	nonsense int
@@ -69,39 +91,39 @@
 
 type queueFailures struct {
 	queue vocab.QueueID
-	failureCount
+	failures
 }
 
-func (h *workerHealth) of(queue vocab.QueueID) *failureCount {
+func (h *workerHealth) of(queue vocab.QueueID) *failures {
 	for i := range h.queues {
 		if h.queues[i].queue == queue {
-			return &h.queues[i].failureCount
+			return &h.queues[i].failures
 		}
 	}
 	h.queues = append(h.queues, queueFailures{queue: queue})
-	return &h.queues[len(h.queues)-1].failureCount
+	return &h.queues[len(h.queues)-1].failures
 }
 
 // NoteAttempt takes the end of an attempt. It reports whether the worker was
 // set aside by it.
-func (f *Fleet) NoteAttempt(now vocab.Instant, name vocab.VMID, queue vocab.QueueID, failed bool) bool {
+func (f *Fleet) NoteAttempt(now vocab.Instant, name vocab.VMID, queue vocab.QueueID, v Verdict) bool {
 	i, ok := f.index[name]
 	if !ok {
 		return false
 	}
 	q, ok := f.queues[queue]
 	if !ok {
-		q = &failureCount{at: now}
+		q = &failures{}
 		f.queues[queue] = q
 	}
-	q.note(now, failed)
+	q.note(now, v)
 	h := &f.nodes[i].health
-	h.of(queue).note(now, failed)
+	h.of(queue).note(now, v)
 	if h.aside {
-		f.noteProbe(now, i, failed)
+		f.noteProbe(now, i, v != VerdictGood)
 		return false
 	}
-	if !failed || !f.failsMore(now, h) {
+	if v == VerdictGood || !f.failsMore(now, h, v) {
 		return false
 	}
 	return f.setAside(now, i, "fails more than other workers on the same queues")
@@ -121,25 +143,47 @@
 	return f.setAside(now, i, "reports contradict its orders")
 }
 
-// failsMore compares a worker with all others, queue by queue.
-func (f *Fleet) failsMore(now vocab.Instant, h *workerHealth) bool {
-	failures, expected, variance := 0.0, 0.0, varianceFloor
+// failsMore compares a worker with all others, queue by queue, in one way to
+// fail.
+func (f *Fleet) failsMore(now vocab.Instant, h *workerHealth, v Verdict) bool {
+	failed := 0.0
+	groups := make([]trials, 0, len(h.queues))
 	for i := range h.queues {
-		own := &h.queues[i]
+		own := &h.queues[i].failures[v]
 		own.decay(now)
-		all := f.queues[own.queue]
+		all := &f.queues[h.queues[i].queue][v]
 		all.decay(now)
 		others := max(0, all.attempts-own.attempts)
 		rate := (max(0, all.failures-own.failures) + 1) / (others + 2)
-		failures += own.failures
-		expected += own.attempts * rate
-		variance += own.attempts * rate * (1 - rate)
+		failed += own.failures
+		groups = append(groups, trials{count: own.attempts, rate: rate})
 	}
 	// A decayed count is slightly below the whole number.
-	if failures < minFailures-0.5 {
+	if failed < minFailures-0.5 {
 		return false
 	}
-	return failures-expected > excessDeviations*math.Sqrt(variance)
+	return chanceOfMore(failed, groups) < chanceOfFailures
+}
+
+// trials is a number of attempts with an equal chance to fail.
+type trials struct {
+	count, rate float64
+}
+
+// chanceOfMore returns an upper bound of the chance of at least so many
+// failures among independent trials (Chernoff bound).
+func chanceOfMore(failed float64, groups []trials) float64 {
+	const steps, stepSize = 60, 0.15
+	least := 0.0
+	for step := 1; step <= steps; step++ {
+		t := stepSize * float64(step)
+		exponent := -t * failed
+		for _, g := range groups {
+			exponent += g.count * math.Log1p(g.rate*(math.Exp(t)-1))
+		}
+		least = min(least, exponent)
+	}
+	return math.Exp(least)
 }
 
 func (f *Fleet) setAside(now vocab.Instant, i int, reason string) bool {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -186,8 +186,12 @@
 		for i, n := range f.nodes {
 			now = now.Add(time.Second)
 			// One queue fails everywhere, the other only on the first worker.
-			f.NoteAttempt(now, n.info.Worker, "poison", true)
-			f.NoteAttempt(now, n.info.Worker, "good", i == 0 || round == i)
+			f.NoteAttempt(now, n.info.Worker, "poison", VerdictFailed)
+			verdict := VerdictGood
+			if i == 0 || round == i {
+				verdict = VerdictFailed
+			}
+			f.NoteAttempt(now, n.info.Worker, "good", verdict)
 		}
 	}
 	for i, n := range f.nodes {
@@ -200,7 +204,7 @@
 		if i, ok := f.probe(now); !ok || i != 0 {
 			t.Fatal("no probe of the worker set aside")
 		}
-		f.NoteAttempt(now, f.nodes[0].info.Worker, "good", false)
+		f.NoteAttempt(now, f.nodes[0].info.Worker, "good", VerdictGood)
 	}
 	if _, aside := f.Aside(f.nodes[0].info.Worker); aside {
 		t.Error("still aside after its probes succeeded")
--- a/internal/core/task/controller.go
+++ b/internal/core/task/controller.go
@@ -182,22 +182,31 @@
 		if b.RunTime > 0 && b.Result == record.TaskSucceeded {
 			c.learner.Observe(t.Queue, t.Size, b.Peak, t.RunTime.D(), b.RunTime.D())
 		}
-		c.noteEnd(t, b.Result == record.TaskFailed)
+		verdict := placement.VerdictGood
+		switch {
+		case b.Hung:
+			verdict = placement.VerdictHung
+		case b.Result == record.TaskFailed:
+			verdict = placement.VerdictFailed
+		}
+		c.noteEnd(t, verdict)
 	case record.TaskAttemptLost:
 		switch b.Reason {
-		case record.LossFailed, record.LossHung, record.LossLapsed:
-			c.noteEnd(t, true)
+		case record.LossFailed:
+			c.noteEnd(t, placement.VerdictFailed)
+		case record.LossHung, record.LossLapsed:
+			c.noteEnd(t, placement.VerdictHung)
 		}
 	}
 }
 
-func (c *Controller) noteEnd(t *Task, failed bool) {
+func (c *Controller) noteEnd(t *Task, v placement.Verdict) {
 	info, listed := c.fleet.Worker(t.Worker)
 	if !listed || info.Incarnation != t.Incarnation {
 		// A replaced worker is not judged by what came before.
 		return
 	}
-	if c.fleet.NoteAttempt(c.now, t.Worker, t.Queue, failed) {
+	if c.fleet.NoteAttempt(c.now, t.Worker, t.Queue, v) {
 		reason, _ := c.fleet.Aside(t.Worker)
 		c.emit(SetAside{Worker: t.Worker, Reason: reason})
 	}
--- a/internal/core/task/reports.go
+++ b/internal/core/task/reports.go
@@ -44,6 +44,9 @@
 }
 
 func (c *Controller) reportRunning(r *run, kind worker.Kind) {
+	if r.hangLimit == 0 || kind == worker.Renew {
+		r.hangLimit = c.hangLimit(r.task)
+	}
 	if r.phase != running {
 		r.phase = running
 		r.at.nextRenew = vocab.Earliest(r.at.nextRenew, c.now.Add(renewEvery/2))
@@ -117,6 +120,7 @@
 		Output:  rep.Output,
 		Peak:    rep.Peak,
 		RunTime: spec.Duration(rep.RunTime),
+		Hung:    r.wish == wishHung && rep.Phase == worker.Stopped,
 	})
 }
 
--- a/internal/core/task/run.go
+++ b/internal/core/task/run.go
@@ -48,7 +48,9 @@
 	// contact is the latest instant at which the worker may have begun a lease.
 	contact vocab.Instant
 	// began is when the attempt was first known to run.
-	began       vocab.Instant
+	began vocab.Instant
+	// hangLimit is the run time after which the attempt counts as hung.
+	hangLimit   time.Duration
 	askingSince vocab.Instant
 	percent     int
 	wishPercent int
@@ -258,13 +260,18 @@
 	})
 }
 
-// overdue reports whether an attempt runs so long that it must be hung.
+// overdue reports whether an attempt runs so long that it must be hung. A
+// throttled attempt has more time.
 func (c *Controller) overdue(r *run) bool {
-	t := r.task
+	return c.now.Sub(r.began) > r.hangLimit*time.Duration(100/max(1, r.percent))
+}
+
+// hangLimit returns the time after which an attempt of a task counts as hung.
+func (c *Controller) hangLimit(t *Task) time.Duration {
 	e := c.learner.Estimate(t.Queue, t.Size, t.RunTime.D(), t.OutOfMemory)
 	limit := hangDeclaredFactor * t.RunTime.D()
 	if e.Long > 0 {
 		limit = hangFactor * e.Long
 	}
-	return c.now.Sub(r.began) > max(limit, hangFloor)*time.Duration(100/max(1, r.percent))
+	return max(limit, hangFloor)
 }
--- a/internal/measure/tasks/tasks_test.go
+++ b/internal/measure/tasks/tasks_test.go
@@ -31,6 +31,6 @@
 // BenchmarkDesignSize prints the measurement at 1,600 workers.
 func BenchmarkDesignSize(b *testing.B) {
 	for range b.N {
-		b.Log("\n" + Run(1, Options{Workers: 1600, Length: 5 * time.Minute, AppendEvery: 200 * time.Millisecond}).String())
+		b.Log("\n" + Run(1, Options{Workers: 1600, Length: 4 * time.Minute, AppendEvery: 200 * time.Millisecond}).String())
 	}
 }
--- a/internal/record/task.go
+++ b/internal/record/task.go
@@ -155,6 +155,8 @@
 	Attempt Attempt      `json:"attempt"`
 	Result  TaskResult   `json:"result"`
 	Output  []byte       `json:"output,omitempty"`
+	// Hung means that the owner stopped the attempt because it ran far too long.
+	Hung bool `json:"hung,omitempty"`
 	// Peak and RunTime are what the worker reports of a complete run, else zero.
 	Peak    TaskSize      `json:"peak"`
 	RunTime spec.Duration `json:"run_time"`
