--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -150,6 +150,33 @@
 	}
 }
 
+// TestLargeTaskIsNotStarved: a task that needs a whole worker gets one although
+// small tasks keep arriving.
+func TestLargeTaskIsNotStarved(t *testing.T) {
+	in := testInput(testFleet(2), 1<<20)
+	var held *Preemption
+	for i := range 600 {
+		in.Now = in.Now.Add(time.Second)
+		small := Item{Task: vocab.TaskID(fmt.Sprint("small", i)), Accepted: vocab.Offset(i), Since: in.Now}
+		small.Class = Class{Team: "team0", Declared: Size{MilliCPU: 8000, MemoryBytes: gib}}
+		in.Waiting.Add(small)
+		if i == 10 {
+			in.Waiting.Add(Item{Task: "large", Since: in.Now, Class: Class{Team: "team1", Declared: Size{MilliCPU: 32000, MemoryBytes: gib}}})
+		}
+		for _, p := range Plan(in).Preemptions {
+			held = &p
+		}
+		if held != nil && in.Fleet.HasRoom(held.Worker) {
+			return
+		}
+		// Each small task runs for seven seconds.
+		for _, n := range in.Fleet.nodes {
+			in.Fleet.Release(n.info.Worker, vocab.TaskID(fmt.Sprint("small", i-7)))
+		}
+	}
+	t.Error("the large task found no room in 600 s")
+}
+
 // TestFailingWorkerIsSetAsideAndReturns: only the worker that fails more than
 // the others is set aside; two probes that succeed bring it back.
 func TestFailingWorkerIsSetAsideAndReturns(t *testing.T) {
@@ -159,8 +186,12 @@
 		for i, n := range f.nodes {
 			now = now.Add(time.Second)
 			// One queue fails everywhere, the other only on the first worker.
-			f.NoteAttempt(now, n.info.Worker, "poison", true)
-			f.NoteAttempt(now, n.info.Worker, "good", i == 0 || round == i)
+			f.NoteAttempt(now, n.info.Worker, "poison", VerdictFailed)
+			verdict := VerdictGood
+			if i == 0 || round == i {
+				verdict = VerdictFailed
+			}
+			f.NoteAttempt(now, n.info.Worker, "good", verdict)
 		}
 	}
 	for i, n := range f.nodes {
@@ -173,7 +204,7 @@
 		if i, ok := f.probe(now); !ok || i != 0 {
 			t.Fatal("no probe of the worker set aside")
 		}
-		f.NoteAttempt(now, f.nodes[0].info.Worker, "good", false)
+		f.NoteAttempt(now, f.nodes[0].info.Worker, "good", VerdictGood)
 	}
 	if _, aside := f.Aside(f.nodes[0].info.Worker); aside {
 		t.Error("still aside after its probes succeeded")
