--- a/internal/core/task/property_test.go
+++ b/internal/core/task/property_test.go
@@ -87,3 +87,27 @@
 	}
 	w.step(n, CancelRequested{Request: vocab.RequestID(1_000_000 + w.serial), Tasks: ids, Deadline: w.now.Add(3 * time.Second)})
 }
+
+// TestTakeOverWithinFiveSeconds: whichever node owned the shard, another one
+// owns it and has asked about its attempts 5 s after the owner stops.
+func TestTakeOverWithinFiveSeconds(t *testing.T) {
+	for seed := range uint64(50) {
+		w := newWorld(seed, 4, 6)
+		for range 20 + w.rnd.IntN(40) {
+			w.submit(w.nodes[0], "invoices", true, false, "")
+			w.tick()
+		}
+		lost := w.owner()
+		for _, n := range w.nodes {
+			if n.c == lost {
+				n.pausedUntil = w.now.Add(time.Hour)
+			}
+		}
+		for end := w.now.Add(5 * time.Second); w.now < end; {
+			w.tick()
+		}
+		if w.owner() == lost || w.owner().held == nil || w.owner().Status().AskedFor > 0 {
+			t.Fatalf("seed %d: no owner that knows its attempts after 5 s", seed)
+		}
+	}
+}
