--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -9,6 +9,7 @@
 	"github.com/sardinehead/sardinehead/internal/core/retry"
 	"github.com/sardinehead/sardinehead/internal/core/routing"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
+	"github.com/sardinehead/sardinehead/internal/core/task"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -168,6 +169,7 @@
 	s.seekSnapshot()
 	s.takeSnapshotIfDue()
 	s.maintain(e.Unix)
+	s.stepTasks(task.Tick{})
 	s.dispatchAll()
 }
 
--- a/internal/core/notice.go
+++ b/internal/core/notice.go
@@ -19,6 +19,10 @@
 	NoticeNotEncoded NoticeID = 105
 	// NoticeDiverged: another node folded the same records to another state.
 	NoticeDiverged NoticeID = 106
+	// NoticeTasksStopped: the tasks cannot go on from what the log has.
+	NoticeTasksStopped NoticeID = 500
+	// NoticeWorkerAside: a worker gets no more tasks for now.
+	NoticeWorkerAside NoticeID = 501
 	// NoticeNodeSuspect: an entry node is suspected to have failed.
 	NoticeNodeSuspect NoticeID = 400
 	// NoticeNodeBack: a suspected entry node answers again.
@@ -51,6 +55,8 @@
 	NoticeSnapshotRefused: {text: "snapshot refused", grave: true},
 	NoticeNotEncoded:      {text: "record cannot be encoded", grave: true},
 	NoticeDiverged:        {text: "shared state differs", grave: true},
+	NoticeTasksStopped:    {text: "tasks stopped", grave: true},
+	NoticeWorkerAside:     {text: "worker set aside", grave: true},
 	NoticeNodeSuspect:     {text: "node suspect", grave: true},
 	NoticeNodeBack:        {text: "node back"},
 	NoticeZoneLost:        {text: "zone silent", grave: true},
--- a/internal/core/problem.go
+++ b/internal/core/problem.go
@@ -32,6 +32,14 @@
 	CodeNoCapacity Code = "no-capacity"
 	// CodeUpstreamFailed: the attempt ended without a whole answer.
 	CodeUpstreamFailed Code = "upstream-failed"
+	// CodeTaskRefused: a task or a cancellation was not taken.
+	CodeTaskRefused Code = "task-refused"
+	// CodeTaskUnknown: a task or a cancellation may have been taken.
+	CodeTaskUnknown Code = "task-unknown"
+	// CodeNoTask: the team has no task of that name.
+	CodeNoTask Code = "no-such-task"
+	// CodeTasksUnread: the node has not read the tasks yet.
+	CodeTasksUnread Code = "tasks-unread"
 	// CodeStopping: the node is stopping; another one takes the request.
 	CodeStopping Code = "node-stopping"
 )
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -15,6 +15,7 @@
 	"github.com/sardinehead/sardinehead/internal/core/retry"
 	"github.com/sardinehead/sardinehead/internal/core/routing"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
+	"github.com/sardinehead/sardinehead/internal/core/task"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -41,6 +42,7 @@
 	vms    *observe.State
 	limits *limit.State
 	upkeep *maintenance.Controller
+	tasks  *task.Controller
 	peers  peerState
 	// numbers are those of the configuration in force.
 	numbers numbering
@@ -123,6 +125,7 @@
 		notTaking: map[vocab.VMID]vocab.Instant{},
 	}
 	s.upkeep = maintenance.NewController(self.Node, self.Incarnation, s.Shared().Maintenance, s.vms)
+	s.tasks = s.newTasks()
 	return s
 }
 
@@ -166,6 +169,13 @@
 	case limit.ReturnArrived:
 		s.limits.OnReturn(s.now, e.Return)
 		s.dispatchAll()
+	case TaskArrived:
+		s.onTaskArrived(e)
+	case TaskAsked:
+		s.onTaskAsked(e)
+	case task.RecordsRead, task.ReadFailed, task.LogTrimmed, task.AppendAnswered,
+		task.WorkerAnswered, task.WorkerReported, task.WorkersListed:
+		s.stepTasks(ev)
 	case LogStatus:
 		s.onLogStatus(e)
 	case VMsListed:
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -47,11 +47,12 @@
 	client := peer.NewClient(trust.Secret, trust.TLS)
 	vms := platform.NewVMClient(p.VMList)
 	n := node.New(self, node.Services{
-		Log:    platform.NewLogClient(p.Log),
-		VMs:    vms,
-		Pools:  vms,
-		Events: eventlog.New(w, string(self.Node)),
-		Peers:  client,
+		Log:     platform.NewLogClient(p.Log),
+		VMs:     vms,
+		Pools:   vms,
+		Events:  eventlog.New(w, string(self.Node)),
+		Peers:   client,
+		Workers: platform.NewWorkersClient(p.VMList),
 	})
 	f := forward.New(string(self.Node))
 	return &Process{
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -34,6 +34,9 @@
 // Handler returns the HTTP handler for callers.
 func (c *Callers) Handler() http.Handler {
 	e := echo.New()
+	e.POST("/v1/:queue/tasks", c.submitTask)
+	e.GET("/v1/tasks/:task", c.askTask)
+	e.DELETE("/v1/tasks/:task", c.cancelTask)
 	e.Any("/v1/:queue/*", c.serve)
 	e.Any("/v1/:queue", c.serve)
 	return e
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -31,9 +31,15 @@
 	core.CodeQueueFull:      http.StatusTooManyRequests,
 	core.CodeTeamQueueFull:  http.StatusTooManyRequests,
 	core.CodeUpstreamFailed: http.StatusBadGateway,
+	core.CodeNoTask:         http.StatusNotFound,
+	core.CodeTaskUnknown:    http.StatusGatewayTimeout,
+	codeBadTask:             http.StatusBadRequest,
 	codeBadBody:             http.StatusBadRequest,
 }
 
+// codeBadTask: the document that hands in a task is not usable.
+const codeBadTask core.Code = "bad-task"
+
 // codeBadBody: the body ended before its declared length.
 const codeBadBody core.Code = "body-cut"
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
+	"github.com/sardinehead/sardinehead/internal/core/task"
 	"github.com/sardinehead/sardinehead/internal/platform"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -33,6 +34,8 @@
 	Events EventLog
 	// Peers calls other entry processes.
 	Peers Peers
+	// Workers runs tasks; nil if the platform has no workers.
+	Workers platform.Workers
 }
 
 // Peers calls other entry processes by the IP:port of their peer service.
@@ -97,6 +100,10 @@
 	go n.followLog(ctx)
 	go n.followVMs(ctx)
 	go n.appendRecords(ctx)
+	go n.followTasks(ctx)
+	if n.services.Workers != nil {
+		go n.followWorkers(ctx)
+	}
 	ticker := time.NewTicker(core.TickInterval)
 	defer ticker.Stop()
 	for {
@@ -134,8 +141,13 @@
 	}
 }
 
+// now reads the process's monotonic clock.
+func (n *Node) now() vocab.Instant {
+	return vocab.Instant(time.Since(n.started))
+}
+
 func (n *Node) step(ev event.Event) {
-	now := vocab.Instant(time.Since(n.started))
+	now := n.now()
 	n.metrics.steps.Inc()
 	for _, effect := range n.state.Step(now, ev) {
 		n.carryOut(effect)
@@ -164,6 +176,12 @@
 		go n.sendReturn(e)
 	case core.ReplyAsk:
 		n.calls.reply(e.Call, e.Answer)
+	case core.TaskAnswer:
+		n.calls.reply(uint64(e.Request), e)
+	case task.AppendRecords:
+		go n.appendTasks(e)
+	case task.OrderWorker:
+		go n.orderWorker(e)
 	case core.FetchSnapshot:
 		go n.fetchSnapshot(e)
 	case core.Notice:
