--- a/internal/core/placement/waiting.go
+++ b/internal/core/placement/waiting.go
@@ -85,6 +85,16 @@
 // Len returns the number of waiting tasks.
 func (w *Waiting) Len() int { return len(w.entries) }
 
+// Backlog calls visit with the number of waiting tasks of each class. Tasks
+// that were taken out lately may still count.
+func (w *Waiting) Backlog(visit func(team vocab.TeamID, tasks int)) {
+	for _, l := range w.order {
+		for _, q := range l.classes {
+			visit(l.team, len(q.entries))
+		}
+	}
+}
+
 // Has reports whether the task waits.
 func (w *Waiting) Has(task vocab.TaskID) bool {
 	_, ok := w.entries[task]
--- a/internal/core/shares.go
+++ b/internal/core/shares.go
@@ -82,6 +82,9 @@
 			}))
 		})
 	}
+	s.tasks.Demand(func(team vocab.TeamID, tasks int) {
+		s.shares.present[team] += vocab.Slots(tasks)
+	})
 	for _, t := range s.Shared().Fleet.Teams {
 		s.limits.SetDemand(limit.TeamAccount(t.Name), s.shares.present[t.Name])
 	}
--- a/internal/core/task/keep.go
+++ b/internal/core/task/keep.go
@@ -80,3 +80,15 @@
 	}
 	return s
 }
+
+// Demand calls visit with what each team has waiting, placed or running while
+// this node is the owner. A team may come up several times.
+func (c *Controller) Demand(visit func(team vocab.TeamID, tasks int)) {
+	if c.held == nil {
+		return
+	}
+	c.held.waiting.Backlog(visit)
+	for _, r := range c.held.runs {
+		visit(r.task.Team, 1)
+	}
+}
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -76,13 +76,40 @@
 
 // TaskView is what a caller sees of its task.
 type TaskView struct {
-	Task    vocab.TaskID      `json:"task"`
+	Task    vocab.TaskID      `json:"task,omitempty"`
 	Queue   vocab.QueueID     `json:"queue,omitempty"`
 	State   task.State        `json:"state,omitempty"`
 	Attempt record.Attempt    `json:"attempt,omitempty"`
 	Reason  string            `json:"reason,omitempty"`
 	Result  record.TaskResult `json:"result,omitempty"`
 	Output  []byte            `json:"output,omitempty"`
+	// Cancellation tells what a cancellation found.
+	Cancellation Cancellation `json:"cancellation,omitempty"`
+}
+
+// Cancellation is what a cancellation found.
+type Cancellation string
+
+const (
+	// CancelledNotRun: the task had not been started, and will not be.
+	CancelledNotRun Cancellation = "not-run"
+	// CancelledStopping: the task may have been started and is being stopped.
+	CancelledStopping Cancellation = "stopping"
+	// CancelledOver: the task had ended before.
+	CancelledOver Cancellation = "over"
+)
+
+func cancellationOf(a task.AnswerCaller) Cancellation {
+	switch {
+	case a.NotRun > 0:
+		return CancelledNotRun
+	case a.Stopping > 0:
+		return CancelledStopping
+	case a.Over > 0:
+		return CancelledOver
+	default:
+		return ""
+	}
 }
 
 // IsEvent implements event.Event.
@@ -257,8 +284,11 @@
 			RetryAfter: retryAfterOutage,
 			Detail:     a.Reason,
 		}
-	case task.CallAccepted, task.CallCancelled:
+	case task.CallAccepted:
+		out.Accepted = true
+	case task.CallCancelled:
 		out.Accepted = true
+		out.Task.Cancellation = cancellationOf(a)
 	default:
 		if ledger := s.tasks.Ledger(); ledger != nil {
 			if t, ok := ledger.Task(a.Task); ok {
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -24,6 +24,7 @@
 	"github.com/sardinehead/sardinehead/internal/record"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/standin"
+	"github.com/sardinehead/sardinehead/internal/standin/workers"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -47,6 +48,7 @@
 	Log       *standin.Log
 	VMs       *standin.VMs
 	Upstreams map[vocab.VMID]*standin.Upstream
+	Workers   *workers.Service
 	Nodes     []*Entry
 	// Rows are the VMs as first listed.
 	Rows []platform.VM
@@ -99,7 +101,8 @@
 	}
 	in.Rows = rows
 	in.VMs = standin.NewVMs(rows)
-	address, err := in.serve(standin.PlatformHandler(in.Log, in.VMs), o.PlatformPort)
+	in.Workers = startWorkers(&o.Fleet)
+	address, err := in.serve(platformHandler(in), o.PlatformPort)
 	if err != nil {
 		return err
 	}
--- a/internal/dev/scenario_test.go
+++ b/internal/dev/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -27,7 +28,7 @@
 // over real sockets. docs/SCENARIOS.md describes the commands.
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata/scenarios", func(t *testing.T, path string) {
-		s := &scenario{t: t, answers: map[string]chan string{}}
+		s := &scenario{t: t, answers: map[string]chan string{}, tasks: map[string]vocab.TaskID{}}
 		defer s.close()
 		datadriven.RunTest(t, path, s.run)
 	})
@@ -38,6 +39,7 @@
 	t       *testing.T
 	in      *dev.Installation
 	answers map[string]chan string
+	tasks   map[string]vocab.TaskID
 	client  http.Client
 }
 
@@ -56,7 +58,7 @@
 	commands := map[string]func(*datadriven.TestData) string{
 		"start": s.start, "fault": s.fault, "log": s.log, "vm": s.vm, "send": s.send,
 		"begin": s.begin, "answer": s.answer, "runs": s.runs, "withdraw": s.withdraw,
-		"stop": s.stop, "burst": s.burst, "wait": s.wait, "most": s.most, "fresh": s.fresh,
+		"stop": s.stop, "burst": s.burst, "wait": s.wait, "most": s.most, "fresh": s.fresh, "task": s.task, "ask": s.ask,
 	}
 	command, ok := commands[d.Cmd]
 	if !ok {
@@ -318,6 +320,56 @@
 	return ""
 }
 
+// task name=NAME and the arguments of send: hands in a task under the name.
+func (s *scenario) task(d *datadriven.TestData) string {
+	var name, path string
+	d.ScanArgs(s.t, "name", &name)
+	d.ScanArgs(s.t, "path", &path)
+	req := s.request(d)
+	req.Method = http.MethodPost
+	req.URL.Path = "/v1/office/tasks"
+	req.Body = io.NopCloser(strings.NewReader(fmt.Sprintf(
+		`{"path":%q,"idempotency_key":%q,"size":{"milli_cpu":1000,"memory_bytes":1000000},"run_time":"1s"}`, path, name)))
+	req.ContentLength = -1
+	view, line := s.view(req)
+	if view.Task == "" {
+		return line
+	}
+	if known, ok := s.tasks[name]; ok && known != view.Task {
+		return "another task\n"
+	}
+	s.tasks[name] = view.Task
+	return "accepted\n"
+}
+
+// ask name=NAME and the arguments of send: how a task stands, or with
+// patience=TIME how it ends.
+func (s *scenario) ask(d *datadriven.TestData) string {
+	var name, patience string
+	d.ScanArgs(s.t, "name", &name)
+	d.MaybeScanArgs(s.t, "patience", &patience)
+	req := s.request(d)
+	req.URL.Path = "/v1/tasks/" + string(s.tasks[name])
+	req.URL.RawQuery = "wait=" + patience
+	view, line := s.view(req)
+	if view.Task == "" {
+		return line
+	}
+	return fmt.Sprintf("%s %s, attempt %d\n", view.State, view.Result, view.Attempt)
+}
+
+// view sends a call about a task; line describes an answer without one.
+func (s *scenario) view(req *http.Request) (core.TaskView, string) {
+	var view core.TaskView
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return view, "no answer\n"
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(&view)
+	return view, fmt.Sprintf("%d %s\n", resp.StatusCode, resp.Header.Get("Sardinehead-Outcome"))
+}
+
 // stop node=N: a graceful stop, to its end.
 func (s *scenario) stop(d *datadriven.TestData) string {
 	at := 1
