Prove limits, leaving VMs and keys over three nodes and sockets

Cause: what holds on one node has to hold over the fleet. Change: the team goes to upstreams as a header; stand-ins count what runs over the fleet; a scenario with skew, a leaving VM, a withdrawn key, a lost node.

--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -12,6 +12,7 @@
 type Dispatch struct {
 	Request vocab.RequestID
 	Attempt vocab.AttemptID
+	Team    vocab.TeamID
 	VM      vocab.VMID
 	Address string
 	// Reuse allows a connection that served another request before. Requests
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -49,7 +49,9 @@
 	VMs       *standin.VMs
 	Upstreams map[vocab.VMID]*standin.Upstream
 	Workers   *workers.Service
-	Nodes     []*Entry
+	// Fleet counts what runs on all upstreams together.
+	Fleet *standin.FleetCount
+	Nodes []*Entry
 	// Rows are the VMs as first listed.
 	Rows []platform.VM
 	// PlatformURL is the base address of the platform's stand-in.
@@ -73,6 +75,7 @@
 	// PeerAddress is the IP:port of the peers' side.
 	PeerAddress string
 	callers     *http.Server
+	peers       *http.Server
 	cancel      context.CancelFunc
 }
 
@@ -82,6 +85,7 @@
 	in := &Installation{
 		Log:       standin.NewLog(),
 		Upstreams: map[vocab.VMID]*standin.Upstream{},
+		Fleet:     standin.NewFleetCount(),
 		Keys:      map[vocab.TeamID]string{},
 		trust:     daemon.Trust{Secret: []byte(rand.Text())},
 		cancel:    cancel,
@@ -138,6 +142,7 @@
 func (in *Installation) startUpstream(fleet *spec.Fleet, pool spec.Pool, i int) (platform.VM, error) {
 	name := vocab.VMID(fmt.Sprintf("%s-%d", pool.Name, i+1))
 	upstream := standin.NewUpstream(string(name))
+	upstream.Fleet = in.Fleet
 	address, err := in.serve(upstream, 0)
 	if err != nil {
 		return platform.VM{}, err
@@ -204,7 +209,7 @@
 		self.FirstPeers = append(self.FirstPeers, other.PeerAddress)
 	}
 	process := daemon.NewProcess(self, daemon.Platform{Log: in.PlatformURL, VMList: in.PlatformURL}, in.trust, o.Events)
-	in.serveOn(peers, process.Peers)
+	peerServer := in.serveOn(peers, process.Peers)
 	port := 0
 	if o.FirstPort > 0 {
 		port = o.FirstPort + i
@@ -227,6 +232,7 @@
 		Operators:   operators,
 		PeerAddress: self.PeerAddress,
 		callers:     callers,
+		peers:       peerServer,
 		cancel:      cancel,
 	})
 	return nil
@@ -243,6 +249,15 @@
 	return fmt.Sprintf("127.0.0.1:%d", port)
 }
 
+// KillNode ends an entry node at once, as a lost VM does.
+func (in *Installation) KillNode(i int) {
+	e := in.Nodes[i]
+	e.cancel()
+	_ = e.callers.Close()
+	_ = e.peers.Close()
+	e.Process.Close()
+}
+
 // serve starts an HTTP server on loopback and returns its address.
 func (in *Installation) serve(handler http.Handler, port int) (string, error) {
 	listener, err := net.Listen("tcp", loopback(port))
@@ -253,10 +268,11 @@
 	return listener.Addr().String(), nil
 }
 
-func (in *Installation) serveOn(listener net.Listener, handler http.Handler) {
+func (in *Installation) serveOn(listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{Handler: handler}
 	in.servers = append(in.servers, server)
 	go func() { _ = server.Serve(listener) }()
+	return server
 }
 
 // Close stops everything at once.
--- a/internal/dev/scenario_test.go
+++ b/internal/dev/scenario_test.go
@@ -38,6 +38,7 @@
 type scenario struct {
 	t       *testing.T
 	in      *dev.Installation
+	fleet   spec.Fleet
 	answers map[string]chan string
 	tasks   map[string]vocab.TaskID
 	client  http.Client
@@ -58,7 +59,7 @@
 	commands := map[string]func(*datadriven.TestData) string{
 		"start": s.start, "fault": s.fault, "log": s.log, "vm": s.vm, "send": s.send,
 		"begin": s.begin, "answer": s.answer, "runs": s.runs, "withdraw": s.withdraw,
-		"stop": s.stop, "burst": s.burst, "wait": s.wait, "most": s.most, "fresh": s.fresh, "task": s.task, "ask": s.ask,
+		"stop": s.stop, "burst": s.burst, "wait": s.wait, "most": s.most, "fresh": s.fresh, "limit": s.limit, "kill": s.kill, "task": s.task, "ask": s.ask,
 	}
 	command, ok := commands[d.Cmd]
 	if !ok {
@@ -81,6 +82,7 @@
 		fleet.Services[i].Limits.FirstByte = spec.Duration(time.Second)
 		fleet.Services[i].Limits.Run = spec.Duration(4 * time.Second)
 	}
+	s.fleet = fleet
 	s.in, err = dev.Start(dev.Options{Fleet: fleet, Nodes: nodes, Events: io.Discard})
 	if err != nil {
 		d.Fatalf(s.t, "%v", err)
@@ -306,6 +308,25 @@
 	return "never above\n"
 }
 
+// limit team=T: whether the team ever had more running than its upper limit.
+func (s *scenario) limit(d *datadriven.TestData) string {
+	var name string
+	d.ScanArgs(s.t, "team", &name)
+	team, _ := s.fleet.Team(vocab.TeamID(name))
+	if most := s.in.Fleet.Most(name); most > int(team.UpperLimit) {
+		return fmt.Sprintf("%d ran, the limit is %d\n", most, team.UpperLimit)
+	}
+	return "never above\n"
+}
+
+// kill node=N: the node is lost at once.
+func (s *scenario) kill(d *datadriven.TestData) string {
+	at := 1
+	d.MaybeScanArgs(s.t, "node", &at)
+	s.in.KillNode(at - 1)
+	return ""
+}
+
 // withdraw team=T node=N
 func (s *scenario) withdraw(d *datadriven.TestData) string {
 	var team string
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -35,6 +35,7 @@
 // Attempt is one sending of a request.
 type Attempt struct {
 	ID        vocab.AttemptID
+	Team      vocab.TeamID
 	VM        vocab.VMID
 	Address   string
 	Reuse     bool
@@ -156,6 +157,8 @@
 	}
 	req.Header.Set(HeaderAttempt, c.attemptName(a.ID))
 	req.Header.Set(HeaderTimeout, a.Run.String())
+	// What a caller says of its team does not count.
+	req.Header.Set(HeaderTeam, string(a.Team))
 	return req.WithContext(ctx), nil
 }
 
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -14,6 +14,8 @@
 type Upstream struct {
 	// Name is given back in the header "Upstream".
 	Name string
+	// Fleet, if set, counts what runs on all upstreams together.
+	Fleet *FleetCount
 
 	mu      sync.Mutex
 	faults  UpstreamFaults
@@ -97,6 +99,8 @@
 	}
 	u.begin(r.Header.Get("Order"))
 	defer u.end()
+	u.Fleet.begin(r.Header.Get("Sardinehead-Team"))
+	defer u.Fleet.end(r.Header.Get("Sardinehead-Team"))
 	time.Sleep(workTime(r, faults.Work))
 	u.answer(w, r, faults)
 }
