--- a/internal/core/admission/estimate.go
+++ b/internal/core/admission/estimate.go
@@ -32,9 +32,9 @@
 	// mean run time in seconds.
 	slots, run float64
 	// covered is the part of rateMemory that slots has seen; 1 after long use.
-	covered float64
-	runs    int
-	refusals   float64
+	covered  float64
+	runs     int
+	refusals float64
 	// weights is the sum over the teams with items that may go.
 	weights   float64
 	at        vocab.Instant
