Find parts of accounts that become known late from past members

Cause: nodes come to know a VM's account at different offsets; a node that saw it first just after a join took its new part before others had confirmed.

Change: the window keeps member sets, and a late account's window is built from them. Borrowers back off when nobody lends.

--- a/internal/core/limit/demand.go
+++ b/internal/core/limit/demand.go
@@ -101,8 +101,8 @@
 
 func (s *State) needsWatch(id Account) bool {
 	if id.Kind != KindPool {
-		a := s.account(id)
-		return a.demand > 0 || len(a.borrowed) > 0
+		a, ok := s.accounts[id]
+		return ok && (a.demand > 0 || len(a.borrowed) > 0)
 	}
 	p := s.poolOf(vocab.PoolID(id.Name))
 	if p.demand > 0 {
--- a/internal/core/limit/fold.go
+++ b/internal/core/limit/fold.go
@@ -24,6 +24,7 @@
 // gap records that the parts just after the folded offset are not known.
 func (s *State) gap() {
 	s.complete = false
+	s.history.push(memberVersion{from: s.folded + 1})
 	for _, a := range s.accounts {
 		s.push(a, partAt{from: s.folded + 1})
 	}
@@ -36,6 +37,7 @@
 	present, raise := s.readMembers(now, at, members)
 	if !slices.Equal(present, s.present) {
 		s.present = present
+		s.history.push(memberVersion{from: at, present: present, raise: raise && s.complete})
 		for _, a := range s.accounts {
 			s.pushPart(a, at, raise && s.complete)
 		}
@@ -44,7 +46,9 @@
 }
 
 // FoldTotals takes all totals as of an offset, and the longest run limit of
-// all queues. An account that is missing has the total 0.
+// all queues. An account that is missing has the total 0. Nodes may come to
+// know an account at different offsets, such as that of a VM, as long as its
+// total is the same function of the log for all that know it.
 func (s *State) FoldTotals(now vocab.Instant, at vocab.Offset, totals []Total, longestRun time.Duration) {
 	s.longestRun = max(s.longestRun, longestRun)
 	known := make(map[Account]bool, len(totals))
@@ -81,6 +85,12 @@
 	}
 	raise := s.complete && t.Slots >= a.total
 	a.total = t.Slots
+	if a.window.empty() {
+		a.window = s.history.windowFor(a, s.cfg.Self)
+		s.pending[a.id] = a
+		s.review(a)
+		return
+	}
 	s.pushPart(a, at, raise)
 }
 
@@ -105,13 +115,19 @@
 	}
 	s.settled = max(s.settled, settled)
 	s.confirmed = max(s.confirmed, s.leastSettled())
+	s.history.trim(s.confirmed)
 	for id, a := range s.pending {
 		a.window.trim(s.confirmed)
 		if a.used() <= a.window.least {
 			delete(s.over, id)
 		}
-		if len(a.window.parts) == 1 {
-			delete(s.pending, id)
+		if len(a.window.parts) > 1 {
+			continue
+		}
+		delete(s.pending, id)
+		if a.forgettable() {
+			delete(s.accounts, id)
+			s.setPool(a, "")
 		}
 	}
 }
--- a/internal/core/limit/search.go
+++ b/internal/core/limit/search.go
@@ -10,8 +10,15 @@
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
-// retryPause is how long a borrower waits after no peer had anything to lend.
-const retryPause = 500 * time.Millisecond
+const (
+	// firstPause is how long a borrower waits after a round in which no peer had
+	// anything to lend. It doubles with each such round, up to longestPause.
+	firstPause = 500 * time.Millisecond
+	// longestPause is the longest wait between two rounds.
+	longestPause = 4 * time.Second
+	// probesPerRound bounds the peers asked in one round that had nothing.
+	probesPerRound = 4
+)
 
 // search is the state of looking for tokens of one account or pool.
 type search struct {
@@ -23,6 +30,8 @@
 	tried map[vocab.Incarnation]bool
 	// round counts rounds over all peers, so that each starts elsewhere.
 	round int
+	// pause is the wait after the next round in vain.
+	pause time.Duration
 	// notBefore is the earliest next ask.
 	notBefore vocab.Instant
 	// idleSince is when this node first held more than it needs; valid if idle.
@@ -57,6 +66,8 @@
 	}
 	w.spare[peer] = n
 	delete(w.tried, peer)
+	w.pause = 0
+	w.notBefore = 0
 }
 
 func (s *State) noteAnswer(now vocab.Instant, id Account, peer vocab.Incarnation, spare vocab.Slots) {
@@ -70,13 +81,19 @@
 		return
 	}
 	w.tried[peer] = true
-	if _, ok := s.choosePeer(id, w); !ok {
-		clear(w.tried)
-		w.round++
-		w.notBefore = now.Add(retryPause)
+	if _, ok := s.choosePeer(id, w); !ok || len(w.tried) >= probesPerRound && len(w.spare) == 0 {
+		w.endRound(now)
 	}
 }
 
+// endRound makes the borrower wait before it asks peers again.
+func (w *search) endRound(now vocab.Instant) {
+	clear(w.tried)
+	w.round++
+	w.pause = min(max(2*w.pause, firstPause), longestPause)
+	w.notBefore = now.Add(w.pause)
+}
+
 // choosePeer returns the peer with the most to lend as far as is known, else
 // the next one in an order that differs by account and round.
 func (s *State) choosePeer(id Account, w *search) (vocab.Incarnation, bool) {
--- a/internal/core/limit/state.go
+++ b/internal/core/limit/state.go
@@ -14,6 +14,7 @@
 	// members and totals are as of the folded offset.
 	present []vocab.Incarnation
 	peers   map[vocab.Incarnation]*peer
+	history history
 	// complete is false until a snapshot or the whole log has been folded, and
 	// after a gap in the log.
 	complete  bool
@@ -66,6 +67,14 @@
 	return max(0, a.window.least-a.used())
 }
 
+// forgettable reports whether nothing is left of an account.
+func (a *account) forgettable() bool {
+	if a.total > 0 || a.window.least > 0 || a.used() > 0 || len(a.borrowed) > 0 {
+		return false
+	}
+	return a.demand == 0 && !a.hasTarget
+}
+
 // want returns what this node would use if it had it.
 func (a *account) want() vocab.Slots {
 	if a.hasTarget {
@@ -84,6 +93,7 @@
 		complete: true,
 		over:     map[Account]*account{},
 		pending:  map[Account]*account{},
+		history:  newHistory(),
 		giver:    newGiver(),
 		borrower: newBorrower(),
 		running:  map[uint64]*work{},
--- a/internal/core/limit/window.go
+++ b/internal/core/limit/window.go
@@ -62,6 +62,16 @@
 	}
 }
 
+// empty reports whether the window holds no part at any offset.
+func (w *window) empty() bool {
+	for _, p := range w.parts {
+		if p.slots > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // settledTo returns the last offset up to folded at which used is within the
 // home part.
 func (w *window) settledTo(used vocab.Slots, folded vocab.Offset) vocab.Offset {
