--- a/internal/core/limit/borrow.go
+++ b/internal/core/limit/borrow.go
@@ -25,6 +25,8 @@
 	reachable []vocab.Incarnation
 	// wanting holds the accounts and pools with demand or loans.
 	wanting map[Account]*search
+	// nextAsk is when this node next looks at what is short.
+	nextAsk vocab.Instant
 	// nextCare is when all loans are next looked at.
 	nextCare vocab.Instant
 }
@@ -49,7 +51,8 @@
 }
 
 // OnAnswer takes the loans of an answer. Grants of an answer that comes after
-// the ask was given up are returned unused.
+// the ask was given up are returned unused. The next Tick asks for what is
+// still short, all accounts together.
 func (s *State) OnAnswer(now vocab.Instant, answer Answer) []event.Effect {
 	p, ok := s.borrower.asks[answer.Seq]
 	if !ok || p.ask.To != answer.From {
@@ -57,32 +60,21 @@
 	}
 	delete(s.borrower.asks, answer.Seq)
 	s.renewed(p, answer)
+	granted := map[Account]bool{}
 	for _, g := range answer.Grants {
-		s.addLoan(p, g)
+		a := s.addLoan(p, g)
+		granted[a.id] = true
+		granted[PoolAccount(a.pool)] = true
 	}
 	for i, item := range p.ask.Items {
-		s.noteAnswer(now, item.Account, answer.From, spareAt(answer.Spare, i))
+		s.noteAnswer(now, item.Account, answer.From, granted[item.Account], spareAt(answer.Spare, i))
 	}
-	return s.askAgain(now, p)
-}
-
-// askAgain asks the next peers for what is still short after an ask.
-func (s *State) askAgain(now vocab.Instant, p *pendingAsk) []event.Effect {
-	asks := newOutbox()
-	for _, item := range p.ask.Items {
-		s.askFor(now, item.Account, asks)
-	}
-	return s.sendAll(now, asks)
+	return nil
 }
 
 // OnAskFailed gives an ask up. Loans of a late answer will be returned.
-func (s *State) OnAskFailed(now vocab.Instant, seq uint64) []event.Effect {
-	p, ok := s.borrower.asks[seq]
-	if !ok {
-		return nil
-	}
+func (s *State) OnAskFailed(now vocab.Instant, seq uint64) {
 	s.giveUp(now, seq)
-	return s.askAgain(now, p)
 }
 
 func (s *State) giveUp(now vocab.Instant, seq uint64) {
@@ -97,7 +89,7 @@
 		}
 	}
 	for _, item := range p.ask.Items {
-		s.noteAnswer(now, item.Account, p.ask.To, 0)
+		s.noteAnswer(now, item.Account, p.ask.To, false, 0)
 	}
 }
 
@@ -155,7 +147,7 @@
 	}
 }
 
-func (s *State) addLoan(p *pendingAsk, g Grant) {
+func (s *State) addLoan(p *pendingAsk, g Grant) *account {
 	a := s.account(g.Account)
 	l := &loan{
 		account: a,
@@ -168,6 +160,7 @@
 	a.borrowed = append(a.borrowed, l)
 	s.borrower.loans[loanKey{l.giver, l.id}] = l
 	s.watch(a.id)
+	return a
 }
 
 // send makes an effect of an ask and keeps it until it is answered.
--- a/internal/core/limit/config.go
+++ b/internal/core/limit/config.go
@@ -17,7 +17,7 @@
 	// DefaultAskTimeout is how long a borrower waits for the answer to an ask.
 	DefaultAskTimeout = time.Second
 	// DefaultItemsPerAsk bounds the accounts in one ask.
-	DefaultItemsPerAsk = 64
+	DefaultItemsPerAsk = 256
 )
 
 // Config holds the settings of a State. All nodes must use the same Lease and Guard.
--- a/internal/core/limit/demand.go
+++ b/internal/core/limit/demand.go
@@ -79,7 +79,10 @@
 	s.advance()
 	s.giveUpLate(now)
 	asks := newOutbox()
-	s.askForShort(now, s.watched(), asks)
+	if !now.Before(s.borrower.nextAsk) {
+		s.borrower.nextAsk = now.Add(askInterval)
+		s.askForShort(now, asks)
+	}
 	var effects []event.Effect
 	if !now.Before(s.borrower.nextCare) {
 		s.borrower.nextCare = now.Add(careInterval)
--- a/internal/core/limit/give.go
+++ b/internal/core/limit/give.go
@@ -169,11 +169,11 @@
 	return p.demand > left
 }
 
-// lendItem lends up to half of what this node can spare, rounded up.
+// lendItem lends what is asked for, or what this node can spare.
 func (s *State) lendItem(now vocab.Instant, ask Ask, item AskItem, run time.Duration, answer *Answer) {
 	if item.Account.Kind != KindPool {
 		if a, ok := s.accounts[item.Account]; ok {
-			s.lend(now, ask.From, a, min(item.Slots, half(s.spare(a))), run, answer)
+			s.lend(now, ask.From, a, min(item.Slots, s.spare(a)), run, answer)
 		}
 		return
 	}
@@ -181,7 +181,7 @@
 	if !ok || len(p.accounts) == 0 {
 		return
 	}
-	left := min(item.Slots, half(s.poolSpare(vocab.PoolID(item.Account.Name))))
+	left := min(item.Slots, s.poolSpare(vocab.PoolID(item.Account.Name)))
 	start := int(ask.Seq % uint64(len(p.accounts)))
 	for i := range p.accounts {
 		a := p.accounts[(start+i)%len(p.accounts)]
@@ -189,10 +189,6 @@
 	}
 }
 
-func half(n vocab.Slots) vocab.Slots {
-	return (n + 1) / 2
-}
-
 // lend subtracts tokens from this node's part and adds a grant to the answer.
 func (s *State) lend(now vocab.Instant, to vocab.Incarnation, a *account, n vocab.Slots, run time.Duration, answer *Answer) vocab.Slots {
 	if n <= 0 || len(answer.Grants) >= maxGrants {
--- a/internal/core/limit/search.go
+++ b/internal/core/limit/search.go
@@ -11,13 +11,17 @@
 )
 
 const (
-	// firstPause is how long a borrower waits after a round in which no peer had
-	// anything to lend. It doubles with each such round, up to longestPause.
+	// firstPause is how long a borrower waits when several peers in a row had
+	// nothing to lend. It doubles with each such wait, up to longestPause.
 	firstPause = 500 * time.Millisecond
-	// longestPause is the longest wait between two rounds.
+	// longestPause is the longest such wait.
 	longestPause = 4 * time.Second
-	// probesPerRound bounds the peers asked in one round that had nothing.
-	probesPerRound = 4
+	// askInterval is the time between two looks at what is short.
+	askInterval = 250 * time.Millisecond
+	// orderInterval is how long a node keeps one order of its peers.
+	orderInterval = time.Second
+	// probesPerPause is the number of peers in a row with nothing before a wait.
+	probesPerPause = 4
 )
 
 // search is the state of looking for tokens of one account or pool.
@@ -28,9 +32,9 @@
 	spare map[vocab.Incarnation]vocab.Slots
 	// tried holds the peers that had nothing in this round.
 	tried map[vocab.Incarnation]bool
-	// round counts rounds over all peers, so that each starts elsewhere.
-	round int
-	// pause is the wait after the next round in vain.
+	// misses counts the peers in a row that had nothing.
+	misses int
+	// pause is the last wait.
 	pause time.Duration
 	// notBefore is the earliest next ask.
 	notBefore vocab.Instant
@@ -66,47 +70,63 @@
 	}
 	w.spare[peer] = n
 	delete(w.tried, peer)
-	w.pause = 0
-	w.notBefore = 0
+	w.restart()
 }
 
-func (s *State) noteAnswer(now vocab.Instant, id Account, peer vocab.Incarnation, spare vocab.Slots) {
+// noteAnswer takes what a peer answered to an ask for an account or pool.
+func (s *State) noteAnswer(now vocab.Instant, id Account, peer vocab.Incarnation, granted bool, spare vocab.Slots) {
 	w, ok := s.borrower.wanting[id]
 	if !ok {
 		return
 	}
 	w.asking = false
 	w.hint(peer, spare)
+	if granted {
+		w.restart()
+	}
 	if spare > 0 {
 		return
 	}
 	w.tried[peer] = true
-	if _, ok := s.choosePeer(id, w); !ok || len(w.tried) >= probesPerRound && len(w.spare) == 0 {
-		w.endRound(now)
+	if !granted {
+		w.misses++
+	}
+	if _, ok := s.choosePeer(now, w); !ok {
+		clear(w.tried)
+		w.wait(now)
+	} else if len(w.spare) == 0 && w.misses >= probesPerPause {
+		w.wait(now)
 	}
 }
 
-// endRound makes the borrower wait before it asks peers again.
-func (w *search) endRound(now vocab.Instant) {
-	clear(w.tried)
-	w.round++
+// wait makes the borrower pause before it asks more peers.
+func (w *search) wait(now vocab.Instant) {
+	w.misses = 0
 	w.pause = min(max(2*w.pause, firstPause), longestPause)
 	w.notBefore = now.Add(w.pause)
 }
 
+// restart ends the pauses: there is something to lend, or it is no longer needed.
+func (w *search) restart() {
+	w.misses = 0
+	w.pause = 0
+	w.notBefore = 0
+}
+
 // choosePeer returns the peer with the most to lend as far as is known, else
-// the next one in an order that differs by account and round.
-func (s *State) choosePeer(id Account, w *search) (vocab.Incarnation, bool) {
+// the next one in an order that differs by node and second. Accounts that are
+// short at the same time share the order, and so the asks.
+func (s *State) choosePeer(now vocab.Instant, w *search) (vocab.Incarnation, bool) {
 	var best vocab.Incarnation
 	var bestSpare vocab.Slots
 	var bestHash uint64
-	name := nameHash(id) + uint64(w.round)
+	order := uint64(s.cfg.Self) + uint64(now.Sub(0)/orderInterval)
 	found := false
 	for _, p := range s.borrower.reachable {
 		if p == s.cfg.Self || w.tried[p] || !slices.Contains(s.present, p) {
 			continue
 		}
-		spare, hash := w.spare[p], placement(name, p)
+		spare, hash := w.spare[p], placement(order, p)
 		if !found || spare > bestSpare || (spare == bestSpare && hash < bestHash) {
 			best, bestSpare, bestHash, found = p, spare, hash, true
 		}
@@ -162,9 +182,9 @@
 	return effects
 }
 
-// askForShort adds asks for those of the accounts and pools that are short.
-func (s *State) askForShort(now vocab.Instant, ids []Account, asks outbox) {
-	for _, id := range ids {
+// askForShort adds asks for the accounts and pools that are short.
+func (s *State) askForShort(now vocab.Instant, asks outbox) {
+	for _, id := range s.watched() {
 		s.askFor(now, id, asks)
 	}
 }
@@ -175,10 +195,14 @@
 		return
 	}
 	short := s.short(now, id)
-	if short <= 0 || now.Before(w.notBefore) {
+	if short <= 0 {
+		w.restart()
+		return
+	}
+	if now.Before(w.notBefore) {
 		return
 	}
-	peer, ok := s.choosePeer(id, w)
+	peer, ok := s.choosePeer(now, w)
 	if !ok {
 		return
 	}
