--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -34,3 +34,22 @@
 		}
 	})
 }
+
+// Returns that overtake each other never raise a loan, and an ask that comes
+// twice lends once.
+func TestLateAndRepeatedMessagesLendNothing(t *testing.T) {
+	s := New(Config{Self: 1})
+	s.FoldMembers(0, 1, []Member{{Incarnation: 1}})
+	s.FoldTotal(0, 2, Total{Account: TeamAccount("team"), Slots: 8})
+	ask := Ask{From: 2, To: 1, Seq: 1, Items: []AskItem{{Account: TeamAccount("team"), Slots: 5}}}
+	grant := s.OnAsk(0, ask).Grants[0]
+	if again := s.OnAsk(0, ask); len(again.Grants) != 0 {
+		t.Fatalf("a repeated ask was granted %v", again.Grants)
+	}
+	s.OnReturn(0, Return{From: 2, To: 1, Items: []ReturnItem{{ID: grant.ID, Keep: 1}}})
+	s.OnReturn(0, Return{From: 2, To: 1, Items: []ReturnItem{{ID: grant.ID, Keep: 3}}})
+	s.OnReturn(0, Return{From: 3, To: 1, Items: []ReturnItem{{ID: grant.ID, Keep: 0}}})
+	if free := s.Free(0, TeamAccount("team")); free != 7 {
+		t.Fatalf("%d of 8 are free, 1 is still lent", free)
+	}
+}
--- a/internal/core/limit/property_test.go
+++ b/internal/core/limit/property_test.go
@@ -58,6 +58,10 @@
 		f.gossip(n)
 	case action < 41 && active:
 		f.fold(n)
+		if rapid.Bool().Draw(f.r, "learn") {
+			f.learn(n)
+			f.fill(n)
+		}
 	case action < 46 && active:
 		n.state.SetDemand(testAccounts[0], vocab.Slots(rapid.IntRange(0, 12).Draw(f.r, "demand")))
 		n.state.SetDemand(PoolAccount(testPool), vocab.Slots(rapid.IntRange(0, 12).Draw(f.r, "slots")))
