--- a/internal/core/limit/dump.go
+++ b/internal/core/limit/dump.go
@@ -73,14 +73,3 @@
 	}
 	return d
 }
-
-// Settled returns the offset up to which this node uses no more than its
-// parts, and folded the log. Peers need it: see OnSettled.
-func (s *State) Settled() vocab.Offset {
-	return s.settled
-}
-
-// Confirmed returns the offset up to which all others have confirmed.
-func (s *State) Confirmed() vocab.Offset {
-	return s.confirmed
-}
--- a/internal/measure/limits/fleet.go
+++ b/internal/measure/limits/fleet.go
@@ -61,7 +61,7 @@
 		if f.lost[i] {
 			continue
 		}
-		settled, confirmed := from.Settled(), from.Confirmed()
+		settled, confirmed := from.Settled()
 		for j, to := range f.states {
 			if i != j && !f.lost[j] {
 				to.OnSettled(f.now, f.ids[i], settled, confirmed)
