--- a/internal/core/limit/borrow.go
+++ b/internal/core/limit/borrow.go
@@ -72,9 +72,19 @@
 	return nil
 }
 
-// OnAskFailed gives an ask up. Loans of a late answer will be returned.
-func (s *State) OnAskFailed(now vocab.Instant, seq uint64) {
+// OnAskFailed gives an ask up and asks other peers for the same. Loans of a
+// late answer will be returned.
+func (s *State) OnAskFailed(now vocab.Instant, seq uint64) []event.Effect {
+	p, ok := s.borrower.asks[seq]
+	if !ok {
+		return nil
+	}
 	s.giveUp(now, seq)
+	asks := newOutbox()
+	for _, item := range p.ask.Items {
+		s.askFor(now, item.Account, asks)
+	}
+	return s.sendAll(now, asks)
 }
 
 func (s *State) giveUp(now vocab.Instant, seq uint64) {
--- a/internal/core/limit/fleet_test.go
+++ b/internal/core/limit/fleet_test.go
@@ -209,6 +209,16 @@
 	}
 }
 
+// fail tells a node that one of its asks got no answer, whether or not it will.
+func (f *fleet) fail(n *node) {
+	for seq := n.state.borrower.lastSeq; seq > 0; seq-- {
+		if _, ok := n.state.borrower.asks[seq]; ok {
+			f.perform(n.state.OnAskFailed(n.clock(f.now), seq))
+			return
+		}
+	}
+}
+
 func (f *fleet) tick(n *node) {
 	var ids []vocab.Incarnation
 	for _, o := range f.nodes {
--- a/internal/core/limit/property_test.go
+++ b/internal/core/limit/property_test.go
@@ -68,6 +68,8 @@
 		f.tick(n)
 	case action < 49 && active:
 		f.tick(n)
+	case action < 50 && active:
+		f.fail(n)
 	case action < 53:
 		f.pass(time.Duration(rapid.IntRange(1, 4000).Draw(f.r, "ms")) * time.Millisecond)
 	case action < 59:
--- a/internal/measure/limits/fleet.go
+++ b/internal/measure/limits/fleet.go
@@ -113,7 +113,7 @@
 	f.sent.addAsk(ask)
 	to, from := int(ask.To)-1, int(ask.From)-1
 	if f.lost[to] {
-		f.states[from].OnAskFailed(f.now, ask.Seq)
+		f.perform(f.states[from].OnAskFailed(f.now, ask.Seq))
 		return
 	}
 	begin := time.Now()
