Make corrected parts add up to the targets

Change: corrections are scaled so that the corrected parts of all teams add up to the targets, and the bound is the corrected target again.

--- a/internal/core/share/correct.go
+++ b/internal/core/share/correct.go
@@ -134,13 +134,23 @@
 		owed[t.team] = min(bound, max(-bound, p.owed[t.team]+fair-t.attained))
 	}
 	p.owed = owed
+	p.scale = 1
+	corrected := 0.0
+	for _, t := range sums {
+		if t.level {
+			corrected += t.target * p.correction(t)
+		}
+	}
+	if corrected > 0 {
+		p.scale = target / corrected
+	}
 }
 
 // correction returns the factor by which a team's part is raised or lowered.
 func (p *pool) correction(t teamSum) float64 {
-	if t.target <= 0 {
+	if !t.level || t.target <= 0 {
 		return 1
 	}
 	c := 1 + p.owed[t.team]/(t.target*correctionTime.Seconds())
-	return min(mostCorrection, max(leastCorrection, c))
+	return p.scale * min(mostCorrection, max(leastCorrection, c))
 }
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -166,6 +166,9 @@
 	if parts["idle"].Slots != 1 || parts["idle"].Weight != 1 {
 		t.Errorf("idle earned credit or lost weight: %+v", parts["idle"])
 	}
+	if sum := s.NodeTarget("p"); math.Abs(sum-30) > epsilon {
+		t.Errorf("the corrected parts add up to %v of 30", sum)
+	}
 	if parts["busy"].FleetDemand != 50 {
 		t.Errorf("the silent node still counts: %+v", parts["busy"])
 	}
--- a/internal/core/share/state.go
+++ b/internal/core/share/state.go
@@ -87,7 +87,9 @@
 	order    []reporter // keys of reports, sorted
 	stale    bool       // order must be sorted again
 	owed     map[vocab.TeamID]float64
-	parts    []Part
+	// scale makes corrected parts add up to the targets.
+	scale float64
+	parts []Part
 }
 
 type reporter struct {
@@ -214,11 +216,7 @@
 	if !s.Contended(id) {
 		return math.MaxInt32
 	}
-	target := 0.0
-	for _, part := range s.Parts(id) {
-		target += part.Target
-	}
-	return vocab.Slots(math.Ceil(max(target, s.NodeTarget(id))))
+	return vocab.Slots(math.Ceil(s.NodeTarget(id)))
 }
 
 // Contended reports whether a team could use more of a pool than it gets.
