--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -5,11 +5,11 @@
 	"slices"
 
 	"github.com/sardinehead/sardinehead/internal/core/admission"
-	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/core/retry"
 	"github.com/sardinehead/sardinehead/internal/core/routing"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
+	"github.com/sardinehead/sardinehead/internal/core/task"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -90,13 +90,12 @@
 		q, ok := s.queues[service.Queue]
 		if !ok {
 			q = &queue{
-				id:       service.Queue,
-				waiting:  admission.New(admission.Bounds{}),
-				budget:   retry.NewBudget(),
-				turn:     uint64(s.self.Incarnation),
-				accounts: map[routing.Key]limit.Account{},
-				health:   routing.NewHealth(),
-				most:     math.MaxInt32,
+				id:      service.Queue,
+				waiting: admission.New(admission.Bounds{}),
+				budget:  retry.NewBudget(),
+				turn:    uint64(s.self.Incarnation),
+				health:  routing.NewHealth(),
+				most:    math.MaxInt32,
 			}
 			s.queues[service.Queue] = q
 		}
@@ -170,6 +169,7 @@
 	s.seekSnapshot()
 	s.takeSnapshotIfDue()
 	s.maintain(e.Unix)
+	s.stepTasks(task.Tick{})
 	s.dispatchAll()
 }
 
