Hold nothing up for VMs that failed by themselves

Cause: a VM that died while it drained, or did not come back, held up its whole pool; a pool below its budget in one zone could still lose a VM in another.

--- a/internal/core/maintenance/buffer.go
+++ b/internal/core/maintenance/buffer.go
@@ -1,7 +1,5 @@
 package maintenance
 
-import "github.com/sardinehead/sardinehead/internal/core/observe"
-
 // budgetVMs returns the VMs that the pool needs so that its budget stands after
 // the loss of its largest part in one rack. A wave uses the same buffer.
 func (p *tally) budgetVMs() int {
@@ -52,12 +50,3 @@
 	}
 	return p.held - p.wantsLater() - t.sharedBuffer()
 }
-
-// underMaintenance reports whether the VM is out for a maintenance that is
-// expected to bring it back.
-func (e Entry) underMaintenance(v *VM) bool {
-	if v.Phase == observe.PhaseReady || v.Incarnation > e.Upkeep.Incarnation {
-		return false
-	}
-	return e.Upkeep.Stage == observe.UpkeepDrain || e.Upkeep.Stage == observe.UpkeepReboot
-}
--- a/internal/core/maintenance/controller.go
+++ b/internal/core/maintenance/controller.go
@@ -216,7 +216,9 @@
 		StageFor: now.Sub(w.stageSince), AssignTo: w.assignTo,
 		Drain: w.drain.view(now), Reboot: w.reboot.view(now), Assign: w.assign.view(now),
 	}
-	if row, present := c.seen.Listed(vm.Name); present && row.Phase == observe.ListLive {
+	row, present := c.seen.Listed(vm.Name)
+	v.Gone = !present || row.Phase == observe.ListGone
+	if present && row.Phase == observe.ListLive {
 		v.ListedPool = row.Pool
 	}
 	return v
--- a/internal/core/maintenance/demand.go
+++ b/internal/core/maintenance/demand.go
@@ -81,8 +81,8 @@
 func (d *demand) account(dt time.Duration, p *tally) {
 	rate := 0.0
 	switch {
-	case p.has() < p.keep.Ready:
-		rate = BudgetWeight * float64(p.wants()-p.has())
+	case p.has() < p.keep.Ready || len(p.lackingZones()) > 0:
+		rate = BudgetWeight * float64(max(1, p.wants()-p.has()))
 	case p.has() < p.wants():
 		rate = LackWeight * float64(p.wants()-p.has())
 	}
--- a/internal/core/maintenance/moves.go
+++ b/internal/core/maintenance/moves.go
@@ -16,6 +16,9 @@
 		if p.need.LackCost < MoveCost {
 			continue
 		}
+		for _, zone := range p.lackingZones() {
+			t.lendIn(s, p, zone, plan)
+		}
 		for p.has() < p.wants() && t.fill(s, p, plan) {
 			continue
 		}
@@ -30,7 +33,7 @@
 			continue
 		}
 		if zone, ok := p.stuckZone(s); ok {
-			t.unblock(s, spare, p, zone, plan)
+			t.lendIn(s, p, zone, plan)
 			continue
 		}
 		if p.need.IdleCost < MoveCost || p.hasDue(s) {
@@ -56,13 +59,36 @@
 	return "", false
 }
 
-// unblock lends the pool a VM of the spare pool in the zone.
-func (t *tallies) unblock(s *Snapshot, spare, p *tally, zone vocab.ZoneID, plan *Plan) {
-	if t.lendable(spare, true) <= 0 {
-		return
+// lackingZones returns the zones in which the pool is below its budget.
+func (p *tally) lackingZones() []vocab.ZoneID {
+	return slices.DeleteFunc(slices.Clone(p.spec.Zones), func(z vocab.ZoneID) bool { return !p.lacksIn(z) })
+}
+
+// lendIn moves a VM of that zone to the pool: from the spare pool, else from any
+// that can lend one there.
+func (t *tallies) lendIn(s *Snapshot, p *tally, zone vocab.ZoneID, plan *Plan) {
+	reason := fmt.Sprintf("pool %s needs one more VM in zone %s", p.spec.Name, zone)
+	for _, donor := range t.spareFirst() {
+		if donor == p || t.lendable(donor, true) <= 0 {
+			continue
+		}
+		inZone := slices.DeleteFunc(slices.Clone(donor.vms), func(v *VM) bool { return v.Zone != zone })
+		if t.move(s, donor, p, inZone, reason, plan) {
+			return
+		}
+	}
+}
+
+func (t *tallies) spareFirst() []*tally {
+	var pools []*tally
+	for _, name := range t.names {
+		if p := t.byName[name]; p.spec.Spare {
+			pools = slices.Insert(pools, 0, p)
+		} else {
+			pools = append(pools, p)
+		}
 	}
-	inZone := slices.DeleteFunc(slices.Clone(spare.vms), func(v *VM) bool { return v.Zone != zone })
-	t.move(s, spare, p, inZone, fmt.Sprintf("the wave needs one more VM in zone %s", zone), plan)
+	return pools
 }
 
 // hasDue reports whether VMs of the pool wait for the wave.
--- a/internal/core/maintenance/snapshot.go
+++ b/internal/core/maintenance/snapshot.go
@@ -31,6 +31,8 @@
 	observe.VM
 	// ListedPool is the pool in the platform's list, empty if it is not live there.
 	ListedPool vocab.PoolID
+	// Gone means that the platform's list lacks the VM.
+	Gone bool
 	// Idle means that the VM certainly runs nothing.
 	Idle bool
 	// Flapping means that the VM turned unready by itself too often to be counted.
--- a/internal/core/maintenance/tally.go
+++ b/internal/core/maintenance/tally.go
@@ -22,7 +22,8 @@
 	arriving map[vocab.ZoneID]int // VMs on their way into the pool
 	racks    map[rackKey]int      // ready VMs
 	rackPart int                  // most ready VMs in one rack
-	occupied map[string]int       // VMs out of service by failure domain
+	occupied map[string]int       // VMs in maintenance by failure domain
+	broken   map[string]int       // VMs that failed by failure domain
 	inFlight int                  // maintenance under way
 }
 
@@ -38,7 +39,7 @@
 		t.names = append(t.names, p.Name)
 		t.byName[p.Name] = &tally{
 			spec: p, byZone: map[vocab.ZoneID]int{}, arriving: map[vocab.ZoneID]int{},
-			racks: map[rackKey]int{}, occupied: map[string]int{},
+			racks: map[rackKey]int{}, occupied: map[string]int{}, broken: map[string]int{},
 		}
 	}
 	for _, svc := range s.Fleet.Services {
@@ -71,17 +72,20 @@
 		return
 	}
 	p.vms = append(p.vms, v)
-	inUpkeep := e.underMaintenance(v)
+	inUpkeep := outForMaintenance(v, e)
 	if inUpkeep {
 		p.inFlight++
 	}
-	if v.counted() {
+	switch recent := v.UnreadyFor < lostGrace; {
+	case v.counted():
 		p.ready++
 		p.byZone[v.Zone]++
-	} else if v.UnreadyFor < lostGrace || inUpkeep {
+	case inUpkeep:
 		p.occupy(v)
+	case recent:
+		p.broken[v.domain(len(p.spec.Zones))]++
 	}
-	if v.counted() || inUpkeep {
+	if v.counted() || (inUpkeep && !overdue(s, v, e)) {
 		p.held++
 	}
 }
@@ -115,6 +119,9 @@
 // refuseTaking returns why a ready VM cannot be taken out of the pool, or "".
 // The floor is the number of VMs that demand keeps.
 func (p *tally) refuseTaking(v *VM, floor int) string {
+	if reason := p.withinBudget(); reason != "" {
+		return reason
+	}
 	if p.ready-1 < p.keep.Ready {
 		return fmt.Sprintf("pool %s keeps %d ready and has %d", p.spec.Name, p.keep.Ready, p.ready)
 	}
@@ -150,17 +157,24 @@
 	p.byZone[v.Zone]--
 }
 
-// occupy counts the VM's failure domain as affected.
+// occupy counts the VM's failure domain as in maintenance.
 func (p *tally) occupy(v *VM) {
 	p.occupied[v.domain(len(p.spec.Zones))]++
 }
 
-// refuseDomain returns why a second failure domain would be affected, or "".
+// refuseDomain returns why a second failure domain would be affected, or "". Our
+// own maintenance never affects two. A failure in another one leaves room only
+// while the pool keeps a VM in reserve.
 func (p *tally) refuseDomain(v *VM) string {
 	own := v.domain(len(p.spec.Zones))
 	for _, other := range sortedKeys(p.occupied) {
 		if other != own {
-			return fmt.Sprintf("pool %s has VMs of %s out of service", p.spec.Name, other)
+			return fmt.Sprintf("pool %s has VMs of %s in maintenance", p.spec.Name, other)
+		}
+	}
+	for _, other := range sortedKeys(p.broken) {
+		if other != own && p.ready-1 <= p.keep.Ready {
+			return fmt.Sprintf("pool %s has VMs of %s out of service and none in reserve", p.spec.Name, other)
 		}
 	}
 	return ""
--- a/internal/core/maintenance/underway.go
+++ b/internal/core/maintenance/underway.go
@@ -191,3 +191,23 @@
 func (v *VM) assignDue(pool vocab.PoolID) bool {
 	return v.AssignTo != pool || v.Assign.due()
 }
+
+// outForMaintenance reports whether the VM was taken out for a maintenance that
+// is neither over nor failed. A draining VM that the list lacks failed by itself.
+func outForMaintenance(v *VM, e Entry) bool {
+	switch {
+	case v.Phase == observe.PhaseReady || v.Incarnation > e.Upkeep.Incarnation:
+		return false
+	case e.Upkeep.Stage == observe.UpkeepDrain:
+		return !v.Gone
+	default:
+		return e.Upkeep.Stage == observe.UpkeepReboot
+	}
+}
+
+// overdue reports whether a VM that is out for maintenance should not be waited
+// for: the platform did not confirm its drain in time.
+func overdue(s *Snapshot, v *VM, e Entry) bool {
+	limit := drainLimit(s, v.Pool) + s.Fleet.Maintenance.Reboot.D()
+	return e.Upkeep.Stage == observe.UpkeepDrain && v.StageFor >= limit
+}
--- a/internal/core/maintenance/wave.go
+++ b/internal/core/maintenance/wave.go
@@ -74,12 +74,18 @@
 }
 
 func (p *tally) comesBefore(d, other string, byDomain map[string][]*VM) bool {
-	if p.occupied[d] > 0 || p.occupied[other] > 0 {
-		return p.occupied[d] > p.occupied[other]
+	if a, b := p.affected(d), p.affected(other); a != b {
+		return a > b
 	}
 	return len(byDomain[d]) > len(byDomain[other])
 }
 
+// affected returns the VMs of the domain that are out of service. One in
+// maintenance outweighs all failures.
+func (p *tally) affected(domain string) int {
+	return p.occupied[domain]*len(p.vms) + p.broken[domain]
+}
+
 // due reports whether the VM waits for its maintenance in the current wave.
 func due(s *Snapshot, v *VM) bool {
 	e := s.Ledger.VMs[v.Name]
--- a/internal/measure/capacity/bench.go
+++ b/internal/measure/capacity/bench.go
@@ -20,18 +20,21 @@
 	byName map[vocab.VMID]int
 	back   map[vocab.VMID]vocab.Instant // end of a reboot or failure under way
 	failed map[vocab.VMID]bool          // out by a failure
-	ledger *maintenance.Ledger
-	seen   *observe.State
-	ctl    *maintenance.Controller
-	offset vocab.Offset
-	listed vocab.Instant
-	moves  int
+
+	drained map[vocab.VMID]vocab.Instant // when the drain was ordered
+	ledger  *maintenance.Ledger
+	seen    *observe.State
+	ctl     *maintenance.Controller
+	offset  vocab.Offset
+	listed  vocab.Instant
+	moves   int
 }
 
 func newBench(s Size) *bench {
 	b := &bench{
 		fleet: s.fleet(), now: 1, rows: s.rows(), byName: map[vocab.VMID]int{}, failed: map[vocab.VMID]bool{},
-		back: map[vocab.VMID]vocab.Instant{}, ledger: maintenance.NewLedger(), seen: observe.New(),
+		drained: map[vocab.VMID]vocab.Instant{},
+		back:    map[vocab.VMID]vocab.Instant{}, ledger: maintenance.NewLedger(), seen: observe.New(),
 	}
 	for i, r := range b.rows {
 		b.byName[r.Name] = i
@@ -62,12 +65,25 @@
 		b.listed = b.now
 		b.seen.ApplyListing(b.now, uint64(b.now), b.list())
 	}
-	tick := maintenance.Tick{Unix: int64(b.elapsed() / time.Second), LogUp: true, Demand: demand}
+	tick := maintenance.Tick{
+		Unix: int64(b.elapsed() / time.Second), LogUp: true, Demand: demand, Idle: b.idle(),
+	}
 	for _, e := range b.ctl.Step(b.now, tick) {
 		b.execute(e)
 	}
 }
 
+// idle returns the VMs whose last request has ended after their drain.
+func (b *bench) idle() []vocab.VMID {
+	var idle []vocab.VMID
+	for _, r := range b.rows {
+		if r.Phase == observe.ListLeaving && b.now.Sub(b.drained[r.Name]) >= drainTime {
+			idle = append(idle, r.Name)
+		}
+	}
+	return idle
+}
+
 // list returns the rows of the VMs that the platform shows.
 func (b *bench) list() []observe.Row {
 	rows := make([]observe.Row, 0, len(b.rows))
@@ -114,6 +130,7 @@
 	switch kind {
 	case maintenance.KindDrain:
 		r.Phase = observe.ListLeaving
+		b.drained[o.VM] = b.now
 	case maintenance.KindReboot:
 		r.Phase = observe.ListLeaving
 		b.back[o.VM] = b.now.Add(rebootTime)
