Refuse decisions made without knowledge of a failure or pause

Cause: a decision in flight while a wave was paused and resumed could exceed the first VMs of an unproven wave; a vanished VM was ordered to reboot; a VM lent during a wave was often one still due. Change: failures and wave records move the base that decisions name; vanished VMs wait; VMs that the wave is done with are lent first; plans follow changes of the VM list at the next tick.

--- a/internal/core/maintenance/controller.go
+++ b/internal/core/maintenance/controller.go
@@ -11,7 +11,8 @@
 )
 
 // planEvery is the longest time between two plans. A record or answer that
-// concerns a VM brings the next plan forward to the next tick.
+// concerns a VM, a change of the VM list and a VM that fell idle bring the next
+// plan forward to the next tick.
 const planEvery = 5 * time.Second
 
 // Controller is the local state of one node's part in moves and maintenance. It
@@ -27,6 +28,7 @@
 	demands  map[vocab.PoolID]*demand
 	watched  map[vocab.VMID]*watched
 	idle     map[vocab.VMID]bool
+	listed   uint64 // version of the VM list at the last tick
 	unix     int64
 	lastTick vocab.Instant
 	lastPlan vocab.Instant
@@ -138,6 +140,10 @@
 	dt := min(now.Sub(c.lastTick), maxTickGap)
 	c.lastTick = now
 	c.unix = e.Unix
+	if len(e.Idle) != len(c.idle) || c.seen.Version() != c.listed {
+		c.planned = false
+	}
+	c.listed = c.seen.Version()
 	c.idle = make(map[vocab.VMID]bool, len(e.Idle))
 	for _, vm := range e.Idle {
 		c.idle[vm] = true
--- a/internal/core/maintenance/fold.go
+++ b/internal/core/maintenance/fold.go
@@ -24,11 +24,15 @@
 	case record.VMMaintained:
 		return l.change(b.Epoch, b.VM, func(e *Entry) bool { return l.maintained(e, b) })
 	case record.VMMaintenanceFailed:
-		return l.change(b.Epoch, b.VM, l.failed)
+		return l.change(b.Epoch, b.VM, func(e *Entry) bool { return l.failed(offset, e) })
 	case record.VMMaintenanceCancelled:
 		return l.change(b.Epoch, b.VM, (*Entry).cancel)
 	default:
-		return nil, l.applyWave(offset, body)
+		ok := l.applyWave(offset, body)
+		if ok {
+			l.Begun = offset
+		}
+		return nil, ok
 	}
 }
 
@@ -139,13 +143,14 @@
 	return true
 }
 
-func (l *Ledger) failed(e *Entry) bool {
+func (l *Ledger) failed(offset vocab.Offset, e *Entry) bool {
 	if e.Upkeep.Stage == observe.UpkeepNone || e.Upkeep.Stage == observe.UpkeepFailed {
 		return false
 	}
 	e.Upkeep.Stage = observe.UpkeepFailed
 	l.Wave.Failed++
 	l.Wave.Returned = 0
+	l.Begun = offset
 	return true
 }
 
--- a/internal/core/maintenance/ledger.go
+++ b/internal/core/maintenance/ledger.go
@@ -10,7 +10,8 @@
 // for equal ledgers and serves as snapshot and for a digest.
 type Ledger struct {
 	Owner Owner `json:"owner"`
-	// Begun is the offset that the next DisruptionsBegun must name as its base.
+	// Begun is the offset that the next DisruptionsBegun must name as its base:
+	// that of the last record that a decision to begin something must know.
 	Begun vocab.Offset `json:"begun"`
 	// FirstClaim is when planning first began, in seconds since the Unix epoch.
 	FirstClaim int64                `json:"first_claim"`
--- a/internal/core/maintenance/ledger_test.go
+++ b/internal/core/maintenance/ledger_test.go
@@ -19,7 +19,7 @@
 		record.MaintenanceClaimed{Node: "n1"},
 		record.WaveStarted{Epoch: 1, Wave: 1},
 		record.DisruptionsBegun{
-			Epoch: 1, Base: 1,
+			Epoch: 1, Base: 2,
 			Started: []record.VMMaintenanceStarted{{VM: "v1", Incarnation: 1}},
 			Left:    []record.VMLeftPool{{VM: "v2", Incarnation: 1, From: "a", To: "b"}},
 		},
@@ -33,8 +33,8 @@
 	refused := []record.Body{
 		record.MaintenanceClaimed{Node: "n3", Previous: 1},
 		record.MaintenanceHeld{Epoch: 1},
-		record.DisruptionsBegun{Epoch: 1, Base: 4},
-		record.DisruptionsBegun{Epoch: 4, Base: 3},
+		record.DisruptionsBegun{Epoch: 1, Base: 5},
+		record.DisruptionsBegun{Epoch: 4, Base: 4}, // made before the pause was known
 		record.VMJoinedPool{Epoch: 1, VM: "v2", Pool: "b"},
 		record.VMJoinedPool{Epoch: 4, VM: "v1", Pool: "b"},
 		record.VMsRebooting{Epoch: 1, VMs: []vocab.VMID{"v1"}},
@@ -55,7 +55,7 @@
 	after, _ := json.Marshal(l)
 	g.Expect(after).To(Equal(before))
 	changed, ok := l.Apply(99, record.DisruptionsBegun{
-		Epoch: 4, Base: 4,
+		Epoch: 4, Base: 5,
 		Started: []record.VMMaintenanceStarted{{VM: "v3", Incarnation: 1}},
 		Left:    []record.VMLeftPool{{VM: "v1", Incarnation: 1, From: "a", To: "b"}},
 	})
--- a/internal/core/maintenance/moves.go
+++ b/internal/core/maintenance/moves.go
@@ -159,7 +159,7 @@
 func (t *tallies) move(s *Snapshot, from, to *tally, candidates []*VM, reason string, plan *Plan) bool {
 	var best *VM
 	for _, v := range candidates {
-		if refuseMove(s, from, to, v) == "" && (best == nil || balances(from, to, v, best)) {
+		if refuseMove(s, from, to, v) == "" && (best == nil || prefers(s, from, to, v, best)) {
 			best = v
 		}
 	}
@@ -179,13 +179,17 @@
 	return true
 }
 
-// balances reports whether moving v leaves the pools better spread than w. The
-// pool that serves a queue counts first, the spare pool second.
-func balances(from, to *tally, v, w *VM) bool {
+// prefers reports whether v is the better VM to move than w: one in a zone that
+// lacks VMs, then one that the wave is done with, then the one that leaves the
+// pools better spread. The pool that serves a queue counts more than the spare pool.
+func prefers(s *Snapshot, from, to *tally, v, w *VM) bool {
 	lackV, lackW := to.lacksIn(v.Zone), to.lacksIn(w.Zone)
 	if lackV != lackW {
 		return lackV
 	}
+	if dueV, dueW := due(s, v), due(s, w); dueV != dueW {
+		return dueW
+	}
 	give := cmp.Compare(from.crowding(v), from.crowding(w))
 	take := cmp.Compare(to.crowding(w), to.crowding(v))
 	if to.spec.Spare {
--- a/internal/core/maintenance/underway.go
+++ b/internal/core/maintenance/underway.go
@@ -93,6 +93,9 @@
 	p := t.byName[v.Pool]
 	broken := p != nil && p.withinBudget() != ""
 	switch {
+	case v.Gone:
+		plan.wait(v.Name, "vanished while it drained")
+		return
 	case !v.Drain.Sent && (broken || v.Assign.Sent):
 		planCancel(plan, v, step)
 		return
--- a/internal/core/observe/state.go
+++ b/internal/core/observe/state.go
@@ -146,6 +146,11 @@
 	return nil
 }
 
+// Version returns the version of the newest reading of the VM list.
+func (s *State) Version() uint64 {
+	return s.version
+}
+
 // Listed returns the newest row of the VM list that was believed, and whether
 // the newest reading still has the VM.
 func (s *State) Listed(vm vocab.VMID) (Row, bool) {
--- a/internal/record/maintenance.go
+++ b/internal/record/maintenance.go
@@ -41,9 +41,10 @@
 func (MaintenanceHeld) RecordKind() Kind { return "maintenance.held" }
 
 // DisruptionsBegun takes VMs out of service. It is the only record that does.
-// The fold accepts it only if Base is the offset of the last one it accepted,
-// or the epoch if there was none under it. So a copy that was delayed, or one
-// decided without knowledge of another, has no effect.
+// The fold accepts it only if Base is the offset of the last accepted record
+// that its maker had to know: another one, a claim, a VM that did not come back,
+// or a start, pause or resumption of the wave. So a copy that was delayed, or one
+// decided without that knowledge, has no effect.
 type DisruptionsBegun struct {
 	Epoch   vocab.Epoch            `json:"epoch"`
 	Base    vocab.Offset           `json:"base"`
