--- a/internal/core/maintenance/tally.go
+++ b/internal/core/maintenance/tally.go
@@ -163,8 +163,9 @@
 }
 
 // refuseDomain returns why a second failure domain would be affected, or "". Our
-// own maintenance never affects two. A failure in another one leaves room only
-// while the pool keeps a VM in reserve.
+// own maintenance never affects two. Failures of several VMs in another one leave
+// room only while the pool keeps a VM in reserve; a single VM is an ordinary
+// failure, which the budget on ready VMs covers.
 func (p *tally) refuseDomain(v *VM) string {
 	own := v.domain(len(p.spec.Zones))
 	for _, other := range sortedKeys(p.occupied) {
@@ -173,7 +174,7 @@
 		}
 	}
 	for _, other := range sortedKeys(p.broken) {
-		if other != own && p.ready-1 <= p.keep.Ready {
+		if other != own && p.broken[other] > 1 && p.ready-1 <= p.keep.Ready {
 			return fmt.Sprintf("pool %s has VMs of %s out of service and none in reserve", p.spec.Name, other)
 		}
 	}
