--- a/internal/core/maintenance/demand.go
+++ b/internal/core/maintenance/demand.go
@@ -16,7 +16,9 @@
 	trendTime = 1200 * time.Second
 	// spreadTime is the time constant of the average spread.
 	spreadTime = time.Hour
-	// spreadLimit bounds the spread as a part of the level.
+	// marginSpreads is the margin over the expected demand, in average spreads.
+	marginSpreads = 2
+	// spreadLimit bounds the margin as a part of the level.
 	spreadLimit = 0.25
 )
 
@@ -49,16 +51,15 @@
 	return -math.Expm1(-float64(dt) / float64(constant))
 }
 
-// expected returns the slots that the pool should be ready for now.
-func (d *demand) expected() float64 {
-	return d.level + min(d.spread, spreadLimit*d.level)
+// margin returns the slots held beyond the expected demand.
+func (d *demand) margin() float64 {
+	return min(marginSpreads*d.spread, spreadLimit*d.level)
 }
 
 // need returns what demand asks of a pool whose VMs have that many slots.
 func (d *demand) need(pool vocab.PoolID, slots vocab.Slots, unix int64) PoolNeed {
-	now := d.expected()
-	soon := max(now, d.days.most(unix, forecastSoon))
-	later := max(soon, d.days.most(unix, forecastLater))
+	soon := max(d.level, d.days.most(unix, forecastSoon)) + d.margin()
+	later := max(soon, d.days.most(unix, forecastLater)+d.margin())
 	return PoolNeed{
 		Pool: pool, Demand: vmsFor(soon, slots), Later: vmsFor(later, slots),
 		LackCost: d.lackCost, IdleCost: d.idleCost,
