--- a/internal/core/maintenance/moves.go
+++ b/internal/core/maintenance/moves.go
@@ -16,6 +16,9 @@
 		if p.need.LackCost < MoveCost {
 			continue
 		}
+		for _, zone := range p.lackingZones() {
+			t.lendIn(s, p, zone, plan)
+		}
 		for p.has() < p.wants() && t.fill(s, p, plan) {
 			continue
 		}
@@ -30,7 +33,7 @@
 			continue
 		}
 		if zone, ok := p.stuckZone(s); ok {
-			t.unblock(s, spare, p, zone, plan)
+			t.lendIn(s, p, zone, plan)
 			continue
 		}
 		if p.need.IdleCost < MoveCost || p.hasDue(s) {
@@ -56,13 +59,36 @@
 	return "", false
 }
 
-// unblock lends the pool a VM of the spare pool in the zone.
-func (t *tallies) unblock(s *Snapshot, spare, p *tally, zone vocab.ZoneID, plan *Plan) {
-	if t.lendable(spare, true) <= 0 {
-		return
+// lackingZones returns the zones in which the pool is below its budget.
+func (p *tally) lackingZones() []vocab.ZoneID {
+	return slices.DeleteFunc(slices.Clone(p.spec.Zones), func(z vocab.ZoneID) bool { return !p.lacksIn(z) })
+}
+
+// lendIn moves a VM of that zone to the pool: from the spare pool, else from any
+// that can lend one there.
+func (t *tallies) lendIn(s *Snapshot, p *tally, zone vocab.ZoneID, plan *Plan) {
+	reason := fmt.Sprintf("pool %s needs one more VM in zone %s", p.spec.Name, zone)
+	for _, donor := range t.spareFirst() {
+		if donor == p || t.lendable(donor, true) <= 0 {
+			continue
+		}
+		inZone := slices.DeleteFunc(slices.Clone(donor.vms), func(v *VM) bool { return v.Zone != zone })
+		if t.move(s, donor, p, inZone, reason, plan) {
+			return
+		}
 	}
-	inZone := slices.DeleteFunc(slices.Clone(spare.vms), func(v *VM) bool { return v.Zone != zone })
-	t.move(s, spare, p, inZone, fmt.Sprintf("the wave needs one more VM in zone %s", zone), plan)
+}
+
+func (t *tallies) spareFirst() []*tally {
+	var pools []*tally
+	for _, name := range t.names {
+		if p := t.byName[name]; p.spec.Spare {
+			pools = slices.Insert(pools, 0, p)
+		} else {
+			pools = append(pools, p)
+		}
+	}
+	return pools
 }
 
 // hasDue reports whether VMs of the pool wait for the wave.
@@ -133,7 +159,7 @@
 func (t *tallies) move(s *Snapshot, from, to *tally, candidates []*VM, reason string, plan *Plan) bool {
 	var best *VM
 	for _, v := range candidates {
-		if refuseMove(s, from, to, v) == "" && (best == nil || balances(from, to, v, best)) {
+		if refuseMove(s, from, to, v) == "" && (best == nil || prefers(s, from, to, v, best)) {
 			best = v
 		}
 	}
@@ -153,13 +179,17 @@
 	return true
 }
 
-// balances reports whether moving v leaves the pools better spread than w. The
-// pool that serves a queue counts first, the spare pool second.
-func balances(from, to *tally, v, w *VM) bool {
+// prefers reports whether v is the better VM to move than w: one in a zone that
+// lacks VMs, then one that the wave is done with, then the one that leaves the
+// pools better spread. The pool that serves a queue counts more than the spare pool.
+func prefers(s *Snapshot, from, to *tally, v, w *VM) bool {
 	lackV, lackW := to.lacksIn(v.Zone), to.lacksIn(w.Zone)
 	if lackV != lackW {
 		return lackV
 	}
+	if dueV, dueW := due(s, v), due(s, w); dueV != dueW {
+		return dueW
+	}
 	give := cmp.Compare(from.crowding(v), from.crowding(w))
 	take := cmp.Compare(to.crowding(w), to.crowding(v))
 	if to.spec.Spare {
