Run whole reducers against fakes of all that surrounds them

Cause: each decision was proved alone; nothing proved the reducer as a whole. Change: package core/world steps several copies of core.State on a fake log, VM list, platform, upstreams and network, from one seed, and checks the promises after each step.

--- /dev/null
+++ b/internal/core/world/property_test.go
@@ -0,0 +1,102 @@
+package world
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sardinehead/sardinehead/internal/spec"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// smallFleet has two services, a spare pool and two teams, small enough for
+// limits and slots to be reached all the time.
+func smallFleet() spec.Fleet {
+	zones := []vocab.ZoneID{"a", "b", "c"}
+	teams := []vocab.TeamID{"blue", "red"}
+	fleet := spec.Fleet{
+		Name:    "small",
+		Regions: []spec.Region{{Name: "r", Zones: zones}},
+		Teams:   []spec.Team{{Name: "blue", Share: 2, UpperLimit: 7}, {Name: "red", Share: 1, UpperLimit: 3}},
+		Pools: []spec.Pool{
+			{Name: "office", VMs: 3, Slots: 2, Connections: 8, Zones: zones, Spare: true},
+			{Name: "orders", VMs: 4, Slots: 3, Connections: 8, Zones: zones},
+		},
+		Maintenance: spec.Maintenance{
+			Every: spec.Duration(28 * 24 * time.Hour), Drain: spec.Duration(30 * time.Second),
+			Reboot: spec.Duration(time.Minute), StopAfter: 2,
+		},
+	}
+	for _, p := range []vocab.PoolID{"office", "orders"} {
+		fleet.Services = append(fleet.Services, spec.Service{
+			Queue: vocab.QueueID(p), Pool: p, Open: p == "office", Teams: teams,
+			Hold:   spec.Hold{Queued: 40, QueuedPerTeam: 30},
+			Keep:   spec.Keep{Ready: 1},
+			Limits: spec.TimeLimits{Queue: spec.Duration(5 * time.Second), FirstByte: spec.Duration(time.Second), Run: spec.Duration(4 * time.Second)},
+			Requests: []spec.RequestRule{
+				{Methods: []string{"GET"}, PathPrefix: "/", Idempotent: true},
+				{Methods: []string{"POST"}, PathPrefix: "/urgent", Urgent: true},
+			},
+		})
+	}
+	return fleet
+}
+
+// smallWorld returns a world of some nodes, one in each zone, with parts of
+// all limits.
+func smallWorld(fail func(string, ...any), seed uint64, nodes int) *world {
+	w := newWorld(fail, seed, smallFleet())
+	for i := range nodes {
+		w.start(vocab.NodeID(fmt.Sprint("node-", i+1)), w.fleet.Regions[0].Zones[i%3])
+	}
+	w.run(8 * time.Second)
+	return w
+}
+
+// burst sends some requests of mixed sorts to a node.
+func (w *world) burst(n *entryNode, count int, most time.Duration) {
+	for range count {
+		queue := vocab.QueueID([]string{"orders", "orders", "office"}[w.rng.IntN(3)])
+		key := w.keys[w.fleet.Teams[w.rng.IntN(2)].Name]
+		method, path := "GET", "/x"
+		if w.chance(0.5) {
+			method = "POST"
+		}
+		if w.chance(0.1) {
+			path = "/urgent"
+		}
+		w.request(n, queue, key, method, path, w.between(10*time.Millisecond, most))
+	}
+}
+
+// TestServesWithoutFaults is the plain case: with nothing going wrong, all
+// that is sent within the limits completes.
+func TestServesWithoutFaults(t *testing.T) {
+	w := smallWorld(t.Fatalf, 1, 3)
+	for range 20 {
+		for _, n := range w.nodes {
+			w.burst(n, 1, 500*time.Millisecond)
+		}
+		w.run(time.Second)
+	}
+	w.run(10 * time.Second)
+	w.checkAnswered()
+	for _, c := range w.calls {
+		if c.final != "completed" {
+			t.Errorf("request %d of %s, sent at %v, ended as %s", c.id, c.node.name, c.at, c.final)
+		}
+	}
+}
+
+// TestPromisesUnderFaults runs the nodes through random faults. The world
+// checks each step; after the faults, all must be answered and usable.
+func TestPromisesUnderFaults(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		w := smallWorld(r.Fatalf, rapid.Uint64().Draw(r, "seed"), rapid.IntRange(3, 5).Draw(r, "nodes"))
+		r.Repeat(w.actions())
+		w.heal()
+		w.checkUsable()
+	})
+}
