Count successive incarnations of a VM on one account

Cause: work sent to a VM before its restart was seen ran on the later incarnation, whose account was new and full: office-2 ran 3 requests in 2 slots. Change: a VM's slots in a pool are one account whatever its incarnation. Result: go test ./internal/core/world -run TestVMReturnsUnseen failed before and passes now.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"strconv"
-
 	"github.com/sardinehead/sardinehead/internal/core/gossip"
 	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/observe"
@@ -137,9 +135,8 @@
 	r.queue.health.Ended(s.now, key, e.Result.Failed(), r.queue.pool.Slots)
 }
 
-// vmAccount names the slots of one incarnation of a VM in one pool. What an
-// earlier incarnation ran ended with it.
+// vmAccount names the slots of a VM in one pool. Successive incarnations share
+// it: work sent before a restart was seen may run on the later incarnation.
 func vmAccount(vm *observe.VM) limit.Account {
-	name := string(vm.Pool) + "/" + string(vm.Name) + "@" + strconv.FormatUint(uint64(vm.Incarnation), 10)
-	return limit.VMAccount(vocab.VMID(name))
+	return limit.VMAccount(vocab.VMID(string(vm.Pool) + "/" + string(vm.Name)))
 }
--- a/internal/core/world/check_test.go
+++ b/internal/core/world/check_test.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core"
@@ -162,11 +163,25 @@
 	}
 	pool, _ := w.fleet.Pool(u.row.Pool)
 	if len(u.jobs) > int(pool.Slots) {
-		w.fail("%s runs %d requests in %d slots", u.row.Name, len(u.jobs), pool.Slots)
+		w.fail("%s runs %d requests in %d slots: %s", u.row.Name, len(u.jobs), pool.Slots, describe(u.jobs))
 	}
 	w.checkTeam(c.team)
 }
 
+// describe tells whose work runs, since when, and when it was decided.
+func describe(jobs []*job) string {
+	var out string
+	for _, j := range jobs {
+		state := "lives"
+		if j.call.node.dead {
+			state = "dead"
+		}
+		out += fmt.Sprintf("[%s/%d %s, request %d of %s, decided %v, started %v]",
+			j.call.node.name, j.call.node.incarnation, state, j.call.id, j.call.team, j.decided, j.started)
+	}
+	return out
+}
+
 // running counts what upstreams run for a team.
 func (w *world) running(team vocab.TeamID) int {
 	n := 0
@@ -189,7 +204,11 @@
 		return
 	}
 	if bound := w.highestLimit(team); running > int(bound) {
-		w.fail("team %s has %d running, its limit is %d", team, running, bound)
+		var jobs []*job
+		for _, name := range w.vms.names {
+			jobs = append(jobs, w.vms.byName[name].jobs...)
+		}
+		w.fail("team %s has %d running, its limit is %d: %s", team, running, bound, describe(jobs))
 	}
 }
 
--- a/internal/core/world/faults_test.go
+++ b/internal/core/world/faults_test.go
@@ -14,11 +14,18 @@
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
-// living returns the processes that run, and take callers unless all is set.
+// living returns the processes that run; unless all is set, only those that
+// take callers.
 func (w *world) living(all bool) []*entryNode {
 	return slices.DeleteFunc(slices.Clone(w.nodes), func(n *entryNode) bool { return n.dead || n.stopping && !all })
 }
 
+// alone reports whether no other process takes callers.
+func (n *entryNode) alone() bool {
+	takers := n.w.living(false)
+	return len(takers) == 0 || len(takers) == 1 && takers[0] == n
+}
+
 // deadNames returns the nodes without a process.
 func (w *world) deadNames() []vocab.NodeID {
 	var out []vocab.NodeID
@@ -110,12 +117,12 @@
 			n.pause()
 		},
 		"kill": func(r *rapid.T) {
-			if n := node(r); len(w.living(true)) > 1 {
+			if n := node(r); !n.alone() {
 				n.kill()
 			}
 		},
 		"stop": func(r *rapid.T) {
-			if n := node(r); len(w.living(false)) > 1 && !n.stopping {
+			if n := node(r); !n.alone() && !n.stopping {
 				n.stopGracefully()
 			}
 		},
@@ -170,7 +177,7 @@
 		}
 	}
 	for _, n := range w.living(true) {
-		if n.zone == zone && len(w.living(true)) > 1 {
+		if n.zone == zone && !n.alone() {
 			n.kill()
 		}
 	}
--- a/internal/core/world/node_test.go
+++ b/internal/core/world/node_test.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	pollLog  = 50 * time.Millisecond
-	pollVMs  = 200 * time.Millisecond
+	logPoll  = 50 * time.Millisecond
+	listPoll = 200 * time.Millisecond
 	mostRead = 20 // records in one read
 )
 
@@ -65,8 +65,8 @@
 	})
 	w.nodes = append(w.nodes, n)
 	n.every(core.TickInterval, func() { n.step(core.Tick{Unix: w.unix()}) })
-	n.every(pollLog, n.readLog)
-	n.every(pollVMs, n.readVMs)
+	n.every(logPoll, n.readLog)
+	n.every(listPoll, n.readVMs)
 	return n
 }
 
@@ -159,6 +159,7 @@
 	switch e := effect.(type) {
 	case core.Dispatch:
 		n.w.dispatched++
+		n.calls[e.Request].decided = n.w.now
 		n.send(func() { n.dispatch(e) })
 	case core.Answer:
 		n.answer(n.calls[e.Request], e.Problem.Outcome, string(e.Problem.Code))
--- a/internal/core/world/property_test.go
+++ b/internal/core/world/property_test.go
@@ -100,3 +100,24 @@
 		w.checkUsable()
 	})
 }
+
+// TestVMReturnsUnseen lets a VM return under a new incarnation while the list
+// stands still. Work sent before the news counts on the VM that runs it.
+func TestVMReturnsUnseen(t *testing.T) {
+	w := smallWorld(t.Fatalf, 1, 3)
+	w.vms.frozen = true
+	for _, name := range w.vms.names {
+		w.vms.die(name)
+		w.vms.comeBack(name)
+	}
+	for _, n := range w.nodes {
+		for range 12 {
+			w.request(n, "office", "", "GET", "/x", 4*time.Second)
+		}
+	}
+	w.run(time.Second)
+	w.vms.frozen = false
+	w.vms.show()
+	w.run(20 * time.Second)
+	w.checkAnswered()
+}
--- a/internal/core/world/upstream_test.go
+++ b/internal/core/world/upstream_test.go
@@ -37,6 +37,8 @@
 type job struct {
 	call *call
 	vm   *upstream
+	// decided is when its node decided to send it, started when it arrived.
+	decided, started time.Duration
 	// lost is told when the upstream dies with the job.
 	lost func()
 }
@@ -51,6 +53,7 @@
 	once    bool // not idempotent
 	work    time.Duration
 	starts  int
+	decided time.Duration // when its last attempt was decided
 	// final is the answer that the caller got.
 	final     string
 	outcome   vocab.Outcome
@@ -135,7 +138,7 @@
 			n.end(e, c, ev)
 		}
 	}
-	j := &job{call: c, vm: u, lost: func() { end(core.AttemptEnded{}) }}
+	j := &job{call: c, vm: u, decided: c.decided, started: w.now, lost: func() { end(core.AttemptEnded{}) }}
 	u.jobs = append(u.jobs, j)
 	c.starts++
 	w.checkStart(j)
