Fold members and totals of one record in one step

Cause: each record was folded as members, then as totals. The first fold settled the offset before the lowered totals were known, so that others took up what was still in use: team blue had 2 running under a limit of 1.

--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -75,9 +75,7 @@
 	if c.Maintenance != nil {
 		s.upkeep.Step(s.now, *c.Maintenance)
 	}
-	if c.Config || c.Members {
-		s.foldLimits()
-	}
+	s.foldLimits(c)
 }
 
 // adoptFleet brings queues into line with the configuration in force.
@@ -148,7 +146,7 @@
 
 func (s *State) onVMsListed(e VMsListed) {
 	s.vms.ApplyListing(s.now, e.Version, e.Rows)
-	s.foldLimits()
+	s.foldTotals()
 	s.dispatchAll()
 }
 
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -3,18 +3,41 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core/limit"
+	"github.com/sardinehead/sardinehead/internal/core/shared"
 )
 
-// foldLimits tells the limits which members and totals hold at the folded offset.
-func (s *State) foldLimits() {
+// foldLimits tells the limits what a record changed. A record changes either
+// the members or the totals; a snapshot may change both.
+func (s *State) foldLimits(c shared.Change) {
+	at := s.Shared().Offset
+	switch {
+	case c.Snapshot && c.Members:
+		s.limits.FoldSnapshot(s.now, at, s.limitMembers(), s.limitTotals(), s.longestRun())
+	case c.Members:
+		s.limits.FoldMembers(s.now, at, s.limitMembers())
+	case c.Config:
+		s.foldTotals()
+	}
+}
+
+// foldTotals tells the limits the totals at the folded offset. Which VMs have
+// one depends on the VM list as well.
+func (s *State) foldTotals() {
 	if s.Shared().Fleet == nil {
 		return
 	}
-	at := s.Shared().Offset
-	s.limits.FoldMembers(s.now, at, s.limitMembers())
-	s.limits.FoldTotals(s.now, at, s.limitTotals(), s.Shared().Fleet.LongestRun().D())
+	s.limits.FoldTotals(s.now, s.Shared().Offset, s.limitTotals(), s.longestRun())
+}
+
+// longestRun returns the longest run limit of all services.
+func (s *State) longestRun() time.Duration {
+	if s.Shared().Fleet == nil {
+		return 0
+	}
+	return s.Shared().Fleet.LongestRun().D()
 }
 
 func (s *State) limitMembers() []limit.Member {
@@ -35,6 +58,9 @@
 
 func (s *State) limitTotals() []limit.Total {
 	var out []limit.Total
+	if s.Shared().Fleet == nil {
+		return nil
+	}
 	for _, t := range s.Shared().Fleet.Teams {
 		out = append(out, limit.Total{Account: limit.TeamAccount(t.Name), Slots: t.UpperLimit})
 	}
--- a/internal/core/world/property_test.go
+++ b/internal/core/world/property_test.go
@@ -121,3 +121,20 @@
 	w.run(20 * time.Second)
 	w.checkAnswered()
 }
+
+// TestLimitIsLoweredWhileFull lowers a limit while all of it is in use. No
+// node may use a part that it got by the change before the others drew down.
+func TestLimitIsLoweredWhileFull(t *testing.T) {
+	for seed := range uint64(20) {
+		w := smallWorld(t.Fatalf, seed, 4)
+		for step := range 60 {
+			for _, n := range w.nodes {
+				w.request(n, "orders", w.keys["blue"], "GET", "/x", w.between(time.Second, 4*time.Second))
+			}
+			if step%20 == 10 {
+				w.change(false, func(f *spec.Fleet) { f.Teams[0].UpperLimit = vocab.Slots(1 + step/20) })
+			}
+			w.run(250 * time.Millisecond)
+		}
+	}
+}
