Send an attempt only while its tokens cannot belong to another node

Cause: a process paused between a decision and its dispatch sent the work after its leases had lapsed and their tokens were in use elsewhere: team blue had 8 running under a limit of 7. Change: a dispatch carries the latest instant at which a byte may be written, half of the guard after the decision. The client closes the connection instead of writing later and reports the attempt as not sent. Unknown ends hold their tokens for that much longer. Result: go test ./internal/core/world -run TestPauseBetweenDecisionAndDispatch failed before and passes now; go test ./internal/forward passes.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -72,6 +72,10 @@
 	return team == "" || s.limits.Free(s.now, limit.TeamAccount(team)) > 0
 }
 
+// sendWithin is the longest time between a decision and the first byte of its
+// attempt. It must stay below limit.DefaultGuard.
+const sendWithin = limit.DefaultGuard / 2
+
 // start takes the tokens of an attempt and sends it.
 func (s *State) start(r *request, vm *observe.VM) {
 	s.lastAttempt++
@@ -93,6 +97,7 @@
 		VM:        vm.Name,
 		Address:   vm.Address,
 		Reuse:     r.idempotent && r.attempts == 1,
+		SendBy:    s.now.Add(sendWithin),
 		FirstByte: r.service.Limits.FirstByte.D(),
 		Run:       r.service.Limits.Run.D(),
 
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -17,6 +17,10 @@
 	// Reuse allows a connection that served another request before. Requests
 	// that are not idempotent, and retries, need a fresh one.
 	Reuse bool
+	// SendBy is the latest instant at which a byte may be written. A process that
+	// was held up until later reports the attempt as not sent: what it may run
+	// belongs to another one by then.
+	SendBy vocab.Instant
 	// FirstByte bounds the wait for the first byte of the answer.
 	FirstByte time.Duration
 	// Run bounds the whole attempt.
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -187,7 +187,7 @@
 func (s *State) settleTokens(r *request, a *attempt, result retry.Result) {
 	var until vocab.Instant
 	if result == retry.Unknown {
-		until = a.started.Add(r.service.Limits.Run.D())
+		until = a.started.Add(sendWithin + r.service.Limits.Run.D())
 	}
 	s.leaveVM(a.vm, until)
 	for _, token := range a.tokens {
--- a/internal/core/world/property_test.go
+++ b/internal/core/world/property_test.go
@@ -138,3 +138,29 @@
 		}
 	}
 }
+
+// TestPauseBetweenDecisionAndDispatch pauses a node that has just decided to
+// send work on borrowed tokens, until its leases have lapsed.
+func TestPauseBetweenDecisionAndDispatch(t *testing.T) {
+	w := smallWorld(t.Fatalf, 1, 3)
+	send := func(n *entryNode, work time.Duration) {
+		for range 7 {
+			w.request(n, "orders", w.keys["blue"], "GET", "/x", work)
+		}
+	}
+	for range 20 {
+		send(w.nodes[0], time.Second)
+		w.run(1500 * time.Millisecond)
+	}
+	send(w.nodes[0], 3*time.Second)
+	w.nodes[0].pause()
+	for range 45 {
+		send(w.nodes[1], 900*time.Millisecond)
+		w.run(time.Second)
+	}
+	send(w.nodes[1], 3*time.Second)
+	w.run(100 * time.Millisecond)
+	w.nodes[0].resume()
+	w.run(20 * time.Second)
+	w.checkAnswered()
+}
--- a/internal/core/world/upstream_test.go
+++ b/internal/core/world/upstream_test.go
@@ -104,6 +104,10 @@
 // dispatch sends an attempt to its VM.
 func (n *entryNode) dispatch(e core.Dispatch) {
 	c := n.calls[e.Request]
+	if n.now() > e.SendBy {
+		n.end(e, c, core.AttemptEnded{Result: retry.NotSent})
+		return
+	}
 	n.w.after(n.w.between(time.Millisecond, 3*time.Millisecond), func() { n.w.vms.byName[e.VM].take(n, c, e) })
 }
 
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -75,6 +75,7 @@
 		VM:        d.VM,
 		Address:   d.Address,
 		Reuse:     d.Reuse,
+		SendBy:    c.node.Time(d.SendBy),
 		FirstByte: d.FirstByte,
 		Run:       d.Run,
 		Idle:      d.IdleConnections,
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -34,10 +34,12 @@
 
 // Attempt is one sending of a request.
 type Attempt struct {
-	ID        vocab.AttemptID
-	VM        vocab.VMID
-	Address   string
-	Reuse     bool
+	ID      vocab.AttemptID
+	VM      vocab.VMID
+	Address string
+	Reuse   bool
+	// SendBy is the latest time at which a byte may be written; zero for any.
+	SendBy    time.Time
 	FirstByte time.Duration
 	Run       time.Duration
 	// Idle is the most idle connections to the VM.
@@ -107,7 +109,7 @@
 	defer stopWait()
 
 	var wrote atomic.Bool
-	req, err := c.newRequest(traceWrites(ctx, &wrote), a)
+	req, err := c.newRequest(traceWrites(ctx, &wrote, a.SendBy), a)
 	if err != nil {
 		return Report{Result: retry.NotSent, Cause: err}
 	}
@@ -128,10 +130,17 @@
 	return ctx, func() { timer.Stop() }
 }
 
-// traceWrites records whether a byte of the request may have been written.
-func traceWrites(ctx context.Context, wrote *atomic.Bool) context.Context {
+// traceWrites records whether a byte of the request may have been written. It
+// closes the connection instead if it is too late to write one.
+func traceWrites(ctx context.Context, wrote *atomic.Bool, sendBy time.Time) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			if !sendBy.IsZero() && time.Now().After(sendBy) {
+				_ = info.Conn.Close()
+				return
+			}
+			wrote.Store(true)
+		},
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,6 +142,11 @@
 	}
 }
 
+// Time returns the time of an instant of the reducer's clock.
+func (n *Node) Time(i vocab.Instant) time.Time {
+	return n.started.Add(time.Duration(i))
+}
+
 func (n *Node) carryOut(effect event.Effect) {
 	switch e := effect.(type) {
 	case core.Dispatch:
