--- a/internal/core/world/check_test.go
+++ b/internal/core/world/check_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/core/event"
+	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/record"
 	"github.com/sardinehead/sardinehead/internal/vocab"
@@ -200,6 +201,7 @@
 func (w *world) checkTeam(team vocab.TeamID) {
 	t, known := w.fleet.Team(team)
 	running := w.running(team)
+	w.most[team] = max(w.most[team], running)
 	if !known || running <= int(t.UpperLimit) {
 		return
 	}
@@ -212,11 +214,14 @@
 	}
 }
 
-// highestLimit is the highest limit that some node may still draw down from.
+// highestLimit is the highest limit that some node may still draw down from. A
+// dead node's work, and work on what it lent, may start until the leases have
+// lapsed and then runs to the run limit.
 func (w *world) highestLimit(team vocab.TeamID) vocab.Slots {
 	settled := w.log.end()
 	for _, n := range w.nodes {
-		if !n.dead {
+		ended := n.diedAt + limit.DefaultLease + w.fleet.LongestRun().D() + time.Second
+		if !n.dead || w.now < ended {
 			settled = min(settled, n.state.Dump().Limits.Settled)
 		}
 	}
--- a/internal/core/world/faults_test.go
+++ b/internal/core/world/faults_test.go
@@ -60,11 +60,21 @@
 			}
 		}
 		n.step(core.LastRequestEnded{})
-		n.w.after(5*time.Second, func() { n.dead = true })
+		n.w.after(5*time.Second, func() { n.receive(n.checkLeft) })
 	}
 	n.w.after(time.Second, func() { n.receive(wait) })
 }
 
+// checkLeft ends a process that stopped gracefully and cut off nobody.
+func (n *entryNode) checkLeft() {
+	for _, c := range n.calls {
+		if c.final == "" && !c.abandoned {
+			n.w.fail("%s stops without an answer for request %d", n.name, c.id)
+		}
+	}
+	n.kill()
+}
+
 // change publishes a configuration made from the one in force.
 func (w *world) change(stale bool, edit func(*spec.Fleet)) {
 	fleet := *w.log.truth.Fleet
@@ -202,8 +212,8 @@
 
 // giveKey gives a team another key. A key that was withdrawn stays so.
 func (w *world) giveKey(team vocab.TeamID) {
-	w.given++
-	key := vocab.KeyID(fmt.Sprintf("%s-%d", team, w.given))
+	w.given[team]++
+	key := vocab.KeyID(fmt.Sprintf("%s-%d", team, w.given[team]))
 	w.keys[team] = key
 	w.teams[key] = team
 	w.operatorAppend(record.KeyGiven{Key: key, Team: team, SecretHash: secretOf(key)})
--- a/internal/core/world/node_test.go
+++ b/internal/core/world/node_test.go
@@ -27,6 +27,7 @@
 	state       *core.State
 	clock       vocab.Instant // its clock when the world began
 	dead        bool
+	diedAt      time.Duration
 	paused      bool
 	stopping    bool
 	// held is what waits for the end of a pause: first what the process was
@@ -109,6 +110,7 @@
 
 func (n *entryNode) kill() {
 	n.dead = true
+	n.diedAt = n.w.now
 	for _, c := range n.calls {
 		c.orphaned = true
 	}
--- a/internal/core/world/upstream_test.go
+++ b/internal/core/world/upstream_test.go
@@ -59,7 +59,7 @@
 	outcome   vocab.Outcome
 	abandoned bool
 	orphaned  bool // its node was killed
-	at        time.Duration
+	at, ended time.Duration
 }
 
 // request sends a request to a node.
@@ -97,7 +97,7 @@
 	case outcome == vocab.OutcomeNotRun && c.starts > 0:
 		n.w.fail("request %d of %s is answered not-run (%s) and was started %d times", c.id, n.name, code, c.starts)
 	default:
-		c.final, c.outcome = code, outcome
+		c.final, c.outcome, c.ended = code, outcome, n.w.now
 	}
 }
 
--- a/internal/core/world/world_test.go
+++ b/internal/core/world/world_test.go
@@ -34,7 +34,11 @@
 	// keys holds the newest key of each team, teams the team of each key.
 	keys  map[vocab.TeamID]vocab.KeyID
 	teams map[vocab.KeyID]vocab.TeamID
-	given int
+	given map[vocab.TeamID]int
+	// most is the most that ever ran of each team.
+	most map[vocab.TeamID]int
+	// rates holds the mean arrivals a second of each queue.
+	rates map[vocab.QueueID]float64
 }
 
 // notice is one numbered event of a node.
@@ -70,6 +74,8 @@
 // all VMs of the pools and no node.
 func newWorld(fail func(string, ...any), seed uint64, fleet spec.Fleet) *world {
 	w := &world{fail: fail, rng: rand.New(rand.NewPCG(seed, 1)), log: newFakeLog()}
+	w.given = map[vocab.TeamID]int{}
+	w.most, w.rates = map[vocab.TeamID]int{}, map[vocab.QueueID]float64{}
 	w.net.cut = map[[2]vocab.NodeID]bool{}
 	w.keys, w.teams = map[vocab.TeamID]vocab.KeyID{}, map[vocab.KeyID]vocab.TeamID{}
 	w.vms = newFakeVMs(w, &fleet)
