--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -165,7 +165,7 @@
 func (s *State) takeReport(r *gossip.Report) {
 	s.limits.OnSettled(s.now, r.Process, r.Settled, r.Confirmed)
 	s.compareDigest(r)
-	if r.Revision != s.Shared().Revision {
+	if s.Shared().Fleet == nil || r.Revision != s.Shared().Revision {
 		return
 	}
 	for _, d := range r.Demand {
--- a/internal/core/shared/snapshot.go
+++ b/internal/core/shared/snapshot.go
@@ -61,12 +61,20 @@
 	if err := json.Unmarshal(snap.State, s); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "decoding the shared state"), ErrSnapshotDamaged)
 	}
+	if !s.whole() || s.Offset != snap.Offset {
+		return nil, errors.Wrapf(ErrSnapshotDamaged, "offset %d: parts are missing", snap.Offset)
+	}
 	for _, id := range s.Recent {
 		s.seen[id] = struct{}{}
 	}
 	return s, nil
 }
 
+// whole reports whether a decoded state can be folded further.
+func (s *State) whole() bool {
+	return s.Keys != nil && s.Members != nil && s.Removed != nil && s.Maintenance != nil && s.Maintenance.VMs != nil
+}
+
 func digestOf(raw []byte) string {
 	return strconv.FormatUint(xxhash.Sum64(raw), 16)
 }
--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,155 @@
+package peer
+
+import (
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinehead/sardinehead/internal/core"
+	"github.com/sardinehead/sardinehead/internal/core/gossip"
+	"github.com/sardinehead/sardinehead/internal/core/limit"
+	"github.com/sardinehead/sardinehead/internal/core/observe"
+	"github.com/sardinehead/sardinehead/internal/peer/peerpb"
+	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/spec"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// FuzzGossip holds that any gossip decodes to a message that survives the wire,
+// and that the reducer takes it in and still answers.
+func FuzzGossip(f *testing.F) {
+	add := func(m gossip.Message) {
+		raw, err := proto.Marshal(encodeGossip(m))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	add(gossip.Message{})
+	add(gossip.Message{
+		From: 7,
+		Reports: []gossip.Report{{
+			Process: 7, Counter: 3, Node: "n", Address: "10.0.0.1:7002", Folded: 9, Digest: 1, Settled: 9, Confirmed: 8,
+			Silent: []vocab.Incarnation{1, 2}, Demand: []gossip.Demand{{Pool: 1 << 31, Team: 4, Slots: 1.5, AttainedMillis: 1 << 63}},
+			Busy: []vocab.VMID{"v"},
+		}},
+		Leaving:   []gossip.Leaving{{VM: "v", Incarnation: 2}},
+		Withdrawn: []vocab.KeyID{"k"},
+	})
+	add(gossip.Message{From: 2, Reports: []gossip.Report{{
+		Process: 2, Counter: 1, Revision: 1, Demand: []gossip.Demand{
+			{Slots: float32(math.NaN())}, {Slots: float32(math.Inf(1)), AttainedMillis: math.MaxUint64}, {Slots: -1},
+		},
+	}}})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var wire peerpb.Gossip
+		if proto.Unmarshal(raw, &wire) != nil {
+			return
+		}
+		m := decodeGossip(&wire)
+		if again := decodeGossip(encodeGossip(m)); !sameGossip(again, m) {
+			t.Fatalf("%+v became %+v", m, again)
+		}
+		s := soleMember(t)
+		answered := false
+		for _, e := range s.Step(1, core.GossipArrived{Call: 5, Message: m}) {
+			reply, ok := e.(core.ReplyGossip)
+			answered = answered || ok && reply.Call == 5
+		}
+		if !answered {
+			t.Fatal("no answer")
+		}
+		for i := range 30 {
+			s.Step(vocab.Instant(i)*vocab.Instant(time.Second), core.Tick{})
+		}
+		if len(m.Leaving) == 0 && !serves(s) {
+			t.Fatal("the node no longer serves its only VM")
+		}
+	})
+}
+
+// soleMember returns a node that is the only member, with one VM and a queue
+// open to all.
+func soleMember(t *testing.T) *core.State {
+	s := core.New(core.Identity{Node: "n", Incarnation: 1, Zone: "z"})
+	fleet := spec.Fleet{
+		Teams: []spec.Team{{Name: "t", Share: 1, UpperLimit: 4}},
+		Pools: []spec.Pool{{Name: "p", VMs: 1, Slots: 4, Connections: 8, Zones: []vocab.ZoneID{"z"}}},
+		Services: []spec.Service{{
+			Queue: "q", Pool: "p", Open: true, Hold: spec.Hold{Queued: 10, QueuedPerTeam: 10},
+			Limits: spec.TimeLimits{Queue: spec.Duration(time.Second), FirstByte: spec.Duration(time.Second), Run: spec.Duration(time.Second)},
+		}},
+	}
+	for i, body := range []record.Body{record.ConfigPublished{Fleet: fleet}, record.NodeJoined{Node: "n", Incarnation: 1, Zone: "z"}} {
+		envelope, err := record.Encode(vocab.RecordID(string(rune('a'+i))), body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Step(1, core.RecordsRead{Records: []record.Sequenced{{Offset: vocab.Offset(i + 1), Envelope: envelope}}})
+	}
+	s.Step(1, core.VMsListed{Version: 1, Rows: []observe.Row{{Name: "v", Incarnation: 1, Pool: "p", Zone: "z", Phase: observe.ListLive}}})
+	return s
+}
+
+func serves(s *core.State) bool {
+	for _, e := range s.Step(vocab.Instant(31*time.Second), core.RequestArrived{Request: 1, Queue: "q", Method: "GET", Path: "/"}) {
+		if _, ok := e.(core.Dispatch); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// sameGossip compares messages; a NaN equals itself here.
+func sameGossip(a, b gossip.Message) bool {
+	for _, m := range []gossip.Message{a, b} {
+		for i := range m.Reports {
+			for j := range m.Reports[i].Demand {
+				if d := &m.Reports[i].Demand[j]; d.Slots != d.Slots {
+					d.Slots = -1
+				}
+			}
+		}
+	}
+	return reflect.DeepEqual(a, b)
+}
+
+// FuzzLoans holds that any ask, answer and return decodes, and that the reducer
+// answers any ask without lending what it does not have.
+func FuzzLoans(f *testing.F) {
+	raw, err := proto.Marshal(encodeAsk(limit.Ask{
+		From: 2, To: 1, Seq: 1, Run: time.Second, Renew: []limit.LoanID{1},
+		Items: []limit.AskItem{{Account: limit.TeamAccount("t"), Slots: 3}, {Account: limit.PoolAccount("p"), Slots: 1 << 30}},
+	}))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		s := core.New(core.Identity{Node: "n", Incarnation: 1})
+		var ask peerpb.Ask
+		if proto.Unmarshal(raw, &ask) == nil {
+			for _, e := range s.Step(1, core.AskArrived{Call: 1, Ask: decodeAsk(&ask)}) {
+				if reply, ok := e.(core.ReplyAsk); ok && len(reply.Answer.Grants) > 0 {
+					t.Fatalf("a process without a part lends %+v", reply.Answer.Grants)
+				}
+			}
+		}
+		var answer peerpb.Answer
+		if proto.Unmarshal(raw, &answer) == nil {
+			decoded := decodeAnswer(&answer)
+			if !reflect.DeepEqual(decodeAnswer(encodeAnswer(decoded)), decoded) {
+				t.Fatalf("%+v does not survive the wire", decoded)
+			}
+			s.Step(2, limit.AnswerArrived{Answer: decoded})
+		}
+		var back peerpb.Return
+		if proto.Unmarshal(raw, &back) == nil {
+			s.Step(3, limit.ReturnArrived{Return: decodeReturn(&back)})
+		}
+	})
+}
