--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"strconv"
-
 	"github.com/sardinehead/sardinehead/internal/core/gossip"
 	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/observe"
@@ -121,6 +119,10 @@
 	return team == "" || s.limits.Free(s.now, limit.TeamAccount(team)) > 0
 }
 
+// sendWithin is the longest time between a decision and the first byte of its
+// attempt. It must stay below limit.DefaultGuard.
+const sendWithin = limit.DefaultGuard / 2
+
 // start takes the tokens of an attempt and sends it.
 func (s *State) start(r *request, sv *server) {
 	vm := sv.vm
@@ -143,6 +145,7 @@
 		VM:        vm.Name,
 		Address:   vm.Address,
 		Reuse:     r.idempotent && r.attempts == 1,
+		SendBy:    s.now.Add(sendWithin),
 		FirstByte: r.service.Limits.FirstByte.D(),
 		Run:       r.service.Limits.Run.D(),
 
@@ -185,9 +188,8 @@
 	r.queue.health.Ended(s.now, key, e.Result.Failed(), r.queue.pool.Slots)
 }
 
-// vmAccount names the slots of one incarnation of a VM in one pool. What an
-// earlier incarnation ran ended with it.
+// vmAccount names the slots of a VM in one pool. Successive incarnations share
+// it: work sent before a restart was seen may run on the later incarnation.
 func vmAccount(vm *observe.VM) limit.Account {
-	name := string(vm.Pool) + "/" + string(vm.Name) + "@" + strconv.FormatUint(uint64(vm.Incarnation), 10)
-	return limit.VMAccount(vocab.VMID(name))
+	return limit.VMAccount(vocab.VMID(string(vm.Pool) + "/" + string(vm.Name)))
 }
