Keep a VM's total while work ends on it

Cause: a VM that was not ready had the total 0, so that its running work kept the node from settling and held back the growth of every other account. Change: all VMs but lost ones have their total; only ready ones are lent as VMs of their pool. 'measure limits' is wired.

--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -11,6 +11,7 @@
 	"github.com/sardinehead/sardinehead/internal/core/task"
 	"github.com/sardinehead/sardinehead/internal/measure/capacity"
 	"github.com/sardinehead/sardinehead/internal/measure/entry"
+	"github.com/sardinehead/sardinehead/internal/measure/limits"
 	"github.com/sardinehead/sardinehead/internal/measure/shares"
 	"github.com/sardinehead/sardinehead/internal/measure/tasks"
 	"github.com/sardinehead/sardinehead/internal/spec"
@@ -35,6 +36,7 @@
 func (m *Measure) measures() []measure {
 	return []measure{
 		{name: "shares", run: measureShares},
+		{name: "limits", run: measureLimits},
 		{name: "capacity", run: measureCapacity},
 		{name: "tasks", run: measureTasks},
 		{name: "entry", run: func(uint64) (string, error) { return measureEntry(m.Config) }},
@@ -45,6 +47,10 @@
 	return shares.Run(seed).String(), nil
 }
 
+func measureLimits(seed uint64) (string, error) {
+	return limits.Run(seed, limits.Sizes()).String(), nil
+}
+
 func measureEntry(config string) (string, error) {
 	fleet, err := spec.Load(config)
 	if err != nil {
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core/limit"
+	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
 )
 
@@ -64,10 +65,18 @@
 	for _, t := range s.Shared().Fleet.Teams {
 		out = append(out, limit.Total{Account: limit.TeamAccount(t.Name), Slots: t.UpperLimit})
 	}
-	for _, p := range s.Shared().Fleet.Pools {
-		for _, vm := range s.vms.Ready(p.Name) {
-			out = append(out, limit.Total{Account: vmAccount(vm), Pool: p.Name, Slots: p.Slots})
+	for _, vm := range s.vms.All() {
+		p, ok := s.Shared().Fleet.Pool(vm.Pool)
+		if !ok || vm.Phase == observe.PhaseLost {
+			continue
 		}
+		// A VM that takes no new work keeps its total while work ends on it, but
+		// is not lent as one of the pool.
+		total := limit.Total{Account: vmAccount(vm), Slots: p.Slots}
+		if vm.Phase == observe.PhaseReady {
+			total.Pool = p.Name
+		}
+		out = append(out, total)
 	}
 	return out
 }
