Run tasks on the owner's own part of a limit only

Cause: tasks outlast the run limit that the giver of a loan waits for; after the loss of a task owner a reclaimed loan and the adopted task could be used both. Change: tasks take no loans; a lost member's part waits at least as long as a worker goes on with an orphaned task (35 s). Ruled out: loans for idempotent tasks, whose excess the next owner would have to stop in time.

--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -33,12 +33,13 @@
 	s.limits.FoldTotals(s.now, s.Shared().Offset, s.limitTotals(), s.longestRun())
 }
 
-// longestRun returns the longest run limit of all services.
+// longestRun returns how long work of a lost member may still run: requests for
+// the longest run limit, tasks for their lease with the worker.
 func (s *State) longestRun() time.Duration {
 	if s.Shared().Fleet == nil {
-		return 0
+		return taskOrphanTime
 	}
-	return s.Shared().Fleet.LongestRun().D()
+	return max(s.Shared().Fleet.LongestRun().D(), taskOrphanTime)
 }
 
 func (s *State) limitMembers() []limit.Member {
--- a/internal/core/shares.go
+++ b/internal/core/shares.go
@@ -82,14 +82,24 @@
 			}))
 		})
 	}
-	s.tasks.Demand(func(team vocab.TeamID, tasks int) {
-		s.shares.present[team] += vocab.Slots(tasks)
-	})
+	s.addTaskDemand()
 	for _, t := range s.Shared().Fleet.Teams {
 		s.limits.SetDemand(limit.TeamAccount(t.Name), s.shares.present[t.Name])
 	}
 }
 
+// addTaskDemand adds what the owner of the tasks would run, as far as its own
+// part of each limit goes: tasks take no loans.
+func (s *State) addTaskDemand() {
+	wanted := map[vocab.TeamID]vocab.Slots{}
+	s.tasks.Demand(func(team vocab.TeamID, tasks int) {
+		wanted[team] += vocab.Slots(tasks)
+	})
+	for team, n := range wanted {
+		s.shares.present[team] += min(n, s.limits.Part(limit.TeamAccount(team)))
+	}
+}
+
 func (s *State) shareTeams() []share.Team {
 	out := make([]share.Team, len(s.Shared().Fleet.Teams))
 	for i, t := range s.Shared().Fleet.Teams {
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -19,6 +19,9 @@
 	taskNodes = 8
 	// taskResultKeep is how long the result of a task is known after its end.
 	taskResultKeep = 24 * time.Hour
+	// taskOrphanTime is the longest time that a worker goes on with a task whose
+	// owner is lost and has no successor: its lease and the guard.
+	taskOrphanTime = 35 * time.Second
 	// taskLogRetention is the least time for which the log keeps records.
 	taskLogRetention = 24 * time.Hour
 )
@@ -150,9 +153,11 @@
 	tokens map[vocab.TeamID][]limit.Token
 }
 
-// Take implements placement.Account.
+// Take implements placement.Account. Tasks run on the owner's own part of a
+// limit, never on loans: a task goes on under the next owner when its owner is
+// lost, and the giver of a loan could not know how long to wait.
 func (a taskAccount) Take(team vocab.TeamID) bool {
-	token, ok := a.state.limits.Take(a.state.now, limit.TeamAccount(team))
+	token, ok := a.state.limits.TakeOwn(limit.TeamAccount(team))
 	if ok {
 		a.tokens[team] = append(a.tokens[team], token)
 	}
