--- a/internal/core/gossip/state.go
+++ b/internal/core/gossip/state.go
@@ -16,6 +16,10 @@
 	keyLife = 4 * time.Hour
 	// reportLife is how long a report is passed on after its counter last grew.
 	reportLife = 2 * time.Minute
+	// memory is the multiple of a life for which what was heard is remembered.
+	// Others may pass it on a little longer; forgotten too early, it would be
+	// taken for news and go round for ever.
+	memory = 3
 )
 
 // State holds the newest report of each process and the facts under way.
@@ -122,25 +126,28 @@
 		m.Reports = append(m.Reports, own.report)
 		bytes = own.report.size()
 	}
-	for _, h := range s.others() {
+	for _, h := range s.others(now) {
 		if bytes+h.report.size() > maxReportBytes {
 			continue
 		}
 		bytes += h.report.size()
 		m.Reports = append(m.Reports, h.report)
 	}
-	m.Leaving = s.composeLeaving()
-	m.Withdrawn = firstKeys(s.keys, cmp.Compare[vocab.KeyID])
+	m.Leaving = latest(s.leaving, now, factLife, compareLeaving)
+	m.Withdrawn = latest(s.keys, now, keyLife, cmp.Compare[vocab.KeyID])
 	return m
 }
 
 // others returns the reports of the others: half of the places go to the
 // latest heard, the rest take turns, so that none is passed over for ever.
-func (s *State) others() []*heard {
+func (s *State) others(now vocab.Instant) []*heard {
 	ids := s.Processes()
 	out := make([]*heard, 0, len(ids))
 	for i := range ids {
-		out = append(out, s.heard[ids[(i+s.sent)%len(ids)]])
+		h := s.heard[ids[(i+s.sent)%len(ids)]]
+		if now.Sub(h.at) <= reportLife {
+			out = append(out, h)
+		}
 	}
 	if s.sent%2 == 0 {
 		slices.SortStableFunc(out, func(a, b *heard) int { return cmp.Compare(b.at, a.at) })
@@ -169,17 +176,18 @@
 	return h.report, h.at, true
 }
 
-func (s *State) composeLeaving() []Leaving {
-	return firstKeys(s.leaving, func(a, b Leaving) int {
-		return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
+func compareLeaving(a, b Leaving) int {
+	return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
-// firstKeys returns the latest maxFacts keys, in a fixed order.
-func firstKeys[K comparable](m map[K]vocab.Instant, compare func(a, b K) int) []K {
+// latest returns the facts that are still worth spreading, at most maxFacts of
+// them, the latest heard first.
+func latest[K comparable](m map[K]vocab.Instant, now vocab.Instant, life time.Duration, compare func(a, b K) int) []K {
 	out := make([]K, 0, len(m))
-	for k := range m {
-		out = append(out, k)
+	for k, at := range m {
+		if now.Sub(at) <= life {
+			out = append(out, k)
+		}
 	}
 	slices.SortFunc(out, func(a, b K) int {
 		return cmp.Or(cmp.Compare(m[b], m[a]), compare(a, b))
@@ -187,12 +195,12 @@
 	return out[:min(len(out), maxFacts)]
 }
 
-// expire forgets what is no longer worth spreading.
+// expire forgets what nobody passes on any more.
 func (s *State) expire(now vocab.Instant) {
 	forget(s.leaving, now, factLife)
 	forget(s.keys, now, keyLife)
 	for id, h := range s.heard {
-		if id != s.self && now.Sub(h.at) > reportLife {
+		if id != s.self && now.Sub(h.at) > memory*reportLife {
 			delete(s.heard, id)
 		}
 	}
@@ -200,7 +208,7 @@
 
 func forget[K comparable](m map[K]vocab.Instant, now vocab.Instant, life time.Duration) {
 	for k, at := range m {
-		if now.Sub(at) > life {
+		if now.Sub(at) > memory*life {
 			delete(m, k)
 		}
 	}
