Round demand to VMs with a band, plan faster at the design size

Cause: at the design size 7 VMs moved during short spikes, as ripples crossed the edge of a number of VMs; planning took 40 ms where pools were below budget. Change: the need changes only if demand leaves its range by 0.15 VMs; a pool's verdict is formed once per plan.

--- a/internal/core/maintenance/demand.go
+++ b/internal/core/maintenance/demand.go
@@ -30,6 +30,7 @@
 	spread  float64 // average distance of the level from the trend
 	days    profile
 
+	vms      int     // what the expected demand needs, with hysteresis
 	lackCost float64 // weighted VM-seconds, see MoveCost
 	idleCost float64
 }
@@ -60,22 +61,30 @@
 func (d *demand) need(pool vocab.PoolID, slots vocab.Slots, unix int64) PoolNeed {
 	soon := max(d.level, d.days.most(unix, forecastSoon)) + d.margin()
 	later := max(soon, d.days.most(unix, forecastLater)+d.margin())
+	d.vms = vmsFor(soon, slots, d.vms)
 	return PoolNeed{
-		Pool: pool, Demand: vmsFor(soon, slots), Later: vmsFor(later, slots),
+		Pool: pool, Demand: d.vms, Later: max(d.vms, vmsFor(later, slots, d.vms)),
 		LackCost: d.lackCost, IdleCost: d.idleCost,
 	}
 }
 
-// vmsFor returns the least number of VMs with that many slots in all.
-func vmsFor(demand float64, slots vocab.Slots) int {
+// vmsFor returns the number of VMs with that many slots each that the demand
+// needs. It differs from the number before only if demand left its range by
+// more than needBand, so that ripples at the edge change nothing.
+func vmsFor(demand float64, slots vocab.Slots, before int) int {
 	if slots <= 0 {
 		return 0
 	}
-	return int(math.Ceil(demand/float64(slots) - vmTolerance))
+	vms := demand / float64(slots)
+	if vms <= float64(before)+needBand && vms > float64(before-1)-needBand {
+		return before
+	}
+	return int(math.Ceil(vms))
 }
 
-// vmTolerance is the part of a VM that demand may exceed whole VMs by.
-const vmTolerance = 0.02
+// needBand is the part of a VM that demand may leave the range of a number of
+// VMs by.
+const needBand = 0.15
 
 // account adds the cost of the pool's lack and idleness over dt. A cost that no
 // longer grows wears off at the rate of one VM.
--- a/internal/core/maintenance/tally.go
+++ b/internal/core/maintenance/tally.go
@@ -25,6 +25,8 @@
 	occupied map[string]int       // VMs in maintenance by failure domain
 	broken   map[string]int       // VMs that failed by failure domain
 	inFlight int                  // maintenance under way
+	judged   bool                 // verdict is up to date
+	verdict  string               // why the pool is below its budget, or ""
 }
 
 // tallies holds one tally per pool of the fleet.
@@ -136,6 +138,13 @@
 
 // withinBudget returns why the pool is below its budget, or "".
 func (p *tally) withinBudget() string {
+	if !p.judged {
+		p.verdict, p.judged = p.judge(), true
+	}
+	return p.verdict
+}
+
+func (p *tally) judge() string {
 	if p.ready < p.keep.Ready {
 		return fmt.Sprintf("pool %s keeps %d ready and has %d", p.spec.Name, p.keep.Ready, p.ready)
 	}
@@ -155,6 +164,7 @@
 func (p *tally) take(v *VM) {
 	p.ready--
 	p.byZone[v.Zone]--
+	p.judged = false
 }
 
 // occupy counts the VM's failure domain as in maintenance.
