Test duplicates, parking, cancellation and what is left at the end

Cause: mutations of duplicate intents, unanswered renewals, reserved room and stale epochs at workers were not seen by a test.

--- a/internal/core/task/golden_test.go
+++ b/internal/core/task/golden_test.go
@@ -26,7 +26,7 @@
 // milliseconds and prints the effects; update with -rewrite.
 //
 //	submit ms=N id=T [idempotent] [urgent]    cancel ms=N ids=(T,...)
-//	tick ms=N    read ms=N    read-failed ms=N    workers ms=N names=(W,...)
+//	tick ms=N    read ms=N    read-failed ms=N    workers ms=N names=(W,...) [milli=N]
 //	appended ms=N [code=C] [lost]   the last append's outcome
 //	foreign ms=N                    records of others: kind and JSON, one a line
 //	answer ms=N order=N code=C [task=T attempt=N phase=P]
@@ -89,9 +89,11 @@
 func (s *session) workers(t *testing.T, d *datadriven.TestData) event.Event {
 	var names []string
 	d.ScanArgs(t, "names", &names)
+	milli := 2000
+	d.MaybeScanArgs(t, "milli", &milli)
 	var e WorkersListed
 	for _, n := range names {
-		e.Workers = append(e.Workers, worker.Info{Worker: vocab.VMID(n), Incarnation: 1, Capacity: record.TaskSize{MilliCPU: 2000, MemoryBytes: 4 << 30}})
+		e.Workers = append(e.Workers, worker.Info{Worker: vocab.VMID(n), Incarnation: 1, Capacity: record.TaskSize{MilliCPU: int64(milli), MemoryBytes: 4 << 30}})
 	}
 	return e
 }
--- a/internal/core/task/world_test.go
+++ b/internal/core/task/world_test.go
@@ -340,8 +340,13 @@
 
 func (w *world) checkLimits() error {
 	byTeam := map[vocab.TeamID]int{}
+	runs := map[vocab.TaskID]bool{}
 	for _, x := range w.workers {
 		for _, ref := range x.Running() {
+			if runs[ref.Task] {
+				return errors.Newf("task %s runs twice at the same time", ref.Task)
+			}
+			runs[ref.Task] = true
 			team := w.body[ref.Task].Team
 			if byTeam[team]++; byTeam[team] > teamLimit {
 				return errors.Newf("team %s runs %d, limit %d", team, byTeam[team], teamLimit)
@@ -372,7 +377,25 @@
 			return err
 		}
 	}
-	return w.unfinished()
+	for range 50 {
+		w.tick()
+	}
+	return errors.CombineErrors(w.unfinished(), w.leftovers())
+}
+
+// leftovers returns the first thing that a node still holds when all is over.
+func (w *world) leftovers() error {
+	for i, n := range w.nodes {
+		if len(n.c.out.unread) > 0 && n.c.out.state != batchSent {
+			return errors.Newf("node %d waits for an append", i)
+		}
+		for team, slots := range n.account {
+			if use := n.c.fleet.Use(team); slots != 0 || use.MilliCPU != 0 {
+				return errors.Newf("node %d holds %d slots and %v of %s", i, slots, use, team)
+			}
+		}
+	}
+	return nil
 }
 
 // unfinished returns the first task that is neither over nor with a person.
--- a/internal/standin/workers/service_test.go
+++ b/internal/standin/workers/service_test.go
@@ -122,3 +122,26 @@
 	s := c.Status()
 	return s.Known == count && s.Waiting == 0 && s.Started == 0
 }
+
+// TestWorkerKeepsTheRulesOfOrders: a worker refuses lower epochs and other
+// incarnations, and a start that follows its answer "never seen".
+func TestWorkerKeepsTheRulesOfOrders(t *testing.T) {
+	w := New(worker.Info{Incarnation: 2, Capacity: record.TaskSize{MilliCPU: 1, MemoryBytes: 1}}, func(worker.Ref, worker.Job) Actual { return Actual{} })
+	give := func(kind worker.Kind, epoch vocab.Epoch, incarnation vocab.VMIncarnation, id vocab.TaskID) worker.Answer {
+		answer, _ := w.Order(1, worker.Order{
+			Kind: kind, Epoch: epoch, Incarnation: incarnation, Attempts: []worker.Ref{{Task: id, Attempt: 1}}, Job: &worker.Job{},
+		})
+		return answer
+	}
+	give(worker.Ask, 5, 2, "asked")
+	for want, got := range map[any]any{
+		worker.StaleEpoch:       give(worker.Start, 4, 2, "a").Code,
+		worker.WrongIncarnation: give(worker.Start, 5, 1, "a").Code,
+		worker.NeverSeen:        give(worker.Start, 5, 2, "asked").Attempts[0].Phase,
+		worker.Running:          give(worker.Start, 6, 2, "a").Attempts[0].Phase,
+	} {
+		if got != want {
+			t.Errorf("got %v, want %v", got, want)
+		}
+	}
+}
