--- a/internal/core/task/world_test.go
+++ b/internal/core/task/world_test.go
@@ -371,14 +371,16 @@
 	for _, x := range w.workers {
 		x.Faults = workers.Faults{}
 	}
-	for end := w.now.Add(limit); w.now < end && w.unfinished() != nil; {
+	// Late records may bring more work; all is over after 5 s without any.
+	quiet := 0
+	for end := w.now.Add(limit); w.now < end && quiet < 50; quiet++ {
 		w.tick()
 		if err := w.check(); err != nil {
 			return err
 		}
-	}
-	for range 50 {
-		w.tick()
+		if w.unfinished() != nil {
+			quiet = 0
+		}
 	}
 	return errors.CombineErrors(w.unfinished(), w.leftovers())
 }
