--- a/internal/core/placement/plan.go
+++ b/internal/core/placement/plan.go
@@ -178,7 +178,7 @@
 
 // bind filters, scores and reserves.
 func (p *planner) bind(q *classQueue, e entry, need Size) bool {
-	i, ok := p.probeFor(q, need)
+	i, ok := p.probeFor(q, e, need)
 	if !ok {
 		i, ok = p.choose(q, e, need)
 	}
@@ -199,8 +199,10 @@
 	}
 }
 
-func (p *planner) probeFor(q *classQueue, need Size) (int, bool) {
-	if !p.probes || q.Urgent || !q.Idempotent {
+// probeFor returns a worker that is due for a probe, if the task is fit to be
+// one. A task that failed before tells nothing of the worker.
+func (p *planner) probeFor(q *classQueue, e entry, need Size) (int, bool) {
+	if !p.probes || q.Urgent || !q.Idempotent || len(e.avoid) > 0 {
 		return 0, false
 	}
 	i, ok := p.Fleet.probe(p.Now)
--- a/internal/core/task/fold.go
+++ b/internal/core/task/fold.go
@@ -115,6 +115,7 @@
 	}
 	switch b.Reason {
 	case record.LossFailed, record.LossHung:
+		t.Failures++
 		if !slices.Contains(t.FailedOn, t.Worker) {
 			t.FailedOn = append(t.FailedOn, t.Worker)
 		}
--- a/internal/core/task/run.go
+++ b/internal/core/task/run.go
@@ -147,7 +147,7 @@
 }
 
 // isPoison reports whether a task failed on several workers that are not known
-// to be at fault.
+// to be at fault, or too often altogether.
 func (c *Controller) isPoison(t *Task) bool {
 	good := 0
 	for _, name := range t.FailedOn {
@@ -155,7 +155,7 @@
 			good++
 		}
 	}
-	return good >= poisonWorkers
+	return good >= poisonWorkers || t.Failures >= poisonFailures
 }
 
 func (c *Controller) syncStarted(t *Task) {
--- a/internal/core/task/settings.go
+++ b/internal/core/task/settings.go
@@ -50,6 +50,8 @@
 	hangFloor = 30 * time.Second
 	// poisonWorkers is the number of good workers on which a task may fail.
 	poisonWorkers = 3
+	// poisonFailures is the number of attempts that may fail in all.
+	poisonFailures = 10
 	// preemptPatience is the time that a checkpoint may take before idempotent
 	// attempts are stopped instead, and preemptLimit the time after which the
 	// urgent task is placed anew.
--- a/internal/core/task/task.go
+++ b/internal/core/task/task.go
@@ -50,6 +50,8 @@
 	MayHaveRun bool `json:"may_have_run,omitempty"`
 	// FailedOn lists the workers on which attempts failed.
 	FailedOn []vocab.VMID `json:"failed_on,omitempty"`
+	// Failures counts the attempts that failed or hung.
+	Failures int `json:"failures,omitempty"`
 	// OutOfMemory counts the attempts that needed more memory than reserved.
 	OutOfMemory int               `json:"out_of_memory,omitempty"`
 	Checkpoint  string            `json:"checkpoint,omitempty"`
--- a/internal/core/task/world_test.go
+++ b/internal/core/task/world_test.go
@@ -98,7 +98,7 @@
 	n := &simNode{account: testAccount{}}
 	n.c = NewController(Settings{
 		Shard: testShard, Node: vocab.NodeID(fmt.Sprint("n", i)), Incarnation: incarnation, AppendEvery: tickTime,
-		ResultKeep: time.Hour, LogRetention: 2 * time.Minute, MayOwn: true, Account: n.account,
+		ResultKeep: 24 * time.Hour, LogRetention: 2 * time.Minute, MayOwn: true, Account: n.account,
 		Weight: func(vocab.TeamID) int { return 1 },
 	})
 	return n
