--- a/internal/core/task/world_test.go
+++ b/internal/core/task/world_test.go
@@ -98,7 +98,7 @@
 	n := &simNode{account: testAccount{}}
 	n.c = NewController(Settings{
 		Shard: testShard, Node: vocab.NodeID(fmt.Sprint("n", i)), Incarnation: incarnation, AppendEvery: tickTime,
-		ResultKeep: time.Hour, LogRetention: 2 * time.Minute, MayOwn: true, Account: n.account,
+		ResultKeep: 24 * time.Hour, LogRetention: 2 * time.Minute, MayOwn: true, Account: n.account,
 		Weight: func(vocab.TeamID) int { return 1 },
 	})
 	return n
@@ -340,8 +340,13 @@
 
 func (w *world) checkLimits() error {
 	byTeam := map[vocab.TeamID]int{}
+	runs := map[vocab.TaskID]bool{}
 	for _, x := range w.workers {
 		for _, ref := range x.Running() {
+			if runs[ref.Task] {
+				return errors.Newf("task %s runs twice at the same time", ref.Task)
+			}
+			runs[ref.Task] = true
 			team := w.body[ref.Task].Team
 			if byTeam[team]++; byTeam[team] > teamLimit {
 				return errors.Newf("team %s runs %d, limit %d", team, byTeam[team], teamLimit)
@@ -366,13 +371,33 @@
 	for _, x := range w.workers {
 		x.Faults = workers.Faults{}
 	}
-	for end := w.now.Add(limit); w.now < end && w.unfinished() != nil; {
+	// Late records may bring more work; all is over after 5 s without any.
+	quiet := 0
+	for end := w.now.Add(limit); w.now < end && quiet < 50; quiet++ {
 		w.tick()
 		if err := w.check(); err != nil {
 			return err
 		}
+		if w.unfinished() != nil {
+			quiet = 0
+		}
 	}
-	return w.unfinished()
+	return errors.CombineErrors(w.unfinished(), w.leftovers())
+}
+
+// leftovers returns the first thing that a node still holds when all is over.
+func (w *world) leftovers() error {
+	for i, n := range w.nodes {
+		if len(n.c.out.unread) > 0 && n.c.out.state != batchSent {
+			return errors.Newf("node %d waits for an append", i)
+		}
+		for team, slots := range n.account {
+			if use := n.c.fleet.Use(team); slots != 0 || use.MilliCPU != 0 {
+				return errors.Newf("node %d holds %d slots and %v of %s", i, slots, use, team)
+			}
+		}
+	}
+	return nil
 }
 
 // unfinished returns the first task that is neither over nor with a person.
