Let teams below their share use slots above the node's target

Cause: while teams compete a node started nothing above its target, not even for a team below its share whose demand had just risen there. Change: above the target only teams that are not held down are served.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"github.com/sardinehead/sardinehead/internal/core/admission"
 	"github.com/sardinehead/sardinehead/internal/core/gossip"
 	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/observe"
@@ -12,14 +13,14 @@
 // dispatch starts as many attempts as tokens and VMs allow.
 func (s *State) dispatch(q *queue) {
 	q.blocked = false
-	for q.waiting.Len() > 0 && vocab.Slots(q.waiting.RunningAll()) < q.most {
+	for q.waiting.Len() > 0 {
 		s.fillCandidates(q)
 		at, ok := routing.Choose(q.candidates, s.self.Zone, 0)
 		if !ok {
 			q.blocked = true
 			return
 		}
-		item, ok := q.waiting.Next(s.now, s.teamHasToken)
+		item, ok := s.next(q)
 		if !ok {
 			return
 		}
@@ -28,8 +29,22 @@
 	}
 }
 
-// dispatchNew is dispatch after an arrival: if no VM had a free slot for those
-// that wait, none has one for a newcomer either.
+// next takes out the request that goes next. Above the node's target only teams
+// that use less than their share are served, so that slots stay free for nodes
+// below theirs.
+func (s *State) next(q *queue) (admission.Item, bool) {
+	if vocab.Slots(q.waiting.RunningAll()) < q.most {
+		return q.waiting.Next(s.now, s.teamHasToken)
+	}
+	item, ok := q.waiting.Next(s.now, func(team vocab.TeamID) bool {
+		return !s.shares.HeldDown(q.pool.Name, team) && s.teamHasToken(team)
+	})
+	q.blocked = !ok
+	return item, ok
+}
+
+// dispatchNew is dispatch after an arrival: if nothing could start for those
+// that wait, a newcomer waits for the next end of an attempt or the next tick.
 func (s *State) dispatchNew(q *queue) {
 	if !q.blocked {
 		s.dispatch(q)
--- a/internal/core/share/correct.go
+++ b/internal/core/share/correct.go
@@ -26,8 +26,10 @@
 	p.settle(sums, interval)
 	p.parts = p.parts[:0]
 	level := 0.0
+	clear(p.heldDown)
 	for _, sum := range sums {
 		if sum.level {
+			p.heldDown[sum.team] = true
 			level = sum.target / sum.weight
 		}
 	}
--- a/internal/core/share/state.go
+++ b/internal/core/share/state.go
@@ -87,6 +87,8 @@
 	order    []*report // all reports, sorted by reporter
 	stale    bool      // order must be sorted again
 	owed     map[vocab.TeamID]float64
+	// heldDown holds the teams that only the capacity keeps from more.
+	heldDown map[vocab.TeamID]bool
 	// scale makes corrected parts add up to the targets.
 	scale float64
 	parts []Part
@@ -209,7 +211,8 @@
 	return p.parts
 }
 
-// Most returns the number of slots of a pool that this node uses at most. While
+// Most returns the number of slots of a pool above which this node starts
+// nothing for teams that are held down. While
 // teams compete it is the node's target, so that slots above it stay free for
 // nodes below theirs; else it has no bound. A node that hears of no other node
 // has the whole pool as its target.
@@ -220,6 +223,14 @@
 	return vocab.Slots(math.Ceil(s.NodeTarget(id)))
 }
 
+// HeldDown reports whether a team wants more of a pool than its part, over all
+// nodes. Only such teams are bound by Most: who uses less than its part may use
+// any slot that the node has.
+func (s *State) HeldDown(id vocab.PoolID, team vocab.TeamID) bool {
+	p, ok := s.pools[id]
+	return ok && p.heldDown[team]
+}
+
 // Contended reports whether a team could use more of a pool than it gets.
 func (s *State) Contended(id vocab.PoolID) bool {
 	return slices.ContainsFunc(s.Parts(id), func(p Part) bool { return p.Level })
@@ -237,7 +248,7 @@
 func (s *State) pool(id vocab.PoolID) *pool {
 	p, ok := s.pools[id]
 	if !ok {
-		p = &pool{reports: map[reporter]*report{}, owed: map[vocab.TeamID]float64{}}
+		p = &pool{reports: map[reporter]*report{}, owed: map[vocab.TeamID]float64{}, heldDown: map[vocab.TeamID]bool{}}
 		s.pools[id] = p
 		at, _ := slices.BinarySearch(s.names, id)
 		s.names = slices.Insert(s.names, at, id)
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -90,8 +90,8 @@
 	waiting *admission.Queue
 	budget  *retry.Budget
 	health  *routing.Health
-	// most is the number of requests that this node runs at most, so that the
-	// slots above its target can be lent.
+	// most is the number of running requests above which only teams that use
+	// less than their share are served.
 	most vocab.Slots
 	turn uint64
 	// blocked is set while no VM has a free slot for what waits.
--- a/internal/measure/shares/model.go
+++ b/internal/measure/shares/model.go
@@ -212,8 +212,8 @@
 }
 
 func (m *model) serve(n *node) {
-	for n.running < min(n.held, n.decider.most()) && !n.lost {
-		it, ok := n.decider.next(m.now)
+	for n.running < n.held && !n.lost {
+		it, ok := n.decider.next(m.now, n.running)
 		if !ok {
 			return
 		}
--- a/internal/measure/shares/policy.go
+++ b/internal/measure/shares/policy.go
@@ -24,7 +24,8 @@
 // decider is what one node decides with.
 type decider interface {
 	push(now vocab.Instant, it admission.Item) admission.Verdict
-	next(now vocab.Instant) (admission.Item, bool)
+	// next returns what a node that runs so many requests starts next.
+	next(now vocab.Instant, running int) (admission.Item, bool)
 	ended(now vocab.Instant, team vocab.TeamID, started vocab.Instant)
 	expire(now vocab.Instant) []admission.Item
 	retryAfter(now vocab.Instant, team vocab.TeamID, seed uint64) time.Duration
@@ -33,8 +34,6 @@
 	hear(now vocab.Instant, f share.Fact)
 	// target is the number of slots that the node should hold.
 	target() int
-	// most is the number of slots that the node uses at most.
-	most() int
 }
 
 func newDecider(p Policy, node int, teams []teamLoad) decider {
@@ -68,7 +67,7 @@
 	return p.queue.Push(now, it)
 }
 
-func (p *perNode) next(now vocab.Instant) (admission.Item, bool) {
+func (p *perNode) next(now vocab.Instant, _ int) (admission.Item, bool) {
 	return p.queue.Next(now, func(vocab.TeamID) bool { return true })
 }
 
@@ -91,8 +90,6 @@
 
 func (p *perNode) target() int { return poolSlots / nodes }
 
-func (p *perNode) most() int { return poolSlots }
-
 // fleet decides by the queue and by what the nodes report to each other.
 type fleet struct {
 	*perNode
@@ -134,8 +131,11 @@
 	return want
 }
 
-func (f *fleet) most() int {
-	return int(f.state.Most(pool))
+func (f *fleet) next(now vocab.Instant, running int) (admission.Item, bool) {
+	above := running >= int(f.state.Most(pool))
+	return f.queue.Next(now, func(team vocab.TeamID) bool {
+		return !above || !f.state.HeldDown(pool, team)
+	})
 }
 
 // arrival serves in the order of arrival, whoever it is.
@@ -151,7 +151,7 @@
 	return admission.Verdict{}
 }
 
-func (a *arrival) next(vocab.Instant) (admission.Item, bool) {
+func (a *arrival) next(vocab.Instant, int) (admission.Item, bool) {
 	if len(a.waiting) == 0 {
 		return admission.Item{}, false
 	}
@@ -184,5 +184,3 @@
 func (a *arrival) hear(vocab.Instant, share.Fact) {}
 
 func (a *arrival) target() int { return poolSlots / nodes }
-
-func (a *arrival) most() int { return poolSlots }
