--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core/limit"
+	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
 )
 
@@ -32,12 +33,13 @@
 	s.limits.FoldTotals(s.now, s.Shared().Offset, s.limitTotals(), s.longestRun())
 }
 
-// longestRun returns the longest run limit of all services.
+// longestRun returns how long work of a lost member may still run: requests for
+// the longest run limit, tasks for their lease with the worker.
 func (s *State) longestRun() time.Duration {
 	if s.Shared().Fleet == nil {
-		return 0
+		return taskOrphanTime
 	}
-	return s.Shared().Fleet.LongestRun().D()
+	return max(s.Shared().Fleet.LongestRun().D(), taskOrphanTime)
 }
 
 func (s *State) limitMembers() []limit.Member {
@@ -64,10 +66,18 @@
 	for _, t := range s.Shared().Fleet.Teams {
 		out = append(out, limit.Total{Account: limit.TeamAccount(t.Name), Slots: t.UpperLimit})
 	}
-	for _, p := range s.Shared().Fleet.Pools {
-		for _, vm := range s.vms.Ready(p.Name) {
-			out = append(out, limit.Total{Account: vmAccount(vm), Pool: p.Name, Slots: p.Slots})
+	for _, vm := range s.vms.All() {
+		p, ok := s.Shared().Fleet.Pool(vm.Pool)
+		if !ok || vm.Phase == observe.PhaseLost {
+			continue
 		}
+		// A VM that takes no new work keeps its total while work ends on it, but
+		// is not lent as one of the pool.
+		total := limit.Total{Account: vmAccount(vm), Slots: p.Slots}
+		if vm.Phase == observe.PhaseReady {
+			total.Pool = p.Name
+		}
+		out = append(out, total)
 	}
 	return out
 }
