--- a/internal/core/world/node_test.go
+++ b/internal/core/world/node_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/core/event"
 	"github.com/sardinehead/sardinehead/internal/core/limit"
@@ -42,6 +44,16 @@
 	rpcs    map[uint64]func(event.Effect)
 	lastRPC uint64
 	seen    knowledge
+	self    core.Identity
+	// history holds what the reducer took in, and did a digest of its effects.
+	history []taken
+	did     *xxhash.Digest
+}
+
+// taken is one step of a reducer.
+type taken struct {
+	at vocab.Instant
+	ev event.Event
 }
 
 func address(name vocab.NodeID) string { return "10.0.0.1:" + string(name) }
@@ -52,7 +64,7 @@
 	n := &entryNode{
 		w: w, name: name, incarnation: w.lastInc, zone: zone, next: 1,
 		clock: vocab.Instant(w.between(time.Hour, 1000*time.Hour)),
-		calls: map[vocab.RequestID]*call{}, rpcs: map[uint64]func(event.Effect){}, seen: newKnowledge(),
+		calls: map[vocab.RequestID]*call{}, rpcs: map[uint64]func(event.Effect){}, seen: newKnowledge(), did: xxhash.New(),
 	}
 	var first []string
 	for _, other := range w.nodes {
@@ -60,10 +72,11 @@
 			first = append(first, address(other.name))
 		}
 	}
-	n.state = core.New(core.Identity{
+	n.self = core.Identity{
 		Node: name, Incarnation: n.incarnation, Zone: zone, Region: w.fleet.Regions[0].Name,
 		PeerAddress: address(name), FirstPeers: first,
-	})
+	}
+	n.state = core.New(n.self)
 	w.nodes = append(w.nodes, n)
 	n.every(core.TickInterval, func() { n.step(core.Tick{Unix: w.unix()}) })
 	n.every(logPoll, n.readLog)
@@ -149,7 +162,9 @@
 // step gives an event to the reducer, checks what it decides and carries it out.
 func (n *entryNode) step(ev event.Event) {
 	n.learn(ev)
+	n.history = append(n.history, taken{at: n.now(), ev: ev})
 	effects := append([]event.Effect(nil), n.state.Step(n.now(), ev)...)
+	fmt.Fprintf(n.did, "%+v", effects)
 	n.checkState()
 	for _, e := range effects {
 		n.checkEffect(e)
@@ -157,6 +172,17 @@
 	}
 }
 
+// checkReplay checks that a fresh reducer does the same in the same history.
+func (n *entryNode) checkReplay() {
+	state, did := core.New(n.self), xxhash.New()
+	for _, t := range n.history {
+		fmt.Fprintf(did, "%+v", append([]event.Effect(nil), state.Step(t.at, t.ev)...))
+	}
+	if did.Sum64() != n.did.Sum64() {
+		n.w.fail("%s does not do the same again in the same history", n.name)
+	}
+}
+
 func (n *entryNode) carryOut(effect event.Effect) {
 	switch e := effect.(type) {
 	case core.Dispatch:
--- a/internal/core/world/property_test.go
+++ b/internal/core/world/property_test.go
@@ -83,6 +83,7 @@
 	}
 	w.run(10 * time.Second)
 	w.checkAnswered()
+	w.nodes[0].checkReplay()
 	for _, c := range w.calls {
 		if c.final != "completed" {
 			t.Errorf("request %d of %s, sent at %v, ended as %s", c.id, c.node.name, c.at, c.final)
@@ -98,6 +99,7 @@
 		r.Repeat(w.actions())
 		w.heal()
 		w.checkUsable()
+		w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(r, "replayed")].checkReplay()
 	})
 }
 
