--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -1,14 +1,15 @@
 package core
 
 import (
+	"math"
 	"slices"
 
 	"github.com/sardinehead/sardinehead/internal/core/admission"
-	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/core/retry"
 	"github.com/sardinehead/sardinehead/internal/core/routing"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
+	"github.com/sardinehead/sardinehead/internal/core/task"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -87,12 +88,12 @@
 		q, ok := s.queues[service.Queue]
 		if !ok {
 			q = &queue{
-				id:       service.Queue,
-				waiting:  admission.New(admission.Bounds{}),
-				budget:   retry.NewBudget(),
-				turn:     uint64(s.self.Incarnation),
-				accounts: map[routing.Key]limit.Account{},
-				health:   routing.NewHealth(),
+				id:      service.Queue,
+				waiting: admission.New(admission.Bounds{}),
+				budget:  retry.NewBudget(),
+				turn:    uint64(s.self.Incarnation),
+				health:  routing.NewHealth(),
+				most:    math.MaxInt32,
 			}
 			s.queues[service.Queue] = q
 		}
@@ -166,6 +167,7 @@
 	s.seekSnapshot()
 	s.takeSnapshotIfDue()
 	s.maintain(e.Unix)
+	s.stepTasks(task.Tick{})
 	s.dispatchAll()
 }
 
--- a/internal/core/limit/demand.go
+++ b/internal/core/limit/demand.go
@@ -79,7 +79,10 @@
 	s.advance()
 	s.giveUpLate(now)
 	asks := newOutbox()
-	s.askForShort(now, s.watched(), asks)
+	if !now.Before(s.borrower.nextAsk) {
+		s.borrower.nextAsk = now.Add(askInterval)
+		s.askForShort(now, asks)
+	}
 	var effects []event.Effect
 	if !now.Before(s.borrower.nextCare) {
 		s.borrower.nextCare = now.Add(careInterval)
@@ -101,8 +104,8 @@
 
 func (s *State) needsWatch(id Account) bool {
 	if id.Kind != KindPool {
-		a := s.account(id)
-		return a.demand > 0 || len(a.borrowed) > 0
+		a, ok := s.accounts[id]
+		return ok && (a.demand > 0 || len(a.borrowed) > 0)
 	}
 	p := s.poolOf(vocab.PoolID(id.Name))
 	if p.demand > 0 {
--- a/internal/core/maintenance/controller.go
+++ b/internal/core/maintenance/controller.go
@@ -10,7 +10,9 @@
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
-// planEvery is the time between two plans.
+// planEvery is the longest time between two plans. A record or answer that
+// concerns a VM, a change of the VM list and a VM that fell idle bring the next
+// plan forward to the next tick.
 const planEvery = 5 * time.Second
 
 // Controller is the local state of one node's part in moves and maintenance. It
@@ -26,10 +28,11 @@
 	demands  map[vocab.PoolID]*demand
 	watched  map[vocab.VMID]*watched
 	idle     map[vocab.VMID]bool
+	listed   uint64 // version of the VM list at the last tick
 	unix     int64
 	lastTick vocab.Instant
 	lastPlan vocab.Instant
-	planned  bool
+	planned  bool // the last plan is not out of date
 
 	lease    lease
 	appends  map[string]vocab.Instant // when a body of that key was last appended
@@ -81,6 +84,7 @@
 func (c *Controller) noteLedger(now vocab.Instant, e LedgerChanged) {
 	for _, vm := range e.VMs {
 		c.follow(now, vm)
+		c.planned = false
 	}
 	if !e.Accepted {
 		return
@@ -139,6 +143,7 @@
 	if e.Result == ResultStale {
 		c.lease.fenced = e.Order.Epoch
 	}
+	c.planned = false
 	w := c.watch(e.Order.VM)
 	if e.Kind == KindAssign && e.Pool != w.assignTo {
 		return
@@ -153,6 +158,10 @@
 	dt := min(now.Sub(c.lastTick), maxTickGap)
 	c.lastTick = now
 	c.unix = e.Unix
+	if len(e.Idle) != len(c.idle) || c.seen.Version() != c.listed {
+		c.planned = false
+	}
+	c.listed = c.seen.Version()
 	c.idle = make(map[vocab.VMID]bool, len(e.Idle))
 	for _, vm := range e.Idle {
 		c.idle[vm] = true
@@ -171,9 +180,6 @@
 // replan makes a new plan and carries it out if this process is the owner.
 func (c *Controller) replan(now vocab.Instant) []event.Effect {
 	dt := min(now.Sub(c.lastPlan), maxTickGap)
-	if !c.planned {
-		dt = 0
-	}
 	c.lastPlan, c.planned = now, true
 	s := c.Snapshot(now)
 	t := newTallies(s)
@@ -234,7 +240,9 @@
 		StageFor: now.Sub(w.stageSince), AssignTo: w.assignTo,
 		Drain: w.drain.view(now), Reboot: w.reboot.view(now), Assign: w.assign.view(now),
 	}
-	if row, present := c.seen.Listed(vm.Name); present && row.Phase == observe.ListLive {
+	row, present := c.seen.Listed(vm.Name)
+	v.Gone = !present || row.Phase == observe.ListGone
+	if present && row.Phase == observe.ListLive {
 		v.ListedPool = row.Pool
 	}
 	return v
--- a/internal/core/maintenance/demand.go
+++ b/internal/core/maintenance/demand.go
@@ -16,7 +16,9 @@
 	trendTime = 1200 * time.Second
 	// spreadTime is the time constant of the average spread.
 	spreadTime = time.Hour
-	// spreadLimit bounds the spread as a part of the level.
+	// marginSpreads is the margin over the expected demand, in average spreads.
+	marginSpreads = 2
+	// spreadLimit bounds the margin as a part of the level.
 	spreadLimit = 0.25
 )
 
@@ -28,7 +30,7 @@
 	spread  float64 // average distance of the level from the trend
 	days    profile
 
-	lackCost float64 // weighted VM-seconds, see moveCost
+	lackCost float64 // weighted VM-seconds, see MoveCost
 	idleCost float64
 }
 
@@ -49,16 +51,15 @@
 	return -math.Expm1(-float64(dt) / float64(constant))
 }
 
-// expected returns the slots that the pool should be ready for now.
-func (d *demand) expected() float64 {
-	return d.level + min(d.spread, spreadLimit*d.level)
+// margin returns the slots held beyond the expected demand.
+func (d *demand) margin() float64 {
+	return min(marginSpreads*d.spread, spreadLimit*d.level)
 }
 
 // need returns what demand asks of a pool whose VMs have that many slots.
 func (d *demand) need(pool vocab.PoolID, slots vocab.Slots, unix int64) PoolNeed {
-	now := d.expected()
-	soon := max(now, d.days.most(unix, forecastSoon))
-	later := max(soon, d.days.most(unix, forecastLater))
+	soon := max(d.level, d.days.most(unix, forecastSoon)) + d.margin()
+	later := max(soon, d.days.most(unix, forecastLater)+d.margin())
 	return PoolNeed{
 		Pool: pool, Demand: vmsFor(soon, slots), Later: vmsFor(later, slots),
 		LackCost: d.lackCost, IdleCost: d.idleCost,
@@ -81,13 +82,13 @@
 func (d *demand) account(dt time.Duration, p *tally) {
 	rate := 0.0
 	switch {
-	case p.has() < p.keep.Ready:
-		rate = budgetWeight * float64(p.wants()-p.has())
+	case p.has() < p.keep.Ready || len(p.lackingZones()) > 0:
+		rate = BudgetWeight * float64(max(1, p.wants()-p.has()))
 	case p.has() < p.wants():
-		rate = lackWeight * float64(p.wants()-p.has())
+		rate = LackWeight * float64(p.wants()-p.has())
 	}
-	d.lackCost = accumulate(d.lackCost, rate, lackWeight, dt)
-	d.idleCost = accumulate(d.idleCost, idleWeight*float64(p.has()-p.wantsLater()), idleWeight, dt)
+	d.lackCost = accumulate(d.lackCost, rate, LackWeight, dt)
+	d.idleCost = accumulate(d.idleCost, IdleWeight*float64(p.has()-p.wantsLater()), IdleWeight, dt)
 }
 
 func accumulate(cost, rate, decay float64, dt time.Duration) float64 {
--- a/internal/core/maintenance/fold.go
+++ b/internal/core/maintenance/fold.go
@@ -31,11 +31,15 @@
 	case record.VMMaintained:
 		return l.change(b.Epoch, b.VM, func(e *Entry) bool { return l.maintained(e, b) })
 	case record.VMMaintenanceFailed:
-		return l.change(b.Epoch, b.VM, l.failed)
+		return l.change(b.Epoch, b.VM, func(e *Entry) bool { return l.failed(offset, e) })
 	case record.VMMaintenanceCancelled:
 		return l.change(b.Epoch, b.VM, (*Entry).cancel)
 	default:
-		return nil, l.applyWave(offset, body)
+		ok := l.applyWave(offset, body)
+		if ok {
+			l.Begun = offset
+		}
+		return nil, ok
 	}
 }
 
@@ -137,20 +141,23 @@
 	if e.Upkeep.Stage == observe.UpkeepNone || b.Incarnation <= e.Upkeep.Incarnation {
 		return false
 	}
+	if e.Upkeep.Stage != observe.UpkeepFailed {
+		l.Wave.Returned++ // one that is back late proves nothing
+	}
 	e.Upkeep = observe.Upkeep{}
 	e.Wave = l.Wave.Number
 	e.MaintainedAt = b.At
-	l.Wave.Returned++
 	return true
 }
 
-func (l *Ledger) failed(e *Entry) bool {
+func (l *Ledger) failed(offset vocab.Offset, e *Entry) bool {
 	if e.Upkeep.Stage == observe.UpkeepNone || e.Upkeep.Stage == observe.UpkeepFailed {
 		return false
 	}
 	e.Upkeep.Stage = observe.UpkeepFailed
 	l.Wave.Failed++
 	l.Wave.Returned = 0
+	l.Begun = offset
 	return true
 }
 
@@ -168,7 +175,8 @@
 		if b.Wave != l.Wave.Number || l.Wave.Paused == 0 || b.Paused != l.Wave.Paused {
 			return false
 		}
-		l.Wave.Paused, l.Wave.Reason, l.Wave.Failed = 0, "", 0
+		l.Wave.Paused, l.Wave.Reason = 0, ""
+		l.Wave.Failed, l.Wave.Returned = 0, 0
 		return true
 	default:
 		return false
--- a/internal/core/maintenance/ledger.go
+++ b/internal/core/maintenance/ledger.go
@@ -10,7 +10,8 @@
 // for equal ledgers and serves as snapshot and for a digest.
 type Ledger struct {
 	Owner Owner `json:"owner"`
-	// Begun is the offset that the next DisruptionsBegun must name as its base.
+	// Begun is the offset that the next DisruptionsBegun must name as its base:
+	// that of the last record that a decision to begin something must know.
 	Begun vocab.Offset `json:"begun"`
 	// FirstClaim is when planning first began, in seconds since the Unix epoch.
 	FirstClaim int64                `json:"first_claim"`
@@ -31,7 +32,8 @@
 	Number uint64 `json:"number"`
 	// StartedAt is in seconds since the Unix epoch.
 	StartedAt int64 `json:"started_at"`
-	// Returned counts VMs that came back since the last one that did not.
+	// Returned counts VMs that came back in time since the wave began or was
+	// resumed, or since the last one that did not.
 	Returned int `json:"returned"`
 	// Failed counts VMs that did not come back since the wave was last resumed.
 	Failed int `json:"failed"`
--- a/internal/core/maintenance/moves.go
+++ b/internal/core/maintenance/moves.go
@@ -1,6 +1,7 @@
 package maintenance
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -12,9 +13,12 @@
 func planMoves(s *Snapshot, t *tallies, plan *Plan) {
 	for _, name := range t.byLack() {
 		p := t.byName[name]
-		if p.need.LackCost < moveCost {
+		if p.need.LackCost < MoveCost {
 			continue
 		}
+		for _, zone := range p.lackingZones() {
+			t.lendIn(s, p, zone, plan)
+		}
 		for p.has() < p.wants() && t.fill(s, p, plan) {
 			continue
 		}
@@ -29,10 +33,10 @@
 			continue
 		}
 		if zone, ok := p.stuckZone(s); ok {
-			t.unblock(s, spare, p, zone, plan)
+			t.lendIn(s, p, zone, plan)
 			continue
 		}
-		if p.need.IdleCost < moveCost || p.hasDue(s) {
+		if p.need.IdleCost < MoveCost || p.hasDue(s) {
 			continue
 		}
 		for p.has() > p.wantsLater() && t.move(s, p, spare, p.vms, "idle for long", plan) {
@@ -55,18 +59,41 @@
 	return "", false
 }
 
-// unblock lends the pool a VM of the spare pool in the zone.
-func (t *tallies) unblock(s *Snapshot, spare, p *tally, zone vocab.ZoneID, plan *Plan) {
-	if t.lendable(spare, true) <= 0 {
-		return
+// lackingZones returns the zones in which the pool is below its budget.
+func (p *tally) lackingZones() []vocab.ZoneID {
+	return slices.DeleteFunc(slices.Clone(p.spec.Zones), func(z vocab.ZoneID) bool { return !p.lacksIn(z) })
+}
+
+// lendIn moves a VM of that zone to the pool: from the spare pool, else from any
+// that can lend one there.
+func (t *tallies) lendIn(s *Snapshot, p *tally, zone vocab.ZoneID, plan *Plan) {
+	reason := fmt.Sprintf("pool %s needs one more VM in zone %s", p.spec.Name, zone)
+	for _, donor := range t.spareFirst() {
+		if donor == p || t.lendable(donor, true) <= 0 {
+			continue
+		}
+		inZone := slices.DeleteFunc(slices.Clone(donor.vms), func(v *VM) bool { return v.Zone != zone })
+		if t.move(s, donor, p, inZone, reason, plan) {
+			return
+		}
+	}
+}
+
+func (t *tallies) spareFirst() []*tally {
+	var pools []*tally
+	for _, name := range t.names {
+		if p := t.byName[name]; p.spec.Spare {
+			pools = slices.Insert(pools, 0, p)
+		} else {
+			pools = append(pools, p)
+		}
 	}
-	inZone := slices.DeleteFunc(slices.Clone(spare.vms), func(v *VM) bool { return v.Zone != zone })
-	t.move(s, spare, p, inZone, fmt.Sprintf("the wave needs one more VM in zone %s", zone), plan)
+	return pools
 }
 
 // hasDue reports whether VMs of the pool wait for the wave.
 func (p *tally) hasDue(s *Snapshot) bool {
-	return s.Ledger.Wave.Paused == 0 && slices.ContainsFunc(p.vms, func(v *VM) bool { return due(s, v) })
+	return slices.ContainsFunc(p.vms, func(v *VM) bool { return due(s, v) })
 }
 
 // byLack returns the pools with the highest cost of lack first. Pools below
@@ -132,7 +159,7 @@
 func (t *tallies) move(s *Snapshot, from, to *tally, candidates []*VM, reason string, plan *Plan) bool {
 	var best *VM
 	for _, v := range candidates {
-		if refuseMove(s, from, to, v) == "" && (best == nil || balances(from, to, v, best)) {
+		if refuseMove(s, from, to, v) == "" && (best == nil || prefers(s, from, to, v, best)) {
 			best = v
 		}
 	}
@@ -143,6 +170,7 @@
 	from.held--
 	to.incoming++
 	to.arriving[best.Zone]++
+	to.racks[rackKey{best.Zone, best.Rack}]++
 	from.vms = slices.DeleteFunc(slices.Clone(from.vms), func(v *VM) bool { return v == best })
 	plan.step(Step{
 		Kind: StepMove, VM: best.Name, Incarnation: best.Incarnation,
@@ -151,15 +179,34 @@
 	return true
 }
 
-// balances reports whether moving v leaves the zones better balanced than w.
-func balances(from, to *tally, v, w *VM) bool {
+// prefers reports whether v is the better VM to move than w: one in a zone that
+// lacks VMs, then one that the wave is done with, then the one that leaves the
+// pools better spread. The pool that serves a queue counts more than the spare pool.
+func prefers(s *Snapshot, from, to *tally, v, w *VM) bool {
 	lackV, lackW := to.lacksIn(v.Zone), to.lacksIn(w.Zone)
 	if lackV != lackW {
 		return lackV
 	}
-	return from.byZone[v.Zone]-to.inZone(v.Zone) > from.byZone[w.Zone]-to.inZone(w.Zone)
+	if dueV, dueW := due(s, v), due(s, w); dueV != dueW {
+		return dueW
+	}
+	give := cmp.Compare(from.crowding(v), from.crowding(w))
+	take := cmp.Compare(to.crowding(w), to.crowding(v))
+	if to.spec.Spare {
+		return cmp.Or(give, take) > 0
+	}
+	return cmp.Or(take, give) > 0
+}
+
+// crowding grows with the pool's VMs in the VM's zone and then with those in
+// its rack.
+func (p *tally) crowding(v *VM) int {
+	return p.inZone(v.Zone)*rackWeight + p.racks[rackKey{v.Zone, v.Rack}]
 }
 
+// rackWeight exceeds the VMs of one pool in one rack.
+const rackWeight = 1000
+
 // inZone returns the VMs that the pool has in the zone or is about to get there.
 func (p *tally) inZone(zone vocab.ZoneID) int {
 	return p.byZone[zone] + p.arriving[zone]
--- a/internal/core/maintenance/world_test.go
+++ b/internal/core/maintenance/world_test.go
@@ -1,8 +1,10 @@
 package maintenance
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core/event"
@@ -209,11 +211,20 @@
 	if begun, ok := b.(record.DisruptionsBegun); ok && accepted {
 		w.checkOwnActs(begun)
 	}
-	if w.trace != nil {
-		w.trace(fmt.Sprintf("log %d %s %+v accepted=%v", len(w.log), b.RecordKind(), b, accepted))
+	if _, heartbeat := b.(record.MaintenanceHeld); w.trace != nil && !heartbeat {
+		w.trace(describe(b, accepted))
 	}
 }
 
+func describe(b record.Body, accepted bool) string {
+	text, _ := json.Marshal(b)
+	verdict := ""
+	if !accepted {
+		verdict = " REFUSED"
+	}
+	return fmt.Sprintf("log    %s %s%s", b.RecordKind(), strings.ReplaceAll(string(text), "\"", ""), verdict)
+}
+
 // order is the platform: it refuses lower epochs and other incarnations.
 func (w *world) order(n *fakeNode, kind OrderKind, o VMOrder, pool vocab.PoolID) {
 	v := w.vms[o.VM]
@@ -237,7 +248,7 @@
 
 func (w *world) carryOut(n *fakeNode, kind OrderKind, v *fakeVM, pool vocab.PoolID) {
 	if w.trace != nil {
-		w.trace(fmt.Sprintf("order %s %s %s", [...]string{"drain", "reboot", "assign"}[kind], v.row.Name, pool))
+		w.trace(fmt.Sprintf("order  %s %s %s by %s", [...]string{"drain", "reboot", "assign"}[kind], v.row.Name, pool, n.name))
 	}
 	switch kind {
 	case KindDrain:
@@ -279,9 +290,10 @@
 		if ready < svc.Keep.Ready {
 			w.fail("%s takes %d of pool %s and leaves %d ready", n.name, out, svc.Pool, ready)
 		}
-		for _, vm := range n.seen.All() {
-			if began(b, vm.Name) && vm.Pool == svc.Pool && zones[vm.Zone] < svc.Keep.ReadyPerZone {
-				w.fail("%s leaves %d in zone %s of pool %s", n.name, zones[vm.Zone], vm.Zone, svc.Pool)
+		pool, _ := w.fleet.Pool(svc.Pool)
+		for _, zone := range pool.Zones {
+			if zones[zone] < svc.Keep.ReadyPerZone {
+				w.fail("%s takes %d of pool %s, which has %d in zone %s", n.name, out, svc.Pool, zones[zone], zone)
 			}
 		}
 	}
@@ -298,6 +310,9 @@
 	out := 0
 	for _, name := range w.names {
 		u := w.truth.VMs[name].Upkeep
+		if w.vms[name].dead && u.Stage == observe.UpkeepDrain {
+			continue // it failed by itself
+		}
 		if u.Stage != observe.UpkeepNone && u.Stage != observe.UpkeepFailed && w.vms[name].row.Incarnation <= u.Incarnation {
 			out++
 		}
@@ -318,7 +333,8 @@
 		}
 		out := e.Upkeep.Stage != observe.UpkeepNone && v.row.Incarnation <= e.Upkeep.Incarnation
 		if out {
-			zones[v.row.Zone] = zones[v.row.Zone] || e.Upkeep.Stage != observe.UpkeepFailed
+			failed := e.Upkeep.Stage == observe.UpkeepFailed || (v.dead && e.Upkeep.Stage == observe.UpkeepDrain)
+			zones[v.row.Zone] = zones[v.row.Zone] || !failed
 			touched = touched || began(b, name)
 		} else {
 			left++
--- a/internal/core/share/state.go
+++ b/internal/core/share/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -15,10 +16,10 @@
 	// unreachable node's demand is forgotten after it.
 	factLife = 4 * time.Second
 	// correctionTime is the time over which a deficit is made up for.
-	correctionTime = 4 * time.Second
+	correctionTime = 8 * time.Second
 	// deficitBound is the most service, in time at the team's target, that a
 	// team can be owed or can owe.
-	deficitBound = 6 * time.Second
+	deficitBound = 4 * time.Second
 	// demandSmoothing is the weight of a new observation in reported demand.
 	demandSmoothing = 0.25
 	// leastCorrection bounds how far a debt lowers a team's part.
@@ -83,10 +84,12 @@
 type pool struct {
 	capacity float64
 	reports  map[reporter]*report
-	order    []reporter // keys of reports, sorted
-	stale    bool       // order must be sorted again
+	order    []*report // all reports, sorted by reporter
+	stale    bool      // order must be sorted again
 	owed     map[vocab.TeamID]float64
-	parts    []Part
+	// scale makes corrected parts add up to the targets.
+	scale float64
+	parts []Part
 }
 
 type reporter struct {
@@ -95,6 +98,7 @@
 }
 
 type report struct {
+	reporter
 	demand float64
 	// fresh is this node's own demand as last reported.
 	fresh    float64
@@ -163,9 +167,9 @@
 	r, ok := p.reports[key]
 	if !ok {
 		// What was attained before the first report counts for no window.
-		r = &report{fresh: f.Demand, attained: f.Attained, counted: f.Attained}
+		r = &report{reporter: key, fresh: f.Demand, attained: f.Attained, counted: f.Attained}
 		p.reports[key] = r
-		p.order = append(p.order, key)
+		p.order = append(p.order, r)
 		p.stale = true
 	}
 	return r
@@ -174,7 +178,7 @@
 // KeepMembers drops all reports of nodes whose membership ended.
 func (s *State) KeepMembers(member func(vocab.Incarnation) bool) {
 	for _, id := range s.names {
-		s.pools[id].drop(func(key reporter, _ *report) bool { return !member(key.node) })
+		s.pools[id].drop(func(r *report) bool { return !member(r.node) })
 	}
 }
 
@@ -185,9 +189,9 @@
 	clear(s.wanted)
 	for _, id := range s.names {
 		p := s.pools[id]
-		p.drop(func(_ reporter, r *report) bool { return now.Sub(r.heard) > factLife })
-		for _, key := range p.order {
-			s.wanted[key.team] += p.reports[key].demand
+		p.drop(func(r *report) bool { return now.Sub(r.heard) > factLife })
+		for _, r := range p.order {
+			s.wanted[r.team] += r.demand
 		}
 	}
 	for _, id := range s.names {
@@ -205,6 +209,17 @@
 	return p.parts
 }
 
+// Most returns the number of slots of a pool that this node uses at most. While
+// teams compete it is the node's target, so that slots above it stay free for
+// nodes below theirs; else it has no bound. A node that hears of no other node
+// has the whole pool as its target.
+func (s *State) Most(id vocab.PoolID) vocab.Slots {
+	if !s.Contended(id) {
+		return math.MaxInt32
+	}
+	return vocab.Slots(math.Ceil(s.NodeTarget(id)))
+}
+
 // Contended reports whether a team could use more of a pool than it gets.
 func (s *State) Contended(id vocab.PoolID) bool {
 	return slices.ContainsFunc(s.Parts(id), func(p Part) bool { return p.Level })
@@ -231,12 +246,12 @@
 }
 
 // drop removes the reports that match.
-func (p *pool) drop(match func(reporter, *report) bool) {
-	p.order = slices.DeleteFunc(p.order, func(key reporter) bool {
-		if !match(key, p.reports[key]) {
+func (p *pool) drop(match func(*report) bool) {
+	p.order = slices.DeleteFunc(p.order, func(r *report) bool {
+		if !match(r) {
 			return false
 		}
-		delete(p.reports, key)
+		delete(p.reports, r.reporter)
 		return true
 	})
 }
@@ -247,7 +262,7 @@
 		return
 	}
 	p.stale = false
-	slices.SortFunc(p.order, func(a, b reporter) int {
+	slices.SortFunc(p.order, func(a, b *report) int {
 		if c := cmp.Compare(a.team, b.team); c != 0 {
 			return c
 		}
--- a/internal/core/shares.go
+++ b/internal/core/shares.go
@@ -82,6 +82,9 @@
 			}))
 		})
 	}
+	s.tasks.Demand(func(team vocab.TeamID, tasks int) {
+		s.shares.present[team] += vocab.Slots(tasks)
+	})
 	for _, t := range s.Shared().Fleet.Teams {
 		s.limits.SetDemand(limit.TeamAccount(t.Name), s.shares.present[t.Name])
 	}
@@ -110,6 +113,7 @@
 	if !s.shares.Contended(q.pool.Name) {
 		want = max(want, vocab.Slots(q.waiting.Present()))
 	}
+	q.most = s.shares.Most(q.pool.Name)
 	s.limits.SetDemand(limit.PoolAccount(q.pool.Name), want)
 	q.health.Prune(s.now)
 }
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -24,6 +24,7 @@
 	"github.com/sardinehead/sardinehead/internal/record"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/standin"
+	"github.com/sardinehead/sardinehead/internal/standin/workers"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -47,7 +48,12 @@
 	Log       *standin.Log
 	VMs       *standin.VMs
 	Upstreams map[vocab.VMID]*standin.Upstream
-	Nodes     []*Entry
+	Workers   *workers.Service
+	// Fleet counts what runs on all upstreams together.
+	Fleet *standin.FleetCount
+	Nodes []*Entry
+	// Rows are the VMs as first listed.
+	Rows []platform.VM
 	// PlatformURL is the base address of the platform's stand-in.
 	PlatformURL string
 	// Keys holds one key for each team, ready for an Authorization header.
@@ -69,6 +75,7 @@
 	// PeerAddress is the IP:port of the peers' side.
 	PeerAddress string
 	callers     *http.Server
+	peers       *http.Server
 	cancel      context.CancelFunc
 }
 
@@ -78,6 +85,7 @@
 	in := &Installation{
 		Log:       standin.NewLog(),
 		Upstreams: map[vocab.VMID]*standin.Upstream{},
+		Fleet:     standin.NewFleetCount(),
 		Keys:      map[vocab.TeamID]string{},
 		trust:     daemon.Trust{Secret: []byte(rand.Text())},
 		cancel:    cancel,
@@ -95,8 +103,10 @@
 	if err != nil {
 		return err
 	}
+	in.Rows = rows
 	in.VMs = standin.NewVMs(rows)
-	address, err := in.serve(standin.PlatformHandler(in.Log, in.VMs), o.PlatformPort)
+	in.Workers = startWorkers(&o.Fleet)
+	address, err := in.serve(platformHandler(in), o.PlatformPort)
 	if err != nil {
 		return err
 	}
@@ -132,6 +142,7 @@
 func (in *Installation) startUpstream(fleet *spec.Fleet, pool spec.Pool, i int) (platform.VM, error) {
 	name := vocab.VMID(fmt.Sprintf("%s-%d", pool.Name, i+1))
 	upstream := standin.NewUpstream(string(name))
+	upstream.Fleet = in.Fleet
 	address, err := in.serve(upstream, 0)
 	if err != nil {
 		return platform.VM{}, err
@@ -198,7 +209,7 @@
 		self.FirstPeers = append(self.FirstPeers, other.PeerAddress)
 	}
 	process := daemon.NewProcess(self, daemon.Platform{Log: in.PlatformURL, VMList: in.PlatformURL}, in.trust, o.Events)
-	in.serveOn(peers, process.Peers)
+	peerServer := in.serveOn(peers, process.Peers)
 	port := 0
 	if o.FirstPort > 0 {
 		port = o.FirstPort + i
@@ -221,6 +232,7 @@
 		Operators:   operators,
 		PeerAddress: self.PeerAddress,
 		callers:     callers,
+		peers:       peerServer,
 		cancel:      cancel,
 	})
 	return nil
@@ -237,6 +249,15 @@
 	return fmt.Sprintf("127.0.0.1:%d", port)
 }
 
+// KillNode ends an entry node at once, as a lost VM does.
+func (in *Installation) KillNode(i int) {
+	e := in.Nodes[i]
+	e.cancel()
+	_ = e.callers.Close()
+	_ = e.peers.Close()
+	e.Process.Close()
+}
+
 // serve starts an HTTP server on loopback and returns its address.
 func (in *Installation) serve(handler http.Handler, port int) (string, error) {
 	listener, err := net.Listen("tcp", loopback(port))
@@ -247,10 +268,11 @@
 	return listener.Addr().String(), nil
 }
 
-func (in *Installation) serveOn(listener net.Listener, handler http.Handler) {
+func (in *Installation) serveOn(listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{Handler: handler}
 	in.servers = append(in.servers, server)
 	go func() { _ = server.Serve(listener) }()
+	return server
 }
 
 // Close stops everything at once.
