--- a/internal/core/world/faults_test.go
+++ b/internal/core/world/faults_test.go
@@ -81,10 +81,14 @@
 	fleet.Teams = slices.Clone(fleet.Teams)
 	edit(&fleet)
 	base := w.log.truth.Revision
-	if stale {
-		base--
+	if !stale {
+		w.publish(base, fleet)
+		return
+	}
+	w.publish(base-1, fleet)
+	if w.log.truth.Revision != base {
+		w.fail("a configuration on revision %d replaced revision %d", base-1, base)
 	}
-	w.publish(base, fleet)
 }
 
 // actions are the faults and the load of the property test. An action that
@@ -205,9 +209,11 @@
 	default:
 		w.operatorAppend(record.KeyWithdrawn{Key: old, Operator: "operator"})
 	}
-	if !w.log.down {
-		w.giveKey(team)
+	if w.log.down {
+		return
 	}
+	w.operatorAppend(record.KeyGiven{Key: old, Team: team, SecretHash: secretOf(old)}) // changes nothing
+	w.giveKey(team)
 }
 
 // giveKey gives a team another key. A key that was withdrawn stays so.
--- a/internal/core/world/node_test.go
+++ b/internal/core/world/node_test.go
@@ -56,6 +56,9 @@
 	ev event.Event
 }
 
+// GoString keeps the draws of a failed test readable.
+func (n *entryNode) GoString() string { return fmt.Sprintf("%s/%d", n.name, n.incarnation) }
+
 func address(name vocab.NodeID) string { return "10.0.0.1:" + string(name) }
 
 // start starts a process on a node. It replaces an earlier one of that name.
--- a/internal/core/world/upstream_test.go
+++ b/internal/core/world/upstream_test.go
@@ -33,6 +33,9 @@
 	jobs  []*job
 }
 
+// GoString keeps the draws of a failed test readable.
+func (u *upstream) GoString() string { return string(u.row.Name) }
+
 // job is a request that an upstream runs, answered or not.
 type job struct {
 	call *call
@@ -62,6 +65,9 @@
 	at, ended time.Duration
 }
 
+// GoString keeps the draws of a failed test readable.
+func (c *call) GoString() string { return fmt.Sprintf("request %d of %s", c.id, c.node.name) }
+
 // request sends a request to a node.
 func (w *world) request(n *entryNode, queue vocab.QueueID, key vocab.KeyID, method, path string, work time.Duration) *call {
 	service, _ := w.fleet.Service(queue)
