--- a/internal/core/world/property_test.go
+++ b/internal/core/world/property_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -166,3 +167,34 @@
 	w.run(20 * time.Second)
 	w.checkAnswered()
 }
+
+// TestNewsIsEverywhereInTime has a VM say that it leaves and an operator
+// withdraw a key, while the log is down and the VM list stands still. After
+// two seconds no node sends the VM anything or starts work under the key.
+func TestNewsIsEverywhereInTime(t *testing.T) {
+	for seed := range uint64(10) {
+		w := smallWorld(t.Fatalf, seed, 8)
+		w.log.down, w.vms.frozen = true, true
+		u, key := w.vms.byName["orders-1"], w.keys["blue"]
+		u.fault = faultDrain
+		load := func(d time.Duration) (asked, starts int) {
+			for end := w.now + d; w.now < end; w.run(20 * time.Millisecond) {
+				w.burst(w.nodes[w.rng.IntN(len(w.nodes))], 1, 200*time.Millisecond)
+			}
+			for _, c := range w.calls {
+				if c.key == key {
+					starts += c.starts
+				}
+			}
+			return u.asked, starts
+		}
+		for u.asked == 0 {
+			load(20 * time.Millisecond)
+		}
+		w.nodes[1].post(core.WithdrawKey{Key: key})
+		asked, starts := load(2 * time.Second)
+		if a, s := load(20 * time.Second); a != asked || s != starts {
+			t.Errorf("seed %d: after 2 s the VM was asked %d times more, and %d requests started under the key", seed, a-asked, s-starts)
+		}
+	}
+}
--- a/internal/core/world/upstream_test.go
+++ b/internal/core/world/upstream_test.go
@@ -30,6 +30,7 @@
 	epoch vocab.Epoch
 	down  bool // dead, or not back from its reboot
 	fault fault
+	asked int // attempts that came
 	jobs  []*job
 }
 
@@ -120,6 +121,7 @@
 // take is the arrival of a request at an upstream.
 func (u *upstream) take(n *entryNode, c *call, e core.Dispatch) {
 	w := n.w
+	u.asked++
 	switch {
 	case u.down || u.row.Address != e.Address:
 		n.end(e, c, core.AttemptEnded{Result: retry.NotSent})
