Remove a member whose VM the platform lists as gone

Cause: only a successor or the node itself could end a membership; a VM that was lost for good kept its parts of limits for ever. Change: members that find it silent ask for its removal once the VM list says gone; a live row or mere absence is no evidence. Result: TestOnlyEvidenceRemovesAMember fails without the check of the list.

--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -164,6 +164,7 @@
 	s.emitLoans(s.limits.Tick(s.now))
 	s.endLingering()
 	s.gossipRound()
+	s.removeGone()
 	s.seekSnapshot()
 	s.takeSnapshotIfDue()
 	s.maintain(e.Unix)
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -51,6 +51,9 @@
 	lingering []linger
 	// notTaking is since when a VM gets no new work from this node.
 	notTaking map[vocab.VMID]vocab.Instant
+	// removals is when the removal of a member was last asked for.
+	removals  map[vocab.Incarnation]vocab.Instant
+	removalAt vocab.Instant
 	// soughtAt is when peers were last asked for a snapshot.
 	soughtAt vocab.Instant
 	shares   shareState
@@ -123,6 +126,7 @@
 		peers:     newPeerState(self.Incarnation),
 		running:   map[vocab.VMID]int{},
 		notTaking: map[vocab.VMID]vocab.Instant{},
+		removals:  map[vocab.Incarnation]vocab.Instant{},
 	}
 	s.upkeep = maintenance.NewController(self.Node, self.Incarnation, s.Shared().Maintenance, s.vms)
 	s.tasks = s.newTasks()
