--- a/internal/core/limit/fleet_test.go
+++ b/internal/core/limit/fleet_test.go
@@ -23,6 +23,8 @@
 type version struct {
 	members []Member
 	totals  map[Account]vocab.Slots
+	// run is the longest run limit.
+	run time.Duration
 }
 
 // job is work that the upstream runs.
@@ -81,7 +83,7 @@
 func (f *fleet) last() version { return f.log[len(f.log)-1] }
 
 func (f *fleet) appendVersion(change func(*version)) {
-	v := version{totals: map[Account]vocab.Slots{}}
+	v := version{totals: map[Account]vocab.Slots{}, run: f.last().run}
 	for a, n := range f.last().totals {
 		v.totals[a] = n
 	}
@@ -119,7 +121,7 @@
 		n.learned = rapid.Bool().Draw(f.r, "learned")
 		n.next = vocab.Offset(len(f.log) - 1)
 		v := f.last()
-		n.state.FoldSnapshot(n.clock(f.now), n.next, v.members, v.list(n), testRun)
+		n.state.FoldSnapshot(n.clock(f.now), n.next, v.members, v.list(n), v.run)
 	}
 	f.nodes = append(f.nodes, n)
 	if !f.logDown {
@@ -129,7 +131,7 @@
 
 func (f *fleet) remove(n *node, how Removal) {
 	n.removed = true
-	n.ended = f.now + testLease + testRun
+	n.ended = f.now + testLease + 2*testRun
 	at := vocab.Offset(len(f.log))
 	f.appendVersion(func(v *version) {
 		for i, m := range v.members {
@@ -150,14 +152,14 @@
 	if fmt.Sprint(v.members) != fmt.Sprint(before.members) {
 		n.state.FoldMembers(n.clock(f.now), n.next, v.members)
 	} else {
-		n.state.FoldTotals(n.clock(f.now), n.next, v.list(n), testRun)
+		n.state.FoldTotals(n.clock(f.now), n.next, v.list(n), v.run)
 	}
 }
 
 // learn shows a node the whole VM list.
 func (f *fleet) learn(n *node) {
 	n.learned = true
-	n.state.FoldTotals(n.clock(f.now), n.next, f.log[n.next].list(n), testRun)
+	n.state.FoldTotals(n.clock(f.now), n.next, f.log[n.next].list(n), f.log[n.next].run)
 }
 
 func (f *fleet) send(to vocab.Incarnation, deliver func(*node)) {
@@ -241,14 +243,14 @@
 		n.state.Release(n.clock(f.now), t)
 		return
 	}
-	runs := time.Duration(rapid.IntRange(0, int(testRun/time.Second)).Draw(f.r, "runs")) * time.Second
+	runs := time.Duration(rapid.IntRange(0, int(n.state.longestRun/time.Second)).Draw(f.r, "runs")) * time.Second
 	f.begin(n, t, runs)
 }
 
 func (f *fleet) begin(n *node, t Token, runs time.Duration) {
 	f.jobs = append(f.jobs, &job{account: t.Account, node: n, token: t, ends: f.now + runs, seen: rapid.Bool().Draw(f.r, "seen")})
 	if !f.jobs[len(f.jobs)-1].seen {
-		n.state.ReleaseAt(t, n.clock(f.now).Add(testRun+testGuard))
+		n.state.ReleaseAt(t, n.clock(f.now).Add(n.state.longestRun+testGuard))
 	}
 }
 
--- a/internal/core/limit/property_test.go
+++ b/internal/core/limit/property_test.go
@@ -15,7 +15,7 @@
 // and no token is created; when the faults stop, all can be used again.
 func TestTotalsHoldUnderFaults(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		f := &fleet{r: r, log: []version{{}}, fixed: rapid.Bool().Draw(r, "fixed")}
+		f := &fleet{r: r, log: []version{{run: testRun}}, fixed: rapid.Bool().Draw(r, "fixed")}
 		f.appendVersion(func(v *version) { setTotals(r, v) })
 		for range rapid.IntRange(1, 4).Draw(r, "nodes") {
 			f.start()
@@ -88,7 +88,7 @@
 func (f *fleet) fill(n *node) {
 	for _, a := range testAccounts {
 		for t, ok := n.state.Take(n.clock(f.now), a); ok; t, ok = n.state.Take(n.clock(f.now), a) {
-			f.begin(n, t, testRun)
+			f.begin(n, t, n.state.longestRun)
 		}
 	}
 }
@@ -140,6 +140,8 @@
 	case 55:
 		if !f.logDown && !f.fixed {
 			f.appendVersion(func(v *version) { setTotals(f.r, v) })
+		} else if !f.logDown {
+			f.appendVersion(func(v *version) { v.run = 2 * testRun })
 		}
 	case 56:
 		f.killOrReplace(n)
@@ -156,7 +158,7 @@
 		return
 	}
 	n.next = vocab.Offset(len(f.log) - 1)
-	n.state.FoldSnapshot(n.clock(f.now), n.next, f.last().members, f.last().list(n), testRun)
+	n.state.FoldSnapshot(n.clock(f.now), n.next, f.last().members, f.last().list(n), f.last().run)
 }
 
 // killOrReplace ends a process; if it is dead already, its removal is recorded
