Leave short spikes and lulls out of the averages of demand

Cause: at the design size 10 of 73 pools moved a VM during short spikes, as the spikes widened the spread; a pool could be blocked in a zone whose only VMs other pools needed. Change: demand above three times or below a third of the level counts only after 60 s; lack for demand counts in parts of a VM; the spare pool's VMs are exchanged for those of a zone that the wave needs.

--- a/internal/core/maintenance/demand.go
+++ b/internal/core/maintenance/demand.go
@@ -16,6 +16,11 @@
 	trendTime = 1200 * time.Second
 	// spreadTime is the time constant of the average spread.
 	spreadTime = time.Hour
+	// oddFactor is the factor by which demand must differ from the level to be
+	// taken for a short spike or the lull after one.
+	oddFactor = 3
+	// oddTime is how long such demand is left out of the averages.
+	oddTime = 60 * time.Second
 	// marginSpreads is the margin over the expected demand, in average spreads.
 	marginSpreads = 2
 	// spreadLimit bounds the margin as a part of the level.
@@ -29,8 +34,9 @@
 	trend   float64
 	spread  float64 // average distance of the level from the trend
 	days    profile
+	oddFor  time.Duration // how long demand has differed much from the level
 
-	vms      int     // what the expected demand needs, with hysteresis
+	vms      float64 // what the expected demand needs, in parts of VMs
 	lackCost float64 // weighted VM-seconds, see MoveCost
 	idleCost float64
 }
@@ -41,12 +47,25 @@
 		d.started = true
 		d.level, d.trend = slots, slots
 	}
+	if d.odd(dt, slots) {
+		slots = d.level
+	}
 	d.level += weight(dt, levelTime) * (slots - d.level)
 	d.trend += weight(dt, trendTime) * (slots - d.trend)
 	d.spread += weight(dt, spreadTime) * (math.Abs(d.level-d.trend) - d.spread)
 	d.days.observe(unix, dt, slots)
 }
 
+// odd reports whether the demand is part of a short spike or lull.
+func (d *demand) odd(dt time.Duration, slots float64) bool {
+	if slots <= oddFactor*d.level+1 && slots >= d.level/oddFactor-1 {
+		d.oddFor = 0
+		return false
+	}
+	d.oddFor += dt
+	return d.oddFor < oddTime
+}
+
 // weight returns the weight of the newest dt in an average with that time constant.
 func weight(dt, constant time.Duration) float64 {
 	return -math.Expm1(-float64(dt) / float64(constant))
@@ -61,48 +80,41 @@
 func (d *demand) need(pool vocab.PoolID, slots vocab.Slots, unix int64) PoolNeed {
 	soon := max(d.level, d.days.most(unix, forecastSoon)) + d.margin()
 	later := max(soon, d.days.most(unix, forecastLater)+d.margin())
-	d.vms = vmsFor(soon, slots, d.vms)
+	if slots > 0 {
+		d.vms = soon / float64(slots)
+	}
 	return PoolNeed{
-		Pool: pool, Demand: d.vms, Later: max(d.vms, vmsFor(later, slots, d.vms)),
+		Pool: pool, Demand: vmsFor(soon, slots), Later: vmsFor(later, slots),
 		LackCost: d.lackCost, IdleCost: d.idleCost,
 	}
 }
 
-// vmsFor returns the number of VMs with that many slots each that the demand
-// needs. It differs from the number before only if demand left its range by
-// more than needBand, so that ripples at the edge change nothing.
-func vmsFor(demand float64, slots vocab.Slots, before int) int {
+// vmsFor returns the least number of VMs with that many slots each that the
+// demand needs.
+func vmsFor(demand float64, slots vocab.Slots) int {
 	if slots <= 0 {
 		return 0
 	}
-	vms := demand / float64(slots)
-	if vms <= float64(before)+needBand && vms > float64(before-1)-needBand {
-		return before
-	}
-	return int(math.Ceil(vms))
+	return int(math.Ceil(demand/float64(slots) - vmTolerance))
 }
 
-// needBand is the part of a VM that demand may leave the range of a number of
-// VMs by.
-const needBand = 0.15
+// vmTolerance is the part of a VM that demand may exceed whole VMs by.
+const vmTolerance = 0.02
 
-// account adds the cost of the pool's lack and idleness over dt. A cost that no
-// longer grows wears off at the rate of one VM.
+// account adds the cost of the pool's lack and idleness over dt. Lack for demand
+// counts in parts of a VM, so that ripples at the edge of a number of VMs cost
+// little. A cost that does not grow wears off at the rate of one VM.
 func (d *demand) account(dt time.Duration, p *tally) {
-	rate := 0.0
+	lack, idle := -LackWeight, -IdleWeight
 	switch {
 	case p.has() < p.keep.Ready || len(p.lackingZones()) > 0:
-		rate = BudgetWeight * float64(max(1, p.wants()-p.has()))
+		lack = BudgetWeight * float64(max(1, p.wants()-p.has()))
 	case p.has() < p.wants():
-		rate = LackWeight * float64(p.wants()-p.has())
+		lack = LackWeight * (max(d.vms, float64(p.budgetVMs())) - float64(p.has()))
 	}
-	d.lackCost = accumulate(d.lackCost, rate, LackWeight, dt)
-	d.idleCost = accumulate(d.idleCost, IdleWeight*float64(p.has()-p.wantsLater()), IdleWeight, dt)
-}
-
-func accumulate(cost, rate, decay float64, dt time.Duration) float64 {
-	if rate <= 0 {
-		rate = -decay
+	if surplus := p.has() - p.wantsLater(); surplus > 0 {
+		idle = IdleWeight * float64(surplus)
 	}
-	return max(0, cost+rate*dt.Seconds())
+	d.lackCost = max(0, d.lackCost+lack*dt.Seconds())
+	d.idleCost = max(0, d.idleCost+idle*dt.Seconds())
 }
--- a/internal/core/maintenance/moves.go
+++ b/internal/core/maintenance/moves.go
@@ -77,6 +77,25 @@
 			return
 		}
 	}
+	t.exchangeIn(s, p, zone, plan)
+}
+
+// exchangeIn gives a VM of the spare pool to a pool that holds no more than it
+// wants but has VMs in the zone, so that it can then lend one there.
+func (t *tallies) exchangeIn(s *Snapshot, p *tally, zone vocab.ZoneID, plan *Plan) {
+	spare := t.spare()
+	if spare == nil || t.lendable(spare, true) <= 0 {
+		return
+	}
+	for _, q := range t.spareFirst() {
+		if q == p || q == spare || q.byZone[zone] <= q.keep.ReadyPerZone || q.has() > q.wantsLater() {
+			continue
+		}
+		reason := fmt.Sprintf("pool %s can then lend one in zone %s to pool %s", q.spec.Name, zone, p.spec.Name)
+		if t.move(s, spare, q, spare.vms, reason, plan) {
+			return
+		}
+	}
 }
 
 func (t *tallies) spareFirst() []*tally {
