--- a/internal/core/maintenance/demand.go
+++ b/internal/core/maintenance/demand.go
@@ -36,7 +36,6 @@
 	days    profile
 	oddFor  time.Duration // how long demand has differed much from the level
 
-	vms      float64 // what the expected demand needs, in parts of VMs
 	lackCost float64 // weighted VM-seconds, see MoveCost
 	idleCost float64
 }
@@ -80,9 +79,6 @@
 func (d *demand) need(pool vocab.PoolID, slots vocab.Slots, unix int64) PoolNeed {
 	soon := max(d.level, d.days.most(unix, forecastSoon)) + d.margin()
 	later := max(soon, d.days.most(unix, forecastLater)+d.margin())
-	if slots > 0 {
-		d.vms = soon / float64(slots)
-	}
 	return PoolNeed{
 		Pool: pool, Demand: vmsFor(soon, slots), Later: vmsFor(later, slots),
 		LackCost: d.lackCost, IdleCost: d.idleCost,
@@ -101,16 +97,15 @@
 // vmTolerance is the part of a VM that demand may exceed whole VMs by.
 const vmTolerance = 0.02
 
-// account adds the cost of the pool's lack and idleness over dt. Lack for demand
-// counts in parts of a VM, so that ripples at the edge of a number of VMs cost
-// little. A cost that does not grow wears off at the rate of one VM.
+// account adds the cost of the pool's lack and idleness over dt. A cost that does
+// not grow wears off at the rate of one VM.
 func (d *demand) account(dt time.Duration, p *tally) {
 	lack, idle := -LackWeight, -IdleWeight
 	switch {
 	case p.has() < p.keep.Ready || len(p.lackingZones()) > 0:
 		lack = BudgetWeight * float64(max(1, p.wants()-p.has()))
 	case p.has() < p.wants():
-		lack = LackWeight * (max(d.vms, float64(p.budgetVMs())) - float64(p.has()))
+		lack = LackWeight * float64(p.wants()-p.has())
 	}
 	if surplus := p.has() - p.wantsLater(); surplus > 0 {
 		idle = IdleWeight * float64(surplus)
