--- a/internal/core/share/correct.go
+++ b/internal/core/share/correct.go
@@ -28,8 +28,10 @@
 	level := 0.0
 	clear(p.heldDown)
 	for _, sum := range sums {
-		if sum.level {
+		if sum.demand > sum.target*(1+rounding) {
 			p.heldDown[sum.team] = true
+		}
+		if sum.level {
 			level = sum.target / sum.weight
 		}
 	}
--- a/internal/core/share/state.go
+++ b/internal/core/share/state.go
@@ -22,6 +22,8 @@
 	deficitBound = 4 * time.Second
 	// demandSmoothing is the weight of a new observation in reported demand.
 	demandSmoothing = 0.25
+	// rounding is the relative difference that counts as none.
+	rounding = 1e-6
 	// leastCorrection bounds how far a debt lowers a team's part.
 	leastCorrection = 0.2
 	// mostCorrection bounds how far a deficit raises a team's part.
@@ -87,7 +89,7 @@
 	order    []*report // all reports, sorted by reporter
 	stale    bool      // order must be sorted again
 	owed     map[vocab.TeamID]float64
-	// heldDown holds the teams that only the capacity keeps from more.
+	// heldDown holds the teams that want more than their part.
 	heldDown map[vocab.TeamID]bool
 	// scale makes corrected parts add up to the targets.
 	scale float64
@@ -224,7 +226,7 @@
 }
 
 // HeldDown reports whether a team wants more of a pool than its part, over all
-// nodes. Only such teams are bound by Most: who uses less than its part may use
+// nodes, be it for the capacity or for its upper limit. Only such teams are bound by Most: who uses less than its part may use
 // any slot that the node has.
 func (s *State) HeldDown(id vocab.PoolID, team vocab.TeamID) bool {
 	p, ok := s.pools[id]
