--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -167,6 +167,9 @@
 	if sum := s.NodeTarget("p"); math.Abs(sum-30) > epsilon {
 		t.Errorf("the corrected parts add up to %v of 30", sum)
 	}
+	if !s.HeldDown("p", "busy") || s.HeldDown("p", "idle") || s.Most("p") != 30 {
+		t.Errorf("held down: busy %v, idle %v, most %d", s.HeldDown("p", "busy"), s.HeldDown("p", "idle"), s.Most("p"))
+	}
 	if parts["busy"].FleetDemand != 50 {
 		t.Errorf("the silent node still counts: %+v", parts["busy"])
 	}
