Drain a VM that returned under a later incarnation before its move goes on

Cause: a VM that leaves a pool and came back under a later incarnation was assigned to the other pool at once. Nodes whose VM list lagged had sent work to the later incarnation: node-3 moves orders-1, which runs 1 request. Change: the move drains the VM whatever its incarnation.

--- a/internal/core/maintenance/underway.go
+++ b/internal/core/maintenance/underway.go
@@ -148,7 +148,6 @@
 }
 
 func planMove(s *Snapshot, t *tallies, plan *Plan, v *VM, m *Move) {
-	sameVM := v.Incarnation == m.Incarnation
 	to := destination(s, t, v, m)
 	step := Step{VM: v.Name, Incarnation: v.Incarnation, From: m.From, To: to}
 	switch {
@@ -156,9 +155,9 @@
 		step.Kind, step.Reason = StepJoin, "the VM list has it in pool "+string(to)
 	case v.ListedPool == to && v.AssignTo == to && v.Assign.Done:
 		step.Kind, step.Reason = StepJoin, "the move was taken back"
-	case sameVM && to == m.To && v.Drain.due():
+	case to == m.To && v.Drain.due():
 		step.Kind, step.Reason = StepDrain, "left pool "+string(m.From)
-	case sameVM && to == m.To && !v.drained(drainLimit(s, m.From)):
+	case to == m.To && !v.drained(drainLimit(s, m.From)):
 		plan.wait(v.Name, "drains before it joins pool "+string(to))
 		return
 	case v.assignDue(to):
