Measure how each role's cost grows and write the capacity page

Change: package measure/slopes calls the product's decisions and codecs at four or more sizes, fits lines with their errors, and writes docs/CAPACITY.md with tables and plots. `sardinehead capacity-page` and `sardinehead measure slopes` run it.

--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -13,6 +13,7 @@
 	"github.com/sardinehead/sardinehead/internal/measure/entry"
 	"github.com/sardinehead/sardinehead/internal/measure/limits"
 	"github.com/sardinehead/sardinehead/internal/measure/shares"
+	"github.com/sardinehead/sardinehead/internal/measure/slopes"
 	"github.com/sardinehead/sardinehead/internal/measure/tasks"
 	"github.com/sardinehead/sardinehead/internal/spec"
 )
@@ -39,6 +40,7 @@
 		{name: "limits", run: measureLimits},
 		{name: "capacity", run: measureCapacity},
 		{name: "tasks", run: measureTasks},
+		{name: "slopes", run: measureSlopes},
 		{name: "entry", run: func(uint64) (string, error) { return measureEntry(m.Config) }},
 	}
 }
@@ -82,6 +84,11 @@
 // taskNodes is the number of entry nodes that share the log's appends.
 const taskNodes = 8
 
+func measureSlopes(seed uint64) (string, error) {
+	report, err := slopes.Run(seed)
+	return report.String(), err
+}
+
 // Execute implements flags.Commander.
 func (m *Measure) Execute([]string) error {
 	known := m.measures()
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -23,15 +23,16 @@
 
 // root lists the commands.
 type root struct {
-	Entry   Entry   `command:"entry" description:"Run the daemon of an entry VM"`
-	Dev     Dev     `command:"dev" description:"Run a whole installation on loopback, with stand-ins of the platform and the upstreams"`
-	Standin Standin `command:"standin" description:"Run the stand-ins of the platform and the upstreams only"`
-	Status  Status  `command:"status" description:"Show each node and what disagrees"`
-	Dump    Dump    `command:"dump" description:"Print the whole state of nodes as JSON"`
-	Explain Explain `command:"explain" description:"Say why work waits or a VM gets none"`
-	Load    Load    `command:"load" description:"Send requests at a fixed rate and report latencies"`
-	Measure Measure `command:"measure" description:"Run the measures of the decisions against baselines and bounds"`
-	Send    Send    `command:"send" description:"Send one request as a caller"`
+	Entry        Entry        `command:"entry" description:"Run the daemon of an entry VM"`
+	Dev          Dev          `command:"dev" description:"Run a whole installation on loopback, with stand-ins of the platform and the upstreams"`
+	Standin      Standin      `command:"standin" description:"Run the stand-ins of the platform and the upstreams only"`
+	Status       Status       `command:"status" description:"Show each node and what disagrees"`
+	Dump         Dump         `command:"dump" description:"Print the whole state of nodes as JSON"`
+	Explain      Explain      `command:"explain" description:"Say why work waits or a VM gets none"`
+	Load         Load         `command:"load" description:"Send requests at a fixed rate and report latencies"`
+	Measure      Measure      `command:"measure" description:"Run the measures of the decisions against baselines and bounds"`
+	CapacityPage CapacityPage `command:"capacity-page" description:"Measure all slopes again and write the capacity page"`
+	Send         Send         `command:"send" description:"Send one request as a caller"`
 
 	Check   Check   `command:"check" description:"Report every fault of the operators' files"`
 	Publish Publish `command:"publish" description:"Put the operators' files into force"`
--- /dev/null
+++ b/internal/measure/slopes/build.go
@@ -0,0 +1,147 @@
+package slopes
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/core"
+	"github.com/sardinehead/sardinehead/internal/core/observe"
+	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/spec"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// size is a fleet to build.
+type size struct {
+	teams, pools, vms, nodes int
+}
+
+// design is the size to design for.
+func design() size {
+	return size{teams: designTeams, pools: designPools, vms: designVMs, nodes: designNodes}
+}
+
+func teamName(i int) vocab.TeamID {
+	return vocab.TeamID(fmt.Sprintf("team-%04d", i))
+}
+
+func poolName(i int) vocab.PoolID {
+	return vocab.PoolID(fmt.Sprintf("pool-%03d", i))
+}
+
+func vmName(i int) vocab.VMID {
+	return vocab.VMID(fmt.Sprintf("vm-%05d", i))
+}
+
+func zoneName(i int) vocab.ZoneID {
+	return vocab.ZoneID(fmt.Sprintf("zone-%d", i%designZones))
+}
+
+// secretHash stands for the SHA-256 of a secret.
+func secretHash() []byte {
+	return make([]byte, 32)
+}
+
+// fleet returns a configuration with one service for each pool.
+func (z size) fleet() spec.Fleet {
+	f := spec.Fleet{Name: "design", Maintenance: spec.Maintenance{
+		Every: spec.Duration(28 * day), Drain: spec.Duration(3 * time.Minute),
+		Reboot: spec.Duration(5 * time.Minute), StopAfter: 5,
+	}}
+	var zones []vocab.ZoneID
+	for i := range designZones {
+		zones = append(zones, zoneName(i))
+	}
+	f.Regions = []spec.Region{{Name: "north", Zones: zones[:3]}, {Name: "mid", Zones: zones[3:6]}, {Name: "south", Zones: zones[6:]}}
+	for i := range z.teams {
+		f.Teams = append(f.Teams, spec.Team{Name: teamName(i), Share: 1 + i%7, UpperLimit: 40})
+	}
+	perPool := max(1, z.vms/z.pools)
+	for i := range z.pools {
+		f.Pools = append(f.Pools, spec.Pool{Name: poolName(i), VMs: perPool, Slots: 8, Connections: 64, Zones: zones, Spare: i == 0})
+		if i > 0 {
+			f.Services = append(f.Services, service(i, perPool))
+		}
+	}
+	return f.Normalized()
+}
+
+func service(i, perPool int) spec.Service {
+	name := poolName(i)
+	return spec.Service{
+		Queue: vocab.QueueID(name), Pool: name, File: "services/" + string(name) + "/sardinehead.json", Open: true,
+		Hold:   spec.Hold{Queued: 4000, QueuedPerTeam: 1000, BodyBytes: 1 << 20},
+		Keep:   spec.Keep{Ready: perPool / 2},
+		Limits: spec.TimeLimits{Queue: spec.Duration(10 * time.Second), FirstByte: spec.Duration(time.Second), Run: spec.Duration(30 * time.Second)},
+		Requests: []spec.RequestRule{
+			{Methods: []string{"GET"}, PathPrefix: "/", Idempotent: true},
+			{Methods: []string{"POST"}, PathPrefix: "/orders", Urgent: true},
+		},
+	}
+}
+
+// bodies returns the records that make the fleet known: its configuration, its
+// nodes and one key for each team.
+func (z size) bodies() []record.Body {
+	out := []record.Body{record.ConfigPublished{Operator: "operator", Fleet: z.fleet()}}
+	for i := range z.nodes {
+		out = append(out, record.NodeJoined{
+			Node: nodeName(i), Incarnation: incarnation(i), Zone: zoneName(i), Region: "north", PeerAddress: peerAddress(i),
+		})
+	}
+	for i := range z.teams {
+		out = append(out, record.KeyGiven{
+			Key: vocab.KeyID(teamName(i)), Team: teamName(i), SecretHash: secretHash(), Operator: "operator",
+		})
+	}
+	return out
+}
+
+func nodeName(i int) vocab.NodeID {
+	return vocab.NodeID(fmt.Sprintf("entry-%02d", i))
+}
+
+// incarnation returns numbers as long as random ones.
+func incarnation(i int) vocab.Incarnation {
+	return vocab.Incarnation(uint64(i+1) * 0x9e3779b97f4a7c15)
+}
+
+func peerAddress(i int) string {
+	return fmt.Sprintf("10.0.%d.%d:9200", i/200, 10+i%200)
+}
+
+// records puts bodies into a stream from an offset on.
+func records(from vocab.Offset, bodies ...record.Body) []record.Sequenced {
+	var out []record.Sequenced
+	for i, body := range bodies {
+		at := from + vocab.Offset(i)
+		envelope, err := record.Encode(vocab.RecordID(fmt.Sprintf("3w5e11264sgsf-%d", at)), body)
+		if err != nil {
+			panic(err) // bodies built here always encode
+		}
+		out = append(out, record.Sequenced{Offset: at, Envelope: envelope})
+	}
+	return out
+}
+
+// rows returns the VM list.
+func (z size) rows() []observe.Row {
+	var rows []observe.Row
+	for i := range z.vms {
+		rows = append(rows, observe.Row{
+			Name: vmName(i), Incarnation: 1, Pool: poolName(i % z.pools), Region: "north", Zone: zoneName(i / z.pools),
+			Rack: vocab.RackID(fmt.Sprintf("rack-%03d", i/16)), Address: fmt.Sprintf("10.1.%d.%d:8080", i/250, i%250),
+			Phase: observe.ListLive,
+		})
+	}
+	return rows
+}
+
+// state returns the reducer of the first node, which has folded the fleet.
+func (z size) state() *core.State {
+	s := core.New(core.Identity{Node: nodeName(0), Incarnation: incarnation(0), Zone: zoneName(0), PeerAddress: peerAddress(0)})
+	s.Step(1, core.RecordsRead{Records: records(1, z.bodies()...), CaughtUp: true})
+	s.Step(2, core.LogStatus{Up: true})
+	s.Step(3, core.VMsListed{Version: 1, Rows: z.rows()})
+	return s
+}
--- a/internal/measure/tasks/tasks.go
+++ b/internal/measure/tasks/tasks.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/worker"
 )
 
 // Options sizes a run.
@@ -65,6 +68,11 @@
 	// StepTime is the processor time of the controller per virtual second, on
 	// this machine.
 	StepTime time.Duration
+	// Kinds counts the records that were sent, by kind.
+	Kinds map[record.Kind]int
+	// Orders counts the orders to workers, and Reports what workers reported.
+	Orders  map[worker.Kind]int
+	Reports int
 }
 
 // Report is the outcome of all policies on one workload.
@@ -87,6 +95,11 @@
 	return r
 }
 
+// Measure measures one policy on the workload of a seed.
+func Measure(seed uint64, o Options, p Policy) Result {
+	return newTrial(seed, o, p).run()
+}
+
 // String returns the report as a table.
 func (r Report) String() string {
 	var b strings.Builder
--- a/internal/measure/tasks/trial.go
+++ b/internal/measure/tasks/trial.go
@@ -74,7 +74,7 @@
 	t := &trial{
 		o: o, policy: p, load: newWorkload(seed), byName: map[vocab.VMID]*workers.Worker{},
 		started: map[vocab.TaskID]bool{}, waits: newHistogram(), use: map[vocab.TeamID]float64{},
-		result: Result{Policy: p},
+		result: Result{Policy: p, Kinds: map[record.Kind]int{}, Orders: map[worker.Kind]int{}},
 	}
 	t.c = task.NewController(task.Settings{
 		Shard: "tasks/0", Node: "n0", Incarnation: 1, AppendEvery: o.AppendEvery,
@@ -234,6 +234,7 @@
 	switch f := f.(type) {
 	case task.AppendRecords:
 		for _, e := range f.Records {
+			t.result.Kinds[e.Kind]++
 			t.log = append(t.log, record.Sequenced{Offset: vocab.Offset(len(t.log) + 1), Envelope: e})
 		}
 		t.inbox = append(t.inbox, task.AppendAnswered{Batch: f.Batch, Code: task.Appended})
@@ -243,6 +244,7 @@
 			t.result.Wrongly++
 		}
 	case task.OrderWorker:
+		t.result.Orders[f.To.Kind]++
 		answer, ok := t.byName[f.To.Worker].Order(t.now, f.To)
 		if !ok {
 			answer = worker.Answer{Code: worker.NoAnswer}
@@ -261,6 +263,7 @@
 		if w.Faults.LoseOrders || !t.ends && !t.every(reportEvery) {
 			continue
 		}
+		t.result.Reports++
 		usage := w.Usage(t.now)
 		usage.Lag = reportEvery
 		t.step(task.WorkerReported{Worker: w.Info.Worker, Incarnation: w.Info.Incarnation, Usage: usage})
