Show events, the owner's heap and peers' traffic on the capacity page

Change: a table of events with what carries each, the owner's heap as a slope, peers' traffic as a row, and a test that the bytes on the page are those of the program.

--- a/internal/measure/slopes/page.go
+++ b/internal/measure/slopes/page.go
@@ -60,7 +60,11 @@
 	OwnerWorkers   int
 	Lines          []line
 	PacketBytes    int
-	AppendEvery    time.Duration
+
+	ConfigBytes, ConfigFold, SnapshotBytes, Restore float64
+	ListChange, Plan, MaintainedPerDay              float64
+
+	AppendEvery time.Duration
 	// LeastRun is the shortest mean run that 8 nodes carry without one of them.
 	LeastRun time.Duration
 	Outage
@@ -87,6 +91,9 @@
 	d.Cost, d.CostErr = cost.String(), spread.String()
 	d.TaskAppends, d.FleetAppends = r.appendsPerSecond()
 	d.PacketBytes = packetBytes
+	d.ConfigBytes, d.ConfigFold = r.at("config-bytes-teams"), r.at("config-fold")
+	d.SnapshotBytes, d.Restore = r.at("snapshot-bytes-teams"), r.at("restore")
+	d.ListChange, d.Plan, d.MaintainedPerDay = r.at("vm-list"), r.at("plan-vms"), maintainedPerDay
 	d.AppendEvery = task.AppendEvery(designNodes, 1)
 	d.LeastRun = r.leastRun().Round(time.Millisecond)
 	d.Outage = r.outage()
--- a/internal/measure/slopes/roles.go
+++ b/internal/measure/slopes/roles.go
@@ -23,6 +23,8 @@
 	// Work is set if the role grows with the callers' work and not with the
 	// fleet; the budget for control is shown beside it all the same.
 	Work bool
+	// Sum is set if the row adds up others, and so is left out of the total.
+	Sum bool
 	// Mend tells what would bring a row within the budget.
 	Mend string
 }
@@ -67,7 +69,7 @@
 func (r Report) roles() []Role {
 	return []Role{
 		r.entryRole(), r.forwardingRole(), r.gossipRole(), r.configRole(), r.limitsRole(), r.sharesRole(),
-		r.plannerRole(), r.listRole(), r.ownerRole(), r.followerRole(), r.appendRole(), r.operatorsRole(),
+		r.plannerRole(), r.listRole(), r.peersRole(), r.ownerRole(), r.followerRole(), r.appendRole(), r.operatorsRole(),
 	}
 }
 
@@ -93,7 +95,7 @@
 	bytes := r.at("gossip-bytes")
 	each := gossipFanout * (bytes + r.Peer.Request + bytes + r.Peer.Response)
 	return Role{
-		Name: "membership and gossip, peers' traffic", On: "every node", State: "newest report of each process", Memory: 0,
+		Name: "membership and gossip", On: "every node", State: "newest report of each process", Memory: 0,
 		Sent: each, Received: each, CPU: gossipFanout * r.at("exchange-cpu"),
 		Event: "an exchange " + figure(r.at("exchange-cpu")) + " µs on both sides together; while 64 VMs leave and 64 keys end " +
 			sizeText(gossipFanout*(2*r.at("gossip-bytes-facts")+r.Peer.Request+r.Peer.Response)) + "/s",
@@ -130,6 +132,18 @@
 	}
 }
 
+// peersRole adds up what nodes tell each other.
+func (r Report) peersRole() Role {
+	a, b := r.gossipRole(), r.limitsRole()
+	return Role{
+		Name: "peers' traffic", On: "every node", State: "one connection to each peer that is called", Sum: true,
+		Sent: a.Sent + b.Sent, Received: a.Received + b.Received, CPU: a.CPU,
+		Event:     "gossip and loans together; a snapshot of " + sizeText(r.at("snapshot-bytes-teams")) + " to a node that starts without the log",
+		Mechanism: "`peer`: twirp over HTTP, each call with a MAC under the secret that all nodes share",
+		Mend:      "as for gossip and loans; loans carried by the exchange of gossip save their headers",
+	}
+}
+
 func (r Report) sharesRole() Role {
 	return Role{
 		Name: "shares, and all decisions of a second", On: "every node", State: "the whole reducer: demand of each team at each pool, VMs, queues",
@@ -175,6 +189,7 @@
 		Sent:      exchanges*r.Platform.Request + starts*startBytes() + renewals*renewBytes/2,
 		Received:  exchanges*r.Platform.Response + reports*r.at("usage-bytes") + renewals*renewBytes/2,
 		CPU:       r.at("owner-cpu") + exchanges*r.Platform.CPU,
+		Memory:    r.at("owner-heap"),
 		Event:     "decisions of a second " + figure(r.at("owner-cpu")) + " µs; " + figure(exchanges) + " exchanges a second with workers",
 		Mechanism: "`core/task`, `core/placement`: one owner of the stream by claim on the log; a start, a report and a renewal are an exchange each with one worker",
 		Mend:      "several streams of tasks, each with an owner on another node; reports of many workers in one read; starts and renewals of a worker in one order",
@@ -236,7 +251,7 @@
 func (r Report) control() Role {
 	sum := Role{Name: "all control of a node without tasks", On: "every node"}
 	for _, role := range r.roles() {
-		if role.Work {
+		if role.Work || role.Sum {
 			continue
 		}
 		sum.Sent += role.Sent
--- a/internal/measure/slopes/slopes.go
+++ b/internal/measure/slopes/slopes.go
@@ -92,6 +92,7 @@
 	r.Slopes = append(r.Slopes, ledgerCosts()...)
 	owner, last := ownerCosts(r.Seed)
 	r.Slopes = append(r.Slopes, owner...)
+	r.Slopes = append(r.Slopes, ownerHeap())
 	r.Owner = last
 	return nil
 }
--- a/internal/measure/slopes/slopes_test.go
+++ b/internal/measure/slopes/slopes_test.go
@@ -73,6 +73,13 @@
 	g.Expect(core.TickInterval).To(Equal(100 * time.Millisecond))
 }
 
+func TestOwnerLooksAfterRunningTasks(t *testing.T) {
+	g := NewWithT(t)
+	status := ownerOf(runningTasks(100)).Status()
+	g.Expect(status.Started).To(Equal(100))
+	g.Expect(status.Owner.Epoch).To(BeEquivalentTo(1))
+}
+
 func TestLivingNodesOfTodayHearEachOther(t *testing.T) {
 	g := NewWithT(t)
 	for _, nodes := range []int{3, 8} {
@@ -86,7 +93,7 @@
 	for _, name := range []string{
 		"exchange-cpu", "append-cpu", "config-fold", "digest", "restore", "shared-heap", "request", "second-vms",
 		"second-teams", "vm-list", "reducer-heap", "waiting-heap", "gossip-cpu", "plan-vms", "plan-pools", "plan-heap",
-		"loan-bytes", "loan-bytes-steady", "loan-cpu", "task-fold", "task-heap", "owner-cpu", "owner-records", "owner-appends",
+		"loan-bytes", "loan-bytes-steady", "loan-cpu", "task-fold", "task-heap", "owner-cpu", "owner-heap", "owner-records", "owner-appends",
 	} {
 		s := Slope{Name: name, Axis: "VMs", Unit: "µs", Timed: true, Design: 1600}
 		for _, n := range vmSizes {
@@ -142,6 +149,18 @@
 	}
 }
 
+// TestPageIsOfThisProgram compares the bytes on the written page, which do not
+// depend on the machine, with those of this program. After a change of a
+// record or message, write the page again: sardinehead capacity-page.
+func TestPageIsOfThisProgram(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile(filepath.Join("..", "..", "..", "docs", "CAPACITY.md"))
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, s := range Bytes() {
+		g.Expect(rowOf(string(page), "["+s.Name+"]")).To(ContainSubstring(pointsText(s.Points)), "write the page again")
+	}
+}
+
 // TestNodesForRequests works a need out by hand: 12,800 requests of a second
 // at 100 µs are 1.28 cores.
 func TestNodesForRequests(t *testing.T) {
--- a/internal/measure/slopes/tasking.go
+++ b/internal/measure/slopes/tasking.go
@@ -71,6 +71,49 @@
 	return []Slope{fold, heap}
 }
 
+// ownerHeap returns the slope of the heap of an owner with running tasks.
+func ownerHeap() Slope {
+	s := Slope{Name: "owner-heap", Title: "heap of the owner with running tasks", Axis: "running tasks", Unit: "bytes", Timed: true, Design: tasksRunning}
+	for _, n := range []int{1000, 4000, 16000, 32000} {
+		list := runningTasks(n)
+		s.add(n, heapOf(func() any { return []any{ownerOf(list), list} }))
+	}
+	return s
+}
+
+// runningTasks returns the records of tasks that were started by the first node.
+func runningTasks(n int) []record.Sequenced {
+	bodies := []record.Body{record.TaskOwnerClaimed{Shard: core.TaskStream, Node: nodeName(0), Incarnation: incarnation(0)}}
+	for i := range n {
+		bodies = append(bodies, accepted(i), record.TaskStartIntended{
+			Epoch: 1, Task: taskName(i), Attempt: 1, Worker: vmName(i / tasksPerWorker), Incarnation: 1, Size: taskSize(),
+		})
+	}
+	return records(1, bodies...)
+}
+
+// ownerOf returns the controller of the first node after it read a stream.
+func ownerOf(list []record.Sequenced) *task.Controller {
+	c := task.NewController(task.Settings{
+		Shard: core.TaskStream, Node: nodeName(0), Incarnation: incarnation(0), AppendEvery: task.AppendEvery(designNodes, 1),
+		ResultKeep: day, LogRetention: day, MayOwn: true, Account: noLimits{}, Weight: func(vocab.TeamID) int { return 1 },
+	})
+	c.Step(1, task.RecordsRead{Records: list, Next: vocab.Offset(len(list) + 1)})
+	return c
+}
+
+// noLimits lets each team run what it wants.
+type noLimits struct{}
+
+// Take implements placement.Account.
+func (noLimits) Take(vocab.TeamID) bool { return true }
+
+// Adopt implements placement.Account.
+func (noLimits) Adopt(vocab.TeamID) {}
+
+// Release implements placement.Account.
+func (noLimits) Release(vocab.TeamID) {}
+
 func firstTasks(n int) []record.Sequenced {
 	bodies := make([]record.Body, 0, n)
 	for i := range n {
