--- a/internal/core/gossip/gossip_test.go
+++ b/internal/core/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -20,6 +21,8 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(2, 60).Draw(rt, "processes")
 		lost := rapid.IntRange(0, 30).Draw(rt, "percent lost")
+		seed := rapid.Uint64().Draw(rt, "seed")
+		chance := rand.New(rand.NewPCG(seed, seed))
 		states := make([]*gossip.State, n)
 		for i := range states {
 			states[i] = gossip.New(vocab.Incarnation(i + 1))
@@ -33,8 +36,8 @@
 			now = now.Add(membership.Round)
 			for i, s := range states {
 				s.SetOwn(now, gossip.Report{Node: vocab.NodeID(fmt.Sprint("entry-", i))})
-				for _, p := range membership.Partners(except(n, i), uint64(i), uint64(round)) {
-					exchange(rt, now, s, states[p-1], lost)
+				for _, p := range membership.Partners(except(n, i), seed+uint64(i), uint64(round)) {
+					exchange(rt, chance, now, s, states[p-1], lost)
 				}
 			}
 		}
@@ -81,9 +84,9 @@
 }
 
 // exchange is one call with its answer, either of which may be lost or doubled.
-func exchange(rt *rapid.T, now vocab.Instant, a, b *gossip.State, lost int) {
+func exchange(rt *rapid.T, chance *rand.Rand, now vocab.Instant, a, b *gossip.State, lost int) {
 	deliver := func(to *gossip.State, m gossip.Message) bool {
-		fate := rapid.IntRange(0, 99).Draw(rt, "fate")
+		fate := chance.IntN(100)
 		if fate < lost {
 			return false
 		}
--- a/internal/core/gossip/state.go
+++ b/internal/core/gossip/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -29,8 +30,8 @@
 	heard   map[vocab.Incarnation]*heard
 	leaving map[Leaving]vocab.Instant
 	keys    map[vocab.KeyID]vocab.Instant
-	// sent counts messages, to take turns between reports.
-	sent int
+	// sent counts messages; it seeds the order of the reports in each.
+	sent uint64
 }
 
 // heard is the newest report of a process.
@@ -116,7 +117,7 @@
 }
 
 // Compose returns the message for the next exchange: the own report, and of
-// the others as many as fit, the latest heard first with turns between them.
+// the others as many as fit.
 func (s *State) Compose(now vocab.Instant) Message {
 	s.expire(now)
 	s.sent++
@@ -138,20 +139,18 @@
 	return m
 }
 
-// others returns the reports of the others: half of the places go to the
-// latest heard, the rest take turns, so that none is passed over for ever.
+// others returns the reports of the others in an order that changes from
+// message to message, so that each has the same chance to be passed on.
 func (s *State) others(now vocab.Instant) []*heard {
 	ids := s.Processes()
 	out := make([]*heard, 0, len(ids))
-	for i := range ids {
-		h := s.heard[ids[(i+s.sent)%len(ids)]]
-		if now.Sub(h.at) <= reportLife {
+	for _, id := range ids {
+		if h := s.heard[id]; now.Sub(h.at) <= reportLife {
 			out = append(out, h)
 		}
 	}
-	if s.sent%2 == 0 {
-		slices.SortStableFunc(out, func(a, b *heard) int { return cmp.Compare(b.at, a.at) })
-	}
+	shuffle := rand.New(rand.NewPCG(uint64(s.self), s.sent))
+	shuffle.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out
 }
 
--- a/internal/core/world/upstream_test.go
+++ b/internal/core/world/upstream_test.go
@@ -30,9 +30,13 @@
 	epoch vocab.Epoch
 	down  bool // dead, or not back from its reboot
 	fault fault
+	asked int // attempts that came
 	jobs  []*job
 }
 
+// GoString keeps the draws of a failed test readable.
+func (u *upstream) GoString() string { return string(u.row.Name) }
+
 // job is a request that an upstream runs, answered or not.
 type job struct {
 	call *call
@@ -62,6 +66,9 @@
 	at, ended time.Duration
 }
 
+// GoString keeps the draws of a failed test readable.
+func (c *call) GoString() string { return fmt.Sprintf("request %d of %s", c.id, c.node.name) }
+
 // request sends a request to a node.
 func (w *world) request(n *entryNode, queue vocab.QueueID, key vocab.KeyID, method, path string, work time.Duration) *call {
 	service, _ := w.fleet.Service(queue)
@@ -114,6 +121,7 @@
 // take is the arrival of a request at an upstream.
 func (u *upstream) take(n *entryNode, c *call, e core.Dispatch) {
 	w := n.w
+	u.asked++
 	switch {
 	case u.down || u.row.Address != e.Address:
 		n.end(e, c, core.AttemptEnded{Result: retry.NotSent})
