Measure the wait of urgent tasks for the capacity page

Cause: the size to design for names 5.8 s for urgent work.

Change: a slope of the wait on the virtual clock.

--- a/internal/measure/slopes/page.go
+++ b/internal/measure/slopes/page.go
@@ -62,7 +62,7 @@
 	PacketBytes    int
 
 	ConfigBytes, ConfigFold, SnapshotBytes, Restore float64
-	ListChange, Plan, MaintainedPerDay              float64
+	ListChange, Plan, MaintainedPerDay, UrgentWait  float64
 
 	AppendEvery time.Duration
 	// LeastRun is the shortest mean run that 8 nodes carry without one of them.
@@ -93,6 +93,7 @@
 	d.PacketBytes = packetBytes
 	d.ConfigBytes, d.ConfigFold = r.at("config-bytes-teams"), r.at("config-fold")
 	d.SnapshotBytes, d.Restore = r.at("snapshot-bytes-teams"), r.at("restore")
+	d.UrgentWait = r.at("urgent-wait")
 	d.ListChange, d.Plan, d.MaintainedPerDay = r.at("vm-list"), r.at("plan-vms"), maintainedPerDay
 	d.AppendEvery = task.AppendEvery(designNodes, 1)
 	d.LeastRun = r.leastRun().Round(time.Millisecond)
--- a/internal/measure/slopes/slopes_test.go
+++ b/internal/measure/slopes/slopes_test.go
@@ -93,7 +93,7 @@
 	for _, name := range []string{
 		"exchange-cpu", "append-cpu", "config-fold", "digest", "restore", "shared-heap", "request", "second-vms",
 		"second-teams", "vm-list", "reducer-heap", "waiting-heap", "gossip-cpu", "plan-vms", "plan-pools", "plan-heap",
-		"loan-bytes", "loan-bytes-steady", "loan-cpu", "task-fold", "task-heap", "owner-cpu", "owner-heap", "owner-records", "owner-appends",
+		"loan-bytes", "loan-bytes-steady", "loan-cpu", "task-fold", "task-heap", "owner-cpu", "owner-heap", "owner-records", "owner-appends", "urgent-wait",
 	} {
 		s := Slope{Name: name, Axis: "VMs", Unit: "µs", Timed: true, Design: 1600}
 		for _, n := range vmSizes {
--- a/internal/measure/slopes/tasking.go
+++ b/internal/measure/slopes/tasking.go
@@ -32,14 +32,16 @@
 	cpu := Slope{Name: "owner-cpu", Title: "decisions of the owner of tasks for one second, twice the work offered", Axis: "workers", Unit: "µs", Timed: true, Design: designVMs}
 	records := Slope{Name: "owner-records", Title: "records of tasks a second, one node, twice the work offered", Axis: "workers", Unit: "records/s", Design: designVMs}
 	appends := Slope{Name: "owner-appends", Title: "appends of tasks a second, one node", Axis: "workers", Unit: "appends/s", Design: designVMs}
+	urgent := Slope{Name: "urgent-wait", Title: "wait of urgent tasks until their start on the virtual clock, p99, twice the work offered", Axis: "workers", Unit: "ms", Design: designVMs}
 	var last tasks.Result
 	for _, n := range workerSizes {
 		last = tasks.Measure(seed, tasks.Options{Workers: n, Length: ownerTime, AppendEvery: task.AppendEvery(designNodes, 1)}, tasks.Product)
 		cpu.add(n, micros(last.StepTime))
 		records.add(n, last.Records)
 		appends.add(n, last.Appends)
+		urgent.add(n, float64(last.UrgentP99.Milliseconds()))
 	}
-	return []Slope{cpu, records, appends}, last
+	return []Slope{cpu, records, appends, urgent}, last
 }
 
 // accepted returns the record of one task.
