--- a/internal/measure/slopes/design.go
+++ b/internal/measure/slopes/design.go
@@ -44,6 +44,10 @@
 	tasksPerSecond = float64(tasksRunning) / 30
 	// recordsPerTask are accepted, start-intended and ended.
 	recordsPerTask = 3
+	// snapshotRecords is the records of tasks between two snapshots.
+	snapshotRecords = 200_000
+	// taskSnapshotsPerSecond follows from these.
+	taskSnapshotsPerSecond = recordsPerTask * tasksPerSecond / snapshotRecords
 	// recordsPerAppend is the mean with 200 appends a second of all nodes.
 	recordsPerAppend = recordsPerTask * tasksPerSecond / 200
 )
--- a/internal/measure/slopes/fits.go
+++ b/internal/measure/slopes/fits.go
@@ -61,10 +61,14 @@
 	}
 	fold := recordsPerTask * r.slope("task-fold").Fit().Each
 	kept := r.slope("task-heap").Fit().Each * secondsPerDay
+	written := r.slope("task-snapshot-bytes").Fit().Each * secondsPerDay * recordsPerTask / snapshotRecords
 	return []TaskLimit{
 		{"4 KB/s received by each node", budgetBytes / bytes},
 		{"1.5% of a core of each node for folding", budgetCore * 1e6 / fold},
 		{"256 MB of each node for the tasks of a day", budgetMemory / kept},
+		// The bytes of snapshots grow with the square of the rate: more tasks to
+		// write, more often.
+		{"4 KB/s received by each node for snapshots with the tasks of a day", math.Sqrt(budgetBytes / written)},
 	}
 }
 
--- a/internal/measure/slopes/kinds.go
+++ b/internal/measure/slopes/kinds.go
@@ -37,6 +37,7 @@
 // kinds returns the records of all kinds that are not written once only.
 func (r Report) kinds() []Kind {
 	out := append(r.fleetKinds(), taskKinds()...)
+	out = append(out, r.snapshotKind())
 	for i := range out {
 		out[i].Zone += out[i].steady()
 		out[i].Outage += out[i].steady()
@@ -92,6 +93,15 @@
 	}
 }
 
+// snapshotKind returns the parts of the snapshots of the running tasks. One
+// record stands for a whole snapshot.
+func (r Report) snapshotKind() Kind {
+	return Kind{
+		"task.snapshot-chunk", r.at("task-snapshot-bytes"), taskSnapshotsPerSecond * secondsPerDay, 0, 0,
+		"one snapshot in 200,000 records, its parts as one; of the running tasks only",
+	}
+}
+
 const (
 	// acceptsPerNode is the most accepted tasks that a node holds for the log.
 	acceptsPerNode = 20_000
--- a/internal/measure/slopes/page.go
+++ b/internal/measure/slopes/page.go
@@ -93,7 +93,9 @@
 	d.PacketBytes = packetBytes
 	d.ConfigBytes, d.ConfigFold = r.at("config-bytes-teams"), r.at("config-fold")
 	d.SnapshotBytes, d.Restore = r.at("snapshot-bytes-teams"), r.at("restore")
-	d.UrgentWait = r.at("urgent-wait")
+	for _, p := range r.slope("urgent-wait").Points {
+		d.UrgentWait = max(d.UrgentWait, p.Value)
+	}
 	d.ListChange, d.Plan, d.MaintainedPerDay = r.at("vm-list"), r.at("plan-vms"), maintainedPerDay
 	d.AppendEvery = task.AppendEvery(designNodes, 1)
 	d.LeastRun = r.leastRun().Round(time.Millisecond)
--- a/internal/measure/slopes/roles.go
+++ b/internal/measure/slopes/roles.go
@@ -202,9 +202,10 @@
 		bytes += perSecond(k.Ordinary) * k.Bytes
 		count += perSecond(k.Ordinary)
 	}
+	bytes += r.at("task-snapshot-bytes") * taskSnapshotsPerSecond
 	fold := r.slope("task-fold").Fit().Each
-	// With records under way a read ends at once, at most ten times a second
-	// from each of the appending nodes.
+	// With records under way a read ends at once, so that there are more reads
+	// than these; the bytes of the records outweigh them.
 	sent, received, cpu := r.polls(1 / taskReadEvery.Seconds())
 	idle := figure(sent) + " bytes/s sent and " + figure(received) + " received without any task"
 	return Role{
--- a/internal/measure/slopes/tasking.go
+++ b/internal/measure/slopes/tasking.go
@@ -61,6 +61,23 @@
 	return record.TaskSize{MilliCPU: 1000 * coresPerTask, MemoryBytes: 3 << 30}
 }
 
+// taskSnapshotBytes returns the slope of a snapshot of the task stream.
+func taskSnapshotBytes() Slope {
+	s := Slope{Name: "task-snapshot-bytes", Title: "one snapshot of the task stream, all parts", Axis: "tasks", Unit: "bytes", Design: tasksRunning}
+	for _, n := range []int{1000, 2000, 4000, 16000} {
+		chunks, err := foldTasks(firstTasks(n)).Snapshot()
+		if err != nil {
+			panic(err) // ledgers built here always encode
+		}
+		sum := 0.0
+		for _, c := range chunks {
+			sum += wireBytes(c)
+		}
+		s.add(n, sum)
+	}
+	return s
+}
+
 // ledgerCosts returns slopes of what each node spends on following the tasks.
 func ledgerCosts() []Slope {
 	fold := Slope{Name: "task-fold", Title: "decode and fold accepted tasks", Axis: "records", Unit: "µs", Timed: true, Design: 1000}
@@ -188,5 +205,5 @@
 		}
 		list.add(n, jsonBytes(infos))
 	}
-	return []Slope{renew, usage, list}
+	return []Slope{renew, usage, list, taskSnapshotBytes()}
 }
