--- a/internal/core/world/faults_test.go
+++ b/internal/core/world/faults_test.go
@@ -157,6 +157,17 @@
 				w.vms.die(u.row.Name)
 			}
 		},
+		"VM leaves": func(r *rapid.T) {
+			u := vm(r)
+			switch {
+			case u.leaves:
+				u.stay()
+			case !u.down && u.row.Phase == observe.ListLive:
+				u.leaves, u.row.Phase = true, observe.ListLeaving
+				w.vms.lastBad = w.now
+			}
+			w.vms.changed()
+		},
 		"zone lost": func(r *rapid.T) {
 			w.loseZone(rapid.SampledFrom(w.fleet.Regions[0].Zones).Draw(r, "zone"))
 		},
@@ -239,6 +250,10 @@
 	for _, name := range w.vms.names {
 		u := w.vms.byName[name]
 		u.fault = faultNone
+		u.stay()
+		if u.said && !u.down { // what said that it leaves is replaced in the end
+			w.vms.die(name)
+		}
 		if u.row.Phase == observe.ListGone {
 			w.vms.comeBack(name)
 		}
@@ -250,6 +265,14 @@
 	}
 }
 
+// stay takes back that a VM leaves by itself.
+func (u *upstream) stay() {
+	if u.leaves && u.row.Phase == observe.ListLeaving && !u.down {
+		u.row.Phase = observe.ListLive
+	}
+	u.leaves = false
+}
+
 // checkUsable checks that all requests are answered and that one node can use
 // as much as the limits allow, though the others stand idle.
 func (w *world) checkUsable() {
