Count what carries loans, and the reads that go on without tasks

Cause: the sum of control left out the HTTP exchanges of loans and the empty reads of the task stream, so it was too low.

Change: a slope of loan messages; both are in the rows and in the sum. The test of rows over budget invents 10 messages of loans a second for the new slope instead of 1,000, which would be over the budget of processor time by themselves; what it checks is as before.

--- a/internal/measure/slopes/roles.go
+++ b/internal/measure/slopes/roles.go
@@ -122,10 +122,16 @@
 	}
 }
 
+// loanExchanges returns the processor time of the exchanges that carry loans;
+// two messages are one exchange.
+func (r Report) loanExchanges() float64 {
+	return r.at("loan-messages") / 2 * r.Peer.CPU
+}
+
 func (r Report) limitsRole() Role {
 	return Role{
 		Name: "limits (windows, loans)", On: "every node", State: "home part, loans and demand of each team and VM",
-		Sent: r.at("loan-bytes"), Received: r.at("loan-bytes"), CPU: r.at("loan-cpu"),
+		Sent: r.at("loan-bytes"), Received: r.at("loan-bytes"), CPU: r.at("loan-cpu") + r.loanExchanges(),
 		Event:     "demands steady: " + figure(r.at("loan-bytes-steady")) + " bytes/s",
 		Mechanism: "`core/limit`: each node has a part of each limit without asking, and borrows for a lease",
 		Mend:      "fewer asks for the same tokens: one ask to a peer for all accounts in a round, longer leases while demand is steady",
@@ -137,7 +143,7 @@
 	a, b := r.gossipRole(), r.limitsRole()
 	return Role{
 		Name: "peers' traffic", On: "every node", State: "one connection to each peer that is called", Sum: true,
-		Sent: a.Sent + b.Sent, Received: a.Received + b.Received, CPU: a.CPU,
+		Sent: a.Sent + b.Sent, Received: a.Received + b.Received, CPU: a.CPU + r.loanExchanges(),
 		Event:     "gossip and loans together; a snapshot of " + sizeText(r.at("snapshot-bytes-teams")) + " to a node that starts without the log",
 		Mechanism: "`peer`: twirp over HTTP, each call with a MAC under the secret that all nodes share",
 		Mend:      "as for gossip and loans; loans carried by the exchange of gossip save their headers",
@@ -263,6 +269,11 @@
 			sum.CPU += role.CPU
 		}
 	}
+	// The streams and lists of tasks are read whether or not there are any.
+	sent, received, cpu := r.polls(1/taskReadEvery.Seconds() + 1/vmReadEvery.Seconds())
+	sum.Sent += sent
+	sum.Received += received
+	sum.CPU += cpu + r.loanExchanges()
 	sum.Memory = r.at("reducer-heap")
 	sum.Mend = "the rows above, loans and gossip first"
 	return sum
--- a/internal/measure/slopes/slopes_test.go
+++ b/internal/measure/slopes/slopes_test.go
@@ -87,17 +87,22 @@
 	}
 }
 
-// invented returns a report in which each timed slope is 1,000 everywhere.
+// invented returns a report in which each timed slope is 1,000 everywhere, but
+// for 10 messages of loans a second, which 1,000 bytes can hold.
 func invented() Report {
 	r := Report{Slopes: Bytes(), Platform: Exchange{271, 251, 140}, Peer: Exchange{331, 215, 160}, Hearings: []Hearing{{Nodes: 8}}}
 	for _, name := range []string{
 		"exchange-cpu", "append-cpu", "config-fold", "digest", "restore", "shared-heap", "request", "second-vms",
 		"second-teams", "vm-list", "reducer-heap", "waiting-heap", "gossip-cpu", "plan-vms", "plan-pools", "plan-heap",
-		"loan-bytes", "loan-bytes-steady", "loan-cpu", "task-fold", "task-heap", "owner-cpu", "owner-heap", "owner-records", "owner-appends", "urgent-wait",
+		"loan-bytes", "loan-bytes-steady", "loan-messages", "loan-cpu", "task-fold", "task-heap", "owner-cpu", "owner-heap", "owner-records", "owner-appends", "urgent-wait",
 	} {
 		s := Slope{Name: name, Axis: "VMs", Unit: "µs", Timed: true, Design: 1600}
+		value := 1000.0
+		if name == "loan-messages" {
+			value = 10
+		}
 		for _, n := range vmSizes {
-			s.add(n, 1000)
+			s.add(n, value)
 		}
 		r.Slopes = append(r.Slopes, s)
 	}
