End a sign of leaving that the VM list does not confirm

Cause: a VM that once said it was leaving and stayed on under the same incarnation got no work for good ('node-3 can use 3 of 7' in random sequences); the random test hid it by replacing such VMs. Change: the sign ends after two minutes while the list calls the VM live.

--- a/internal/core/maintain.go
+++ b/internal/core/maintain.go
@@ -21,6 +21,7 @@
 		return
 	}
 	s.upkeepAt = s.now
+	s.vms.DropOldSigns(s.now)
 	effects := s.upkeep.Step(s.now, maintenance.Tick{
 		Unix:     unix,
 		LogUp:    !s.logDown && !s.fleet.Searching() && !s.foldStopped,
--- a/internal/core/observe/state.go
+++ b/internal/core/observe/state.go
@@ -14,6 +14,11 @@
 // its later healthy answers. It covers answers that overtake each other.
 const leavingSignLife = 60 * time.Second
 
+// leavingSignTrust is how long an upstream's word that it is leaving stands
+// while the VM list goes on to call the VM live. It is longer than the list
+// lags. Without it a VM that took its word back would be lost for good.
+const leavingSignTrust = 2 * time.Minute
+
 // State is what this process knows of all VMs. It is local state: processes
 // that read the list at different times differ.
 type State struct {
@@ -83,6 +88,20 @@
 	return true
 }
 
+// DropOldSigns ends the signs of leaving that the VM list has not confirmed in
+// leavingSignTrust. It is called every second or so.
+func (s *State) DropOldSigns(now vocab.Instant) {
+	s.advance(now)
+	for _, name := range s.names {
+		f := s.byName[name]
+		if f.leaving == 0 || f.listed.Phase != ListLive || s.now.Sub(f.leavingAt) < leavingSignTrust {
+			continue
+		}
+		f.leaving = 0
+		s.update(f)
+	}
+}
+
 // MarkHealthy records that this incarnation answered a probe well. It ends all
 // doubt about its health and an old sign of its leaving.
 func (s *State) MarkHealthy(now vocab.Instant, vm vocab.VMID, incarnation vocab.VMIncarnation) {
--- a/internal/core/observe/state_test.go
+++ b/internal/core/observe/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -101,6 +102,13 @@
 	g.Expect(phase()).To(Equal(PhaseDraining), "an answer may have overtaken the sign")
 	s.MarkHealthy(vocab.Instant(leavingSignLife)+1, "vm1", 1)
 	g.Expect(phase()).To(Equal(PhaseReady))
+	said := vocab.Instant(time.Hour)
+	s.DropOldSigns(said)
+	s.MarkLeaving("vm1", 1)
+	s.DropOldSigns(said.Add(leavingSignTrust - 1))
+	g.Expect(phase()).To(Equal(PhaseDraining), "the list may lag")
+	s.DropOldSigns(said.Add(leavingSignTrust))
+	g.Expect(phase()).To(Equal(PhaseReady), "the list did not confirm the sign")
 	s.ApplyListing(3, 2, nil)
 	g.Expect(phase()).To(Equal(PhaseLost))
 }
