--- a/internal/command/key.go
+++ b/internal/command/key.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/url"
+	"os"
 	"text/tabwriter"
 
 	"github.com/cockroachdb/errors"
@@ -49,7 +51,8 @@
 // KeyWithdraw withdraws a key.
 type KeyWithdraw struct {
 	Operator
-	Unknown bool `long:"unknown" description:"withdraw the ID even if no key of it is known"`
+	Unknown bool     `long:"unknown" description:"withdraw the ID even if no key of it is known"`
+	Node    []string `long:"node" value-name:"URL" description:"operators' address of an entry node to tell at once, also while the log is down; may be given several times"`
 	Args    struct {
 		ID string `positional-arg-name:"ID" required:"yes" description:"the part of the key between the underscores"`
 	} `positional-args:"yes"`
@@ -57,15 +60,34 @@
 
 // Execute implements flags.Commander.
 func (k *KeyWithdraw) Execute([]string) error {
+	told := k.tellNodes()
 	return k.run(func(ctx context.Context, client *publish.Client) error {
 		id := vocab.KeyID(k.Args.ID)
-		if err := client.WithdrawKey(ctx, id, k.Unknown); err != nil {
+		err := client.WithdrawKey(ctx, id, k.Unknown)
+		if err != nil && told > 0 {
+			return errors.Wrapf(err, "%d entry nodes have withdrawn the key and append it when the log answers; the log itself", told)
+		}
+		if err != nil {
 			return err
 		}
 		return k.print(map[string]vocab.KeyID{"withdrawn": id}, []string{"withdrawn: " + k.Args.ID})
 	})
 }
 
+// tellNodes withdraws the key at the named nodes and returns how many took it.
+// A node spreads the withdrawal and appends it when the log answers.
+func (k *KeyWithdraw) tellNodes() int {
+	told := 0
+	for _, node := range k.Node {
+		if err := tell(node, "/keys/"+url.PathEscape(k.Args.ID)+"/withdraw"); err != nil {
+			fmt.Fprintln(os.Stderr, "sardinehead:", err)
+			continue
+		}
+		told++
+	}
+	return told
+}
+
 // KeyList lists the keys.
 type KeyList struct {
 	Operator
--- a/internal/command/operators.go
+++ b/internal/command/operators.go
@@ -27,13 +27,22 @@
 
 // ask gets one page of a node.
 func ask(node, path string, query url.Values) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-	defer cancel()
-	target := strings.TrimSuffix(node, "/") + path
 	if len(query) > 0 {
-		target += "?" + query.Encode()
+		path += "?" + query.Encode()
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	return call(http.MethodGet, node, path)
+}
+
+// tell posts an order without a body to a node.
+func tell(node, path string) error {
+	_, err := call(http.MethodPost, node, path)
+	return err
+}
+
+func call(method, node, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(node, "/")+path, nil)
 	if err != nil {
 		return nil, errors.Wrapf(err, "address of node %s", node)
 	}
