Write the peer tests with ginkgo; one loop for all polls

Cause: the house style asks for ginkgo; four loops with pauses stood side by side. Change: specs of the peer service; node.poll.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -53,24 +53,32 @@
 	}
 }
 
-// followVMs reads the VM list and turns its readings into events.
-func (n *Node) followVMs(ctx context.Context) {
-	var seen uint64
-	list := vmList{}
+// poll calls step until the context ends. After failures it pauses, longer from
+// one to the next.
+func poll(ctx context.Context, step func() error) {
 	pause := newBackoff()
 	for ctx.Err() == nil {
-		listing, err := n.services.VMs.List(ctx, seen, longPoll)
-		if err != nil {
+		if err := step(); err != nil {
 			sleep(ctx, pause.NextBackOff())
 			continue
 		}
 		pause.Reset()
-		if listing.Version == seen {
-			continue
+	}
+}
+
+// followVMs reads the VM list and turns its readings into events.
+func (n *Node) followVMs(ctx context.Context) {
+	var seen uint64
+	list := vmList{}
+	poll(ctx, func() error {
+		listing, err := n.services.VMs.List(ctx, seen, longPoll)
+		if err != nil || listing.Version == seen {
+			return err
 		}
 		seen = listing.Version
 		n.Post(core.VMsListed{Version: listing.Version, Rows: list.merge(listing)})
-	}
+		return nil
+	})
 }
 
 // vmList is the VM list as put together from its changes.
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -35,24 +35,23 @@
 
 // followTasks reads the task stream and turns its records into events.
 func (n *Node) followTasks(ctx context.Context) {
-	pause := newBackoff()
 	next := vocab.Offset(1)
-	for ctx.Err() == nil {
+	poll(ctx, func() error {
 		batch, err := n.services.Log.Read(ctx, core.TaskStream, next, taskPoll)
 		var trimmed *platform.TrimmedError
-		switch {
-		case errors.As(err, &trimmed) && trimmed.Earliest > next:
+		if errors.As(err, &trimmed) && trimmed.Earliest > next {
 			next = trimmed.Earliest
 			n.Post(task.LogTrimmed{Earliest: next})
-		case err != nil:
+			return nil
+		}
+		if err != nil {
 			n.Post(task.ReadFailed{})
-			sleep(ctx, pause.NextBackOff())
-		default:
-			pause.Reset()
-			next += vocab.Offset(len(batch.Records))
-			n.Post(task.RecordsRead{Records: batch.Records, Next: batch.Next})
+			return err
 		}
-	}
+		next += vocab.Offset(len(batch.Records))
+		n.Post(task.RecordsRead{Records: batch.Records, Next: batch.Next})
+		return nil
+	})
 }
 
 // tooLate reports whether the time of an effect has passed. It is asked last
@@ -99,24 +98,19 @@
 // the reports of each worker.
 func (n *Node) followWorkers(ctx context.Context) {
 	var seen uint64
-	pause := newBackoff()
 	reports := newReportReaders(n)
 	defer reports.stopAll()
 	go n.watchOwnership(ctx, reports)
-	for ctx.Err() == nil {
+	poll(ctx, func() error {
 		listing, err := n.services.Workers.List(ctx, seen, longPoll)
-		if err != nil {
-			sleep(ctx, pause.NextBackOff())
-			continue
-		}
-		pause.Reset()
-		if listing.Version == seen {
-			continue
+		if err != nil || listing.Version == seen {
+			return err
 		}
 		seen = listing.Version
 		n.Post(task.WorkersListed{Workers: listing.Workers})
 		reports.setWorkers(ctx, listing.Workers)
-	}
+		return nil
+	})
 }
 
 // watchOwnership starts and stops the reading of reports with the ownership.
@@ -190,18 +184,13 @@
 // readReports turns one worker's reports into events.
 func (n *Node) readReports(ctx context.Context, w worker.Info) {
 	var after uint64
-	pause := newBackoff()
-	for ctx.Err() == nil {
+	poll(ctx, func() error {
 		usage, err := n.services.Workers.Usage(ctx, w.Worker, after, usagePoll)
-		if err != nil {
-			sleep(ctx, pause.NextBackOff())
-			continue
-		}
-		pause.Reset()
-		if usage.Sequence == after {
-			continue
+		if err != nil || usage.Sequence == after {
+			return err
 		}
 		after = usage.Sequence
 		n.Post(task.WorkerReported{Worker: w.Worker, Incarnation: w.Incarnation, Usage: usage})
-	}
+		return nil
+	})
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/cockroachdb/errors"
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"github.com/sardinehead/sardinehead/internal/core/gossip"
@@ -35,31 +36,43 @@
 	return shared.Snapshot{Version: 1, Offset: 7, Digest: "d", State: []byte("{}")}, folded < 7, nil
 }
 
-func TestOnlyPeersAreHeard(t *testing.T) {
-	g := gomega.NewWithT(t)
-	b := &backend{}
-	server := httptest.NewServer(peer.Handler(b, []byte("secret")))
-	defer server.Close()
-	address := strings.TrimPrefix(server.URL, "http://")
+func TestPeer(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "peer")
+}
+
+var _ = ginkgo.Describe("calls between entry processes", func() {
 	message := gossip.Message{From: 5, Reports: []gossip.Report{{Process: 5, Counter: 2, Settled: 3}}, Withdrawn: []vocab.KeyID{"k"}}
+	var heard *backend
+	var address string
 
-	_, err := peer.NewClient([]byte("another"), nil).Exchange(t.Context(), address, message)
-	g.Expect(errors.Is(err, peer.ErrRefused)).To(gomega.BeTrue())
-	g.Expect(b.heard).To(gomega.BeEmpty())
+	ginkgo.BeforeEach(func() {
+		heard = &backend{}
+		server := httptest.NewServer(peer.Handler(heard, []byte("secret")))
+		ginkgo.DeferCleanup(server.Close)
+		address = strings.TrimPrefix(server.URL, "http://")
+	})
 
-	client := peer.NewClient([]byte("secret"), nil)
-	g.Expect(client.Exchange(t.Context(), address, message)).To(gomega.Equal(message))
-	g.Expect(client.Borrow(t.Context(), address, limit.Ask{From: 5, To: 6, Seq: 9})).To(gomega.HaveField("Seq", uint64(9)))
-	_, later, err := client.FetchSnapshot(t.Context(), address, 7)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(later).To(gomega.BeFalse())
-}
+	ginkgo.It("refuses a stranger before the backend hears of it", func(ctx context.Context) {
+		_, err := peer.NewClient([]byte("another"), nil).Exchange(ctx, address, message)
+		gomega.Expect(errors.Is(err, peer.ErrRefused)).To(gomega.BeTrue())
+		gomega.Expect(heard.heard).To(gomega.BeEmpty())
+	})
 
-func TestSilentPeerIsGivenUp(t *testing.T) {
-	g := gomega.NewWithT(t)
-	silent, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	defer silent.Close()
-	_, err = peer.NewClient([]byte("secret"), nil).Exchange(t.Context(), silent.Addr().String(), gossip.Message{})
-	g.Expect(errors.Is(err, peer.ErrNoAnswer)).To(gomega.BeTrue())
-}
+	ginkgo.It("carries messages of those who know the secret", func(ctx context.Context) {
+		client := peer.NewClient([]byte("secret"), nil)
+		gomega.Expect(client.Exchange(ctx, address, message)).To(gomega.Equal(message))
+		gomega.Expect(client.Borrow(ctx, address, limit.Ask{From: 5, To: 6, Seq: 9})).To(gomega.HaveField("Seq", uint64(9)))
+		_, later, err := client.FetchSnapshot(ctx, address, 7)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(later).To(gomega.BeFalse())
+	})
+
+	ginkgo.It("gives a silent peer up", func(ctx context.Context) {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		ginkgo.DeferCleanup(silent.Close)
+		_, err = peer.NewClient([]byte("secret"), nil).Exchange(ctx, silent.Addr().String(), gossip.Message{})
+		gomega.Expect(errors.Is(err, peer.ErrNoAnswer)).To(gomega.BeTrue())
+	})
+})
