--- a/internal/measure/slopes/gossiping.go
+++ b/internal/measure/slopes/gossiping.go
@@ -54,12 +54,16 @@
 	return s
 }
 
+// fullNodeSizes are the fleets whose reports fill a message of gossip. In
+// smaller ones a message holds less.
+var fullNodeSizes = []int{8, 16, 32, 64}
+
 // gossipBytes returns the mean encoded size of a message, and of one while 64
 // VMs are leaving and 64 keys were withdrawn.
 func gossipBytes() []Slope {
 	plain := Slope{Name: "gossip-bytes", Title: "one message of gossip, all nodes busy", Axis: "nodes", Unit: "bytes", Design: designNodes}
 	crowded := Slope{Name: "gossip-bytes-facts", Title: "the same while 64 VMs leave and 64 keys end", Axis: "nodes", Unit: "bytes", Design: designNodes}
-	for _, n := range nodeSizes {
+	for _, n := range fullNodeSizes {
 		plain.add(n, meanGossip(heardState(n)))
 		s := heardState(n)
 		for i := range 64 {
