Let operators direct waves, and work on a trimmed log

Cause: a paused wave could be resumed by no command; publish and key failed for good once the log no longer kept its first record.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -36,6 +36,7 @@
 
 	Check   Check   `command:"check" description:"Report every fault of the operators' files"`
 	Publish Publish `command:"publish" description:"Put the operators' files into force"`
+	Wave    Wave    `command:"wave" description:"Start, pause and resume the wave of maintenance"`
 	Key     Key     `command:"key" description:"Give, withdraw and list keys"`
 }
 
--- a/internal/publish/client.go
+++ b/internal/publish/client.go
@@ -29,20 +29,20 @@
 	Log platform.Log
 	// Operator is recorded with each change.
 	Operator string
-	// Start returns the state to begin the fold with, such as a snapshot. With
-	// nil the fold begins at the first record.
+	// Start returns the state to begin the fold with. With nil the fold begins at
+	// the first record, or at a snapshot on the stream if that is gone.
 	Start func(ctx context.Context) (*shared.State, error)
 }
 
 // read folds the stream up to its end.
 func (c *Client) read(ctx context.Context) (*shared.State, error) {
-	state := shared.New()
-	if c.Start != nil {
-		start, err := c.Start(ctx)
-		if err != nil {
-			return nil, errors.Mark(err, ErrHistoryGone)
-		}
-		state = start
+	start := c.Start
+	if start == nil {
+		start = c.startFromLog
+	}
+	state, err := start(ctx)
+	if err != nil {
+		return nil, errors.Mark(err, ErrHistoryGone)
 	}
 	f := fold{client: c, state: state}
 	if err := f.readToEnd(ctx); err != nil {
