--- a/internal/command/operators.go
+++ b/internal/command/operators.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/sardinehead/sardinehead/internal/core"
+	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 )
 
 // askTimeout bounds one question to a node.
@@ -135,6 +136,7 @@
 		}
 		lines = append(lines, fmt.Sprintf("%s %s: fleet %s, revision %d, offset %d, members %d, running %d, log up %v",
 			row.Address, d.Node, d.Fleet, d.Revision, d.Offset, len(d.Members), d.Running, d.LogUp))
+		lines = append(lines, "  "+maintenanceLine(&d.Maintenance))
 		for _, q := range d.Queues {
 			lines = append(lines, fmt.Sprintf("  queue %s: waiting %d, ready VMs %d (budget %d), free slots here %d", q.Queue, q.Waiting, q.ReadyVM, q.Budget, q.Slots))
 		}
@@ -142,6 +144,31 @@
 	return lines
 }
 
+// maintenanceLine says who plans and how far the wave is.
+func maintenanceLine(m *maintenance.Status) string {
+	if m.Owner.Epoch == 0 {
+		return "maintenance: no node plans yet"
+	}
+	line := fmt.Sprintf("maintenance: %s plans; wave %d: %d VMs done, %d under way, %d due, %d missing",
+		m.Owner.Node, m.Wave.Number, m.Wave.Done, m.Wave.Under, m.Wave.Due, m.Wave.Missing)
+	if m.Hold != "" {
+		line += "; nothing new is begun: " + m.Hold
+	}
+	return line
+}
+
+// maintenanceProblems lists a paused wave and budgets that cannot be met.
+func maintenanceProblems(d *core.Dump) []string {
+	var out []string
+	if wave := d.Maintenance.Wave; wave.Paused != 0 {
+		out = append(out, fmt.Sprintf("problem: wave %d is paused: %s", wave.Number, wave.Reason))
+	}
+	for _, s := range d.Maintenance.Shortages {
+		out = append(out, fmt.Sprintf("problem: %s sees a shortage in pool %s: %s", d.Node, s.Pool, s.Reason))
+	}
+	return out
+}
+
 // problemsOf lists what an operator should look at.
 func problemsOf(rows []nodeStatus) []string {
 	var out []string
@@ -160,6 +187,7 @@
 				out = append(out, fmt.Sprintf("problem: %s sees %d ready VMs in pool %s, the budget is %d", d.Node, q.ReadyVM, q.Pool, q.Budget))
 			}
 		}
+		out = append(out, maintenanceProblems(d)...)
 		at := fmt.Sprint(d.Offset)
 		if other, ok := digests[at]; ok && other != d.Digest {
 			out = append(out, fmt.Sprintf("problem: %s folded the log differently up to offset %s", d.Node, at))
