--- a/internal/command/operators.go
+++ b/internal/command/operators.go
@@ -137,6 +137,7 @@
 		lines = append(lines, fmt.Sprintf("%s %s: fleet %s, revision %d, offset %d, members %d, running %d, log up %v",
 			row.Address, d.Node, d.Fleet, d.Revision, d.Offset, len(d.Members), d.Running, d.LogUp))
 		lines = append(lines, "  "+maintenanceLine(&d.Maintenance))
+		lines = append(lines, shortageLines(&d.Maintenance)...)
 		for _, q := range d.Queues {
 			lines = append(lines, fmt.Sprintf("  queue %s: waiting %d, ready VMs %d (budget %d), free slots here %d", q.Queue, q.Waiting, q.ReadyVM, q.Budget, q.Slots))
 		}
@@ -157,14 +158,15 @@
 	return line
 }
 
-// maintenanceProblems lists a paused wave and budgets that cannot be met.
-func maintenanceProblems(d *core.Dump) []string {
-	var out []string
-	if wave := d.Maintenance.Wave; wave.Paused != 0 {
-		out = append(out, fmt.Sprintf("problem: wave %d is paused: %s", wave.Number, wave.Reason))
+// shortageLines lists the pools that lack VMs, as the planner sees them. A pool
+// without a buffer still keeps its budget.
+func shortageLines(m *maintenance.Status) []string {
+	if !m.Mine {
+		return nil
 	}
-	for _, s := range d.Maintenance.Shortages {
-		out = append(out, fmt.Sprintf("problem: %s sees a shortage in pool %s: %s", d.Node, s.Pool, s.Reason))
+	var out []string
+	for _, s := range m.Shortages {
+		out = append(out, "  shortage: "+s.Reason)
 	}
 	return out
 }
@@ -187,7 +189,9 @@
 				out = append(out, fmt.Sprintf("problem: %s sees %d ready VMs in pool %s, the budget is %d", d.Node, q.ReadyVM, q.Pool, q.Budget))
 			}
 		}
-		out = append(out, maintenanceProblems(d)...)
+		if wave := d.Maintenance.Wave; wave.Paused != 0 {
+			out = append(out, fmt.Sprintf("problem: %s: wave %d is paused: %s", d.Node, wave.Number, wave.Reason))
+		}
 		at := fmt.Sprint(d.Offset)
 		if other, ok := digests[at]; ok && other != d.Digest {
 			out = append(out, fmt.Sprintf("problem: %s folded the log differently up to offset %s", d.Node, at))
