Send the team to upstreams, as the contract says, and count it in checks

Cause: neither the dispatch nor the callers' side passed the team on, so that the header Sardinehead-Team was always empty. The scenario 'fleet' and the e2e test counted nothing of the team and could not fail: their earlier claims that the limit of 40 was never passed over sockets and by processes were empty. Change: the team goes with the dispatch; both checks fail if nothing was counted. The reducers' own tests of limits never used the header.

--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -157,6 +157,7 @@
 	s.emit(Dispatch{
 		Request:   r.id,
 		Attempt:   a.id,
+		Team:      r.team,
 		VM:        vm.Name,
 		Address:   vm.Address,
 		Reuse:     r.idempotent && r.attempts == 1,
--- a/internal/dev/scenario_test.go
+++ b/internal/dev/scenario_test.go
@@ -313,7 +313,11 @@
 	var name string
 	d.ScanArgs(s.t, "team", &name)
 	team, _ := s.fleet.Team(vocab.TeamID(name))
-	if most := s.in.Fleet.Most(name); most > int(team.UpperLimit) {
+	most := s.in.Fleet.Most(name)
+	if most == 0 {
+		return "nothing of the team was counted\n"
+	}
+	if most > int(team.UpperLimit) {
 		return fmt.Sprintf("%d ran, the limit is %d\n", most, team.UpperLimit)
 	}
 	return "never above\n"
--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -63,7 +63,10 @@
 	g.Expect(stopped).To(gomega.Succeed(), "the graceful stop ends with exit code 0")
 	g.Expect(f.cut.Load()).To(gomega.BeZero(), "requests in flight that a graceful stop cut off")
 	limit, _ := f.fleet.Team(team)
-	g.Expect(f.in.Fleet.Most(string(team))).To(gomega.BeNumerically("<=", int(limit.UpperLimit)))
+	most := f.in.Fleet.Most(string(team))
+	g.Expect(most).To(gomega.BeNumerically(">", 0), "upstreams are told the team")
+	g.Expect(most).To(gomega.BeNumerically("<=", int(limit.UpperLimit)))
+	t.Logf("%d of the team ran at one time, its limit is %d", most, limit.UpperLimit)
 	completed := f.checkRuns(g)
 	g.Expect(completed).To(gomega.BeNumerically(">", 500), "the load was served")
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -75,6 +75,7 @@
 	// upstream is free again.
 	report := c.forward.Send(context.WithoutCancel(r.Context()), forward.Attempt{
 		ID:        d.Attempt,
+		Team:      d.Team,
 		VM:        d.VM,
 		Address:   d.Address,
 		Reuse:     d.Reuse,
