Name the port to the product's own services: internal/services

Cause: a folder platform/ is to hold the adapter of one deployment's platform. The product's own port to log, VM list, pools and workers carried the same name. Change: package internal/platform is now internal/services; nothing else changed. Checked: go build and go vet.

--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/publish"
 )
 
@@ -24,7 +24,7 @@
 func (o *Operator) run(operation func(context.Context, *publish.Client) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), o.Timeout)
 	defer cancel()
-	client := &publish.Client{Log: platform.NewLogClient(o.Log), Operator: o.name()}
+	client := &publish.Client{Log: services.NewLogClient(o.Log), Operator: o.name()}
 	err := operation(ctx, client)
 	if errors.Is(err, publish.ErrUnknown) {
 		return withExitCode(err, ExitUnknown)
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -14,7 +14,7 @@
 	"github.com/sardinehead/sardinehead/internal/forward"
 	"github.com/sardinehead/sardinehead/internal/node"
 	"github.com/sardinehead/sardinehead/internal/peer"
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -45,14 +45,14 @@
 // NewProcess puts a process together. Events are written to w.
 func NewProcess(self core.Identity, p Platform, trust Trust, w io.Writer) *Process {
 	client := peer.NewClient(trust.Secret, trust.TLS)
-	vms := platform.NewVMClient(p.VMList)
+	vms := services.NewVMClient(p.VMList)
 	n := node.New(self, node.Services{
-		Log:     platform.NewLogClient(p.Log),
+		Log:     services.NewLogClient(p.Log),
 		VMs:     vms,
 		Pools:   vms,
 		Events:  eventlog.New(w, string(self.Node)),
 		Peers:   client,
-		Workers: platform.NewWorkersClient(p.VMList),
+		Workers: services.NewWorkersClient(p.VMList),
 	})
 	f := forward.New(string(self.Node))
 	return &Process{
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -20,8 +20,8 @@
 	"github.com/sardinehead/sardinehead/internal/credential"
 	"github.com/sardinehead/sardinehead/internal/daemon"
 	"github.com/sardinehead/sardinehead/internal/node"
-	"github.com/sardinehead/sardinehead/internal/platform"
 	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/standin"
 	"github.com/sardinehead/sardinehead/internal/standin/workers"
@@ -53,7 +53,7 @@
 	Fleet *standin.FleetCount
 	Nodes []*Entry
 	// Rows are the VMs as first listed.
-	Rows []platform.VM
+	Rows []services.VM
 	// PlatformURL is the base address of the platform's stand-in.
 	PlatformURL string
 	// Keys holds one key for each team, ready for an Authorization header.
@@ -125,8 +125,8 @@
 }
 
 // startUpstreams starts one upstream for each VM of each pool.
-func (in *Installation) startUpstreams(fleet *spec.Fleet) ([]platform.VM, error) {
-	var rows []platform.VM
+func (in *Installation) startUpstreams(fleet *spec.Fleet) ([]services.VM, error) {
+	var rows []services.VM
 	for _, pool := range fleet.Pools {
 		for i := range pool.VMs {
 			row, err := in.startUpstream(fleet, pool, i)
@@ -139,17 +139,17 @@
 	return rows, nil
 }
 
-func (in *Installation) startUpstream(fleet *spec.Fleet, pool spec.Pool, i int) (platform.VM, error) {
+func (in *Installation) startUpstream(fleet *spec.Fleet, pool spec.Pool, i int) (services.VM, error) {
 	name := vocab.VMID(fmt.Sprintf("%s-%d", pool.Name, i+1))
 	upstream := standin.NewUpstream(string(name))
 	upstream.Fleet = in.Fleet
 	address, err := in.serve(upstream, 0)
 	if err != nil {
-		return platform.VM{}, err
+		return services.VM{}, err
 	}
 	in.Upstreams[name] = upstream
 	zone := pool.Zones[i%len(pool.Zones)]
-	return platform.VM{
+	return services.VM{
 		Name:        name,
 		Incarnation: 1,
 		Pool:        pool.Name,
@@ -157,7 +157,7 @@
 		Zone:        zone,
 		Rack:        vocab.RackID(fmt.Sprintf("%s-rack-%d", zone, i/len(pool.Zones)/4+1)),
 		Address:     address,
-		Phase:       platform.VMLive,
+		Phase:       services.VMLive,
 	}, nil
 }
 
--- a/internal/dev/scenario_test.go
+++ b/internal/dev/scenario_test.go
@@ -18,7 +18,7 @@
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/dev"
 	"github.com/sardinehead/sardinehead/internal/node"
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/standin"
 	"github.com/sardinehead/sardinehead/internal/vocab"
@@ -152,7 +152,7 @@
 	var name, phase string
 	d.ScanArgs(s.t, "name", &name)
 	d.ScanArgs(s.t, "phase", &phase)
-	s.in.VMs.SetPhase(vocab.VMID(name), platform.VMPhase(phase))
+	s.in.VMs.SetPhase(vocab.VMID(name), services.VMPhase(phase))
 	return ""
 }
 
--- a/internal/dev/workers.go
+++ b/internal/dev/workers.go
@@ -7,8 +7,8 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/sardinehead/sardinehead/internal/platform"
 	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/standin"
 	"github.com/sardinehead/sardinehead/internal/standin/workers"
@@ -54,7 +54,7 @@
 func platformHandler(in *Installation) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", standin.PlatformHandler(in.Log, in.VMs))
-	mux.Handle(platform.PathWorkers, in.Workers.Handler())
-	mux.Handle(platform.PathWorkers+"/", in.Workers.Handler())
+	mux.Handle(services.PathWorkers, in.Workers.Handler())
+	mux.Handle(services.PathWorkers+"/", in.Workers.Handler())
 	return mux
 }
--- a/internal/measure/slopes/listing.go
+++ b/internal/measure/slopes/listing.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 
 	"github.com/sardinehead/sardinehead/internal/core"
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 )
 
 // listBytes returns slopes of the VM list and of an operator's dump.
@@ -21,12 +21,12 @@
 }
 
 // listing returns the VM list as the platform sends it.
-func (z size) listing() platform.Listing {
-	listing := platform.Listing{Version: 1, Full: true}
+func (z size) listing() services.Listing {
+	listing := services.Listing{Version: 1, Full: true}
 	for _, r := range z.rows() {
-		listing.VMs = append(listing.VMs, platform.VM{
+		listing.VMs = append(listing.VMs, services.VM{
 			Name: r.Name, Incarnation: r.Incarnation, Pool: r.Pool, Region: r.Region, Zone: r.Zone, Rack: r.Rack,
-			Address: r.Address, Phase: platform.VMLive,
+			Address: r.Address, Phase: services.VMLive,
 		})
 	}
 	return listing
--- a/internal/measure/slopes/wire.go
+++ b/internal/measure/slopes/wire.go
@@ -14,7 +14,7 @@
 	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
 	"github.com/sardinehead/sardinehead/internal/peer"
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/record"
 	"github.com/sardinehead/sardinehead/internal/standin"
 	"github.com/sardinehead/sardinehead/internal/vocab"
@@ -105,7 +105,7 @@
 		return Exchange{}, err
 	}
 	defer stop()
-	client := platform.NewLogClient("http://" + l.Addr().String())
+	client := services.NewLogClient("http://" + l.Addr().String())
 	// An empty batch is part of what each exchange costs.
 	return l.measure(0, 0, func() error {
 		_, err := client.Read(context.Background(), "fleet", 1, 0)
@@ -122,7 +122,7 @@
 		return s, err
 	}
 	defer stop()
-	client := platform.NewLogClient("http://" + l.Addr().String())
+	client := services.NewLogClient("http://" + l.Addr().String())
 	for _, n := range []int{1, 10, 50, 100, 200} {
 		var envelopes []record.Envelope
 		for _, r := range firstTasks(n) {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -13,7 +13,7 @@
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/core/observe"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -35,7 +35,7 @@
 	pause := newBackoff()
 	for ctx.Err() == nil {
 		batch, err := n.services.Log.Read(ctx, shared.Stream, next, longPoll)
-		var trimmed *platform.TrimmedError
+		var trimmed *services.TrimmedError
 		if errors.As(err, &trimmed) && trimmed.Earliest > next {
 			next = trimmed.Earliest
 			n.Post(core.StreamBegins{Earliest: next})
@@ -85,7 +85,7 @@
 type vmList map[vocab.VMID]observe.Row
 
 // merge takes a reading and returns all rows, sorted by name.
-func (l vmList) merge(listing platform.Listing) []observe.Row {
+func (l vmList) merge(listing services.Listing) []observe.Row {
 	if listing.Full {
 		clear(l)
 	}
@@ -97,7 +97,7 @@
 	return out
 }
 
-func row(vm platform.VM) observe.Row {
+func row(vm services.VM) observe.Row {
 	return observe.Row{
 		Name:        vm.Name,
 		Incarnation: vm.Incarnation,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,7 +16,7 @@
 	"github.com/sardinehead/sardinehead/internal/core/maintenance"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
 	"github.com/sardinehead/sardinehead/internal/core/task"
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -28,14 +28,14 @@
 
 // Services are what a node talks to.
 type Services struct {
-	Log    platform.Log
-	VMs    platform.VMList
-	Pools  platform.Pools
+	Log    services.Log
+	VMs    services.VMList
+	Pools  services.Pools
 	Events EventLog
 	// Peers calls other entry processes.
 	Peers Peers
 	// Workers runs tasks; nil if the platform has no workers.
-	Workers platform.Workers
+	Workers services.Workers
 }
 
 // Peers calls other entry processes by the IP:port of their peer service.
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -8,7 +8,7 @@
 
 	"github.com/sardinehead/sardinehead/internal/core/event"
 	"github.com/sardinehead/sardinehead/internal/core/maintenance"
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 )
 
 // orderTimeout bounds one order to the platform.
@@ -35,8 +35,8 @@
 	n.Post(answered)
 }
 
-func platformOrder(o maintenance.VMOrder) platform.VMOrder {
-	return platform.VMOrder{VM: o.VM, Incarnation: o.Incarnation, Epoch: o.Epoch}
+func platformOrder(o maintenance.VMOrder) services.VMOrder {
+	return services.VMOrder{VM: o.VM, Incarnation: o.Incarnation, Epoch: o.Epoch}
 }
 
 // orderResult turns the platform's error into what became of the order.
@@ -44,9 +44,9 @@
 	switch {
 	case err == nil:
 		return maintenance.ResultDone
-	case errors.Is(err, platform.ErrStaleEpoch):
+	case errors.Is(err, services.ErrStaleEpoch):
 		return maintenance.ResultStale
-	case errors.Is(err, platform.ErrRejected):
+	case errors.Is(err, services.ErrRejected):
 		return maintenance.ResultRejected
 	default:
 		return maintenance.ResultUnknown
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -9,7 +9,7 @@
 
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/core/task"
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 	"github.com/sardinehead/sardinehead/internal/worker"
 )
@@ -38,7 +38,7 @@
 	next := vocab.Offset(1)
 	poll(ctx, func() error {
 		batch, err := n.services.Log.Read(ctx, core.TaskStream, next, taskPoll)
-		var trimmed *platform.TrimmedError
+		var trimmed *services.TrimmedError
 		if errors.As(err, &trimmed) && trimmed.Earliest > next {
 			next = trimmed.Earliest
 			n.Post(task.LogTrimmed{Earliest: next})
@@ -74,7 +74,7 @@
 	switch {
 	case err == nil:
 		return task.Appended
-	case errors.Is(err, platform.ErrRejected):
+	case errors.Is(err, services.ErrRejected):
 		return task.AppendRejected
 	default:
 		return task.AppendUnknown
--- a/internal/publish/append.go
+++ b/internal/publish/append.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/sardinehead/sardinehead/internal/core/shared"
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/record"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -33,7 +33,7 @@
 	pauses := newPauses()
 	for tries := 1; ; tries++ {
 		_, err := f.client.Log.Append(ctx, shared.Stream, []record.Envelope{envelope})
-		if errors.Is(err, platform.ErrRejected) && tries == 1 {
+		if errors.Is(err, services.ErrRejected) && tries == 1 {
 			return appended{}, fromPlatform(err)
 		}
 		err = f.readToEnd(ctx)
--- a/internal/publish/client.go
+++ b/internal/publish/client.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/sardinehead/sardinehead/internal/core/shared"
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/record"
 )
 
@@ -26,7 +26,7 @@
 // Client carries out operators' changes. Its methods try until their context
 // ends.
 type Client struct {
-	Log platform.Log
+	Log services.Log
 	// Operator is recorded with each change.
 	Operator string
 	// Start returns the state to begin the fold with. With nil the fold begins at
@@ -80,7 +80,7 @@
 // readOnce folds one batch and reports whether it reached the end. A log that
 // gives no answer is asked again until the context ends, which is ErrUnknown.
 func (f *fold) readOnce(ctx context.Context) (bool, error) {
-	batch, err := retryUnavailable(ctx, func() (platform.Batch, error) {
+	batch, err := retryUnavailable(ctx, func() (services.Batch, error) {
 		return f.client.Log.Read(ctx, shared.Stream, f.state.Offset+1, 0)
 	})
 	if err != nil {
@@ -102,7 +102,7 @@
 func retryUnavailable[T any](ctx context.Context, call func() (T, error)) (T, error) {
 	result, err := backoff.Retry(ctx, func() (T, error) {
 		result, err := call()
-		if err != nil && !errors.Is(err, platform.ErrUnavailable) {
+		if err != nil && !errors.Is(err, services.ErrUnavailable) {
 			return result, backoff.Permanent(err)
 		}
 		return result, err
@@ -122,9 +122,9 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrTrimmed):
+	case errors.Is(err, services.ErrTrimmed):
 		return errors.Mark(err, ErrHistoryGone)
-	case errors.Is(err, platform.ErrRejected):
+	case errors.Is(err, services.ErrRejected):
 		return errors.Mark(errors.Wrap(err, "log"), ErrRejected)
 	default:
 		return errors.Mark(errors.Wrap(err, ErrUnknown.Error()), ErrUnknown)
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sardinehead/sardinehead/internal/core/shared"
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/publish"
 	"github.com/sardinehead/sardinehead/internal/record"
 	"github.com/sardinehead/sardinehead/internal/spec"
@@ -28,7 +28,7 @@
 	race  func()
 }
 
-var errNoAnswer = errors.Mark(errors.New("no answer"), platform.ErrUnavailable)
+var errNoAnswer = errors.Mark(errors.New("no answer"), services.ErrUnavailable)
 
 func (l *faultyLog) Append(ctx context.Context, s vocab.StreamID, records []record.Envelope) (vocab.Offset, error) {
 	switch l.fault() {
--- a/internal/publish/start.go
+++ b/internal/publish/start.go
@@ -6,7 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/sardinehead/sardinehead/internal/core/shared"
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -14,7 +14,7 @@
 // record, or where the log no longer keeps it, that of a snapshot on the
 // stream. It fails with ErrHistoryGone if there is none.
 func (c *Client) startFromLog(ctx context.Context) (*shared.State, error) {
-	var trimmed *platform.TrimmedError
+	var trimmed *services.TrimmedError
 	_, err := c.readFrom(ctx, 1)
 	if !errors.As(err, &trimmed) {
 		// Other errors come up again in the read that follows.
@@ -40,8 +40,8 @@
 	return follower.State(), nil
 }
 
-func (c *Client) readFrom(ctx context.Context, from vocab.Offset) (platform.Batch, error) {
-	return retryUnavailable(ctx, func() (platform.Batch, error) {
+func (c *Client) readFrom(ctx context.Context, from vocab.Offset) (services.Batch, error) {
+	return retryUnavailable(ctx, func() (services.Batch, error) {
 		return c.Log.Read(ctx, shared.Stream, from, 0)
 	})
 }
--- a/internal/platform/messages.go
+++ b/internal/services/messages.go
@@ -1,4 +1,4 @@
-package platform
+package services
 
 import "github.com/sardinehead/sardinehead/internal/record"
 
--- a/internal/platform/platform.go
+++ b/internal/services/platform.go
@@ -1,8 +1,8 @@
-// Package platform is the boundary to the platform's services: the append-only
+// Package services is the boundary to the platform's services: the append-only
 // log, the VM list, the pools and the workers. It declares the interfaces that
 // the rest of the program uses, the messages of the services' HTTP protocol,
 // and clients for them. Package standin serves the same protocol in tests.
-package platform
+package services
 
 import (
 	"context"
--- a/internal/standin/handlers.go
+++ b/internal/standin/handlers.go
@@ -8,42 +8,42 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
 // PlatformHandler serves the log, the VM list and the VM orders over HTTP.
 func PlatformHandler(log *Log, vms *VMs) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+platform.PathStreams+"{stream}/records", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("POST "+services.PathStreams+"{stream}/records", func(w http.ResponseWriter, r *http.Request) {
 		serveAppend(w, r, log)
 	})
-	mux.HandleFunc("GET "+platform.PathStreams+"{stream}/records", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+services.PathStreams+"{stream}/records", func(w http.ResponseWriter, r *http.Request) {
 		serveRead(w, r, log)
 	})
-	mux.HandleFunc("GET "+platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+services.PathVMs, func(w http.ResponseWriter, r *http.Request) {
 		serveList(w, r, vms)
 	})
-	mux.HandleFunc("POST "+platform.PathVMs+"/{vm}/{verb}", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("POST "+services.PathVMs+"/{vm}/{verb}", func(w http.ResponseWriter, r *http.Request) {
 		serveOrder(w, r, vms)
 	})
 	return mux
 }
 
 func serveAppend(w http.ResponseWriter, r *http.Request, log *Log) {
-	var in platform.AppendRequest
+	var in services.AppendRequest
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
-		answer(w, nil, errors.Mark(err, platform.ErrRejected))
+		answer(w, nil, errors.Mark(err, services.ErrRejected))
 		return
 	}
 	first, err := log.Append(r.Context(), vocab.StreamID(r.PathValue("stream")), in.Records)
-	answer(w, platform.AppendResponse{First: uint64(first)}, err)
+	answer(w, services.AppendResponse{First: uint64(first)}, err)
 }
 
 func serveRead(w http.ResponseWriter, r *http.Request, log *Log) {
 	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
 	if err != nil {
-		answer(w, nil, errors.Mark(err, platform.ErrRejected))
+		answer(w, nil, errors.Mark(err, services.ErrRejected))
 		return
 	}
 	stream := vocab.StreamID(r.PathValue("stream"))
@@ -58,12 +58,12 @@
 }
 
 func serveOrder(w http.ResponseWriter, r *http.Request, vms *VMs) {
-	var in platform.OrderRequest
+	var in services.OrderRequest
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
-		answer(w, nil, errors.Mark(err, platform.ErrRejected))
+		answer(w, nil, errors.Mark(err, services.ErrRejected))
 		return
 	}
-	order := platform.VMOrder{
+	order := services.VMOrder{
 		VM:          vocab.VMID(r.PathValue("vm")),
 		Incarnation: vocab.VMIncarnation(in.Incarnation),
 		Epoch:       vocab.Epoch(in.Epoch),
@@ -77,7 +77,7 @@
 	case "assign":
 		err = vms.Assign(r.Context(), order, vocab.PoolID(in.Pool))
 	default:
-		err = errors.Wrapf(platform.ErrRejected, "no order %q", r.PathValue("verb"))
+		err = errors.Wrapf(services.ErrRejected, "no order %q", r.PathValue("verb"))
 	}
 	answer(w, struct{}{}, err)
 }
@@ -94,8 +94,8 @@
 	w.Header().Set("Content-Type", "application/json")
 	if err != nil {
 		w.WriteHeader(statusOf(err))
-		problem := platform.ErrorResponse{Error: err.Error()}
-		var trimmed *platform.TrimmedError
+		problem := services.ErrorResponse{Error: err.Error()}
+		var trimmed *services.TrimmedError
 		if errors.As(err, &trimmed) {
 			problem.Earliest = uint64(trimmed.Earliest)
 		}
@@ -106,11 +106,11 @@
 
 func statusOf(err error) int {
 	switch {
-	case errors.Is(err, platform.ErrTrimmed):
+	case errors.Is(err, services.ErrTrimmed):
 		return http.StatusGone
-	case errors.Is(err, platform.ErrStaleEpoch):
+	case errors.Is(err, services.ErrStaleEpoch):
 		return http.StatusPreconditionFailed
-	case errors.Is(err, platform.ErrRejected):
+	case errors.Is(err, services.ErrRejected):
 		return http.StatusBadRequest
 	default:
 		return http.StatusServiceUnavailable
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -10,15 +10,15 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/sardinehead/sardinehead/internal/platform"
 	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
 // readLimit is the most records that one read returns.
 const readLimit = 1000
 
-// Log is an in-memory log service. It implements platform.Log directly; LogHandler
+// Log is an in-memory log service. It implements services.Log directly; LogHandler
 // serves it over HTTP.
 type Log struct {
 	mu      sync.Mutex
@@ -92,13 +92,13 @@
 	return s
 }
 
-// Append implements platform.Log.
+// Append implements services.Log.
 func (l *Log) Append(ctx context.Context, id vocab.StreamID, records []record.Envelope) (vocab.Offset, error) {
 	if err := l.admit(ctx); err != nil {
 		return 0, err
 	}
 	if len(records) == 0 {
-		return 0, errors.Wrap(platform.ErrRejected, "an append needs at least one record")
+		return 0, errors.Wrap(services.ErrRejected, "an append needs at least one record")
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -112,18 +112,18 @@
 	l.appends++
 	if l.faults.LoseAnswers > 0 {
 		l.faults.LoseAnswers--
-		return 0, errors.Wrap(platform.ErrUnavailable, "answer lost")
+		return 0, errors.Wrap(services.ErrUnavailable, "answer lost")
 	}
 	return first, nil
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, id vocab.StreamID, from vocab.Offset, wait time.Duration) (platform.Batch, error) {
+// Read implements services.Log.
+func (l *Log) Read(ctx context.Context, id vocab.StreamID, from vocab.Offset, wait time.Duration) (services.Batch, error) {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
 		if err := l.admit(ctx); err != nil {
-			return platform.Batch{}, err
+			return services.Batch{}, err
 		}
 		batch, grown, err := l.readNow(id, from)
 		if err != nil || len(batch.Records) > 0 {
@@ -134,18 +134,18 @@
 		case <-deadline.C:
 			return batch, nil
 		case <-ctx.Done():
-			return platform.Batch{}, errors.Mark(ctx.Err(), platform.ErrUnavailable)
+			return services.Batch{}, errors.Mark(ctx.Err(), services.ErrUnavailable)
 		}
 	}
 }
 
-func (l *Log) readNow(id vocab.StreamID, from vocab.Offset) (platform.Batch, <-chan struct{}, error) {
+func (l *Log) readNow(id vocab.StreamID, from vocab.Offset) (services.Batch, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(id)
-	batch := platform.Batch{Earliest: s.earliest, Next: s.next}
+	batch := services.Batch{Earliest: s.earliest, Next: s.next}
 	if from < s.earliest {
-		return batch, nil, &platform.TrimmedError{Earliest: s.earliest}
+		return batch, nil, &services.TrimmedError{Earliest: s.earliest}
 	}
 	if from < s.next {
 		rest := s.records[from-s.earliest:]
@@ -166,10 +166,10 @@
 		}
 	}
 	if ctx.Err() != nil {
-		return errors.Mark(ctx.Err(), platform.ErrUnavailable)
+		return errors.Mark(ctx.Err(), services.ErrUnavailable)
 	}
 	if faults.Down {
-		return errors.Wrap(platform.ErrUnavailable, "log service down")
+		return errors.Wrap(services.ErrUnavailable, "log service down")
 	}
 	return nil
 }
--- a/internal/standin/vms.go
+++ b/internal/standin/vms.go
@@ -7,15 +7,15 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
-// VMs is an in-memory VM list with pools. It implements platform.VMList and
-// platform.Pools.
+// VMs is an in-memory VM list with pools. It implements services.VMList and
+// services.Pools.
 type VMs struct {
 	mu      sync.Mutex
-	rows    []platform.VM
+	rows    []services.VM
 	changes map[vocab.VMID]uint64 // version of each VM's last change
 	epochs  map[vocab.VMID]vocab.Epoch
 	version uint64
@@ -36,9 +36,9 @@
 }
 
 // NewVMs returns a list of the given VMs.
-func NewVMs(rows []platform.VM) *VMs {
+func NewVMs(rows []services.VM) *VMs {
 	return &VMs{
-		rows:    append([]platform.VM(nil), rows...),
+		rows:    append([]services.VM(nil), rows...),
 		changes: map[vocab.VMID]uint64{},
 		epochs:  map[vocab.VMID]vocab.Epoch{},
 		version: 1,
@@ -54,7 +54,7 @@
 }
 
 // SetPhase changes what the list says of a VM.
-func (v *VMs) SetPhase(vm vocab.VMID, phase platform.VMPhase) {
+func (v *VMs) SetPhase(vm vocab.VMID, phase services.VMPhase) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if row := v.row(vm); row != nil {
@@ -64,7 +64,7 @@
 }
 
 // Put adds a VM or replaces the one of the same name.
-func (v *VMs) Put(vm platform.VM) {
+func (v *VMs) Put(vm services.VM) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if row := v.row(vm.Name); row != nil {
@@ -75,7 +75,7 @@
 	v.bump(vm.Name)
 }
 
-func (v *VMs) row(name vocab.VMID) *platform.VM {
+func (v *VMs) row(name vocab.VMID) *services.VM {
 	for i := range v.rows {
 		if v.rows[i].Name == name {
 			return &v.rows[i]
@@ -95,8 +95,8 @@
 	v.changed = make(chan struct{})
 }
 
-// List implements platform.VMList.
-func (v *VMs) List(ctx context.Context, since uint64, wait time.Duration) (platform.Listing, error) {
+// List implements services.VMList.
+func (v *VMs) List(ctx context.Context, since uint64, wait time.Duration) (services.Listing, error) {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
@@ -109,18 +109,18 @@
 		case <-deadline.C:
 			return listing, nil
 		case <-ctx.Done():
-			return platform.Listing{}, errors.Mark(ctx.Err(), platform.ErrUnavailable)
+			return services.Listing{}, errors.Mark(ctx.Err(), services.ErrUnavailable)
 		}
 	}
 }
 
-func (v *VMs) listNow(since uint64) (platform.Listing, <-chan struct{}, error) {
+func (v *VMs) listNow(since uint64) (services.Listing, <-chan struct{}, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.faults.Down {
-		return platform.Listing{}, nil, errors.Wrap(platform.ErrUnavailable, "VM list down")
+		return services.Listing{}, nil, errors.Wrap(services.ErrUnavailable, "VM list down")
 	}
-	listing := platform.Listing{Version: v.version, Full: since == 0 || since > v.version}
+	listing := services.Listing{Version: v.version, Full: since == 0 || since > v.version}
 	for _, row := range v.rows {
 		if listing.Full || v.changes[row.Name] > since {
 			listing.VMs = append(listing.VMs, row)
@@ -129,39 +129,39 @@
 	return listing, v.changed, nil
 }
 
-// Drain implements platform.Pools.
-func (v *VMs) Drain(ctx context.Context, order platform.VMOrder) error {
-	return v.order(ctx, order, func(row *platform.VM) { row.Phase = platform.VMLeaving })
+// Drain implements services.Pools.
+func (v *VMs) Drain(ctx context.Context, order services.VMOrder) error {
+	return v.order(ctx, order, func(row *services.VM) { row.Phase = services.VMLeaving })
 }
 
-// Reboot implements platform.Pools.
-func (v *VMs) Reboot(ctx context.Context, order platform.VMOrder) error {
-	return v.order(ctx, order, func(row *platform.VM) {
+// Reboot implements services.Pools.
+func (v *VMs) Reboot(ctx context.Context, order services.VMOrder) error {
+	return v.order(ctx, order, func(row *services.VM) {
 		row.Incarnation++
-		row.Phase = platform.VMLive
+		row.Phase = services.VMLive
 		if v.OnReboot != nil {
 			v.OnReboot(row.Name)
 		}
 	})
 }
 
-// Assign implements platform.Pools.
-func (v *VMs) Assign(ctx context.Context, order platform.VMOrder, pool vocab.PoolID) error {
-	return v.order(ctx, order, func(row *platform.VM) { row.Pool = pool })
+// Assign implements services.Pools.
+func (v *VMs) Assign(ctx context.Context, order services.VMOrder, pool vocab.PoolID) error {
+	return v.order(ctx, order, func(row *services.VM) { row.Pool = pool })
 }
 
-func (v *VMs) order(_ context.Context, order platform.VMOrder, change func(*platform.VM)) error {
+func (v *VMs) order(_ context.Context, order services.VMOrder, change func(*services.VM)) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.faults.Down {
-		return errors.Wrap(platform.ErrUnavailable, "pools down")
+		return errors.Wrap(services.ErrUnavailable, "pools down")
 	}
 	if order.Epoch < v.epochs[order.VM] {
-		return errors.Wrapf(platform.ErrStaleEpoch, "VM %s has seen epoch %d", order.VM, v.epochs[order.VM])
+		return errors.Wrapf(services.ErrStaleEpoch, "VM %s has seen epoch %d", order.VM, v.epochs[order.VM])
 	}
 	row := v.row(order.VM)
 	if row == nil {
-		return errors.Wrapf(platform.ErrRejected, "no VM %s", order.VM)
+		return errors.Wrapf(services.ErrRejected, "no VM %s", order.VM)
 	}
 	v.epochs[order.VM] = order.Epoch
 	if row.Incarnation == order.Incarnation {
@@ -170,7 +170,7 @@
 	}
 	if v.faults.LoseAnswers > 0 {
 		v.faults.LoseAnswers--
-		return errors.Wrap(platform.ErrUnavailable, "answer lost")
+		return errors.Wrap(services.ErrUnavailable, "answer lost")
 	}
 	return nil
 }
--- a/internal/standin/workers/service.go
+++ b/internal/standin/workers/service.go
@@ -11,7 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/sardinehead/sardinehead/internal/platform"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 	"github.com/sardinehead/sardinehead/internal/worker"
 )
@@ -63,9 +63,9 @@
 // Handler returns the HTTP handler of the service.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathWorkers, s.serveList)
-	mux.HandleFunc("POST "+platform.PathWorkers+"/{worker}/order", s.serveOrder)
-	mux.HandleFunc("GET "+platform.PathWorkers+"/{worker}/usage", s.serveUsage)
+	mux.HandleFunc("GET "+services.PathWorkers, s.serveList)
+	mux.HandleFunc("POST "+services.PathWorkers+"/{worker}/order", s.serveOrder)
+	mux.HandleFunc("GET "+services.PathWorkers+"/{worker}/usage", s.serveUsage)
 	return mux
 }
 
@@ -84,10 +84,10 @@
 	write(w, s.listing())
 }
 
-func (s *Service) listing() platform.WorkerListing {
+func (s *Service) listing() services.WorkerListing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listing := platform.WorkerListing{Version: s.version}
+	listing := services.WorkerListing{Version: s.version}
 	for _, w := range s.workers {
 		listing.Workers = append(listing.Workers, w.Info)
 	}
@@ -183,5 +183,5 @@
 func refuse(w http.ResponseWriter, status int, text string) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(platform.ErrorResponse{Error: text})
+	_ = json.NewEncoder(w).Encode(services.ErrorResponse{Error: text})
 }
--- a/internal/standin/workers/service_test.go
+++ b/internal/standin/workers/service_test.go
@@ -10,8 +10,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/sardinehead/sardinehead/internal/core/task"
-	"github.com/sardinehead/sardinehead/internal/platform"
 	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 	"github.com/sardinehead/sardinehead/internal/worker"
@@ -44,7 +44,7 @@
 	}
 	server := httptest.NewServer(service.Handler())
 	defer server.Close()
-	aside := drive(t, clock, platform.NewWorkersClient(server.URL), 120)
+	aside := drive(t, clock, services.NewWorkersClient(server.URL), 120)
 	if !aside["w1"] || !aside["w2"] || len(aside) > 3 {
 		t.Errorf("set aside: %v, want w1 and w2", aside)
 	}
@@ -56,7 +56,7 @@
 }
 
 // drive hands in tasks and steps a controller until all have ended.
-func drive(t *testing.T, clock *clockwork.FakeClock, client *platform.WorkersClient, count int) map[vocab.VMID]bool {
+func drive(t *testing.T, clock *clockwork.FakeClock, client *services.WorkersClient, count int) map[vocab.VMID]bool {
 	ctx := context.Background()
 	c := task.NewController(task.Settings{
 		Shard: "tasks/0", Node: "n0", Incarnation: 1, ResultKeep: time.Hour, MayOwn: true,
@@ -95,7 +95,7 @@
 					}
 					queue = append(queue, task.AppendAnswered{Batch: f.Batch, Code: task.Appended})
 				case task.OrderWorker:
-					queue = append(queue, task.WorkerAnswered{Order: f.Order, Answer: platform.AnswerOf(client.Order(ctx, f.To))})
+					queue = append(queue, task.WorkerAnswered{Order: f.Order, Answer: services.AnswerOf(client.Order(ctx, f.To))})
 				case task.SetAside:
 					aside[f.Worker] = true
 				}
