--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -8,8 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/publish"
+	"github.com/sardinehead/sardinehead/internal/services"
 )
 
 // Operator holds what every change by an operator needs.
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -24,6 +24,7 @@
 // root lists the commands.
 type root struct {
 	Entry        Entry        `command:"entry" description:"Run the daemon of an entry VM"`
+	Serve        Serve        `command:"serve" description:"Run jobs on a deployment's own platform"`
 	Dev          Dev          `command:"dev" description:"Run a whole installation on loopback, with stand-ins of the platform and the upstreams"`
 	Standin      Standin      `command:"standin" description:"Run the stand-ins of the platform and the upstreams only"`
 	Status       Status       `command:"status" description:"Show each node and what disagrees"`
--- /dev/null
+++ b/internal/command/serve.go
@@ -0,0 +1,144 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v5"
+	"github.com/oklog/run"
+
+	"github.com/sardinehead/sardinehead/internal/core/job"
+	"github.com/sardinehead/sardinehead/internal/daemon"
+	"github.com/sardinehead/sardinehead/internal/eventlog"
+	"github.com/sardinehead/sardinehead/internal/jobnode"
+	"github.com/sardinehead/sardinehead/internal/settings"
+	"github.com/sardinehead/sardinehead/platform"
+)
+
+// Serve runs jobs on a deployment's own platform.
+type Serve struct {
+	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"settings of this process"`
+	Check    bool   `long:"check" description:"check the settings and end"`
+}
+
+const (
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 3 * time.Second
+	// stopMargin is what is left of the grace at the end of a planned stop.
+	stopMargin = 1500 * time.Millisecond
+	// memoryPart is the part of the memory limit that the heap may use.
+	memoryPart = 0.6
+)
+
+// Execute implements flags.Commander.
+func (s *Serve) Execute([]string) error {
+	set, err := settings.LoadServe(s.Settings)
+	if err != nil {
+		return err
+	}
+	if s.Check {
+		fmt.Println("the settings are usable")
+		return nil
+	}
+	return serve(context.Background(), set)
+}
+
+func serve(ctx context.Context, set settings.Serve) error {
+	if set.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(float64(set.MemoryMiB<<20) * memoryPart))
+	}
+	log := eventlog.NewJobs(os.Stdout, string(set.Node))
+	client := platform.New(platform.Addresses{
+		Store: hostOf(set.Store), Machines: hostOf(set.Machines), Advisor: hostOf(set.Advisor),
+	}, log)
+	node := jobnode.New(job.Identity{
+		Node: set.Node, Incarnation: daemon.NewIncarnation(), Zone: set.Zone, Strength: float64(set.Strength),
+	}, job.Settings{
+		LeaseMost: set.LeaseMost.D(), StopMost: set.StopMost.D(), OrderGap: set.OrderGap.D(),
+		MissAfter: set.MissAfter.D(), KeepEnded: set.KeepEnded.D(),
+	}, client.Ports(), log)
+
+	var stopping atomic.Bool
+	var group run.Group
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error { return node.Run(ctx) }, func(error) { cancel() })
+	for _, side := range []struct {
+		address settings.Address
+		handler http.Handler
+	}{
+		{set.Callers, client.Callers(node, stopping.Load)},
+		{set.Readiness, client.Readiness(node)},
+		{set.Operators, jobOperators(node)},
+	} {
+		if err := addPlain(&group, side.address, side.handler); err != nil {
+			cancel()
+			return err
+		}
+	}
+	addStop(ctx, &group, node, &stopping, set.Grace.D()-stopMargin)
+	log.Started(set.Node, set.Strength, set.MemoryMiB)
+	err := group.Run()
+	log.Stopped(err)
+	return err
+}
+
+func hostOf(u settings.URL) string { return strings.TrimPrefix(string(u), "http://") }
+
+func addPlain(group *run.Group, address settings.Address, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return errors.Wrapf(err, "listening on %s", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	group.Add(func() error {
+		return errors.Wrapf(server.Serve(listener), "serving %s", address)
+	}, func(error) { _ = server.Close() })
+	return nil
+}
+
+// addStop ends the process a while after the first signal: readiness goes
+// first, ownership is handed over, and open connections are served meanwhile.
+func addStop(ctx context.Context, group *run.Group, node *jobnode.Node, stopping *atomic.Bool, wait time.Duration) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error {
+		select {
+		case <-signals:
+		case <-ctx.Done():
+			return nil
+		}
+		stopping.Store(true)
+		node.Stopping()
+		select {
+		case <-time.After(max(wait, 0)):
+		case <-signals:
+		case <-ctx.Done():
+		}
+		return nil
+	}, func(error) {
+		signal.Stop(signals)
+		cancel()
+	})
+}
+
+// jobOperators is the handler of the operators' address.
+func jobOperators(n *jobnode.Node) http.Handler {
+	e := echo.New()
+	e.GET("/metrics", func(c *echo.Context) error {
+		c.Response().Header().Set("Content-Type", "text/plain; version=0.0.4")
+		n.WriteMetrics(c.Response())
+		return nil
+	})
+	return e
+}
--- /dev/null
+++ b/internal/core/job/calls.go
@@ -0,0 +1,321 @@
+package job
+
+import (
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+const (
+	// refusedRetry is when a caller may come back after a failure of the
+	// stream.
+	refusedRetry = time.Second
+	// mostWaiting bounds the calls that wait for one append or read.
+	mostWaiting = 2000
+)
+
+// callers is what the node keeps for callers that wait.
+type callers struct {
+	lastAppend uint64
+	// appends holds the batches under way, by append.
+	appends map[uint64]*acceptBatch
+	// next collects what comes while a batch is under way.
+	next    acceptBatch
+	queries []waitingQuery
+}
+
+// acceptBatch is a set of acceptances and cancellations in one append.
+type acceptBatch struct {
+	records []Record
+	calls   []waitingCall
+	keys    map[string]bool
+}
+
+type waitingCall struct {
+	call CallID
+	id   ID
+	note NoteID
+}
+
+// waitingQuery waits for a read that was sent after it came.
+type waitingQuery struct {
+	call   CallID
+	id     ID
+	cameAt vocab.Instant
+	// cancel is set if the job is to be cancelled once it is found.
+	cancel bool
+}
+
+func (s *State) nextAppend() uint64 {
+	s.lastAppend++
+	return s.lastAppend
+}
+
+// admit finds the queue of a call and checks its key. It answers the call
+// itself if it goes no further.
+func (s *State) admit(call CallID, host, path, key string) (*Queue, vocab.TeamID, bool) {
+	if s.config == nil {
+		s.reply(Reply{Call: call, Answer: Refused, RetryAfter: refusedRetry, Detail: "no configuration yet"})
+		return nil, "", false
+	}
+	q := s.config.Match(host, path)
+	if q == nil {
+		s.reply(Reply{Call: call, Answer: NoQueue, Detail: "no queue has this host and path"})
+		return nil, "", false
+	}
+	team, known := s.config.TeamOf(key)
+	if !known && !q.Open {
+		s.reply(Reply{Call: call, Answer: NoKey, Detail: "unknown key"})
+		return nil, "", false
+	}
+	return q, team, true
+}
+
+func (s *State) reply(r Reply) { s.emit(r) }
+
+func (s *State) submit(e Submit) {
+	q, team, ok := s.admit(e.Call, e.Host, e.Path, e.Key)
+	if !ok {
+		return
+	}
+	if why := checkSpec(&e.Spec); why != "" {
+		s.reply(Reply{Call: e.Call, Answer: Malformed, Detail: why})
+		return
+	}
+	if known := s.ledger.Jobs[e.ID]; known != nil && known.Acceptance != nil {
+		s.reply(Reply{Call: e.Call, Answer: Accepted})
+		return
+	}
+	if s.stream.failedSince != 0 || !s.stream.loaded || len(s.next.calls) > mostWaiting {
+		s.refuse(e.Call, e.ID, "the job stream is not available")
+		return
+	}
+	record, err := encodeAcceptance(e.ID, &Acceptance{Queue: q.Name, Pool: q.Pool, Team: team, At: s.wall, Spec: e.Spec})
+	if err != nil {
+		s.reply(Reply{Call: e.Call, Answer: Malformed, Detail: err.Error()})
+		return
+	}
+	s.addToBatch(record, waitingCall{e.Call, e.ID, NoteAccepted})
+}
+
+func (s *State) refuse(call CallID, id ID, why string) {
+	s.note(NoteRefused, "job", id, "why", why, "config", s.configVersion())
+	s.reply(Reply{Call: call, Answer: Refused, RetryAfter: refusedRetry, Detail: why})
+}
+
+func (s *State) configVersion() uint64 {
+	if s.config == nil {
+		return 0
+	}
+	return s.config.Version
+}
+
+// addToBatch appends a record at once, or with the next batch while one is
+// under way.
+func (s *State) addToBatch(r Record, c waitingCall) {
+	if s.next.keys == nil {
+		s.next.keys = map[string]bool{}
+	}
+	if !s.next.keys[r.Key] {
+		s.next.keys[r.Key] = true
+		s.next.records = append(s.next.records, r)
+	}
+	s.next.calls = append(s.next.calls, c)
+	s.flushBatch()
+}
+
+func (s *State) flushBatch() {
+	if len(s.appends) > 0 || len(s.next.records) == 0 {
+		return
+	}
+	batch := s.next
+	s.next = acceptBatch{}
+	id := s.nextAppend()
+	s.appends[id] = &batch
+	s.emit(Append{ID: id, Records: batch.records, At: -1})
+}
+
+func (s *State) appended(e Appended) {
+	switch {
+	case e.ID == s.claim.appendID:
+		s.claimAppended(e)
+	case s.appends[e.ID] != nil:
+		batch := s.appends[e.ID]
+		delete(s.appends, e.ID)
+		s.batchAppended(batch, e)
+		s.flushBatch()
+	case s.owner != nil:
+		s.owner.appended(e)
+	}
+}
+
+func (s *State) batchAppended(batch *acceptBatch, e Appended) {
+	if e.Outcome == OK {
+		s.foldOwn(batch, e)
+		for _, c := range batch.calls {
+			s.note(c.note, "job", c.id, "offset", e.Offset)
+			s.reply(Reply{Call: c.call, Answer: Accepted})
+		}
+		return
+	}
+	for _, c := range batch.calls {
+		if e.Outcome == Unknown {
+			s.note(NoteRefused, "job", c.id, "why", "the append had no answer", "outcome", e.Outcome.String())
+			s.reply(Reply{Call: c.call, Answer: Unclear, Detail: "the job stream gave no answer"})
+			continue
+		}
+		s.refuse(c.call, c.id, "the job stream refused the append")
+	}
+	if e.Outcome == Unknown {
+		// What was not sent yet is refused truthfully instead of waiting.
+		for _, c := range s.next.calls {
+			s.refuse(c.call, c.id, "the job stream is not available")
+		}
+		s.next = acceptBatch{}
+	}
+}
+
+// foldOwn folds this node's own records ahead of reading them, so that its
+// callers see what they were told.
+func (s *State) foldOwn(batch *acceptBatch, e Appended) {
+	for i, r := range batch.records {
+		r.Offset = e.Offset + int64(i)
+		entry, err := s.ledger.fold(s.now, r)
+		if err != nil {
+			s.note(NoteRecordBad, "offset", r.Offset, "key", r.Key, "error", err.Error())
+			continue
+		}
+		if s.owner != nil {
+			s.owner.jobChanged(entry)
+		}
+	}
+}
+
+func (s *State) query(e Query) {
+	if _, _, ok := s.admit(e.Call, e.Host, e.Path, e.Key); !ok {
+		return
+	}
+	entry := s.ledger.Jobs[e.ID]
+	if entry != nil && entry.Acceptance != nil && (entry.Visible().Ended() || s.Owning()) {
+		s.reply(Reply{Call: e.Call, Answer: Accepted, State: entry.Visible()})
+		return
+	}
+	s.waitForRead(waitingQuery{e.Call, e.ID, s.now, false})
+}
+
+func (s *State) cancel(e Cancel) {
+	if _, _, ok := s.admit(e.Call, e.Host, e.Path, e.Key); !ok {
+		return
+	}
+	if entry := s.ledger.Jobs[e.ID]; entry != nil && entry.Acceptance != nil {
+		s.cancelEntry(e.Call, entry)
+		return
+	}
+	s.waitForRead(waitingQuery{e.Call, e.ID, s.now, true})
+}
+
+func (s *State) cancelEntry(call CallID, entry *Entry) {
+	if entry.Cancelled || entry.Phase.Ended() {
+		s.reply(Reply{Call: call, Answer: Accepted})
+		return
+	}
+	s.addToBatch(Record{Key: cancelledPrefix + string(entry.ID), Value: []byte{'1'}},
+		waitingCall{call, entry.ID, NoteCancelled})
+}
+
+func (s *State) waitForRead(q waitingQuery) {
+	if s.stream.failedSince != 0 || !s.stream.loaded || len(s.queries) > mostWaiting {
+		s.answerStale(q)
+		return
+	}
+	s.queries = append(s.queries, q)
+	s.readSoon()
+}
+
+// answerQueries answers what came before a read was sent.
+func (s *State) answerQueries(sentAt vocab.Instant) {
+	kept := s.queries[:0]
+	for _, q := range s.queries {
+		if q.cameAt > sentAt {
+			kept = append(kept, q)
+			continue
+		}
+		s.answerQuery(q)
+	}
+	s.queries = kept
+	if len(kept) > 0 {
+		s.stream.dueAt = s.now
+	}
+}
+
+func (s *State) answerQuery(q waitingQuery) {
+	entry := s.ledger.Jobs[q.id]
+	switch {
+	case entry == nil || entry.Acceptance == nil:
+		s.reply(Reply{Call: q.call, Answer: NoJob})
+	case q.cancel:
+		s.cancelEntry(q.call, entry)
+	default:
+		s.reply(Reply{Call: q.call, Answer: Accepted, State: entry.Visible()})
+	}
+}
+
+// answerStale answers while the stream cannot be read: a known job by what is
+// known of it, any other not at all.
+func (s *State) answerStale(q waitingQuery) {
+	entry := s.ledger.Jobs[q.id]
+	if entry != nil && entry.Acceptance != nil {
+		s.answerQuery(q)
+		return
+	}
+	s.reply(Reply{Call: q.call, Answer: Refused, RetryAfter: refusedRetry, Detail: "the job stream is not available"})
+}
+
+func (s *State) failQueries() {
+	waiting := s.queries
+	s.queries = nil
+	for _, q := range waiting {
+		s.answerStale(q)
+	}
+}
+
+func (s *State) backlog(e Backlog) {
+	q, _, ok := s.admit(e.Call, e.Host, e.Path, e.Key)
+	if !ok {
+		return
+	}
+	pending := 0
+	for _, entry := range s.ledger.Jobs {
+		if entry.Acceptance != nil && entry.Acceptance.Queue == q.Name && entry.Visible() == PhaseQueued {
+			pending++
+		}
+	}
+	s.reply(Reply{Call: e.Call, Answer: Accepted, Pending: pending})
+}
+
+// checkSpec returns why a job cannot be taken, or nothing.
+func checkSpec(spec *Spec) string {
+	if len(spec.Steps) == 0 || len(spec.Steps) > maxSteps {
+		return "a job has 1 to 500 steps"
+	}
+	tasks := 0
+	for i := range spec.Steps {
+		step := &spec.Steps[i]
+		tasks += step.Count
+		if step.Count < 1 || tasks > maxTasks {
+			return "a job has 1 to 10000 tasks, and each step at least one"
+		}
+		if step.Need.CPU < 0 || step.Need.Memory < 0 || step.Need.GPU < 0 {
+			return "needs must not be negative"
+		}
+		for _, before := range step.After {
+			if before < 0 || before >= i {
+				return "a step may depend on earlier steps only"
+			}
+		}
+	}
+	if spec.Occurrences < 0 || spec.Occurrences > maxTasks {
+		return "a job repeats 0 to 10000 times"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/core/job/claim.go
@@ -0,0 +1,103 @@
+package job
+
+import (
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// claim is a node's view of who owns the workers, and its own attempt to.
+type claim struct {
+	// quietSince is when the last sign of an owner was read.
+	quietSince vocab.Instant
+	// appendID is the claim under way, or 0.
+	appendID uint64
+	// doubtSince is set while the outcome of a claim is unknown.
+	doubtSince vocab.Instant
+}
+
+// claimWait is how long this node waits for the owner before it claims.
+func (s *State) claimWait() time.Duration {
+	wait := ownerSilence
+	if s.ledger.ownerFence == 0 || s.ledger.owner.Resigned {
+		wait = 0
+	}
+	// A node with the whole of a core claims first.
+	weak := time.Duration(float64(claimSpread) * max(0, 1-s.self.Strength))
+	return wait + weak/2 + s.spread(claimSpread/2)
+}
+
+// claimIfSilent claims ownership if the stream shows no owner. The claim is
+// bound to the end of the stream, so of several only one takes effect.
+func (s *State) claimIfSilent() {
+	if s.owner != nil || s.stopping || s.claim.appendID != 0 || !s.caughtUp() || s.config == nil {
+		return
+	}
+	if s.now.Sub(s.claim.quietSince) < s.claimWait() {
+		return
+	}
+	record, err := encodeOwner(ownerRecord{Node: s.self.Node, Incarnation: s.self.Incarnation})
+	if err != nil {
+		s.note(NoteRecordBad, "key", ownerKey, "error", err.Error())
+		return
+	}
+	s.claim.appendID = s.nextAppend()
+	s.note(NoteClaimed, "offset", s.stream.next, "owner", s.ledger.owner.Node,
+		"fence", s.ledger.ownerFence, "quiet_ms", s.now.Sub(s.claim.quietSince).Milliseconds())
+	s.emit(Append{ID: s.claim.appendID, Records: []Record{record}, At: s.stream.next})
+}
+
+// caughtUp reports whether the last read is recent.
+func (s *State) caughtUp() bool {
+	return s.stream.loaded && s.stream.failedSince == 0 && s.stream.readAt != 0 &&
+		s.now.Sub(s.stream.readAt) < staleAfter
+}
+
+// claimAppended takes the answer to a claim. A claim whose answer was lost
+// shows in the stream if it took effect.
+func (s *State) claimAppended(e Appended) {
+	s.claim.appendID = 0
+	if e.Outcome == OK {
+		s.becomeOwner(Fence(e.Offset + 1))
+		return
+	}
+	if s.ledger.owner.Incarnation == s.self.Incarnation && !s.ledger.owner.Resigned && s.owner == nil {
+		// The claim was read back before its answer was given up.
+		s.becomeOwner(s.ledger.ownerFence)
+		return
+	}
+	s.readSoon()
+}
+
+// ownerChanged follows an owner record that was folded.
+func (s *State) ownerChanged(before Fence) {
+	mine := s.ledger.owner.Incarnation == s.self.Incarnation
+	if s.owner != nil && s.ledger.ownerFence > s.owner.fence {
+		s.loseOwnership("another node claimed")
+	}
+	if mine && s.owner == nil && s.ledger.ownerFence > before && s.claim.appendID == 0 && !s.ledger.owner.Resigned {
+		s.becomeOwner(s.ledger.ownerFence)
+	}
+}
+
+func (s *State) becomeOwner(fence Fence) {
+	if s.owner != nil && s.owner.fence >= fence || s.stopping {
+		return
+	}
+	s.ledger.owner = ownerRecord{Node: s.self.Node, Incarnation: s.self.Incarnation}
+	s.ledger.ownerFence = max(s.ledger.ownerFence, fence)
+	s.owner = newOwner(s, fence)
+	s.owner.begin()
+}
+
+func (s *State) loseOwnership(why string) {
+	if s.owner == nil {
+		return
+	}
+	s.note(NoteOwnershipLost, "fence", s.owner.fence, "why", why)
+	s.owner = nil
+	s.claim.quietSince = s.now
+	s.emit(FollowWorkers{On: false})
+	// What this node decided last may not be on the stream: load it anew.
+	s.stream.loaded = false
+}
--- /dev/null
+++ b/internal/core/job/owner.go
@@ -0,0 +1,423 @@
+package job
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/core/event"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// ownerStage is how far a new owner has come.
+type ownerStage int
+
+const (
+	// stageFencing: the stream is told of the new fence, so that no append of
+	// an earlier owner can follow.
+	stageFencing ownerStage = iota
+	// stageReading: what was written up to the fence is read.
+	stageReading
+	// stageActive: the owner decides.
+	stageActive
+)
+
+// owner is the state of the node that gives orders to the workers. All of it
+// that must outlast the node is on the job stream before an order leaves.
+type owner struct {
+	s     *State
+	fence Fence
+	stage ownerStage
+	// readTo is the offset that must be read before the owner acts.
+	readTo int64
+	seq    uint64
+	// sent is the append under way.
+	sent *ownAppend
+	// dirty lists the jobs whose state is not on the stream.
+	dirty []*work
+	extra []Record
+	// after is what is to be done once the next append is on the stream.
+	after []func()
+	// ordersUntil ends the right to start runs, leasesUntil that to extend
+	// leases. Both move on with each append that was carried out.
+	ordersUntil, leasesUntil vocab.Instant
+	// leaseBound is when a lease granted by an earlier owner has passed.
+	leaseBound vocab.Instant
+	activeAt   vocab.Instant
+
+	works   map[ID]*work
+	order   []*work // in order of arrival
+	workers map[WorkerID]*worker
+	ids     []WorkerID // keys of workers, sorted
+	listed  bool
+	usage   map[vocab.TeamID]Resources
+	planDue bool
+	planned vocab.Instant
+	ended   []*Entry
+}
+
+// ownAppend is an append of the owner. It is repeated under the same number
+// until its outcome is known.
+type ownAppend struct {
+	id      uint64
+	records []Record
+	after   []func()
+	retryAt vocab.Instant
+}
+
+func newOwner(s *State, fence Fence) *owner {
+	return &owner{
+		s: s, fence: fence,
+		works: map[ID]*work{}, workers: map[WorkerID]*worker{}, usage: map[vocab.TeamID]Resources{},
+	}
+}
+
+// begin fences the stream against earlier owners.
+func (o *owner) begin() {
+	o.leaseBound = o.s.claim.quietSince.Add(ownerLeaseHold + o.s.leaseSpan())
+	o.send(nil)
+}
+
+// leaseSpan is how long after the last order a lease may last, by this node's
+// clock.
+func (s *State) leaseSpan() time.Duration {
+	return time.Duration(float64(s.set.LeaseMost)*clockDrift) + leaseGuard
+}
+
+// send appends records under the owner's fence.
+func (o *owner) send(records []Record) {
+	o.sent = &ownAppend{id: o.s.nextAppend(), records: records, after: o.after}
+	o.after = nil
+	o.emitAppend()
+}
+
+func (o *owner) emitAppend() {
+	o.sent.retryAt = 0
+	o.s.emit(Append{ID: o.sent.id, Records: o.sent.records, At: -1, Fence: o.fence, Seq: o.seq})
+}
+
+// appended takes the answer to the owner's append.
+func (o *owner) appended(e Appended) {
+	if o.sent == nil || e.ID != o.sent.id {
+		return
+	}
+	switch e.Outcome {
+	case OK:
+		o.appendDone(e)
+	case Fenced:
+		o.s.loseOwnership("the stream has seen a later owner")
+	default:
+		o.sent.retryAt = o.s.now.Add(retryPause)
+	}
+}
+
+func (o *owner) appendDone(e Appended) {
+	sent := o.sent
+	o.sent = nil
+	o.seq++
+	o.ordersUntil = max(o.ordersUntil, e.SentAt.Add(ownerHold))
+	o.leasesUntil = max(o.leasesUntil, e.SentAt.Add(ownerLeaseHold))
+	if o.stage == stageFencing {
+		o.stage, o.readTo = stageReading, e.End
+		o.s.readSoon()
+		o.takeOverIfRead()
+		return
+	}
+	for _, do := range sent.after {
+		do()
+	}
+}
+
+// streamRead goes on once everything before the fence was read.
+func (o *owner) streamRead(StreamRead) { o.takeOverIfRead() }
+
+func (o *owner) takeOverIfRead() {
+	if o.stage != stageReading || o.s.stream.next < o.readTo {
+		return
+	}
+	o.stage, o.activeAt = stageActive, o.s.now
+	entries := make([]*Entry, 0, len(o.s.ledger.Jobs))
+	for _, e := range o.s.ledger.Jobs {
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, func(a, b *Entry) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	for _, e := range entries {
+		if e.Phase.Ended() {
+			o.ended = append(o.ended, e)
+			continue
+		}
+		o.jobChanged(e)
+	}
+	o.s.note(NoteOwning, "fence", o.fence, "jobs", len(o.works), "offset", o.s.stream.next)
+	o.s.emit(FollowWorkers{On: true})
+	o.planDue = true
+}
+
+// wrote reports whether a record that was read is the owner's own.
+func (o *owner) wrote(r Record) bool {
+	return o.stage == stageActive && strings.HasPrefix(r.Key, progressPrefix)
+}
+
+// jobChanged takes a job that was accepted or cancelled.
+func (o *owner) jobChanged(e *Entry) {
+	if o.stage != stageActive || e == nil || e.Acceptance == nil || e.Phase.Ended() {
+		return
+	}
+	w := o.works[e.ID]
+	if w == nil {
+		w = o.addWork(e)
+		if w == nil {
+			return
+		}
+	}
+	if e.Cancelled && w.ended == 0 {
+		o.endJob(w, PhaseCancelled)
+	}
+}
+
+// addWork takes up a job as its records describe it.
+func (o *owner) addWork(e *Entry) *work {
+	w, rows, err := newWork(o.s.now, e)
+	if err != nil {
+		o.s.note(NoteRecordBad, "job", e.ID, "error", err.Error())
+		return nil
+	}
+	e.rows = nil
+	o.works[e.ID] = w
+	o.order = append(o.order, w)
+	w.extend(o.s.wall)
+	for _, row := range rows {
+		o.restore(w, row)
+	}
+	o.planDue = true
+	return w
+}
+
+// restore takes one task's state from its record.
+func (o *owner) restore(w *work, row taskRow) {
+	if row.Occurrence >= w.total() || row.Step >= len(w.accepted.Spec.Steps) {
+		return
+	}
+	occ := w.occurrence(row.Occurrence)
+	st := occ.steps[row.Step]
+	if row.Index >= len(st.tasks) {
+		return
+	}
+	t := st.tasks[row.Index]
+	t.lastRun, t.failed, t.checkpoint = row.Run, row.Failed, row.Checkpoint
+	switch {
+	case row.Done:
+		t.done = true
+		st.done++
+		if st.done == len(st.tasks) {
+			occ.left--
+		}
+	case row.Worker != "":
+		host := o.worker(row.Worker)
+		o.bind(t, host, row.Born)
+		t.stage = unclear
+	}
+}
+
+// worker returns the worker of an ID, known or not.
+func (o *owner) worker(id WorkerID) *worker {
+	w := o.workers[id]
+	if w == nil {
+		w = &worker{info: WorkerInfo{ID: id}, leaseUntil: o.leaseBound}
+		o.workers[id] = w
+		at, _ := slices.BinarySearch(o.ids, id)
+		o.ids = slices.Insert(o.ids, at, id)
+	}
+	return w
+}
+
+func (o *owner) handle(ev event.Event) {
+	if o.stage != stageActive {
+		return
+	}
+	switch e := ev.(type) {
+	case WorkersListed:
+		o.workersListed(e)
+	case Looked:
+		o.looked(e)
+	case StartAnswered:
+		o.startAnswered(e)
+	case StopAnswered:
+		o.stopAnswered(e)
+	default:
+		o.handleFleet(ev)
+	}
+}
+
+func (o *owner) tick() {
+	if o.sent != nil && o.sent.retryAt != 0 && o.s.now >= o.sent.retryAt {
+		o.emitAppend()
+	}
+	if o.stage != stageActive {
+		return
+	}
+	for _, w := range o.order {
+		if w.due < w.total() && w.ended == 0 && w.extend(o.s.wall) {
+			o.planDue = true
+		}
+	}
+	o.checkWorkers()
+	o.tickFleet()
+	if o.s.now.Sub(o.planned) > planEvery {
+		o.planDue = true
+	}
+}
+
+// settle ends a step: it plans if something changed, writes what changed and
+// renews the ownership.
+func (o *owner) settle() {
+	if o.s.owner != o || o.stage != stageActive {
+		return
+	}
+	if o.planDue && o.sent == nil && o.listed && o.mayOrder() {
+		o.planDue, o.planned = false, o.s.now
+		o.plan()
+	}
+	if o.sent != nil {
+		return
+	}
+	if len(o.dirty) > 0 || len(o.extra) > 0 || len(o.after) > 0 {
+		o.flush()
+		return
+	}
+	if o.s.now.Add(ownerHold-ownerRenew) > o.ordersUntil {
+		o.renew()
+	}
+}
+
+// mayOrder reports whether the node may start runs.
+func (o *owner) mayOrder() bool { return o.s.now < o.ordersUntil && !o.s.stopping }
+
+func (o *owner) renew() {
+	record, err := encodeOwner(ownerRecord{Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence})
+	if err != nil {
+		o.s.note(NoteRecordBad, "key", ownerKey, "error", err.Error())
+		return
+	}
+	o.send([]Record{record})
+}
+
+// touch marks a job as changed.
+func (o *owner) touch(w *work) {
+	if !w.dirty {
+		w.dirty = true
+		o.dirty = append(o.dirty, w)
+	}
+}
+
+// flush writes the changed jobs in one append.
+func (o *owner) flush() {
+	records := o.extra
+	o.extra = nil
+	var ended []*work
+	for _, w := range o.dirty {
+		w.dirty = false
+		if w.written {
+			continue
+		}
+		record, err := encodeProgress(w.entry.ID, w.phase(), w.rows())
+		if err != nil {
+			o.s.note(NoteRecordBad, "job", w.entry.ID, "error", err.Error())
+			continue
+		}
+		records = append(records, record)
+		if w.ended != 0 {
+			w.written = true
+			ended = append(ended, w)
+		} else if phase := w.phase(); phase != w.entry.Phase {
+			o.after = append(o.after, func() { w.entry.Phase = phase })
+		}
+	}
+	o.dirty = o.dirty[:0]
+	if len(ended) > 0 {
+		o.after = append(o.after, func() { o.endsWritten(ended) })
+	}
+	if len(records) == 0 {
+		record, err := encodeOwner(ownerRecord{Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence})
+		if err == nil {
+			records = append(records, record)
+		}
+	}
+	o.send(records)
+}
+
+// endsWritten shows callers the ends that are on the stream.
+func (o *owner) endsWritten(ended []*work) {
+	for _, w := range ended {
+		w.entry.Phase, w.entry.endedAt = w.ended, o.s.now
+		o.ended = append(o.ended, w.entry)
+		o.s.note(NoteJobEnded, "job", w.entry.ID, "state", string(w.ended),
+			"ms", int64(o.s.wall-w.accepted.At))
+		o.dropIfIdle(w)
+	}
+}
+
+// dropIfIdle forgets a job whose end is written and of which nothing runs.
+func (o *owner) dropIfIdle(w *work) {
+	if w.running > 0 || !w.written || !w.entry.Phase.Ended() {
+		return
+	}
+	delete(o.works, w.entry.ID)
+	if i := slices.Index(o.order, w); i >= 0 {
+		o.order = slices.Delete(o.order, i, i+1)
+	}
+}
+
+// endJob ends a job and stops what runs of it.
+func (o *owner) endJob(w *work, phase Phase) {
+	if w.ended != 0 {
+		return
+	}
+	w.ended = phase
+	o.stopAll(w)
+	if phase != PhaseCancelled || w.running == 0 {
+		o.touch(w)
+	}
+}
+
+// stopAll stops every run of a job.
+func (o *owner) stopAll(w *work) {
+	for _, occ := range w.occurrences {
+		for _, st := range occ.steps {
+			for _, t := range st.tasks {
+				if t.worker != nil {
+					o.stopTask(t)
+				}
+			}
+		}
+	}
+}
+
+// forgetEnded drops jobs from the stream that were shown long enough.
+func (o *owner) forgetEnded() {
+	for len(o.ended) > 0 && o.s.now.Sub(o.ended[0].endedAt) > o.s.set.KeepEnded {
+		e := o.ended[0]
+		o.ended = o.ended[1:]
+		for _, prefix := range []string{acceptedPrefix, progressPrefix, cancelledPrefix} {
+			o.extra = append(o.extra, Record{Key: prefix + string(e.ID)})
+		}
+		delete(o.s.ledger.Jobs, e.ID)
+	}
+}
+
+// stop hands the ownership over at a planned stop.
+func (s *State) stop() {
+	s.stopping = true
+	if s.owner == nil {
+		return
+	}
+	record, err := encodeOwner(ownerRecord{
+		Node: s.self.Node, Incarnation: s.self.Incarnation, Fence: s.owner.fence, Resigned: true,
+	})
+	if err != nil {
+		s.note(NoteRecordBad, "key", ownerKey, "error", err.Error())
+		return
+	}
+	s.note(NoteResigned, "fence", s.owner.fence)
+	s.owner.extra = append(s.owner.extra, record)
+}
--- /dev/null
+++ b/internal/core/job/plan.go
@@ -0,0 +1,274 @@
+package job
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// plan places waiting tasks on workers. It answers demand that comes in turns:
+// while a pool holds less than is asked of it, jobs that earn most for the work
+// that is left go first, and tasks are packed so that large ones find room.
+func (o *owner) plan() {
+	pools := map[vocab.PoolID][]*worker{}
+	for _, id := range o.ids {
+		w := o.workers[id]
+		if w.usable(o.s.now) {
+			pools[w.info.Pool] = append(pools[w.info.Pool], w)
+		}
+	}
+	for _, c := range o.candidates() {
+		o.placeJob(c.work, pools[c.pool])
+	}
+}
+
+// candidate is a job with tasks that wait.
+type candidate struct {
+	work  *work
+	pool  vocab.PoolID
+	class int
+	score float64
+}
+
+// candidates lists the jobs with waiting tasks in the order of service.
+func (o *owner) candidates() []candidate {
+	var list []candidate
+	for _, w := range o.order {
+		if w.ended != 0 || !w.anyWaiting() {
+			continue
+		}
+		list = append(list, o.rate(w))
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		if c := cmp.Compare(a.class, b.class); c != 0 {
+			return c
+		}
+		return cmp.Compare(b.score, a.score)
+	})
+	return list
+}
+
+func (w *work) anyWaiting() bool {
+	for _, occ := range w.occurrences {
+		for _, st := range occ.steps {
+			if st.waiting() > 0 && st.ready() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Order of service, lowest first.
+const (
+	classLasting = iota
+	classInTime
+	classLate
+	classOverdue
+)
+
+// rate gives a job its place in the order of service.
+func (o *owner) rate(w *work) candidate {
+	c := candidate{work: w, pool: w.accepted.Pool}
+	var q *Queue
+	if o.s.config != nil {
+		q = o.s.config.queues[w.accepted.Queue]
+	}
+	if q != nil {
+		c.pool = q.Pool
+	}
+	total, left, chain, lasting := w.amounts()
+	if lasting {
+		c.class = classLasting
+		c.score = -float64(w.accepted.At)
+		return c
+	}
+	c.class = classInTime
+	if q != nil {
+		age := time.Duration(o.s.wall-w.accepted.At) * time.Millisecond
+		objective := time.Duration(q.Stretch*float64(w.chain())) + q.Latency
+		switch {
+		case age+chain > lateFactor*objective:
+			c.class = classOverdue
+		case age+chain > objective:
+			c.class = classLate
+		}
+	}
+	// A fixed part and one by work is earned for a whole job.
+	c.score = (fixedPart*meanWork + (1-fixedPart)*total) / max(left, 0.05)
+	return c
+}
+
+const (
+	// lateFactor times the objective is when a job earns nothing more.
+	lateFactor = 3
+	// fixedPart is the part of a job's value that does not grow with its work.
+	fixedPart = 0.3
+	// meanWork stands for the work of an ordinary job, in core-seconds.
+	meanWork = 12.0
+)
+
+// amounts returns the work of the job and what is left of it, in core-seconds,
+// and the longest chain that is left.
+func (w *work) amounts() (total, left float64, chain time.Duration, lasting bool) {
+	for _, occ := range w.occurrences {
+		for _, st := range occ.steps {
+			if st.spec.LongRunning {
+				lasting = true
+			}
+			one := float64(max(st.spec.Need.CPU, 1)) / 1000 * float64(max(st.spec.EstimateMS, 1)) / 1000
+			total += one * float64(len(st.tasks))
+			left += one * float64(len(st.tasks)-st.done)
+			if st.done < len(st.tasks) {
+				chain += time.Duration(st.spec.EstimateMS) * time.Millisecond
+			}
+		}
+	}
+	return total, left, chain, lasting
+}
+
+// chain is the longest chain of work of one occurrence.
+func (w *work) chain() time.Duration {
+	longest := make([]time.Duration, len(w.accepted.Spec.Steps))
+	var most time.Duration
+	for i := range w.accepted.Spec.Steps {
+		st := &w.accepted.Spec.Steps[i]
+		for _, before := range st.After {
+			longest[i] = max(longest[i], longest[before])
+		}
+		longest[i] += time.Duration(st.EstimateMS) * time.Millisecond
+		most = max(most, longest[i])
+	}
+	return most
+}
+
+// placeJob places as many of a job's waiting tasks as find room.
+func (o *owner) placeJob(w *work, workers []*worker) {
+	for _, occ := range w.occurrences {
+		for _, st := range occ.steps {
+			if st.waiting() <= 0 || !st.ready() {
+				continue
+			}
+			if st.spec.Gang {
+				o.placeGang(st, workers)
+				continue
+			}
+			for _, t := range st.tasks {
+				if t.done || t.worker != nil {
+					continue
+				}
+				best := o.choose(t, workers)
+				if best == nil {
+					break
+				}
+				o.assign(t, best)
+			}
+		}
+	}
+}
+
+// choose filters and scores the workers for a task: of those with room the one
+// that is left with the least.
+func (o *owner) choose(t *task, workers []*worker) *worker {
+	st := t.step
+	if !o.withinLimit(st) {
+		return nil
+	}
+	need := st.spec.Reserved()
+	var best *worker
+	var bestScore float64
+	for _, w := range workers {
+		if !w.free().Holds(need) || !o.suits(t, w) {
+			continue
+		}
+		score := placementScore(st.spec, w)
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// withinLimit reports whether the team may have one task more running.
+func (o *owner) withinLimit(st *step) bool {
+	if o.s.config == nil {
+		return false
+	}
+	team := o.s.config.teams[st.work.accepted.Team]
+	if team == nil {
+		return true
+	}
+	use := o.usage[team.Name].Plus(st.spec.Need)
+	limit := team.Limit
+	return (limit.CPU == 0 || use.CPU <= limit.CPU) && (limit.Memory == 0 || use.Memory <= limit.Memory) &&
+		(limit.GPU == 0 || use.GPU <= limit.GPU)
+}
+
+// suits reports whether a worker may run a task, room apart.
+func (o *owner) suits(t *task, w *worker) bool {
+	spec := t.step.spec
+	if spec.Label != "" && !w.info.Has(spec.Label) {
+		return false
+	}
+	if spec.MaxPerWorker > 0 {
+		same := 0
+		for _, other := range w.tasks {
+			if other.step == t.step {
+				same++
+			}
+		}
+		if same >= spec.MaxPerWorker {
+			return false
+		}
+	}
+	return true
+}
+
+// wrongRack is added to the score of a worker far from the data.
+const wrongRack = 1e6
+
+func placementScore(spec *Step, w *worker) float64 {
+	free := w.free().Minus(spec.Reserved())
+	score := float64(free.CPU) / float64(max(w.info.Room.CPU, 1))
+	score += float64(free.Memory) / float64(max(w.info.Room.Memory, 1)) / 4
+	if spec.DataRack != "" && !w.info.Has(spec.DataRack) {
+		score += wrongRack
+	}
+	return score
+}
+
+// placeGang places all tasks of a gang at once, or none. All members carry one
+// run number and one checkpoint.
+func (o *owner) placeGang(st *step, workers []*worker) {
+	if st.assigned > 0 || st.done > 0 {
+		return
+	}
+	var run Run
+	checkpoint := ""
+	for _, t := range st.tasks {
+		run = max(run, t.lastRun)
+		if t.checkpoint != "" {
+			checkpoint = t.checkpoint
+		}
+	}
+	for _, t := range st.tasks {
+		t.lastRun, t.checkpoint = run, checkpoint
+		best := o.choose(t, workers)
+		if best == nil {
+			o.releaseAll(st)
+			return
+		}
+		o.assign(t, best)
+	}
+}
+
+func (o *owner) releaseAll(st *step) {
+	for _, t := range st.tasks {
+		if t.worker != nil && t.stage == planned {
+			o.release(t)
+		}
+	}
+	o.planDue = false
+}
--- /dev/null
+++ b/internal/core/job/record.go
@@ -0,0 +1,206 @@
+package job
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// ErrBadRecord is returned for a record of the stream that cannot be read.
+var ErrBadRecord = errors.New("record of the job stream cannot be read")
+
+// Record is one record of the job stream. The stream keeps the newest record
+// of each key for good; an empty value drops the key.
+type Record struct {
+	Offset int64
+	Key    string
+	Value  []byte
+}
+
+const (
+	acceptedPrefix  = "a/"
+	progressPrefix  = "p/"
+	cancelledPrefix = "c/"
+	ownerKey        = "owner"
+)
+
+// Phase is the state of a job as callers see it.
+type Phase byte
+
+const (
+	// PhaseQueued means that no task has started.
+	PhaseQueued Phase = 'q'
+	// PhaseRunning means that a task has started.
+	PhaseRunning Phase = 'r'
+	// PhaseCompleted means that all tasks are done.
+	PhaseCompleted Phase = 'd'
+	// PhaseFailed means that a task failed too often.
+	PhaseFailed Phase = 'f'
+	// PhaseCancelled means that the job was cancelled and nothing of it runs.
+	PhaseCancelled Phase = 'x'
+)
+
+// Ended reports whether nothing of the job will run any more.
+func (p Phase) Ended() bool {
+	return p == PhaseCompleted || p == PhaseFailed || p == PhaseCancelled
+}
+
+// Acceptance is the record of an accepted job.
+type Acceptance struct {
+	Queue vocab.QueueID `json:"q"`
+	Pool  vocab.PoolID  `json:"pool"`
+	Team  vocab.TeamID  `json:"t,omitempty"`
+	At    Millis        `json:"at"`
+	Spec  Spec          `json:"spec"`
+}
+
+// taskRow is the durable state of a task that is no longer untouched.
+type taskRow struct {
+	Occurrence int      `json:"k,omitempty"`
+	Step       int      `json:"s,omitempty"`
+	Index      int      `json:"i,omitempty"`
+	Done       bool     `json:"d,omitempty"`
+	Run        Run      `json:"r,omitempty"`
+	Failed     int      `json:"f,omitempty"`
+	Worker     WorkerID `json:"w,omitempty"`
+	Born       Millis   `json:"b,omitempty"`
+	Checkpoint string   `json:"c,omitempty"`
+}
+
+// ownerRecord is a claim, a renewal or a resignation.
+type ownerRecord struct {
+	Node        vocab.NodeID      `json:"node"`
+	Incarnation vocab.Incarnation `json:"inc"`
+	// Fence is 0 in a claim: the claim's own offset gives it.
+	Fence    Fence `json:"fence,omitempty"`
+	Resigned bool  `json:"resigned,omitempty"`
+}
+
+// Entry is what every node keeps of a job.
+type Entry struct {
+	ID         ID
+	Acceptance *Acceptance
+	Cancelled  bool
+	Phase      Phase
+	// rows is the encoded progress; only an owner decodes it.
+	rows []byte
+	// endedAt is when the end was folded, on this node's clock.
+	endedAt vocab.Instant
+}
+
+// Visible returns the state that callers are shown.
+func (e *Entry) Visible() Phase {
+	if e.Cancelled && e.Phase != PhaseCompleted && e.Phase != PhaseFailed {
+		return PhaseCancelled
+	}
+	return e.Phase
+}
+
+func encodeAcceptance(id ID, a *Acceptance) (Record, error) {
+	value, err := json.Marshal(a)
+	return Record{Key: acceptedPrefix + string(id), Value: value}, errors.Wrap(err, "encoding an acceptance")
+}
+
+func encodeProgress(id ID, phase Phase, rows []taskRow) (Record, error) {
+	if phase.Ended() {
+		return Record{Key: progressPrefix + string(id), Value: []byte{byte(phase)}}, nil
+	}
+	encoded, err := json.Marshal(rows)
+	return Record{
+		Key:   progressPrefix + string(id),
+		Value: append([]byte{byte(phase)}, encoded...),
+	}, errors.Wrap(err, "encoding progress")
+}
+
+func encodeOwner(o ownerRecord) (Record, error) {
+	value, err := json.Marshal(o)
+	return Record{Key: ownerKey, Value: value}, errors.Wrap(err, "encoding an owner record")
+}
+
+func decodeRows(raw []byte) ([]taskRow, error) {
+	if len(raw) == 0 {
+		return nil, nil
+	}
+	var rows []taskRow
+	if err := json.Unmarshal(raw, &rows); err != nil {
+		return nil, errors.Mark(err, ErrBadRecord)
+	}
+	return rows, nil
+}
+
+// Ledger is the fold of the job stream.
+type Ledger struct {
+	Jobs map[ID]*Entry
+	// owner is the newest owner record, ownerFence its fence.
+	owner      ownerRecord
+	ownerFence Fence
+}
+
+func newLedger() *Ledger {
+	return &Ledger{Jobs: map[ID]*Entry{}}
+}
+
+func (l *Ledger) entry(id ID) *Entry {
+	e := l.Jobs[id]
+	if e == nil {
+		e = &Entry{ID: id, Phase: PhaseQueued}
+		l.Jobs[id] = e
+	}
+	return e
+}
+
+// fold applies one record. It returns the job that changed, if any.
+func (l *Ledger) fold(now vocab.Instant, r Record) (*Entry, error) {
+	if r.Key == ownerKey {
+		return nil, l.foldOwner(r)
+	}
+	prefix, id, found := strings.Cut(r.Key, "/")
+	if !found {
+		return nil, errors.Wrapf(ErrBadRecord, "key %q", r.Key)
+	}
+	if len(r.Value) == 0 {
+		delete(l.Jobs, ID(id))
+		return nil, nil
+	}
+	e := l.entry(ID(id))
+	switch prefix + "/" {
+	case acceptedPrefix:
+		if e.Acceptance != nil {
+			return e, nil
+		}
+		var a Acceptance
+		if err := json.Unmarshal(r.Value, &a); err != nil {
+			return nil, errors.Mark(errors.Wrapf(err, "acceptance of %s", id), ErrBadRecord)
+		}
+		e.Acceptance = &a
+	case progressPrefix:
+		e.Phase = Phase(r.Value[0])
+		e.rows = r.Value[1:]
+		if e.Phase.Ended() {
+			e.endedAt = now
+		}
+	case cancelledPrefix:
+		e.Cancelled = true
+	default:
+		return nil, errors.Wrapf(ErrBadRecord, "key %q", r.Key)
+	}
+	return e, nil
+}
+
+func (l *Ledger) foldOwner(r Record) error {
+	var o ownerRecord
+	if err := json.Unmarshal(r.Value, &o); err != nil {
+		return errors.Mark(errors.Wrap(err, "owner record"), ErrBadRecord)
+	}
+	fence := o.Fence
+	if fence == 0 {
+		fence = Fence(r.Offset + 1)
+	}
+	if fence >= l.ownerFence {
+		l.owner, l.ownerFence = o, fence
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/job/runs.go
@@ -0,0 +1,247 @@
+package job
+
+import "slices"
+
+// bind assigns a task to a worker.
+func (o *owner) bind(t *task, w *worker, born Millis) {
+	t.worker, t.born = w, born
+	t.sentAt, t.answeredAt, t.stopAt, t.barredAt = 0, 0, 0, 0
+	t.percent, t.tailMS, t.pace = 0, 0, 100
+	w.tasks = append(w.tasks, t)
+	w.used = w.used.Plus(t.step.spec.Reserved())
+	t.step.assigned++
+	t.step.work.running++
+	team := t.step.work.accepted.Team
+	o.usage[team] = o.usage[team].Plus(t.step.spec.Need)
+}
+
+// release takes a task from its worker.
+func (o *owner) release(t *task) {
+	w := t.worker
+	t.worker = nil
+	if i := slices.Index(w.tasks, t); i >= 0 {
+		w.tasks = slices.Delete(w.tasks, i, i+1)
+	}
+	w.used = w.used.Minus(t.step.spec.Reserved())
+	t.step.assigned--
+	t.step.work.running--
+	team := t.step.work.accepted.Team
+	o.usage[team] = o.usage[team].Minus(t.step.spec.Need)
+	o.planDue = true
+	o.touchReleased(t.step.work)
+}
+
+// touchReleased writes a job of which a task was released. A cancelled job is
+// written once nothing of it runs.
+func (o *owner) touchReleased(w *work) {
+	if w.ended == 0 || w.running == 0 && !w.written {
+		o.touch(w)
+	}
+	o.dropIfIdle(w)
+}
+
+// assign places a task on a worker. The start follows once the intent is on
+// the stream.
+func (o *owner) assign(t *task, w *worker) {
+	o.bind(t, w, w.info.Born)
+	t.lastRun++
+	t.stage = planned
+	run := t.lastRun
+	o.touch(t.step.work)
+	o.after = append(o.after, func() { o.orderStart(t, run) })
+}
+
+// orderStart orders the start of an intended run, unless it is no longer wanted.
+func (o *owner) orderStart(t *task, run Run) {
+	if t.worker == nil || t.lastRun != run || t.stage != planned {
+		return
+	}
+	w := t.worker
+	if t.step.work.ended != 0 || !o.mayOrder() || w.info.Draining || !w.usable(o.s.now) || t.born != w.info.Born {
+		o.release(t)
+		return
+	}
+	t.stage, t.sentAt = starting, o.s.now
+	w.leaseUntil = max(w.leaseUntil, o.s.now.Add(o.s.leaseSpan()))
+	o.s.emit(Start{
+		Worker: w.info.ID, Address: w.info.Address, Fence: o.fence, Task: t.name(), Run: run,
+		Payload: t.step.work.accepted.Spec.Payload, Checkpoint: t.checkpoint,
+		Lease: w.clockAt(o.s.now) + o.s.set.LeaseMost, Until: o.ordersUntil,
+	})
+}
+
+// assigned returns the task if this run of it is assigned to the worker.
+func (o *owner) assigned(id WorkerID, name TaskName, run Run) *task {
+	w := o.works[name.Job]
+	if w == nil {
+		return nil
+	}
+	t := w.find(name)
+	if t == nil || t.worker == nil || t.worker.info.ID != id || t.lastRun != run {
+		return nil
+	}
+	return t
+}
+
+func (o *owner) startAnswered(e StartAnswered) {
+	t := o.assigned(e.Worker, e.Task, e.Run)
+	if t == nil || t.stage != starting {
+		return
+	}
+	w := t.worker
+	switch e.Outcome {
+	case OK:
+		o.started(t)
+	case Unknown:
+		o.s.note(NoteStartFailed, "task", e.Task, "run", e.Run, "worker", e.Worker, "outcome", e.Outcome.String(), "error", errText(e.Err))
+		t.stage = unclear
+		w.lookSoon(o.s.now)
+	default:
+		o.s.note(NoteStartFailed, "task", e.Task, "run", e.Run, "worker", e.Worker, "outcome", e.Outcome.String(),
+			"refusal", e.Refusal, "error", errText(e.Err))
+		w.avoidUntil = o.s.now.Add(avoidFor)
+		o.release(t)
+	}
+}
+
+func (o *owner) started(t *task) {
+	t.stage, t.answeredAt = running, o.s.now
+	w := t.step.work
+	if !w.begun {
+		w.begun = true
+		o.touch(w)
+	}
+	o.s.note(NoteStarted, "task", t.name(), "run", t.lastRun, "worker", t.worker.info.ID,
+		"wait_ms", o.s.now.Sub(w.seenAt).Milliseconds())
+	if w.ended != 0 {
+		o.stopTask(t)
+	}
+	t.worker.lookSoon(o.s.now)
+}
+
+// stopTask ends a run. One that was not ordered yet is only released.
+func (o *owner) stopTask(t *task) {
+	if t.stage == planned {
+		o.release(t)
+		return
+	}
+	if t.stage != stopping {
+		t.barredAt = 0
+	}
+	t.stage, t.stopAt = stopping, o.s.now
+	if t.worker.info.Address == "" {
+		return
+	}
+	o.s.emit(Stop{
+		Worker: t.worker.info.ID, Address: t.worker.info.Address, Fence: o.fence, Task: t.name(), Run: t.lastRun,
+	})
+}
+
+func (o *owner) stopAnswered(e StopAnswered) {
+	t := o.assigned(e.Worker, e.Task, e.Run)
+	if t == nil {
+		return
+	}
+	switch e.Outcome {
+	case OK:
+		t.barredAt = o.s.now
+		t.worker.lookSoon(o.s.now)
+	case Gone:
+		// The worker has a later life, which knows nothing of the run.
+		o.release(t)
+	default:
+		// checkWorkers repeats the stop.
+	}
+}
+
+// runEnded takes the end of a run as the worker lists it.
+func (o *owner) runEnded(w *worker, e EndReport) {
+	job := o.works[e.Task.Job]
+	if job == nil {
+		return
+	}
+	t := job.find(e.Task)
+	if t == nil || t.done {
+		return
+	}
+	if t.worker != w || t.lastRun != e.Run {
+		o.lateEnd(t, e)
+		return
+	}
+	if e.Checkpoint != "" {
+		t.checkpoint = e.Checkpoint
+	}
+	o.s.note(NoteEnded, "task", e.Task, "run", e.Run, "worker", w.info.ID, "how", int(e.End), "failed", t.failed,
+		"after_ms", o.s.now.Sub(t.sentAt).Milliseconds())
+	switch e.End {
+	case EndDone:
+		o.taskDone(t)
+	case EndFailed:
+		o.release(t)
+		o.taskFailed(t)
+	default:
+		o.release(t)
+	}
+}
+
+// lateEnd takes the end of a run that had been given up as lost.
+func (o *owner) lateEnd(t *task, e EndReport) {
+	i := slices.Index(t.lost, e.Run)
+	if i < 0 {
+		return
+	}
+	t.lost = slices.Delete(t.lost, i, i+1)
+	switch e.End {
+	case EndDone:
+		o.s.note(NoteEnded, "task", e.Task, "run", e.Run, "how", int(e.End), "late", true)
+		if t.worker != nil {
+			o.stopTask(t)
+		}
+		o.taskDone(t)
+	case EndFailed:
+		o.taskFailed(t)
+	}
+}
+
+func (o *owner) taskDone(t *task) {
+	w := t.step.work
+	if t.worker != nil && t.stage != stopping {
+		o.release(t)
+	}
+	t.done = true
+	t.step.done++
+	if t.step.done == len(t.step.tasks) {
+		t.step.occurrence.left--
+	}
+	o.touch(w)
+	if w.ended == 0 && w.complete() {
+		w.ended = PhaseCompleted
+	}
+}
+
+func (o *owner) taskFailed(t *task) {
+	w := t.step.work
+	t.failed++
+	o.touch(w)
+	if t.step.spec.LongRunning || w.ended != 0 {
+		return
+	}
+	most := 1
+	if o.s.config != nil {
+		if q := o.s.config.queues[w.accepted.Queue]; q != nil {
+			most = max(1, q.MaxAttempts)
+		}
+	}
+	if t.failed >= most {
+		o.endJob(w, PhaseFailed)
+	}
+}
+
+// lose gives a run up whose worker cannot have it any more.
+func (o *owner) lose(t *task, why string) {
+	o.s.note(NoteLost, "task", t.name(), "run", t.lastRun, "worker", t.worker.info.ID, "why", why)
+	if t.stage != planned {
+		t.lost = append(t.lost, t.lastRun)
+	}
+	o.release(t)
+}
--- /dev/null
+++ b/internal/core/job/settings.go
@@ -0,0 +1,76 @@
+package job
+
+import "time"
+
+// TickInterval is the longest time between two Tick events.
+const TickInterval = 50 * time.Millisecond
+
+// Settings are the bounds that a deployment sets, and the times derived from
+// them. All but the first group have defaults.
+type Settings struct {
+	// LeaseMost is the longest lease that a worker grants.
+	LeaseMost time.Duration
+	// StopMost is the longest time that a stop takes.
+	StopMost time.Duration
+	// OrderGap is the least time between orders of two owners to one machine.
+	OrderGap time.Duration
+	// MissAfter is how long a long-running task may be away before it counts
+	// as missing for another reason than an order.
+	MissAfter time.Duration
+	// KeepEnded is how long the state of an ended job can be asked for.
+	KeepEnded time.Duration
+}
+
+const (
+	// clockDrift is the most that a worker's clock may run slow: 2 in 100.
+	clockDrift = 1.02
+	// leaseGuard covers the time between reading the clock and the write.
+	leaseGuard = 300 * time.Millisecond
+	// ownerHold is how long an owner gives orders after it sent an append
+	// that was carried out. It is below ownerSilence by more than the drift
+	// of two clocks.
+	ownerHold = 2 * time.Second
+	// ownerRenew is the longest time between two appends of an owner.
+	ownerRenew = 600 * time.Millisecond
+	// ownerSilence is how long the stream must be without a sign of the owner
+	// before another node claims.
+	ownerSilence = 2500 * time.Millisecond
+	// ownerLeaseHold is how long an owner without appends extends the leases
+	// of what runs. A later owner waits for it where a worker is silent.
+	ownerLeaseHold = 6 * time.Second
+	// claimSpread is the most by which nodes' claims are spread.
+	claimSpread = 500 * time.Millisecond
+	// readWait is the long poll of an owner's reads.
+	readWait = time.Second
+	// ownerReadPause is the time between two reads of an owner, so that one
+	// read takes several records.
+	ownerReadPause = 10 * time.Millisecond
+	// followPause is the time between two reads of other nodes.
+	followPause = 400 * time.Millisecond
+	// retryPause is the time before a failed call to the stream is repeated.
+	retryPause = 150 * time.Millisecond
+	// staleAfter is the age of the last read above which a node no longer
+	// says that a job does not exist.
+	staleAfter = 2 * time.Second
+	// lookWait is the long poll of a look at a worker with runs.
+	lookWait = time.Second
+	// lookRetry is the time before a failed look is repeated.
+	lookRetry = 250 * time.Millisecond
+	// stopRetry is the time before a stop is repeated.
+	stopRetry = 400 * time.Millisecond
+	// barAfter is how long a start without an answer may still arrive before
+	// it is barred by a stop.
+	barAfter = 800 * time.Millisecond
+	// silentAfter is the number of failed looks after which a worker gets no
+	// new work.
+	silentAfter = 2
+	// avoidFor is how long a worker that refused a start gets no new work.
+	avoidFor = 500 * time.Millisecond
+	// planEvery is the longest time between two passes of placement while
+	// work waits.
+	planEvery = 200 * time.Millisecond
+	// maxTasks bounds the tasks of one job.
+	maxTasks = 10_000
+	// maxSteps bounds the steps of one job.
+	maxSteps = 500
+)
--- /dev/null
+++ b/internal/core/job/state.go
@@ -0,0 +1,265 @@
+package job
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/core/event"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// Identity is what a process is told about itself at its start.
+type Identity struct {
+	Node        vocab.NodeID
+	Incarnation vocab.Incarnation
+	Zone        vocab.ZoneID
+	// Strength is the node's share of a core; stronger nodes claim earlier.
+	Strength float64
+}
+
+// Clock is the time of one event.
+type Clock struct {
+	// Now does not stop while the process or its VM is suspended.
+	Now vocab.Instant
+	// Wall is the time of day.
+	Wall Millis
+}
+
+// State is the jobs side of one entry node.
+type State struct {
+	self   Identity
+	set    Settings
+	now    vocab.Instant
+	wall   Millis
+	config *Config
+	ledger *Ledger
+	stream stream
+	claim  claim
+	owner  *owner
+	callers
+	stopping bool
+	effects  []event.Effect
+}
+
+// stream is what the node knows of its reading of the job stream.
+type stream struct {
+	loading, loaded bool
+	reading         bool
+	next            int64
+	readAt          vocab.Instant // when the last read that succeeded was sent
+	dueAt           vocab.Instant
+	failedSince     vocab.Instant // 0 while reads succeed
+}
+
+// New returns the state of a process that has just started.
+func New(self Identity, set Settings) *State {
+	return &State{
+		self: self, set: set, ledger: newLedger(),
+		callers: callers{appends: map[uint64]*acceptBatch{}},
+	}
+}
+
+// Step takes one event and returns what is to be done. The returned slice is
+// valid until the next call.
+func (s *State) Step(clock Clock, ev event.Event) []event.Effect {
+	s.now = max(s.now, clock.Now)
+	s.wall = clock.Wall
+	s.effects = s.effects[:0]
+	s.handle(ev)
+	if s.owner != nil {
+		s.owner.settle()
+	}
+	return s.effects
+}
+
+func (s *State) handle(ev event.Event) {
+	switch e := ev.(type) {
+	case Tick:
+		s.tick()
+	case ConfigRead:
+		s.configRead(e)
+	case StreamLoaded:
+		s.streamLoaded(e)
+	case StreamRead:
+		s.streamRead(e)
+	case StreamFailed:
+		s.streamFailed(e)
+	case Appended:
+		s.appended(e)
+	case Submit:
+		s.submit(e)
+	case Query:
+		s.query(e)
+	case Cancel:
+		s.cancel(e)
+	case Backlog:
+		s.backlog(e)
+	case Stopping:
+		s.stop()
+	default:
+		if s.owner != nil {
+			s.owner.handle(ev)
+		}
+	}
+}
+
+func (s *State) emit(e event.Effect) { s.effects = append(s.effects, e) }
+
+func (s *State) note(id NoteID, fields ...any) { s.emit(Note{Event: id, Fields: fields}) }
+
+func (s *State) configRead(e ConfigRead) {
+	if s.config != nil && e.Config.Version <= s.config.Version {
+		return
+	}
+	e.Config.Index()
+	s.config = e.Config
+	s.note(NoteConfig, "version", e.Config.Version, "queues", len(e.Config.Queues), "teams", len(e.Config.Teams))
+	if s.owner != nil {
+		s.owner.planDue = true
+	}
+}
+
+func (s *State) tick() {
+	s.follow()
+	s.claimIfSilent()
+	if s.owner != nil {
+		s.owner.tick()
+	}
+	s.forgetEnded()
+}
+
+// Ready reports whether the node should get new callers.
+func (s *State) Ready() bool {
+	return s.config != nil && s.stream.loaded && !s.stopping
+}
+
+// Owning reports whether this node is the owner of the workers.
+func (s *State) Owning() bool { return s.owner != nil && s.owner.stage == stageActive }
+
+// follow loads or reads the stream if it is time.
+func (s *State) follow() {
+	if s.stream.loading || s.stream.reading || s.now < s.stream.dueAt {
+		return
+	}
+	if !s.stream.loaded {
+		s.stream.loading = true
+		s.emit(LoadStream{})
+		return
+	}
+	s.stream.reading = true
+	read := ReadStream{From: s.stream.next}
+	if s.owner != nil {
+		read.Wait = readWait
+	}
+	s.emit(read)
+}
+
+// readSoon makes the next read due at once.
+func (s *State) readSoon() {
+	s.stream.dueAt = s.now
+	s.follow()
+}
+
+func (s *State) streamLoaded(e StreamLoaded) {
+	s.stream.loading, s.stream.loaded = false, true
+	s.stream.next = e.From
+	old := s.ledger
+	s.ledger = newLedger()
+	s.foldAll(e.Records)
+	if old.ownerFence > s.ledger.ownerFence {
+		s.ledger.owner, s.ledger.ownerFence = old.owner, old.ownerFence
+	}
+	s.readSoon()
+}
+
+func (s *State) streamRead(e StreamRead) {
+	s.stream.reading = false
+	if !s.stream.loaded {
+		s.follow()
+		return
+	}
+	if s.stream.failedSince != 0 {
+		s.note(NoteStreamBack, "after_ms", s.now.Sub(s.stream.failedSince).Milliseconds(), "offset", e.Next)
+		s.stream.failedSince = 0
+		s.claim.quietSince = s.now
+	}
+	s.stream.next, s.stream.readAt = e.Next, e.SentAt
+	s.stream.dueAt = s.now.Add(s.readPause(e))
+	s.foldAll(e.Records)
+	if e.Next < e.End {
+		s.stream.dueAt = s.now
+	}
+	s.answerQueries(e.SentAt)
+	if s.owner != nil {
+		s.owner.streamRead(e)
+	}
+	s.follow()
+}
+
+func (s *State) readPause(StreamRead) time.Duration {
+	if s.owner != nil {
+		return ownerReadPause
+	}
+	return followPause
+}
+
+func (s *State) streamFailed(e StreamFailed) {
+	s.stream.loading, s.stream.reading = false, false
+	s.stream.dueAt = s.now.Add(retryPause)
+	if e.Trimmed {
+		s.stream.loaded = false
+		s.stream.dueAt = s.now
+		return
+	}
+	if s.stream.failedSince == 0 {
+		s.stream.failedSince = s.now
+		s.note(NoteStreamLost, "offset", s.stream.next, "error", errText(e.Err))
+	}
+	s.failQueries()
+}
+
+// foldAll folds records and tells the owner of what others wrote.
+func (s *State) foldAll(records []Record) {
+	for _, r := range records {
+		if s.owner != nil && s.owner.wrote(r) {
+			continue
+		}
+		before := s.ledger.ownerFence
+		e, err := s.ledger.fold(s.now, r)
+		if err != nil {
+			s.note(NoteRecordBad, "offset", r.Offset, "key", r.Key, "error", err.Error())
+			continue
+		}
+		if r.Key == ownerKey || len(r.Key) > 2 && r.Key[:2] == progressPrefix {
+			s.claim.quietSince = s.now
+		}
+		if r.Key == ownerKey {
+			s.ownerChanged(before)
+		}
+		if e != nil && s.owner != nil {
+			s.owner.jobChanged(e)
+		}
+	}
+}
+
+// forgetEnded drops ended jobs that need not be shown any more. The owner
+// drops them from the stream as well.
+func (s *State) forgetEnded() {
+	if s.owner != nil {
+		s.owner.forgetEnded()
+	}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// spread returns a fixed part of most for this process.
+func (s *State) spread(most time.Duration) time.Duration {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s.self.Node))
+	return time.Duration(h.Sum64() % uint64(most))
+}
--- /dev/null
+++ b/internal/core/job/workers.go
@@ -0,0 +1,331 @@
+package job
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// worker is what an owner knows of a worker.
+type worker struct {
+	info WorkerInfo
+	// listed is set while the platform lists the worker.
+	listed bool
+	// clock is the worker's clock as of clockFrom on this node's clock.
+	clock     time.Duration
+	clockFrom vocab.Instant
+	// fenced is set once the worker answered under the owner's fence: what it
+	// lists then is all that runs there.
+	fenced   bool
+	looking  bool
+	lookDue  vocab.Instant
+	failures int
+	// noted is the last end that is safe on the stream, seen the last one that
+	// was taken.
+	noted, seen int64
+	tasks       []*task
+	used        Resources
+	// strays is what runs there and should not.
+	strays Resources
+	// leaseUntil is when the last lease that may have been granted has passed.
+	leaseUntil vocab.Instant
+	avoidUntil vocab.Instant
+	// cordoned is set while the machine is to be emptied.
+	cordoned bool
+	// tailOver is since when a serving task is over its target.
+	paceUpAt vocab.Instant
+}
+
+// usable reports whether the worker may get new work.
+func (w *worker) usable(now vocab.Instant) bool {
+	return w.listed && w.fenced && !w.info.Draining && !w.cordoned && w.failures < silentAfter && now >= w.avoidUntil
+}
+
+// free is the room that is left.
+func (w *worker) free() Resources { return w.info.Room.Minus(w.used).Minus(w.strays) }
+
+// clockAt estimates the worker's clock.
+func (w *worker) clockAt(now vocab.Instant) time.Duration {
+	return w.clock + now.Sub(w.clockFrom)
+}
+
+func (w *worker) lookSoon(now vocab.Instant) {
+	if w.lookDue > now {
+		w.lookDue = now
+	}
+}
+
+const never = vocab.Instant(1<<63 - 1)
+
+func (o *owner) workersListed(e WorkersListed) {
+	o.planDue = true
+	seen := map[WorkerID]bool{}
+	for _, info := range e.Workers {
+		seen[info.ID] = true
+		o.workerListed(info)
+	}
+	for _, id := range e.Removed {
+		o.workerRemoved(id)
+	}
+	if e.Full {
+		o.listed = true
+		for _, id := range o.ids {
+			if !seen[id] {
+				o.workerRemoved(id)
+			}
+		}
+	}
+	o.checkWorkers()
+}
+
+func (o *owner) workerListed(info WorkerInfo) {
+	w := o.worker(info.ID)
+	reborn := w.info.Born != 0 && info.Born > w.info.Born
+	if w.info.Born > info.Born && w.listed {
+		return
+	}
+	w.info, w.listed = info, true
+	if reborn {
+		o.reborn(w, info.Born)
+	}
+	if !w.fenced {
+		w.lookSoon(o.s.now)
+	}
+}
+
+func (o *owner) workerRemoved(id WorkerID) {
+	if w := o.workers[id]; w != nil {
+		w.listed = false
+	}
+}
+
+// reborn gives up what an earlier life of a worker had.
+func (o *owner) reborn(w *worker, born Millis) {
+	o.s.note(NoteWorkerReborn, "worker", w.info.ID, "born", born)
+	w.info.Born = born
+	w.fenced, w.noted, w.seen, w.strays = false, 0, 0, Resources{}
+	w.lookSoon(o.s.now)
+	for _, t := range slices.Clone(w.tasks) {
+		if t.born < born {
+			o.lose(t, "the worker restarted")
+		}
+	}
+}
+
+// checkWorkers sends the looks and stops that are due and gives up what ran on
+// workers whose leases have passed.
+func (o *owner) checkWorkers() {
+	for _, id := range o.ids {
+		w := o.workers[id]
+		o.expire(w)
+		o.repeatStops(w)
+		if !w.looking && w.info.Address != "" && o.s.now >= w.lookDue {
+			o.look(w)
+		}
+	}
+	o.dropWorkers()
+}
+
+// dropWorkers forgets workers that are gone and have nothing left.
+func (o *owner) dropWorkers() {
+	o.ids = slices.DeleteFunc(o.ids, func(id WorkerID) bool {
+		w := o.workers[id]
+		if w.listed || w.looking || len(w.tasks) > 0 || o.s.now < w.leaseUntil {
+			return false
+		}
+		delete(o.workers, id)
+		return true
+	})
+}
+
+func (o *owner) expire(w *worker) {
+	if len(w.tasks) == 0 || o.s.now < w.leaseUntil || w.fenced && w.failures == 0 && w.listed {
+		return
+	}
+	for _, t := range slices.Clone(w.tasks) {
+		o.lose(t, "the lease passed without a word of the worker")
+	}
+}
+
+func (o *owner) repeatStops(w *worker) {
+	for _, t := range slices.Clone(w.tasks) {
+		switch {
+		case t.stage == stopping && t.barredAt == 0 && o.s.now.Sub(t.stopAt) > stopRetry:
+			o.stopTask(t)
+		case t.stage == unclear && t.sentAt != 0 && t.barredAt == 0 && o.s.now.Sub(t.sentAt) > barAfter && w.fenced:
+			o.stopTask(t)
+		}
+	}
+}
+
+func (o *owner) look(w *worker) {
+	look := Look{
+		Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Fence: o.fence, Noted: w.noted,
+		Until: o.leasesUntil,
+	}
+	busy := len(w.tasks) > 0
+	if busy && w.fenced && w.failures == 0 && o.s.now < o.leasesUntil {
+		look.Lease = w.clockAt(o.s.now) + o.s.set.LeaseMost
+		w.leaseUntil = max(w.leaseUntil, o.s.now.Add(o.s.leaseSpan()))
+	}
+	if busy && w.fenced && w.failures == 0 && w.seen == w.noted {
+		look.Wait = lookWait
+	}
+	w.looking = true
+	o.s.emit(look)
+}
+
+func (o *owner) looked(e Looked) {
+	w := o.workers[e.Worker]
+	if w == nil || !w.looking {
+		return
+	}
+	w.looking = false
+	if e.Outcome != OK {
+		o.lookFailed(w, e)
+		return
+	}
+	if w.failures >= silentAfter {
+		o.s.note(NoteWorkerBack, "worker", w.info.ID)
+		o.planDue = true
+	}
+	w.failures = 0
+	if e.Born > w.info.Born {
+		o.reborn(w, e.Born)
+	}
+	if e.Born < w.info.Born {
+		w.lookDue = o.s.now.Add(lookRetry)
+		return
+	}
+	if !w.fenced {
+		w.fenced = true
+		o.planDue = true
+	}
+	w.clock, w.clockFrom = e.Clock, e.GotAt
+	o.takeEnds(w, e.Ended)
+	o.takeRuns(w, e)
+	o.scheduleLook(w)
+}
+
+func (o *owner) lookFailed(w *worker, e Looked) {
+	if e.Outcome == Fenced {
+		o.s.loseOwnership("a worker has seen a later owner")
+		return
+	}
+	w.failures++
+	if w.failures == silentAfter {
+		o.s.note(NoteWorkerSilent, "worker", w.info.ID, "tasks", len(w.tasks), "outcome", e.Outcome.String(),
+			"lease_left_ms", w.leaseUntil.Sub(o.s.now).Milliseconds(), "error", errText(e.Err))
+	}
+	if !w.listed && len(w.tasks) == 0 {
+		w.lookDue = never
+		return
+	}
+	w.lookDue = o.s.now.Add(lookRetry * time.Duration(min(w.failures, 4)))
+}
+
+// takeEnds takes the ends that are new. They are noted at the worker only
+// after the stream has them.
+func (o *owner) takeEnds(w *worker, ends []EndReport) {
+	last := w.seen
+	for _, e := range ends {
+		if e.Number <= w.seen {
+			continue
+		}
+		o.runEnded(w, e)
+		last = max(last, e.Number)
+	}
+	if last == w.seen {
+		return
+	}
+	w.seen = last
+	born := w.info.Born
+	o.after = append(o.after, func() {
+		if w.info.Born == born {
+			w.noted = max(w.noted, last)
+			w.lookSoon(o.s.now)
+		}
+	})
+}
+
+// takeRuns compares what a worker lists with what is assigned to it.
+func (o *owner) takeRuns(w *worker, e Looked) {
+	present := make(map[*task]bool, len(e.Running))
+	w.strays = Resources{}
+	for _, r := range e.Running {
+		t := o.assigned(w.info.ID, r.Task, r.Run)
+		if t == nil {
+			o.stray(w, r)
+			continue
+		}
+		present[t] = true
+		o.takeRun(t, r)
+	}
+	for _, t := range slices.Clone(w.tasks) {
+		if !present[t] && t.absentSince(e.SentAt) {
+			o.lose(t, "the worker does not list it")
+		}
+	}
+	o.paceFillers(w)
+}
+
+func (o *owner) takeRun(t *task, r RunReport) {
+	if r.Checkpoint != "" {
+		t.checkpoint = r.Checkpoint
+	}
+	t.percent, t.tailMS = r.Percent, r.TailMS
+	if t.stage == starting || t.stage == unclear {
+		if t.sentAt == 0 {
+			t.sentAt = o.s.now
+		}
+		o.started(t)
+	}
+}
+
+// absentSince reports whether a worker that does not list the run when asked
+// at sentAt cannot run it any more.
+func (t *task) absentSince(sentAt vocab.Instant) bool {
+	switch t.stage {
+	case running:
+		return t.answeredAt < sentAt
+	case stopping:
+		return t.barredAt != 0 && t.barredAt < sentAt
+	case unclear:
+		// sentAt 0: ordered by an earlier owner, whose orders the worker
+		// refuses since it has seen the new fence.
+		return t.sentAt == 0
+	default:
+		return false
+	}
+}
+
+// stray stops a run that is assigned nowhere, or elsewhere.
+func (o *owner) stray(w *worker, r RunReport) {
+	if job := o.works[r.Task.Job]; job != nil {
+		if t := job.find(r.Task); t != nil {
+			w.strays = w.strays.Plus(t.step.spec.Reserved())
+		}
+	}
+	o.s.note(NoteStray, "task", r.Task, "run", r.Run, "worker", w.info.ID)
+	o.s.emit(Stop{Worker: w.info.ID, Address: w.info.Address, Fence: o.fence, Task: r.Task, Run: r.Run})
+	w.lookSoon(o.s.now.Add(stopRetry))
+}
+
+// scheduleLook sets when the next look is due.
+func (o *owner) scheduleLook(w *worker) {
+	switch {
+	case w.seen != w.noted:
+		// The stream has to have the ends first; the lease must not suffer.
+		w.lookDue = o.s.now.Add(lookWait)
+	case len(w.tasks) > 0:
+		w.lookDue = o.s.now
+	case w.strays != Resources{}:
+		w.lookDue = o.s.now.Add(stopRetry)
+	default:
+		w.lookDue = never
+	}
+	if !w.looking && o.s.now >= w.lookDue {
+		o.look(w)
+	}
+}
--- /dev/null
+++ b/internal/jobnode/effects.go
@@ -0,0 +1,145 @@
+package jobnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sardinehead/sardinehead/internal/core/event"
+	"github.com/sardinehead/sardinehead/internal/core/job"
+)
+
+const (
+	// readTimeout bounds a read beyond the time that it may wait.
+	readTimeout = 1500 * time.Millisecond
+	// loadTimeout bounds a load of the whole stream.
+	loadTimeout = 4 * time.Second
+	// appendTimeout bounds an append. The store may be slow by a factor of
+	// 100 at 4 ms an answer and 3 ms an append.
+	appendTimeout = 1200 * time.Millisecond
+	// orderTimeout bounds an order to a worker beyond the time that it may wait.
+	orderTimeout = 800 * time.Millisecond
+)
+
+// do carries out one effect. What may block runs beside the loop.
+func (n *Node) do(ctx context.Context, effect event.Effect) {
+	switch e := effect.(type) {
+	case job.Reply:
+		n.deliver(e)
+	case job.Note:
+		n.metrics.noted(e)
+		n.log.Note(e)
+	case job.LoadStream:
+		go n.load(ctx)
+	case job.ReadStream:
+		go n.read(ctx, e)
+	case job.Append:
+		go n.append(ctx, e)
+	case job.FollowWorkers:
+		n.followWorkers(ctx, e.On)
+	case job.Look:
+		go n.look(ctx, e)
+	case job.Start:
+		go n.start(ctx, e)
+	case job.Stop:
+		go n.stopRun(ctx, e)
+	case job.Pace:
+		go n.pace(ctx, e)
+	default:
+		n.doFleet(ctx, effect)
+	}
+}
+
+func (n *Node) load(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	records, from, err := n.platform.Stream.Load(ctx)
+	if err != nil {
+		n.post(job.StreamFailed{Err: err})
+		return
+	}
+	n.post(job.StreamLoaded{Records: records, From: from})
+}
+
+func (n *Node) read(ctx context.Context, e job.ReadStream) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout+e.Wait)
+	defer cancel()
+	sentAt := Now()
+	result, err := n.platform.Stream.Read(ctx, e.From, e.Wait)
+	if err != nil {
+		n.post(job.StreamFailed{Trimmed: errors.Is(err, ErrTrimmed), Err: err})
+		return
+	}
+	n.post(job.StreamRead{Records: result.Records, Next: result.Next, End: result.End, SentAt: sentAt})
+}
+
+func (n *Node) append(ctx context.Context, e job.Append) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	sentAt := Now()
+	result := n.platform.Stream.Append(ctx, e)
+	n.metrics.append(result.Outcome, Now().Sub(sentAt))
+	n.post(job.Appended{ID: e.ID, Outcome: result.Outcome, Offset: result.Offset, End: result.End, SentAt: sentAt})
+}
+
+func (n *Node) followWorkers(ctx context.Context, on bool) {
+	if n.unfollow != nil {
+		n.unfollow()
+		n.unfollow = nil
+	}
+	if !on {
+		return
+	}
+	following, cancel := context.WithCancel(ctx)
+	n.unfollow = cancel
+	go n.platform.Operators.FollowWorkers(following, func(e job.WorkersListed) {
+		if following.Err() == nil {
+			n.post(e)
+		}
+	})
+}
+
+func (n *Node) look(ctx context.Context, e job.Look) {
+	if e.Lease != 0 && Now() >= e.Until {
+		e.Lease = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout+e.Wait)
+	defer cancel()
+	sentAt := Now()
+	answer := n.platform.Workers.Look(ctx, e)
+	answer.SentAt, answer.GotAt = sentAt, Now()
+	n.post(answer)
+}
+
+// start sends the order only while the node still owns the workers: the check
+// is the last thing before the write, since the process may have been paused.
+func (n *Node) start(ctx context.Context, e job.Start) {
+	sentAt := Now()
+	if sentAt >= e.Until {
+		n.post(job.StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Outcome: job.NotDone, SentAt: sentAt})
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	answer := n.platform.Workers.Start(ctx, e)
+	answer.SentAt = sentAt
+	n.metrics.start(answer.Outcome, Now().Sub(sentAt))
+	n.post(answer)
+}
+
+func (n *Node) stopRun(ctx context.Context, e job.Stop) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	n.post(n.platform.Workers.Stop(ctx, e))
+}
+
+func (n *Node) pace(ctx context.Context, e job.Pace) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if err := n.platform.Workers.Pace(ctx, e); err != nil {
+		n.log.Note(job.Note{Event: job.NotePaced, Fields: []any{"task", e.Task, "percent", e.Percent, "error", err.Error()}})
+	}
+}
+
+func (n *Node) doFleet(context.Context, event.Effect) {}
--- /dev/null
+++ b/internal/jobnode/node.go
@@ -0,0 +1,154 @@
+package jobnode
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/sardinehead/sardinehead/internal/core/event"
+	"github.com/sardinehead/sardinehead/internal/core/job"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// ErrTrimmed means that the stream no longer keeps an offset.
+var ErrTrimmed = errors.New("the offset is no longer kept")
+
+// ErrStopped means that the node has ended.
+var ErrStopped = errors.New("the node has stopped")
+
+// queued bounds the events that wait for the loop.
+const queued = 4096
+
+// Node is the jobs side of one entry node.
+type Node struct {
+	state    *job.State
+	platform Platform
+	log      Log
+	metrics  *nodeMetrics
+	events   chan event.Event
+	done     chan struct{}
+	lastCall atomic.Uint64
+
+	mu      sync.Mutex
+	waiting map[job.CallID]chan job.Reply
+
+	ready     atomic.Bool
+	owning    atomic.Bool
+	unfollow  context.CancelFunc
+	following context.Context
+}
+
+// New returns a node that has not started.
+func New(self job.Identity, set job.Settings, p Platform, log Log) *Node {
+	return &Node{
+		state: job.New(self, set), platform: p, log: log, metrics: newNodeMetrics(),
+		events: make(chan event.Event, queued), done: make(chan struct{}),
+		waiting: map[job.CallID]chan job.Reply{},
+	}
+}
+
+// Ready reports whether the node should get new callers.
+func (n *Node) Ready() bool { return n.ready.Load() }
+
+// Owning reports whether the node gives orders to the workers.
+func (n *Node) Owning() bool { return n.owning.Load() }
+
+// Now reads a clock that goes on while the process or its VM is suspended.
+func Now() vocab.Instant {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// Every Linux that runs this program has the clock.
+		panic(errors.Wrap(err, "reading the boot-time clock"))
+	}
+	return vocab.Instant(ts.Nano())
+}
+
+// Run runs the loop until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.done)
+	go n.platform.Operators.FollowConfig(ctx, func(c *job.Config) { n.post(job.ConfigRead{Config: c}) })
+	ticker := time.NewTicker(job.TickInterval)
+	defer ticker.Stop()
+	n.step(ctx, job.Tick{})
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ev := <-n.events:
+			n.step(ctx, ev)
+		case <-ticker.C:
+			n.step(ctx, job.Tick{})
+		}
+	}
+}
+
+func (n *Node) step(ctx context.Context, ev event.Event) {
+	clock := job.Clock{Now: Now(), Wall: job.Millis(time.Now().UnixMilli())}
+	for _, effect := range n.state.Step(clock, ev) {
+		n.do(ctx, effect)
+	}
+	n.ready.Store(n.state.Ready())
+	n.owning.Store(n.state.Owning())
+	n.metrics.steps.Inc()
+}
+
+// post hands an event to the loop.
+func (n *Node) post(ev event.Event) {
+	select {
+	case n.events <- ev:
+	case <-n.done:
+	}
+}
+
+// Stopping tells the reducer that the process is to end.
+func (n *Node) Stopping() { n.post(job.Stopping{}) }
+
+// Call passes a caller's request to the reducer and waits for the answer.
+func (n *Node) Call(ctx context.Context, request func(job.CallID) event.Event) (job.Reply, error) {
+	id := job.CallID(n.lastCall.Add(1))
+	answer := n.expect(id)
+	defer n.forget(id)
+	select {
+	case n.events <- request(id):
+	case <-ctx.Done():
+		return job.Reply{}, ctx.Err()
+	case <-n.done:
+		return job.Reply{}, ErrStopped
+	}
+	select {
+	case reply := <-answer:
+		n.metrics.answered(reply)
+		return reply, nil
+	case <-ctx.Done():
+		return job.Reply{}, ctx.Err()
+	case <-n.done:
+		return job.Reply{}, ErrStopped
+	}
+}
+
+func (n *Node) expect(id job.CallID) chan job.Reply {
+	answer := make(chan job.Reply, 1)
+	n.mu.Lock()
+	n.waiting[id] = answer
+	n.mu.Unlock()
+	return answer
+}
+
+func (n *Node) forget(id job.CallID) {
+	n.mu.Lock()
+	delete(n.waiting, id)
+	n.mu.Unlock()
+}
+
+func (n *Node) deliver(r job.Reply) {
+	n.mu.Lock()
+	answer := n.waiting[r.Call]
+	n.mu.Unlock()
+	if answer != nil {
+		answer <- r
+	}
+}
--- a/internal/measure/slopes/wire.go
+++ b/internal/measure/slopes/wire.go
@@ -14,8 +14,8 @@
 	"github.com/sardinehead/sardinehead/internal/core/limit"
 	"github.com/sardinehead/sardinehead/internal/core/shared"
 	"github.com/sardinehead/sardinehead/internal/peer"
-	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/standin"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
--- a/internal/publish/append.go
+++ b/internal/publish/append.go
@@ -8,8 +8,8 @@
 	"github.com/google/uuid"
 
 	"github.com/sardinehead/sardinehead/internal/core/shared"
-	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
--- a/internal/publish/client.go
+++ b/internal/publish/client.go
@@ -12,8 +12,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/sardinehead/sardinehead/internal/core/shared"
-	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/services"
 )
 
 const (
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -11,9 +11,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/sardinehead/sardinehead/internal/core/shared"
-	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/publish"
 	"github.com/sardinehead/sardinehead/internal/record"
+	"github.com/sardinehead/sardinehead/internal/services"
 	"github.com/sardinehead/sardinehead/internal/spec"
 	"github.com/sardinehead/sardinehead/internal/standin"
 	"github.com/sardinehead/sardinehead/internal/vocab"
--- /dev/null
+++ b/internal/settings/serve.go
@@ -0,0 +1,125 @@
+package settings
+
+import (
+	"encoding/json"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sardinehead/sardinehead/internal/spec"
+	"github.com/sardinehead/sardinehead/internal/strictjson"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// Serve are the settings of a process that runs jobs on a deployment's own
+// platform.
+type Serve struct {
+	Node vocab.NodeID `json:"node"`
+	Zone vocab.ZoneID `json:"zone"`
+	// Strength is the process's share of a core.
+	Strength Strength `json:"strength"`
+	// MemoryMiB is the limit of the process's memory.
+	MemoryMiB int64 `json:"memory_mib"`
+	// Callers, Readiness and Operators are the addresses to listen on.
+	Callers   Address `json:"callers"`
+	Readiness Address `json:"readiness"`
+	Operators Address `json:"operators"`
+	// Store, Machines and Advisor are the platform's services; the last two
+	// may be missing.
+	Store    URL `json:"store"`
+	Machines URL `json:"machines"`
+	Advisor  URL `json:"advisor"`
+	// LeaseMost is the longest lease that a worker grants.
+	LeaseMost spec.Duration `json:"lease_most"`
+	// StopMost is the longest time that a worker takes to stop a run.
+	StopMost spec.Duration `json:"stop_most"`
+	// OrderGap is the least time between the orders of two owners to a machine.
+	OrderGap spec.Duration `json:"order_gap"`
+	// MissAfter is the time after which an absent task counts as missing.
+	MissAfter spec.Duration `json:"miss_after"`
+	// KeepEnded is how long an ended job can be asked for.
+	KeepEnded spec.Duration `json:"keep_ended"`
+	// Grace is the time between the signal to stop and the end.
+	Grace spec.Duration `json:"grace"`
+}
+
+// Strength is a share of a core, written as "0.4".
+type Strength float64
+
+// UnmarshalJSON reads a number in a string.
+func (s *Strength) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return errors.Wrap(err, "a share of a core is a string")
+	}
+	share, err := strconv.ParseFloat(text, 64)
+	if err != nil || share <= 0 {
+		return errors.Newf("%q is not a share of a core", text)
+	}
+	*s = Strength(share)
+	return nil
+}
+
+// JSONExample implements strictjson.Formatted.
+func (*Strength) JSONExample() string { return `a share of a core such as "0.4"` }
+
+var serveRequired = []strictjson.Required{
+	{Name: "node", Example: `"node": "entry-1"`},
+	{Name: "zone", Example: `"zone": "nakuru-a"`},
+	{Name: "callers", Example: `"callers": "10.0.0.5:8340"`},
+	{Name: "readiness", Example: `"readiness": "10.0.0.5:8343"`},
+	{Name: "operators", Example: `"operators": "10.0.0.5:7000"`},
+	{Name: "store", Example: `"store": "http://10.0.0.9:8344"`},
+	{Name: "lease_most", Example: `"lease_most": "6s"`},
+}
+
+// Defaults of Serve.
+const (
+	defaultKeepEnded = 2 * time.Minute
+	defaultGrace     = 6 * time.Second
+	defaultStopMost  = 200 * time.Millisecond
+	defaultOrderGap  = 3 * time.Second
+	defaultMissAfter = 4500 * time.Millisecond
+	minLease         = time.Second
+	maxLease         = time.Hour
+)
+
+// LoadServe reads and checks a settings file. The error is
+// strictjson.Problems with every error, or wraps ErrUnreadable.
+func LoadServe(path string) (Serve, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Serve{}, errors.Mark(errors.Wrap(err, "settings"), ErrUnreadable)
+	}
+	return CheckServe(path, data)
+}
+
+// CheckServe decodes and checks the bytes of a settings file.
+func CheckServe(path string, data []byte) (Serve, error) {
+	s := Serve{Strength: 1}
+	doc := strictjson.Parse(path, data)
+	doc.Decode(&s)
+	if doc.OK() {
+		strictjson.RequireAll(doc.Root(), serveRequired)
+		strictjson.CheckDuration(doc.Root().Field("lease_most"), "lease_most", s.LeaseMost.D(), minLease, maxLease)
+	}
+	problems := doc.Problems()
+	problems.Sort()
+	if err := problems.Err(); err != nil {
+		return Serve{}, err
+	}
+	setDefault(&s.KeepEnded, defaultKeepEnded)
+	setDefault(&s.Grace, defaultGrace)
+	setDefault(&s.StopMost, defaultStopMost)
+	setDefault(&s.OrderGap, defaultOrderGap)
+	setDefault(&s.MissAfter, defaultMissAfter)
+	return s, nil
+}
+
+func setDefault(d *spec.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = spec.Duration(value)
+	}
+}
