Follow demand with machines, do waves, correct declared run times

Cause: a queue's turn asks 200 to 300 cores where its pool holds 144; waves were not done; declared run times are off by a factor of 2.5 on some queues; long-running tasks were packed on one machine, which then could never go down for its upkeep. Change: moves of idle machines to the pool with waiting work and to the spare pool, waves with evacuation, a running regression of run times per queue, long-running tasks spread, SIGHUP read instead of ending the process.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -50,10 +50,10 @@
 		fmt.Println("the settings are usable")
 		return nil
 	}
-	return serve(context.Background(), set)
+	return serve(context.Background(), s.Settings, set)
 }
 
-func serve(ctx context.Context, set settings.Serve) error {
+func serve(ctx context.Context, settingsPath string, set settings.Serve) error {
 	if set.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(float64(set.MemoryMiB<<20) * memoryPart))
 	}
@@ -85,6 +85,7 @@
 			return err
 		}
 	}
+	addReload(ctx, &group, settingsPath, set, log)
 	addStop(ctx, &group, node, &stopping, set.Grace.D()-stopMargin)
 	log.Started(set.Node, set.Strength, set.MemoryMiB)
 	err := group.Run()
@@ -132,6 +133,42 @@
 	})
 }
 
+// reloadEvery is the time between two looks at the settings file, which may
+// change without a signal.
+const reloadEvery = 5 * time.Second
+
+// addReload reads the settings again after SIGHUP and now and then. What
+// changed takes effect at the next start; a faulty file changes nothing.
+func addReload(ctx context.Context, group *run.Group, path string, now settings.Serve, log *eventlog.Jobs) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error {
+		ticker := time.NewTicker(reloadEvery)
+		defer ticker.Stop()
+		for {
+			asked := false
+			select {
+			case <-signals:
+				asked = true
+			case <-ticker.C:
+			case <-ctx.Done():
+				return nil
+			}
+			read, err := settings.LoadServe(path)
+			if asked || err != nil || read != now {
+				log.Reloaded(err, read != now)
+			}
+			if err == nil {
+				now = read
+			}
+		}
+	}, func(error) {
+		signal.Stop(signals)
+		cancel()
+	})
+}
+
 // jobOperators is the handler of the operators' address.
 func jobOperators(n *jobnode.Node) http.Handler {
 	e := echo.New()
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -161,6 +161,7 @@
 	NoteWave
 	NoteStray
 	NotePaced
+	NotePool
 )
 
 var noteNames = map[NoteID]string{
@@ -171,7 +172,7 @@
 	NoteJobEnded: "job ended", NoteCancelled: "job cancelled", NoteWorkerSilent: "worker silent",
 	NoteWorkerBack: "worker answers again", NoteWorkerReborn: "worker restarted", NoteRecordBad: "record unreadable",
 	NoteUpkeep: "machine upkeep", NoteMove: "machine move", NoteWave: "wave", NoteStray: "stray run stopped",
-	NotePaced: "run paced",
+	NotePaced: "run paced", NotePool: "pool state",
 }
 
 // String implements fmt.Stringer.
--- a/internal/core/job/fleet.go
+++ b/internal/core/job/fleet.go
@@ -1,7 +1,23 @@
 package job
 
-import "github.com/sardinehead/sardinehead/internal/core/event"
+import (
+	"slices"
 
-func (o *owner) handleFleet(event.Event) {}
-func (o *owner) tickFleet()              {}
-func (o *owner) paceFillers(*worker)     {}
+	"github.com/sardinehead/sardinehead/internal/core/event"
+)
+
+// handleFleet takes the events of machines and waves.
+func (o *owner) handleFleet(ev event.Event) {
+	switch e := ev.(type) {
+	case MachinesListed:
+		o.machinesListed(e)
+	case MachineAnswered:
+		o.machineAnswered(e)
+	case StatusWritten:
+		o.statusWritten(e)
+	}
+}
+
+func sortIDs(ids []MachineID) { slices.Sort(ids) }
+
+func cloneTasks(w *worker) []*task { return slices.Clone(w.tasks) }
--- /dev/null
+++ b/internal/core/job/machines.go
@@ -0,0 +1,316 @@
+package job
+
+import (
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// MachineState is what the platform's list says of a machine.
+type MachineState int
+
+const (
+	// MachineUp: the machine is on, or ready to be moved into a pool.
+	MachineUp MachineState = iota
+	// MachineMoving: the machine is on its way to another pool.
+	MachineMoving
+	// MachineInUpkeep: the machine is down for its upkeep.
+	MachineInUpkeep
+	// MachineDown: the machine is down by itself.
+	MachineDown
+)
+
+// MachineInfo is one row of the platform's list of machines.
+type MachineInfo struct {
+	ID     MachineID
+	Pool   vocab.PoolID
+	State  MachineState
+	Room   Resources
+	Zone   vocab.ZoneID
+	Worker WorkerID
+}
+
+// Wave is an operator's request to take machines down for upkeep.
+type Wave struct {
+	Number   int64
+	Machines []MachineID
+	// Within is the time that the wave may take.
+	Within time.Duration
+	// AtOnce is the most machines that may be down for it at a time.
+	AtOnce int
+}
+
+// MachineOrder is what an order to a machine asks for.
+type MachineOrder int
+
+const (
+	// OrderUpkeep takes the machine down for its upkeep.
+	OrderUpkeep MachineOrder = iota
+	// OrderMove puts the machine into another pool.
+	OrderMove
+)
+
+// Events and effects of machines and waves.
+type (
+	// WaveOrdered brings an operator's wave.
+	WaveOrdered struct {
+		in
+		Wave Wave
+	}
+
+	// MachinesListed answers a ListMachines.
+	MachinesListed struct {
+		in
+		OK       bool
+		Machines []MachineInfo
+		SentAt   vocab.Instant
+		Err      error
+	}
+
+	// MachineAnswered answers an OrderMachine.
+	MachineAnswered struct {
+		in
+		Machine MachineID
+		Order   MachineOrder
+		Outcome Outcome
+		Err     error
+	}
+
+	// StatusWritten answers a WriteStatus.
+	StatusWritten struct {
+		in
+		Wave     int64
+		Complete bool
+		Outcome  Outcome
+	}
+
+	// ListMachines reads the list of machines: MachinesListed.
+	ListMachines struct{ out }
+
+	// OrderMachine gives an order to a machine: MachineAnswered.
+	OrderMachine struct {
+		out
+		Machine MachineID
+		Order   MachineOrder
+		// Pool is where to move, Wave which upkeep.
+		Pool   vocab.PoolID
+		Wave   int64
+		Holder vocab.NodeID
+		Fence  Fence
+		Until  vocab.Instant
+	}
+
+	// WriteStatus shows operators how far a wave is: StatusWritten.
+	WriteStatus struct {
+		out
+		Wave     int64
+		Complete bool
+	}
+)
+
+const (
+	// listBusy is the time between two lists while machines are under orders.
+	listBusy = 500 * time.Millisecond
+	// listIdle is the time between two lists otherwise.
+	listIdle = 3 * time.Second
+	// doubtFor is how long an order without an answer may still take effect
+	// before a list that does not show it counts.
+	doubtFor = 2 * time.Second
+)
+
+// machine is what an owner knows of a machine.
+type machine struct {
+	info MachineInfo
+	// ordered is set from an order until a list shows its end.
+	ordered bool
+	order   MachineOrder
+	// answered is set once the order was carried out.
+	answered  bool
+	orderedAt vocab.Instant
+	to        vocab.PoolID
+	wave      int64
+	// idleSince is since when nothing runs on the machine, 0 if something does.
+	idleSince vocab.Instant
+	// cordonedAt is when the machine was chosen for its upkeep.
+	cordonedAt vocab.Instant
+}
+
+// fleet is the owner's view of machines and waves.
+type fleet struct {
+	machines map[MachineID]*machine
+	ids      []MachineID // keys of machines, sorted
+	listing  bool
+	listedAt vocab.Instant
+	listDue  vocab.Instant
+	tickedAt vocab.Instant
+	writing  bool
+}
+
+// machineOf returns the machine of a worker, or nil.
+func (o *owner) machineOf(w *worker) *machine { return o.fleet.machines[w.info.Machine] }
+
+// workerOf returns the worker on a machine, or nil.
+func (o *owner) workerOf(m *machine) *worker {
+	if w := o.workers[m.info.Worker]; w != nil && w.info.Machine == m.info.ID {
+		return w
+	}
+	for _, id := range o.ids {
+		if w := o.workers[id]; w.info.Machine == m.info.ID && w.listed {
+			return w
+		}
+	}
+	return nil
+}
+
+// mayOrderMachines reports whether orders to machines are allowed: not right
+// after another owner may have given some.
+func (o *owner) mayOrderMachines() bool {
+	return o.mayOrder() && o.s.now.Sub(o.activeAt) > o.s.set.OrderGap && o.fleet.listedAt > o.activeAt
+}
+
+func (o *owner) tickFleet() {
+	f := &o.fleet
+	if !f.listing && o.s.now >= f.listDue {
+		f.listing = true
+		o.s.emit(ListMachines{})
+	}
+	if o.s.now.Sub(f.tickedAt) < fleetEvery {
+		return
+	}
+	f.tickedAt = o.s.now
+	o.noteIdle()
+	if !o.mayOrderMachines() || !o.listed {
+		return
+	}
+	o.planWaves()
+	o.planMoves()
+}
+
+// fleetEvery is the time between two looks at waves and moves.
+const fleetEvery = 100 * time.Millisecond
+
+func (o *owner) noteIdle() {
+	for _, id := range o.fleet.ids {
+		m := o.fleet.machines[id]
+		w := o.workerOf(m)
+		busy := w != nil && (len(w.tasks) > 0 || w.strays != Resources{})
+		switch {
+		case busy:
+			m.idleSince = 0
+		case m.idleSince == 0:
+			m.idleSince = o.s.now
+		}
+	}
+}
+
+func (o *owner) machinesListed(e MachinesListed) {
+	f := &o.fleet
+	f.listing = false
+	f.listDue = o.s.now.Add(listIdle)
+	if !e.OK {
+		f.listDue = o.s.now.Add(listBusy)
+		return
+	}
+	f.listedAt = e.SentAt
+	old := f.machines
+	f.machines = make(map[MachineID]*machine, len(e.Machines))
+	f.ids = f.ids[:0]
+	for _, info := range e.Machines {
+		m := old[info.ID]
+		if m == nil {
+			m = &machine{}
+		}
+		m.info = info
+		o.settleOrder(m, e.SentAt)
+		f.machines[info.ID] = m
+		f.ids = append(f.ids, info.ID)
+		if m.ordered {
+			f.listDue = o.s.now.Add(listBusy)
+		}
+	}
+	sortIDs(f.ids)
+	if o.waveUnderWay() {
+		f.listDue = min(f.listDue, o.s.now.Add(listBusy))
+	}
+}
+
+// settleOrder ends an order once a list that was read after it shows its end.
+func (o *owner) settleOrder(m *machine, sentAt vocab.Instant) {
+	if !m.ordered || sentAt <= m.orderedAt {
+		return
+	}
+	over := m.info.State == MachineUp || m.info.State == MachineDown
+	switch {
+	case m.answered && over:
+		m.ordered = false
+	case !m.answered && over && sentAt.Sub(m.orderedAt) > doubtFor:
+		// The order had no answer. Where it took effect, the next order is
+		// answered as done.
+		m.ordered = false
+	}
+	if !m.ordered {
+		if w := o.workerOf(m); w != nil {
+			w.cordoned, w.leaving = false, false
+		}
+		m.cordonedAt = 0
+		o.planDue = true
+	}
+}
+
+// orderMachine gives an order to a machine.
+func (o *owner) orderMachine(m *machine, order MachineOrder, to vocab.PoolID, wave int64) {
+	m.ordered, m.answered, m.order, m.orderedAt = true, false, order, o.s.now
+	m.to, m.wave = to, wave
+	if w := o.workerOf(m); w != nil {
+		w.cordoned, w.leaving = true, true
+	}
+	id := NoteMove
+	if order == OrderUpkeep {
+		id = NoteUpkeep
+	}
+	o.s.note(id, "machine", m.info.ID, "pool", m.info.Pool, "to", to, "wave", wave, "fence", o.fence)
+	o.s.emit(OrderMachine{
+		Machine: m.info.ID, Order: order, Pool: to, Wave: wave, Holder: o.s.self.Node, Fence: o.fence, Until: o.ordersUntil,
+	})
+	o.fleet.listDue = min(o.fleet.listDue, o.s.now.Add(listBusy))
+}
+
+func (o *owner) machineAnswered(e MachineAnswered) {
+	m := o.fleet.machines[e.Machine]
+	if m == nil || !m.ordered || m.order != e.Order {
+		return
+	}
+	switch e.Outcome {
+	case OK:
+		// A list that was read before the answer may not show the order yet.
+		m.answered, m.orderedAt = true, o.s.now
+		o.machineTaken(m)
+	case Unknown:
+		// A list tells.
+	case Fenced:
+		o.s.loseOwnership("a machine has seen a later owner")
+	default:
+		m.ordered, m.cordonedAt = false, 0
+		m.idleSince = o.s.now
+		if w := o.workerOf(m); w != nil {
+			w.cordoned, w.leaving = false, false
+		}
+		if e.Outcome == Gone && e.Order == OrderUpkeep {
+			o.waveMachineDone(m.wave, m.info.ID)
+		}
+		o.s.note(NoteMove, "machine", m.info.ID, "outcome", e.Outcome.String(), "error", errText(e.Err))
+	}
+}
+
+// machineTaken gives up what ran on a machine that was taken by an order.
+func (o *owner) machineTaken(m *machine) {
+	if w := o.workerOf(m); w != nil {
+		for _, t := range cloneTasks(w) {
+			o.lose(t, "the machine was taken by an order")
+		}
+		w.listed, w.cordoned, w.leaving = false, false, false
+	}
+	if m.order == OrderUpkeep {
+		o.waveMachineDone(m.wave, m.info.ID)
+	}
+}
--- /dev/null
+++ b/internal/core/job/moves.go
@@ -0,0 +1,182 @@
+package job
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// poolDemand is what a pool's work asks for, as of the last plan.
+type poolDemand struct {
+	// waiting is the sum of what found no room.
+	waiting Resources
+	// since is since when something waits.
+	since vocab.Instant
+}
+
+const (
+	// moveAfter is how long work must wait before machines are moved for it.
+	moveAfter = 100 * time.Millisecond
+	// giveAfter is how long a machine must be idle before another pool gets it.
+	giveAfter = 300 * time.Millisecond
+	// spareAfter is how long a machine must be idle before it is switched off.
+	// Off and on again costs about as much as it is on for this time.
+	spareAfter = 2500 * time.Millisecond
+	// keepIdle is how many idle machines a pool keeps.
+	keepIdle = 2
+	// keepLeast is the least machines that a pool keeps.
+	keepLeast = 2
+	// mostMoves bounds the moves under way.
+	mostMoves = 40
+)
+
+// planMoves answers demand that comes in turns: the machines that are idle in
+// one pool serve the pool whose turn it is. Machines that no pool asks for go
+// to the spare pool, where they cost nothing.
+func (o *owner) planMoves() {
+	if o.s.config == nil {
+		return
+	}
+	moving := map[vocab.PoolID]int{}
+	under := 0
+	for _, id := range o.fleet.ids {
+		m := o.fleet.machines[id]
+		if m.ordered && m.order == OrderMove {
+			moving[m.to]++
+			under++
+		}
+	}
+	idle := o.idleMachines()
+	for _, p := range o.poolsByNeed() {
+		want := o.machinesWanted(p) - moving[p]
+		for want > 0 && under < mostMoves {
+			m := o.takeIdle(idle, p)
+			if m == nil {
+				break
+			}
+			o.orderMachine(m, OrderMove, p, 0)
+			want--
+			under++
+		}
+	}
+	o.switchOff(idle, under)
+}
+
+// poolsByNeed lists the pools with waiting work, the longest waiting first.
+func (o *owner) poolsByNeed() []vocab.PoolID {
+	var list []vocab.PoolID
+	for p, d := range o.demand {
+		if d.waiting.CPU > 0 && o.s.now.Sub(d.since) > moveAfter {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(a, b vocab.PoolID) int {
+		if c := cmp.Compare(o.demand[a].since, o.demand[b].since); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return list
+}
+
+// packingLoss is the part of the room that packing leaves unused.
+const packingLoss = 0.1
+
+// machinesWanted is how many machines more would take the waiting work at
+// once.
+func (o *owner) machinesWanted(p vocab.PoolID) int {
+	room := o.fleet.typicalRoom()
+	if room.CPU == 0 {
+		return 0
+	}
+	per := int64(float64(room.CPU) * (1 - packingLoss))
+	return int((o.demand[p].waiting.CPU + per - 1) / per)
+}
+
+func (f *fleet) typicalRoom() Resources {
+	for _, id := range f.ids {
+		if r := f.machines[id].info.Room; r.CPU > 0 {
+			return r
+		}
+	}
+	return Resources{}
+}
+
+// idleMachines lists the machines of each pool that may leave it, the longest
+// idle last.
+func (o *owner) idleMachines() map[vocab.PoolID][]*machine {
+	idle := map[vocab.PoolID][]*machine{}
+	size := map[vocab.PoolID]int{}
+	for _, id := range o.fleet.ids {
+		m := o.fleet.machines[id]
+		if m.ordered || m.info.State != MachineUp {
+			continue
+		}
+		size[m.info.Pool]++
+		w := o.workerOf(m)
+		if m.idleSince == 0 || m.cordonedAt != 0 || w != nil && w.info.Draining || o.s.now.Sub(m.idleSince) < giveAfter {
+			continue
+		}
+		idle[m.info.Pool] = append(idle[m.info.Pool], m)
+	}
+	for p, list := range idle {
+		slices.SortStableFunc(list, func(a, b *machine) int { return cmp.Compare(b.idleSince, a.idleSince) })
+		if pool := o.s.config.pools[p]; pool != nil && pool.Spare {
+			continue
+		}
+		keep := max(keepIdle, keepLeast-(size[p]-len(list)))
+		idle[p] = list[min(keep, len(list)):]
+	}
+	return idle
+}
+
+// takeIdle takes an idle machine for a pool: from the pool that has most.
+func (o *owner) takeIdle(idle map[vocab.PoolID][]*machine, to vocab.PoolID) *machine {
+	var from vocab.PoolID
+	most := 0
+	for p, list := range idle {
+		if p == to || o.poolWaits(p) {
+			continue
+		}
+		if len(list) > most || len(list) == most && p < from {
+			from, most = p, len(list)
+		}
+	}
+	if most == 0 {
+		return nil
+	}
+	list := idle[from]
+	m := list[len(list)-1]
+	idle[from] = list[:len(list)-1]
+	return m
+}
+
+// switchOff moves machines that were idle for long to the spare pool.
+func (o *owner) switchOff(idle map[vocab.PoolID][]*machine, under int) {
+	spare := o.sparePool()
+	if spare == "" {
+		return
+	}
+	for _, id := range o.fleet.ids {
+		m := o.fleet.machines[id]
+		if under >= mostMoves {
+			return
+		}
+		if m.info.Pool == spare || !slices.Contains(idle[m.info.Pool], m) || o.s.now.Sub(m.idleSince) < spareAfter {
+			continue
+		}
+		o.orderMachine(m, OrderMove, spare, 0)
+		under++
+	}
+}
+
+func (o *owner) sparePool() vocab.PoolID {
+	for i := range o.s.config.Pools {
+		if o.s.config.Pools[i].Spare {
+			return o.s.config.Pools[i].Name
+		}
+	}
+	return ""
+}
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -45,15 +45,19 @@
 	leaseBound vocab.Instant
 	activeAt   vocab.Instant
 
-	works   map[ID]*work
-	order   []*work // in order of arrival
-	workers map[WorkerID]*worker
-	ids     []WorkerID // keys of workers, sorted
-	listed  bool
-	usage   map[vocab.TeamID]Resources
-	planDue bool
-	planned vocab.Instant
-	ended   []*Entry
+	works      map[ID]*work
+	order      []*work // in order of arrival
+	workers    map[WorkerID]*worker
+	ids        []WorkerID // keys of workers, sorted
+	listed     bool
+	usage      map[vocab.TeamID]Resources
+	planDue    bool
+	planned    vocab.Instant
+	ended      []*Entry
+	fleet      fleet
+	demand     map[vocab.PoolID]poolDemand
+	poolsNoted vocab.Instant
+	estimates  *estimator
 }
 
 // ownAppend is an append of the owner. It is repeated under the same number
@@ -69,6 +73,8 @@
 	return &owner{
 		s: s, fence: fence,
 		works: map[ID]*work{}, workers: map[WorkerID]*worker{}, usage: map[vocab.TeamID]Resources{},
+		demand: map[vocab.PoolID]poolDemand{}, estimates: newEstimator(),
+		fleet: fleet{machines: map[MachineID]*machine{}},
 	}
 }
 
@@ -262,6 +268,7 @@
 		}
 	}
 	o.checkWorkers()
+	o.notePools()
 	o.tickFleet()
 	if o.s.now.Sub(o.planned) > planEvery {
 		o.planDue = true
--- a/internal/core/job/plan.go
+++ b/internal/core/job/plan.go
@@ -19,8 +19,42 @@
 			pools[w.info.Pool] = append(pools[w.info.Pool], w)
 		}
 	}
+	waiting := map[vocab.PoolID]Resources{}
 	for _, c := range o.candidates() {
 		o.placeJob(c.work, pools[c.pool])
+		waiting[c.pool] = waiting[c.pool].Plus(o.unplaced(c.work))
+	}
+	o.noteDemand(waiting)
+}
+
+// unplaced is what the waiting tasks of a job ask for, as far as the job's
+// team may have it.
+func (o *owner) unplaced(w *work) Resources {
+	var sum Resources
+	for _, occ := range w.occurrences {
+		for _, st := range occ.steps {
+			if n := int64(st.waiting()); n > 0 && st.ready() && o.withinLimit(st) {
+				need := st.spec.Reserved()
+				sum = sum.Plus(Resources{need.CPU * n, need.Memory * n, need.GPU * n})
+			}
+		}
+	}
+	return sum
+}
+
+func (o *owner) noteDemand(waiting map[vocab.PoolID]Resources) {
+	for p, d := range o.demand {
+		if waiting[p].CPU == 0 {
+			delete(o.demand, p)
+			continue
+		}
+		d.waiting = waiting[p]
+		o.demand[p] = d
+	}
+	for p, r := range waiting {
+		if _, known := o.demand[p]; !known && r.CPU > 0 {
+			o.demand[p] = poolDemand{waiting: r, since: o.s.now}
+		}
 	}
 }
 
@@ -79,16 +113,16 @@
 	if q != nil {
 		c.pool = q.Pool
 	}
-	total, left, chain, lasting := w.amounts()
-	if lasting {
+	if w.lasting() {
 		c.class = classLasting
 		c.score = -float64(w.accepted.At)
 		return c
 	}
+	total, left, chain := o.amounts(w)
 	c.class = classInTime
 	if q != nil {
 		age := time.Duration(o.s.wall-w.accepted.At) * time.Millisecond
-		objective := time.Duration(q.Stretch*float64(w.chain())) + q.Latency
+		objective := time.Duration(q.Stretch*float64(o.chain(w))) + q.Latency
 		switch {
 		case age+chain > lateFactor*objective:
 			c.class = classOverdue
@@ -97,7 +131,7 @@
 		}
 	}
 	// A fixed part and one by work is earned for a whole job.
-	c.score = (fixedPart*meanWork + (1-fixedPart)*total) / max(left, 0.05)
+	c.score = (fixedPart*meanWork + (1-fixedPart)*total) / max(left, leastWork)
 	return c
 }
 
@@ -108,29 +142,44 @@
 	fixedPart = 0.3
 	// meanWork stands for the work of an ordinary job, in core-seconds.
 	meanWork = 12.0
+	// leastWork bounds the score of a job that is nearly done, in core-seconds.
+	leastWork = 0.05
 )
 
+// lasting reports whether the job has long-running tasks.
+func (w *work) lasting() bool {
+	for i := range w.accepted.Spec.Steps {
+		if w.accepted.Spec.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // amounts returns the work of the job and what is left of it, in core-seconds,
 // and the longest chain that is left.
-func (w *work) amounts() (total, left float64, chain time.Duration, lasting bool) {
+func (o *owner) amounts(w *work) (total, left float64, chain time.Duration) {
 	for _, occ := range w.occurrences {
-		for _, st := range occ.steps {
-			if st.spec.LongRunning {
-				lasting = true
+		ends := make([]time.Duration, len(occ.steps))
+		for i, st := range occ.steps {
+			one := o.estimates.runTime(w.accepted.Queue, st.spec.EstimateMS)
+			each := float64(max(st.spec.Need.CPU, 1)) / 1000 * one.Seconds()
+			total += each * float64(len(st.tasks))
+			left += each * float64(len(st.tasks)-st.done)
+			for _, before := range st.spec.After {
+				ends[i] = max(ends[i], ends[before])
 			}
-			one := float64(max(st.spec.Need.CPU, 1)) / 1000 * float64(max(st.spec.EstimateMS, 1)) / 1000
-			total += one * float64(len(st.tasks))
-			left += one * float64(len(st.tasks)-st.done)
 			if st.done < len(st.tasks) {
-				chain += time.Duration(st.spec.EstimateMS) * time.Millisecond
+				ends[i] += one
 			}
+			chain = max(chain, ends[i])
 		}
 	}
-	return total, left, chain, lasting
+	return total, left, chain
 }
 
 // chain is the longest chain of work of one occurrence.
-func (w *work) chain() time.Duration {
+func (o *owner) chain(w *work) time.Duration {
 	longest := make([]time.Duration, len(w.accepted.Spec.Steps))
 	var most time.Duration
 	for i := range w.accepted.Spec.Steps {
@@ -138,7 +187,7 @@
 		for _, before := range st.After {
 			longest[i] = max(longest[i], longest[before])
 		}
-		longest[i] += time.Duration(st.EstimateMS) * time.Millisecond
+		longest[i] += o.estimates.runTime(w.accepted.Queue, st.EstimateMS)
 		most = max(most, longest[i])
 	}
 	return most
@@ -212,20 +261,38 @@
 	if spec.Label != "" && !w.info.Has(spec.Label) {
 		return false
 	}
-	if spec.MaxPerWorker > 0 {
+	if most := t.mostPerWorker(o.s.now); most > 0 {
 		same := 0
 		for _, other := range w.tasks {
 			if other.step == t.step {
 				same++
 			}
 		}
-		if same >= spec.MaxPerWorker {
+		if same >= most {
 			return false
 		}
 	}
 	return true
 }
 
+// spreadFor is how long a long-running task waits for a worker that has few of
+// its step before it takes any.
+const spreadFor = 1500 * time.Millisecond
+
+// mostPerWorker is the most tasks of a step on one worker, or 0 for no bound.
+// Long-running tasks are spread, so that a worker that goes does not take more
+// of them than may be missed.
+func (t *task) mostPerWorker(now vocab.Instant) int {
+	spec := t.step.spec
+	if !spec.LongRunning || spec.MayMiss == 0 || now.Sub(max(t.freeAt, t.step.work.seenAt)) > spreadFor {
+		return spec.MaxPerWorker
+	}
+	if spec.MaxPerWorker == 0 {
+		return spec.MayMiss
+	}
+	return min(spec.MaxPerWorker, spec.MayMiss)
+}
+
 // wrongRack is added to the score of a worker far from the data.
 const wrongRack = 1e6
 
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -18,7 +18,7 @@
 // release takes a task from its worker.
 func (o *owner) release(t *task) {
 	w := t.worker
-	t.worker = nil
+	t.worker, t.freeAt = nil, o.s.now
 	if i := slices.Index(w.tasks, t); i >= 0 {
 		w.tasks = slices.Delete(w.tasks, i, i+1)
 	}
@@ -171,10 +171,14 @@
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
-	o.s.note(NoteEnded, "task", e.Task, "run", e.Run, "worker", w.info.ID, "how", int(e.End), "failed", t.failed,
+	o.s.note(NoteEnded, "task", e.Task, "run", e.Run, "worker", w.info.ID, "how", int(e.End), "failed", t.failed, "estimate_ms", t.step.spec.EstimateMS,
+		"queue", job.accepted.Queue,
 		"after_ms", o.s.now.Sub(t.sentAt).Milliseconds())
 	switch e.End {
 	case EndDone:
+		if t.lastRun == 1 && t.answeredAt != 0 {
+			o.estimates.observe(job.accepted.Queue, t.step.spec.EstimateMS, o.s.now.Sub(t.answeredAt))
+		}
 		o.taskDone(t)
 	case EndFailed:
 		o.release(t)
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"strings"
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core/event"
@@ -37,8 +38,10 @@
 	claim  claim
 	owner  *owner
 	callers
-	stopping bool
-	effects  []event.Effect
+	waves       map[int64]*waveState
+	waveNumbers []int64 // keys of waves, sorted
+	stopping    bool
+	effects     []event.Effect
 }
 
 // stream is what the node knows of its reading of the job stream.
@@ -54,7 +57,7 @@
 // New returns the state of a process that has just started.
 func New(self Identity, set Settings) *State {
 	return &State{
-		self: self, set: set, ledger: newLedger(),
+		self: self, set: set, ledger: newLedger(), waves: map[int64]*waveState{},
 		callers: callers{appends: map[uint64]*acceptBatch{}},
 	}
 }
@@ -78,6 +81,8 @@
 		s.tick()
 	case ConfigRead:
 		s.configRead(e)
+	case WaveOrdered:
+		s.waveOrdered(e)
 	case StreamLoaded:
 		s.streamLoaded(e)
 	case StreamRead:
@@ -224,6 +229,12 @@
 		if s.owner != nil && s.owner.wrote(r) {
 			continue
 		}
+		if number, found := strings.CutPrefix(r.Key, wavePrefix); found {
+			if err := s.foldWave(number, r.Value); err != nil {
+				s.note(NoteRecordBad, "offset", r.Offset, "key", r.Key, "error", err.Error())
+			}
+			continue
+		}
 		before := s.ledger.ownerFence
 		e, err := s.ledger.fold(s.now, r)
 		if err != nil {
--- a/internal/core/job/work.go
+++ b/internal/core/job/work.go
@@ -74,8 +74,10 @@
 	// stopAt when a stop was last ordered, barredAt when it succeeded.
 	sentAt, answeredAt, stopAt, barredAt vocab.Instant
 	percent                              int
-	pace                                 int
-	tailMS                               int64
+	// freeAt is when the task was last released.
+	freeAt vocab.Instant
+	pace   int
+	tailMS int64
 	// lost holds runs that were given up without a word of their end.
 	lost []Run
 }
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -33,7 +33,9 @@
 	avoidUntil vocab.Instant
 	// cordoned is set while the machine is to be emptied.
 	cordoned bool
-	// tailOver is since when a serving task is over its target.
+	// leaving is set while an order takes the machine away.
+	leaving bool
+	// paceUpAt is when held tasks may go on.
 	paceUpAt vocab.Instant
 }
 
--- a/internal/eventlog/jobs.go
+++ b/internal/eventlog/jobs.go
@@ -39,3 +39,8 @@
 func (l *Jobs) Stopped(err error) {
 	l.out.Info("process stopped", "event", 2, "error", err)
 }
+
+// Reloaded writes the line of a settings file that was read again.
+func (l *Jobs) Reloaded(err error, changed bool) {
+	l.out.Info("settings read again", "event", 3, "changed", changed, "error", err)
+}
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -141,5 +141,3 @@
 		n.log.Note(job.Note{Event: job.NotePaced, Fields: []any{"task", e.Task, "percent", e.Percent, "error", err.Error()}})
 	}
 }
-
-func (n *Node) doFleet(context.Context, event.Effect) {}
--- /dev/null
+++ b/internal/jobnode/machines.go
@@ -0,0 +1,59 @@
+package jobnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/core/event"
+	"github.com/sardinehead/sardinehead/internal/core/job"
+)
+
+// Machines gives orders to machines and shows operators the state of waves.
+type Machines interface {
+	ListMachines(ctx context.Context) ([]job.MachineInfo, error)
+	OrderMachine(ctx context.Context, o job.OrderMachine) (job.Outcome, error)
+	WriteStatus(ctx context.Context, wave int64, complete bool) (job.Outcome, error)
+}
+
+// machineTimeout bounds a call about machines; the platform may be slow.
+const machineTimeout = 1500 * time.Millisecond
+
+// doFleet carries out the effects that concern machines.
+func (n *Node) doFleet(ctx context.Context, effect event.Effect) {
+	switch e := effect.(type) {
+	case job.ListMachines:
+		go n.listMachines(ctx)
+	case job.OrderMachine:
+		go n.orderMachine(ctx, e)
+	case job.WriteStatus:
+		go n.writeStatus(ctx, e)
+	}
+}
+
+func (n *Node) listMachines(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, machineTimeout)
+	defer cancel()
+	sentAt := Now()
+	list, err := n.platform.Machines.ListMachines(ctx)
+	n.post(job.MachinesListed{OK: err == nil, Machines: list, SentAt: sentAt, Err: err})
+}
+
+func (n *Node) orderMachine(ctx context.Context, e job.OrderMachine) {
+	answer := job.MachineAnswered{Machine: e.Machine, Order: e.Order, Outcome: job.NotDone}
+	if Now() < e.Until {
+		ctx, cancel := context.WithTimeout(ctx, machineTimeout)
+		defer cancel()
+		answer.Outcome, answer.Err = n.platform.Machines.OrderMachine(ctx, e)
+	}
+	n.post(answer)
+}
+
+func (n *Node) writeStatus(ctx context.Context, e job.WriteStatus) {
+	ctx, cancel := context.WithTimeout(ctx, machineTimeout)
+	defer cancel()
+	outcome, err := n.platform.Machines.WriteStatus(ctx, e.Wave, e.Complete)
+	if err != nil {
+		n.log.Note(job.Note{Event: job.NoteWave, Fields: []any{"wave", e.Wave, "outcome", outcome.String(), "error", err.Error()}})
+	}
+	n.post(job.StatusWritten{Wave: e.Wave, Complete: e.Complete, Outcome: outcome})
+}
--- a/internal/jobnode/node.go
+++ b/internal/jobnode/node.go
@@ -70,7 +70,9 @@
 // Run runs the loop until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.done)
-	go n.platform.Operators.FollowConfig(ctx, func(c *job.Config) { n.post(job.ConfigRead{Config: c}) })
+	go n.platform.Operators.FollowConfig(ctx,
+		func(c *job.Config) { n.post(job.ConfigRead{Config: c}) },
+		func(w job.Wave) { n.post(job.WaveOrdered{Wave: w}) })
 	ticker := time.NewTicker(job.TickInterval)
 	defer ticker.Stop()
 	n.step(ctx, job.Tick{})
--- a/internal/jobnode/ports.go
+++ b/internal/jobnode/ports.go
@@ -39,8 +39,8 @@
 // Operators follows what operators and workers publish. Each function blocks
 // until ctx ends.
 type Operators interface {
-	// FollowConfig passes each newer configuration on.
-	FollowConfig(ctx context.Context, changed func(*job.Config))
+	// FollowConfig passes each newer configuration and each wave on.
+	FollowConfig(ctx context.Context, changed func(*job.Config), wave func(job.Wave))
 	// FollowWorkers passes the list of workers and its changes on.
 	FollowWorkers(ctx context.Context, changed func(job.WorkersListed))
 }
@@ -59,4 +59,5 @@
 	Stream    Stream
 	Operators Operators
 	Workers   Workers
+	Machines  Machines
 }
