Count unknown long-running tasks as at work before an order; resign cleanly

(2) An owner that had resigned went on appending, and claims, which are bound to the end of the stream, lost the race for three seconds.

--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -10,10 +10,10 @@
 type claim struct {
 	// quietSince is when the last sign of an owner was read.
 	quietSince vocab.Instant
+	// lastSign is the last sign of the owner before the claim was sent.
+	lastSign vocab.Instant
 	// appendID is the claim under way, or 0.
 	appendID uint64
-	// doubtSince is set while the outcome of a claim is unknown.
-	doubtSince vocab.Instant
 }
 
 // claimWait is how long this node waits for the owner before it claims.
@@ -41,7 +41,7 @@
 		s.note(NoteRecordBad, "key", ownerKey, "error", err.Error())
 		return
 	}
-	s.claim.appendID = s.nextAppend()
+	s.claim.appendID, s.claim.lastSign = s.nextAppend(), s.claim.quietSince
 	s.note(NoteClaimed, "offset", s.stream.next, "owner", s.ledger.owner.Node,
 		"fence", s.ledger.ownerFence, "quiet_ms", s.now.Sub(s.claim.quietSince).Milliseconds())
 	s.emit(Append{ID: s.claim.appendID, Records: []Record{record}, At: s.stream.next})
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -80,7 +80,7 @@
 
 // begin fences the stream against earlier owners.
 func (o *owner) begin() {
-	o.leaseBound = o.s.claim.quietSince.Add(ownerLeaseHold + o.s.leaseSpan())
+	o.leaseBound = o.s.claim.lastSign.Add(ownerLeaseHold + o.s.leaseSpan())
 	o.send(nil)
 }
 
@@ -130,6 +130,9 @@
 		return
 	}
 	for _, do := range sent.after {
+		if o.s.owner != o {
+			return
+		}
 		do()
 	}
 }
@@ -426,5 +429,8 @@
 		return
 	}
 	s.note(NoteResigned, "fence", s.owner.fence)
-	s.owner.extra = append(s.owner.extra, record)
+	o := s.owner
+	o.extra = append(o.extra, record)
+	// Nothing is written after the resignation: an append would disturb claims.
+	o.after = append(o.after, func() { s.loseOwnership("handed over") })
 }
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -37,7 +37,7 @@
 	ownerSilence = 2500 * time.Millisecond
 	// ownerLeaseHold is how long an owner without appends extends the leases
 	// of what runs. A later owner waits for it where a worker is silent.
-	ownerLeaseHold = 6 * time.Second
+	ownerLeaseHold = 3 * time.Second
 	// claimSpread is the most by which nodes' claims are spread.
 	claimSpread = 500 * time.Millisecond
 	// readWait is the long poll of an owner's reads.
--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -212,7 +212,7 @@
 // may be missed at a time; they start again elsewhere.
 func (o *owner) evacuate(w *worker) {
 	for _, t := range cloneTasks(w) {
-		if t.step.spec.LongRunning && t.stage == running && (!t.atWork() || t.step.away(t) < t.step.spec.MayMiss) {
+		if t.step.spec.LongRunning && t.stage == running && t.step.away(t) < t.step.spec.MayMiss {
 			o.stopTask(t)
 		}
 	}
@@ -236,16 +236,10 @@
 // for a while: fewer of its step are away than may be missed.
 func (o *owner) mayEndTasks(w *worker) bool {
 	for _, t := range w.tasks {
-		if !t.step.spec.LongRunning || t.step.spec.MayMiss == 0 || !t.atWork() {
+		if !t.step.spec.LongRunning || t.step.spec.MayMiss == 0 {
 			continue
 		}
-		here := 0
-		for _, other := range w.tasks {
-			if other.step == t.step && other.atWork() {
-				here++
-			}
-		}
-		if t.step.away(nil)+here > t.step.spec.MayMiss {
+		if t.step.awayWithout(w) > t.step.spec.MayMiss {
 			return false
 		}
 	}
@@ -268,6 +262,18 @@
 	return n
 }
 
+// awayWithout counts the tasks of the step that are not at work, and those on a
+// worker as well, whether they are known to be at work or not.
+func (st *step) awayWithout(w *worker) int {
+	n := 0
+	for _, t := range st.tasks {
+		if t.worker == w || !t.atWork() {
+			n++
+		}
+	}
+	return n
+}
+
 // showWave shows operators the state of a wave, first as running.
 func (o *owner) showWave(number int64, w *waveState, over bool) {
 	if o.fleet.writing {
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -202,6 +202,8 @@
 	}
 	if !w.fenced {
 		w.fenced = true
+		// No earlier owner can extend the lease any more.
+		w.leaseUntil = e.GotAt.Add(o.s.leaseSpan())
 		o.planDue = true
 	}
 	w.clock, w.clockFrom = e.Clock, e.GotAt
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -12,7 +12,7 @@
 
 const (
 	// readTimeout bounds a read beyond the time that it may wait.
-	readTimeout = 1500 * time.Millisecond
+	readTimeout = 800 * time.Millisecond
 	// loadTimeout bounds a load of the whole stream.
 	loadTimeout = 4 * time.Second
 	// appendTimeout bounds an append. The store may be slow by a factor of
