Ask for leases of 5 s, empty draining workers

Change: leases of at most 5 s (they outlast a change of owner), evacuation of draining workers, tasks spread for half a second only.

--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -84,10 +84,13 @@
 	o.send(nil)
 }
 
+// lease is the lease that is asked for.
+func (s *State) lease() time.Duration { return min(s.set.LeaseMost, leaseWanted) }
+
 // leaseSpan is how long after the last order a lease may last, by this node's
 // clock.
 func (s *State) leaseSpan() time.Duration {
-	return time.Duration(float64(s.set.LeaseMost)*clockDrift) + leaseGuard
+	return time.Duration(float64(s.lease())*clockDrift) + leaseGuard
 }
 
 // send appends records under the owner's fence.
--- a/internal/core/job/plan.go
+++ b/internal/core/job/plan.go
@@ -277,7 +277,7 @@
 
 // spreadFor is how long a long-running task waits for a worker that has few of
 // its step before it takes any.
-const spreadFor = 1500 * time.Millisecond
+const spreadFor = 500 * time.Millisecond
 
 // mostPerWorker is the most tasks of a step on one worker, or 0 for no bound.
 // Long-running tasks are spread, so that a worker that goes does not take more
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -66,7 +66,7 @@
 	o.s.emit(Start{
 		Worker: w.info.ID, Address: w.info.Address, Fence: o.fence, Task: t.name(), Run: run,
 		Payload: t.step.work.accepted.Spec.Payload, Checkpoint: t.checkpoint,
-		Lease: w.clockAt(o.s.now) + o.s.set.LeaseMost, Until: o.ordersUntil,
+		Lease: w.clockAt(o.s.now) + o.s.lease(), Until: o.ordersUntil,
 	})
 }
 
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -26,6 +26,9 @@
 	clockDrift = 1.02
 	// leaseGuard covers the time between reading the clock and the write.
 	leaseGuard = 300 * time.Millisecond
+	// leaseWanted is the lease that an owner asks for: it outlasts the change to
+	// another owner, and what a crashed worker ran starts again after it.
+	leaseWanted = 5 * time.Second
 	// ownerHold is how long an owner gives orders after it sent an append
 	// that was carried out. It is below ownerSilence by more than the drift
 	// of two clocks.
--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -212,7 +212,7 @@
 // may be missed at a time; they start again elsewhere.
 func (o *owner) evacuate(w *worker) {
 	for _, t := range cloneTasks(w) {
-		if t.step.spec.LongRunning && t.stage == running && t.step.away(t) < t.step.spec.MayMiss {
+		if t.step.spec.LongRunning && t.stage == running && t.step.away(t) < max(1, t.step.spec.MayMiss) {
 			o.stopTask(t)
 		}
 	}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -122,6 +122,9 @@
 		w := o.workers[id]
 		o.expire(w)
 		o.repeatStops(w)
+		if w.info.Draining {
+			o.evacuate(w)
+		}
 		if !w.looking && w.info.Address != "" && o.s.now >= w.lookDue {
 			o.look(w)
 		}
@@ -168,7 +171,7 @@
 	}
 	busy := len(w.tasks) > 0
 	if busy && w.fenced && w.failures == 0 && o.s.now < o.leasesUntil {
-		look.Lease = w.clockAt(o.s.now) + o.s.set.LeaseMost
+		look.Lease = w.clockAt(o.s.now) + o.s.lease()
 		w.leaseUntil = max(w.leaseUntil, o.s.now.Add(o.s.leaseSpan()))
 	}
 	if busy && w.fenced && w.failures == 0 && w.seen == w.noted {
