Wait for a list before giving up what ran on an ordered machine

Change: runs are given up once a list read after the answer shows the machine taken or with another worker, or another life answers at the address.

--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -129,6 +129,8 @@
 	orderedAt vocab.Instant
 	to        vocab.PoolID
 	wave      int64
+	// host is the worker that the order takes away.
+	host WorkerID
 	// idleSince is since when nothing runs on the machine, 0 if something does.
 	idleSince vocab.Instant
 	// cordonedAt is when the machine was chosen for its upkeep.
@@ -240,6 +242,9 @@
 		return
 	}
 	over := m.info.State == MachineUp || m.info.State == MachineDown
+	if m.answered {
+		o.takenAway(m)
+	}
 	switch {
 	case m.answered && over:
 		m.ordered = false
@@ -260,8 +265,9 @@
 // orderMachine gives an order to a machine.
 func (o *owner) orderMachine(m *machine, order MachineOrder, to vocab.PoolID, wave int64) {
 	m.ordered, m.answered, m.order, m.orderedAt = true, false, order, o.s.now
-	m.to, m.wave = to, wave
+	m.to, m.wave, m.host = to, wave, ""
 	if w := o.workerOf(m); w != nil {
+		m.host = w.info.ID
 		w.cordoned, w.leaving = true, true
 	}
 	id := NoteMove
@@ -284,7 +290,10 @@
 	case OK:
 		// A list that was read before the answer may not show the order yet.
 		m.answered, m.orderedAt = true, o.s.now
-		o.machineTaken(m)
+		o.fleet.listDue = o.s.now
+		if m.order == OrderUpkeep {
+			o.waveMachineDone(m.wave, m.info.ID)
+		}
 	case Unknown:
 		// A list tells.
 	case Fenced:
@@ -302,15 +311,16 @@
 	}
 }
 
-// machineTaken gives up what ran on a machine that was taken by an order.
-func (o *owner) machineTaken(m *machine) {
-	if w := o.workerOf(m); w != nil {
-		for _, t := range cloneTasks(w) {
-			o.lose(t, "the machine was taken by an order")
-		}
-		w.listed, w.cordoned, w.leaving = false, false, false
+// takenAway gives up what ran on a machine that a list shows as taken. The
+// answer to an order alone does not tell: it is the same where the order had
+// been carried out before, and then what runs there now goes on.
+func (o *owner) takenAway(m *machine) {
+	w := o.workers[m.host]
+	if w == nil || m.info.State == MachineUp && m.info.Worker == m.host {
+		return
 	}
-	if m.order == OrderUpkeep {
-		o.waveMachineDone(m.wave, m.info.ID)
+	for _, t := range cloneTasks(w) {
+		o.lose(t, "the machine was taken by an order")
 	}
+	w.listed, w.cordoned, w.leaving = false, false, false
 }
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -220,8 +220,14 @@
 		o.s.loseOwnership("a worker has seen a later owner")
 		return
 	}
+	if e.Outcome == Gone {
+		// Another life answers at the address: this one has ended.
+		for _, t := range cloneTasks(w) {
+			o.lose(t, "another worker has the address")
+		}
+	}
 	w.failures++
-	if w.failures == silentAfter {
+	if w.failures == silentAfter && (w.listed || len(w.tasks) > 0) {
 		o.s.note(NoteWorkerSilent, "worker", w.info.ID, "tasks", len(w.tasks), "outcome", e.Outcome.String(),
 			"lease_left_ms", w.leaseUntil.Sub(o.s.now).Milliseconds(), "error", errText(e.Err))
 	}
