--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -102,17 +102,14 @@
 	}
 }
 
-// reborn gives up what an earlier life of a worker had.
+// reborn takes note of a later life of a worker. What the earlier one had is
+// given up when a look does not list it: a start may have reached the later one
+// before it was known.
 func (o *owner) reborn(w *worker, born Millis) {
 	o.s.note(NoteWorkerReborn, "worker", w.info.ID, "born", born)
 	w.info.Born = born
 	w.fenced, w.noted, w.seen, w.strays = false, 0, 0, Resources{}
 	w.lookSoon(o.s.now)
-	for _, t := range slices.Clone(w.tasks) {
-		if t.born < born {
-			o.lose(t, "the worker restarted")
-		}
-	}
 }
 
 // checkWorkers sends the looks and stops that are due and gives up what ran on
@@ -287,7 +284,7 @@
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
 	}
-	t.percent, t.tailMS = r.Percent, r.TailMS
+	t.percent, t.tailMS, t.born = r.Percent, r.TailMS, t.worker.info.Born
 	if t.stage == starting || t.stage == unclear {
 		if t.sentAt == 0 {
 			t.sentAt = o.s.now
--- /dev/null
+++ b/internal/core/job/world_suite_test.go
@@ -0,0 +1,259 @@
+package job
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// short is a job of one or two steps.
+func short(w *world) Spec {
+	spec := Spec{Payload: "x", Steps: []Step{{
+		Count: 1 + w.rng.IntN(6), Need: Resources{CPU: 500 + int64(w.rng.IntN(3000)), Memory: 256},
+		EstimateMS: 200 + int64(w.rng.IntN(1500)),
+	}}}
+	if w.rng.IntN(2) == 0 {
+		spec.Steps = append(spec.Steps, Step{
+			Count: 1 + w.rng.IntN(4), Need: Resources{CPU: 500 + int64(w.rng.IntN(3000)), Memory: 256},
+			EstimateMS: 200 + int64(w.rng.IntN(1500)), After: []int{0},
+		})
+	}
+	return spec
+}
+
+// load hands jobs in at a steady rate for a time.
+func (w *world) load(every, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	w.submit(short(w))
+	w.after(every, func() { w.load(every, d-every) })
+}
+
+func (w *world) report(t interface{ Fatalf(string, ...any) }) {
+	if len(w.breach) > 0 {
+		t.Fatalf("%d breaches:\n%s", len(w.breach), strings.Join(w.breach[:min(len(w.breach), 8)], "\n"))
+	}
+}
+
+// unfinished lists the accepted jobs that a process does not show as ended.
+func (w *world) unfinished() []string {
+	var list []string
+	for _, id := range w.order {
+		j := w.jobs[id]
+		if !j.accepted {
+			continue
+		}
+		for _, n := range w.nodes {
+			if !n.up || n.cut {
+				continue
+			}
+			if e := n.state.ledger.Jobs[id]; e == nil || !e.Visible().Ended() {
+				list = append(list, fmt.Sprintf("%s on n%d: %+v", id, n.index, e))
+			}
+		}
+	}
+	return list
+}
+
+func TestCalmLoadCompletes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(1, 4, 6, faults{})
+	w.run(3 * time.Second)
+	g.Expect(w.owners()).To(gomega.Equal(1))
+	w.after(0, func() { w.load(150*time.Millisecond, 10*time.Second) })
+	w.run(40 * time.Second)
+	w.report(t)
+	g.Expect(w.unfinished()).To(gomega.BeEmpty())
+	g.Expect(w.starts).To(gomega.BeNumerically(">", 100))
+}
+
+func TestOwnerKilledLosesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(2, 4, 6, faults{})
+	w.run(3 * time.Second)
+	w.after(0, func() { w.load(150*time.Millisecond, 10*time.Second) })
+	w.run(3 * time.Second)
+	for _, n := range w.nodes {
+		if n.state.Owning() {
+			n.kill()
+		}
+	}
+	w.run(5 * time.Second)
+	g.Expect(w.owners()).To(gomega.Equal(1))
+	w.run(60 * time.Second)
+	w.report(t)
+	g.Expect(w.unfinished()).To(gomega.BeEmpty())
+}
+
+func TestOwnerFrozenPastItsLeaseGivesNoOrders(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(3, 4, 6, faults{})
+	w.run(3 * time.Second)
+	w.after(0, func() { w.load(100*time.Millisecond, 14*time.Second) })
+	w.run(3 * time.Second)
+	for _, n := range w.nodes {
+		if n.state.Owning() {
+			n.frozen = w.now.Add(6 * time.Second)
+		}
+	}
+	w.run(80 * time.Second)
+	w.report(t)
+	g.Expect(w.owners()).To(gomega.Equal(1))
+	g.Expect(w.unfinished()).To(gomega.BeEmpty())
+}
+
+// TestResignationIsTheLastRecord holds a fault of the first played days: an
+// owner that had resigned went on appending, and claims bound to the end of the
+// stream lost the race for seconds.
+func TestResignationIsTheLastRecord(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(4, 4, 6, faults{})
+	w.run(3 * time.Second)
+	w.after(0, func() { w.load(60*time.Millisecond, 10*time.Second) })
+	w.run(3 * time.Second)
+	for _, n := range w.nodes {
+		if n.state.Owning() {
+			n.post(n.life, Stopping{})
+		}
+	}
+	w.run(1500 * time.Millisecond)
+	g.Expect(w.owners()).To(gomega.Equal(1))
+	w.run(60 * time.Second)
+	w.report(t)
+	g.Expect(w.unfinished()).To(gomega.BeEmpty())
+}
+
+func TestEverythingKilledAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(5, 4, 6, faults{})
+	w.run(3 * time.Second)
+	w.after(0, func() { w.load(150*time.Millisecond, 6*time.Second) })
+	w.run(4 * time.Second)
+	for _, n := range w.nodes {
+		n.kill()
+	}
+	w.run(time.Second)
+	for _, n := range w.nodes {
+		n.start()
+	}
+	w.run(60 * time.Second)
+	w.report(t)
+	g.Expect(w.unfinished()).To(gomega.BeEmpty())
+}
+
+// seeds is how many random series of faults TestRandomFaults plays, and first
+// the seed of the first.
+var (
+	seeds  = flag.Int("seeds", 24, "random series of faults to play")
+	traced = flag.Bool("lines", false, "print the log lines of the processes")
+	first  = flag.Uint64("seed", 1, "seed of the first series")
+)
+
+// TestRandomFaults plays random series of faults and checks at the workers that
+// no task runs twice, out of order, too often, over a limit or unasked.
+func TestRandomFaults(t *testing.T) {
+	for i := range uint64(*seeds) {
+		seed := *first + i
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			playFaults(t, seed)
+		})
+	}
+}
+
+func playFaults(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	w := newWorld(seed, 3+rng.IntN(3), 5, faults{
+		loseAppend: rng.Float64() * 0.1, loseOrder: rng.Float64() * 0.1, lateOrder: rng.Float64() * 0.06, failTask: rng.Float64() * 0.1,
+	})
+	if *traced {
+		w.trace = func(line string) { t.Log(line) }
+	}
+	w.run(3 * time.Second)
+	w.after(0, func() { w.load(200*time.Millisecond, 25*time.Second) })
+	w.trouble(2 + rng.IntN(7))
+	w.run(30 * time.Second)
+	w.heal()
+	w.run(90 * time.Second)
+	w.report(t)
+	if left := w.unfinished(); len(left) > 0 {
+		t.Fatalf("%d jobs did not end: %s", len(left), left[0])
+	}
+}
+
+// trouble plans a number of faults within 25 s.
+func (w *world) trouble(count int) {
+	for range count {
+		at := time.Duration(w.rng.Int64N(int64(25 * time.Second)))
+		length := time.Second + time.Duration(w.rng.Int64N(int64(8*time.Second)))
+		n := w.nodes[w.rng.IntN(len(w.nodes))]
+		wk := w.workers[w.ids[w.rng.IntN(len(w.ids))]]
+		kind := w.rng.IntN(9)
+		w.after(at, func() { w.strike(kind, n, wk, length) })
+	}
+}
+
+func (w *world) strike(kind int, n *node, wk *fakeWorker, length time.Duration) {
+	switch kind {
+	case 0:
+		if n.up {
+			n.kill()
+			w.after(length, n.start)
+		}
+	case 1:
+		n.frozen = w.now.Add(length)
+	case 2:
+		n.cut = true
+		w.after(length, func() { n.cut = false })
+	case 3:
+		n.mute = true
+		w.after(length, func() { n.mute = false })
+	case 4:
+		w.stream.down = true
+		w.after(length, func() { w.stream.down = false })
+	case 5:
+		wk.mute = true
+		w.after(length, func() { wk.mute = false })
+	case 6:
+		wk.up = false
+		wk.runs = map[TaskName]*fakeRun{}
+		w.after(length, func() { w.reborn(wk) })
+	case 7:
+		n.post(n.life, Stopping{})
+		w.after(2*time.Second, func() {
+			if n.up {
+				n.kill()
+				w.after(length, n.start)
+			}
+		})
+	case 8:
+		if len(w.order) > 0 {
+			w.cancel(w.order[w.rng.IntN(len(w.order))])
+		}
+	}
+}
+
+// heal ends all faults.
+func (w *world) heal() {
+	w.faults.loseAppend, w.faults.loseOrder, w.faults.lateOrder = 0, 0, 0
+	w.stream.down = false
+	for _, n := range w.nodes {
+		n.cut, n.mute = false, false
+		if !n.up {
+			n.start()
+		}
+	}
+	for _, id := range w.ids {
+		w.workers[id].mute = false
+		if !w.workers[id].up {
+			w.reborn(w.workers[id])
+		}
+	}
+}
