Let strong nodes own, pace looks and log lines, order machines at the platform's rate

Cause: on the grown site the weakest node (0.192 of a core) owned 350 workers: a process that had just started counted the time before its start as silence of the owner and claimed at once.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -65,7 +65,7 @@
 		Node: set.Node, Incarnation: daemon.NewIncarnation(), Zone: set.Zone, Strength: float64(set.Strength),
 	}, job.Settings{
 		LeaseMost: set.LeaseMost.D(), StopMost: set.StopMost.D(), OrderGap: set.OrderGap.D(),
-		MissAfter: set.MissAfter.D(), KeepEnded: set.KeepEnded.D(),
+		OrdersPerSecond: float64(set.OrdersPerSecond), MissAfter: set.MissAfter.D(), KeepEnded: set.KeepEnded.D(),
 	}, client.Ports(), log)
 
 	var stopping atomic.Bool
@@ -87,7 +87,7 @@
 	}
 	addReload(ctx, &group, settingsPath, set, log)
 	addStop(ctx, &group, node, &stopping, set.Grace.D()-stopMargin)
-	log.Started(set.Node, set.Strength, set.MemoryMiB)
+	log.Started(set.Strength, set.MemoryMiB)
 	err := group.Run()
 	log.Stopped(err)
 	return err
--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -153,12 +153,19 @@
 	if e.Outcome == OK {
 		s.foldOwn(batch, e)
 		for _, c := range batch.calls {
+			if c.call == 0 {
+				continue
+			}
 			s.note(c.note, "job", c.id, "offset", e.Offset)
 			s.reply(Reply{Call: c.call, Answer: Accepted})
 		}
 		return
 	}
 	for _, c := range batch.calls {
+		if c.call == 0 {
+			s.announced = false
+			continue
+		}
 		if e.Outcome == Unknown {
 			s.note(NoteRefused, "job", c.id, "why", "the append had no answer", "outcome", e.Outcome.String())
 			s.reply(Reply{Call: c.call, Answer: Unclear, Detail: "the job stream gave no answer"})
@@ -169,6 +176,10 @@
 	if e.Outcome == Unknown {
 		// What was not sent yet is refused truthfully instead of waiting.
 		for _, c := range s.next.calls {
+			if c.call == 0 {
+				s.announced = false
+				continue
+			}
 			s.refuse(c.call, c.id, "the job stream is not available")
 		}
 		s.next = acceptBatch{}
--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -16,15 +16,35 @@
 	appendID uint64
 }
 
-// claimWait is how long this node waits for the owner before it claims.
+// claimWait is how long this node waits for the owner before it claims. Nodes
+// that are weaker than the strongest leave it the first turn.
 func (s *State) claimWait() time.Duration {
 	wait := ownerSilence
-	if s.ledger.ownerFence == 0 || s.ledger.owner.Resigned {
+	switch {
+	case s.ledger.ownerFence == 0:
+		wait = firstClaim
+	case s.ledger.owner.Resigned, s.ledger.owner.Node == s.self.Node:
+		// The owner gave up, or was an earlier process of this node.
 		wait = 0
 	}
-	// A node with the whole of a core claims first.
-	weak := time.Duration(float64(claimSpread) * max(0, 1-s.self.Strength))
-	return wait + weak/2 + s.spread(claimSpread/2)
+	if s.ledger.strongest > s.self.Strength {
+		wait += time.Duration(float64(weakWait) * (1 - s.self.Strength/s.ledger.strongest))
+	}
+	return wait + s.spread(claimSpread)
+}
+
+// announce tells the other nodes how strong this one is.
+func (s *State) announce() {
+	if s.announced || !s.stream.loaded {
+		return
+	}
+	s.announced = true
+	record, err := encodeMember(s.self.Node, memberRecord{Strength: s.self.Strength})
+	if err != nil {
+		s.note(NoteRecordBad, "key", memberPrefix, "error", err.Error())
+		return
+	}
+	s.addToBatch(record, waitingCall{})
 }
 
 // claimIfSilent claims ownership if the stream shows no owner. The claim is
--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -116,6 +116,10 @@
 	// doubtFor is how long an order without an answer may still take effect
 	// before a list that does not show it counts.
 	doubtFor = 2 * time.Second
+	// ordersPart is the part of the platform's rate of orders that is used.
+	ordersPart = 0.8
+	// ordersBurst is the time for which unused orders are kept.
+	ordersBurst = 400 * time.Millisecond
 )
 
 // machine is what an owner knows of a machine.
@@ -146,6 +150,8 @@
 	listDue  vocab.Instant
 	tickedAt vocab.Instant
 	writing  bool
+	// orders is how many orders may be given at once; it grows with time.
+	orders float64
 }
 
 // machineOf returns the machine of a worker, or nil.
@@ -179,6 +185,9 @@
 	if o.s.now.Sub(f.tickedAt) < fleetEvery {
 		return
 	}
+	passed := min(o.s.now.Sub(f.tickedAt), time.Second).Seconds()
+	rate := o.s.set.OrdersPerSecond * ordersPart
+	f.orders = min(f.orders+rate*passed, max(1, rate*ordersBurst.Seconds()))
 	f.tickedAt = o.s.now
 	o.noteIdle()
 	if !o.mayOrderMachines() || !o.listed {
@@ -264,6 +273,7 @@
 
 // orderMachine gives an order to a machine.
 func (o *owner) orderMachine(m *machine, order MachineOrder, to vocab.PoolID, wave int64) {
+	o.fleet.orders--
 	m.ordered, m.answered, m.order, m.orderedAt = true, false, order, o.s.now
 	m.to, m.wave, m.host = to, wave, ""
 	if w := o.workerOf(m); w != nil {
--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -28,8 +28,10 @@
 	keepIdle = 2
 	// keepLeast is the least machines that a pool keeps.
 	keepLeast = 2
-	// mostMoves bounds the moves under way.
-	mostMoves = 40
+	// movesPart is the part of the machines that may be on the move at a time,
+	// and leastMoves what is always allowed.
+	movesPart  = 0.4
+	leastMoves = 16
 )
 
 // planMoves answers demand that comes in turns: the machines that are idle in
@@ -48,10 +50,11 @@
 			under++
 		}
 	}
+	most := max(leastMoves, int(movesPart*float64(len(o.fleet.ids))))
 	idle := o.idleMachines()
 	for _, p := range o.poolsByNeed() {
 		want := o.machinesWanted(p) - moving[p]
-		for want > 0 && under < mostMoves {
+		for want > 0 && under < most && o.fleet.orders >= 1 {
 			m := o.takeIdle(idle, p)
 			if m == nil {
 				break
@@ -61,7 +64,7 @@
 			under++
 		}
 	}
-	o.switchOff(idle, under)
+	o.switchOff(idle, most-under)
 }
 
 // poolsByNeed lists the pools with waiting work, the longest waiting first.
@@ -154,21 +157,21 @@
 }
 
 // switchOff moves machines that were idle for long to the spare pool.
-func (o *owner) switchOff(idle map[vocab.PoolID][]*machine, under int) {
+func (o *owner) switchOff(idle map[vocab.PoolID][]*machine, room int) {
 	spare := o.sparePool()
 	if spare == "" {
 		return
 	}
 	for _, id := range o.fleet.ids {
 		m := o.fleet.machines[id]
-		if under >= mostMoves {
+		if room <= 0 || o.fleet.orders < 1 {
 			return
 		}
 		if m.info.Pool == spare || !slices.Contains(idle[m.info.Pool], m) || o.s.now.Sub(m.idleSince) < spareAfter {
 			continue
 		}
 		o.orderMachine(m, OrderMove, spare, 0)
-		under++
+		room--
 	}
 }
 
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -24,6 +24,7 @@
 	acceptedPrefix  = "a/"
 	progressPrefix  = "p/"
 	cancelledPrefix = "c/"
+	memberPrefix    = "n/"
 	ownerKey        = "owner"
 )
 
@@ -79,6 +80,11 @@
 	Resigned bool  `json:"resigned,omitempty"`
 }
 
+// memberRecord is what a process says of itself at its start.
+type memberRecord struct {
+	Strength float64 `json:"strength"`
+}
+
 // Entry is what every node keeps of a job.
 type Entry struct {
 	ID         ID
@@ -120,6 +126,11 @@
 	return Record{Key: ownerKey, Value: value}, errors.Wrap(err, "encoding an owner record")
 }
 
+func encodeMember(node vocab.NodeID, m memberRecord) (Record, error) {
+	value, err := json.Marshal(m)
+	return Record{Key: memberPrefix + string(node), Value: value}, errors.Wrap(err, "encoding a member record")
+}
+
 func decodeRows(raw []byte) ([]taskRow, error) {
 	if len(raw) == 0 {
 		return nil, nil
@@ -137,6 +148,8 @@
 	// owner is the newest owner record, ownerFence its fence.
 	owner      ownerRecord
 	ownerFence Fence
+	// strongest is the greatest strength of any process so far.
+	strongest float64
 }
 
 func newLedger() *Ledger {
@@ -161,6 +174,9 @@
 	if !found {
 		return nil, errors.Wrapf(ErrBadRecord, "key %q", r.Key)
 	}
+	if prefix+"/" == memberPrefix {
+		return nil, l.foldMember(r)
+	}
 	if len(r.Value) == 0 {
 		delete(l.Jobs, ID(id))
 		return nil, nil
@@ -190,6 +206,15 @@
 	return e, nil
 }
 
+func (l *Ledger) foldMember(r Record) error {
+	var m memberRecord
+	if err := json.Unmarshal(r.Value, &m); err != nil {
+		return errors.Mark(errors.Wrap(err, "member record"), ErrBadRecord)
+	}
+	l.strongest = max(l.strongest, m.Strength)
+	return nil
+}
+
 func (l *Ledger) foldOwner(r Record) error {
 	var o ownerRecord
 	if err := json.Unmarshal(r.Value, &o); err != nil {
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -14,6 +14,8 @@
 	StopMost time.Duration
 	// OrderGap is the least time between orders of two owners to one machine.
 	OrderGap time.Duration
+	// OrdersPerSecond is the most orders to machines that the platform takes.
+	OrdersPerSecond float64
 	// MissAfter is how long a long-running task may be away before it counts
 	// as missing for another reason than an order.
 	MissAfter time.Duration
@@ -42,7 +44,15 @@
 	// of what runs. A later owner waits for it where a worker is silent.
 	ownerLeaseHold = 3 * time.Second
 	// claimSpread is the most by which nodes' claims are spread.
-	claimSpread = 500 * time.Millisecond
+	claimSpread = 250 * time.Millisecond
+	// firstClaim is how long nodes wait for each other's announcements where
+	// there was never an owner.
+	firstClaim = 700 * time.Millisecond
+	// weakWait is how much longer a node with no strength at all would wait.
+	weakWait = 1500 * time.Millisecond
+	// lookPausePerWorker is the pause before the next look at a worker, for
+	// each worker of the fleet, so that one look takes several ends.
+	lookPausePerWorker = 200 * time.Microsecond
 	// readWait is the long poll of an owner's reads.
 	readWait = time.Second
 	// ownerReadPause is the time between two reads of an owner, so that one
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -40,6 +40,7 @@
 	callers
 	waves       map[int64]*waveState
 	waveNumbers []int64 // keys of waves, sorted
+	announced   bool
 	stopping    bool
 	effects     []event.Effect
 }
@@ -126,6 +127,7 @@
 
 func (s *State) tick() {
 	s.follow()
+	s.announce()
 	s.claimIfSilent()
 	if s.owner != nil {
 		s.owner.tick()
@@ -168,6 +170,11 @@
 func (s *State) streamLoaded(e StreamLoaded) {
 	s.stream.loading, s.stream.loaded = false, true
 	s.stream.next = e.From
+	if s.claim.quietSince == 0 {
+		// A process that starts has to hear nothing of the owner for as long as
+		// the others.
+		s.claim.quietSince = s.now
+	}
 	old := s.ledger
 	s.ledger = newLedger()
 	s.foldAll(e.Records)
--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -145,7 +145,7 @@
 	room := max(1, w.wave.AtOnce) - down
 	o.sortForUpkeep(left)
 	for _, m := range left {
-		if room <= 0 {
+		if room <= 0 || o.fleet.orders < 1 {
 			return
 		}
 		if m.info.State != MachineUp || m.ordered {
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -254,7 +254,7 @@
 	o.after = append(o.after, func() {
 		if w.info.Born == born {
 			w.noted = max(w.noted, last)
-			w.lookSoon(o.s.now)
+			o.scheduleLook(w)
 		}
 	})
 }
@@ -322,6 +322,16 @@
 	w.lookSoon(o.s.now.Add(stopRetry))
 }
 
+// lookPause is the pause before the next look at a busy worker. A small fleet
+// needs none.
+func (o *owner) lookPause() time.Duration {
+	pause := time.Duration(len(o.ids)) * lookPausePerWorker
+	if pause < TickInterval/2 {
+		return 0
+	}
+	return pause
+}
+
 // scheduleLook sets when the next look is due.
 func (o *owner) scheduleLook(w *worker) {
 	switch {
@@ -329,7 +339,7 @@
 		// The stream has to have the ends first; the lease must not suffer.
 		w.lookDue = o.s.now.Add(lookWait)
 	case len(w.tasks) > 0:
-		w.lookDue = o.s.now
+		w.lookDue = o.s.now.Add(o.lookPause())
 	case w.strays != Resources{}:
 		w.lookDue = o.s.now.Add(stopRetry)
 	default:
--- a/internal/core/job/world_suite_test.go
+++ b/internal/core/job/world_suite_test.go
@@ -130,6 +130,45 @@
 	g.Expect(w.unfinished()).To(gomega.BeEmpty())
 }
 
+// TestRestartedNodeLeavesTheOwnerAlone holds a fault seen on the grown sites: a
+// process that had just started counted the time before its start as silence of
+// the owner, and claimed at once.
+func TestRestartedNodeLeavesTheOwnerAlone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(6, 4, 6, faults{})
+	w.run(4 * time.Second)
+	var owner *node
+	for _, n := range w.nodes {
+		if n.state.Owning() {
+			owner = n
+		}
+	}
+	fence := owner.state.owner.fence
+	for _, n := range w.nodes {
+		if n != owner {
+			n.kill()
+			n.start()
+		}
+	}
+	w.run(5 * time.Second)
+	g.Expect(owner.state.Owning()).To(gomega.BeTrue())
+	g.Expect(owner.state.owner.fence).To(gomega.Equal(fence))
+}
+
+// TestStrongestNodeOwns: a weak node leaves the first turn to stronger ones.
+func TestStrongestNodeOwns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(7, 6, 4, faults{})
+	for i, n := range w.nodes {
+		n.state.self.Strength = 0.192
+		if i == 4 {
+			n.state.self.Strength = 0.8
+		}
+	}
+	w.run(5 * time.Second)
+	g.Expect(w.nodes[4].state.Owning()).To(gomega.BeTrue())
+}
+
 func TestEverythingKilledAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	w := newWorld(5, 4, 6, faults{})
--- a/internal/eventlog/jobs.go
+++ b/internal/eventlog/jobs.go
@@ -2,45 +2,152 @@
 
 import (
 	"io"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/charmbracelet/log"
 
 	"github.com/sardinehead/sardinehead/internal/core/job"
 	"github.com/sardinehead/sardinehead/internal/settings"
-	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
-// Jobs writes the numbered lines of the jobs side as JSON.
+const (
+	// queuedLines is how many lines wait for the output before lines are left
+	// out.
+	queuedLines = 2048
+	// linesPerSecond bounds the lines of one event, and routineLines those of
+	// the events that every run has.
+	linesPerSecond = 300
+	routineLines   = 60
+	// budgetWindow is the time that a bound counts for.
+	budgetWindow = time.Second
+)
+
+// routine holds the events that come with every run that goes well.
+var routine = map[job.NoteID]bool{job.NoteStarted: true, job.NoteEnded: true, job.NoteAccepted: true}
+
+// Numbered lines of the process itself.
+const (
+	eventStarted  = 1
+	eventStopped  = 2
+	eventReloaded = 3
+	eventLeftOut  = 4
+)
+
+// Jobs writes the numbered lines of the jobs side as JSON. It never blocks its
+// caller: what the output does not take, or what exceeds an event's bound, is
+// left out and counted.
 type Jobs struct {
 	out *log.Logger
+	// at is the time of the line that is being written.
+	at    time.Time
+	lines chan line
+	ended chan struct{}
+	// leftOut counts the lines that were left out.
+	leftOut atomic.Uint64
+
+	mu     sync.Mutex
+	window time.Time
+	counts map[job.NoteID]int
+}
+
+type line struct {
+	at     time.Time
+	text   string
+	event  int
+	fields []any
 }
 
 // NewJobs returns a logger that writes lines for the named node to w.
 func NewJobs(w io.Writer, node string) *Jobs {
-	out := log.NewWithOptions(w, log.Options{
-		ReportTimestamp: true,
-		TimeFormat:      "2006-01-02T15:04:05.000Z07:00",
-		Formatter:       log.JSONFormatter,
-	})
-	return &Jobs{out: out.With("node", node)}
+	l := &Jobs{lines: make(chan line, queuedLines), ended: make(chan struct{}), counts: map[job.NoteID]int{}}
+	l.out = log.NewWithOptions(w, log.Options{
+		Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: timeFormat,
+		// Lines carry the time at which they were put, not written.
+		TimeFunction: func(time.Time) time.Time { return l.at },
+	}).With("node", node)
+	go l.write()
+	return l
+}
+
+func (l *Jobs) write() {
+	defer close(l.ended)
+	ticker := time.NewTicker(budgetWindow)
+	defer ticker.Stop()
+	told := uint64(0)
+	for {
+		select {
+		case next, open := <-l.lines:
+			if !open {
+				return
+			}
+			l.print(next)
+		case <-ticker.C:
+			if n := l.leftOut.Load(); n != told {
+				l.print(line{time.Now(), "lines left out", eventLeftOut, []any{"lines", n - told, "total", n}})
+				told = n
+			}
+		}
+	}
 }
 
-// Note writes one line.
+// timeFormat is that of the time of a line.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func (l *Jobs) print(n line) {
+	l.at = n.at
+	l.out.Info(n.text, append([]any{"event", n.event}, n.fields...)...)
+}
+
+// LeftOut is the number of lines that were left out.
+func (l *Jobs) LeftOut() uint64 { return l.leftOut.Load() }
+
+// Note writes one line, if the event's bound allows it.
 func (l *Jobs) Note(n job.Note) {
-	l.out.Info(n.Event.String(), append([]any{"event", int(n.Event)}, n.Fields...)...)
+	if !l.within(n.Event) {
+		l.leftOut.Add(1)
+		return
+	}
+	l.put(line{time.Now(), n.Event.String(), int(n.Event), n.Fields})
+}
+
+func (l *Jobs) put(n line) {
+	select {
+	case l.lines <- n:
+	default:
+		l.leftOut.Add(1)
+	}
+}
+
+// within counts a line against its event's bound.
+func (l *Jobs) within(id job.NoteID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); now.Sub(l.window) >= budgetWindow {
+		l.window = now
+		clear(l.counts)
+	}
+	l.counts[id]++
+	if routine[id] {
+		return l.counts[id] <= routineLines
+	}
+	return l.counts[id] <= linesPerSecond
 }
 
 // Started writes the line of a process's start.
-func (l *Jobs) Started(node vocab.NodeID, strength settings.Strength, memory int64) {
-	l.out.Info("process started", "event", 1, "strength", float64(strength), "memory_mib", memory)
+func (l *Jobs) Started(strength settings.Number, memory int64) {
+	l.put(line{time.Now(), "process started", eventStarted, []any{"strength", float64(strength), "memory_mib", memory}})
 }
 
-// Stopped writes the line of a process's end.
+// Stopped writes the line of a process's end and waits for the output.
 func (l *Jobs) Stopped(err error) {
-	l.out.Info("process stopped", "event", 2, "error", err)
+	l.put(line{time.Now(), "process stopped", eventStopped, []any{"error", err}})
+	close(l.lines)
+	<-l.ended
 }
 
 // Reloaded writes the line of a settings file that was read again.
 func (l *Jobs) Reloaded(err error, changed bool) {
-	l.out.Info("settings read again", "event", 3, "changed", changed, "error", err)
+	l.put(line{time.Now(), "settings read again", eventReloaded, []any{"changed", changed, "error", err}})
 }
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -19,7 +19,7 @@
 	Node vocab.NodeID `json:"node"`
 	Zone vocab.ZoneID `json:"zone"`
 	// Strength is the process's share of a core.
-	Strength Strength `json:"strength"`
+	Strength Number `json:"strength"`
 	// MemoryMiB is the limit of the process's memory.
 	MemoryMiB int64 `json:"memory_mib"`
 	// Callers, Readiness and Operators are the addresses to listen on.
@@ -31,6 +31,8 @@
 	Store    URL `json:"store"`
 	Machines URL `json:"machines"`
 	Advisor  URL `json:"advisor"`
+	// OrdersPerSecond is the most orders to machines that the platform takes.
+	OrdersPerSecond Number `json:"orders_per_second"`
 	// LeaseMost is the longest lease that a worker grants.
 	LeaseMost spec.Duration `json:"lease_most"`
 	// StopMost is the longest time that a worker takes to stop a run.
@@ -45,25 +47,25 @@
 	Grace spec.Duration `json:"grace"`
 }
 
-// Strength is a share of a core, written as "0.4".
-type Strength float64
+// Number is a positive number, written as "0.4".
+type Number float64
 
 // UnmarshalJSON reads a number in a string.
-func (s *Strength) UnmarshalJSON(data []byte) error {
+func (n *Number) UnmarshalJSON(data []byte) error {
 	var text string
 	if err := json.Unmarshal(data, &text); err != nil {
-		return errors.Wrap(err, "a share of a core is a string")
+		return errors.Wrap(err, "a number is written as a string")
 	}
-	share, err := strconv.ParseFloat(text, 64)
-	if err != nil || share <= 0 {
-		return errors.Newf("%q is not a share of a core", text)
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || value <= 0 {
+		return errors.Newf("%q is not a positive number", text)
 	}
-	*s = Strength(share)
+	*n = Number(value)
 	return nil
 }
 
 // JSONExample implements strictjson.Formatted.
-func (*Strength) JSONExample() string { return `a share of a core such as "0.4"` }
+func (*Number) JSONExample() string { return `a positive number such as "0.4"` }
 
 var serveRequired = []strictjson.Required{
 	{Name: "node", Example: `"node": "entry-1"`},
@@ -82,8 +84,10 @@
 	defaultStopMost  = 200 * time.Millisecond
 	defaultOrderGap  = 3 * time.Second
 	defaultMissAfter = 4500 * time.Millisecond
-	minLease         = time.Second
-	maxLease         = time.Hour
+	// defaultOrders is a rate that a small platform takes.
+	defaultOrders = 10
+	minLease      = time.Second
+	maxLease      = time.Hour
 )
 
 // LoadServe reads and checks a settings file. The error is
@@ -98,7 +102,7 @@
 
 // CheckServe decodes and checks the bytes of a settings file.
 func CheckServe(path string, data []byte) (Serve, error) {
-	s := Serve{Strength: 1}
+	s := Serve{Strength: 1, OrdersPerSecond: defaultOrders}
 	doc := strictjson.Parse(path, data)
 	doc.Decode(&s)
 	if doc.OK() {
