Gangs end together, advisors are asked, backlogs are read anew

Gangs and advised queues did not work. Change: a backlog is answered from a read of the last second or a fresh one, or not at all; one end of a gang stands for all and a broken gang is stopped whole; the advisor is asked one question at a time, starts carry its tickets.

--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -10,6 +10,9 @@
 	// refusedRetry is when a caller may come back after a failure of the
 	// stream.
 	refusedRetry = time.Second
+	// backlogAge is how old the stream's last read may be in the answer to a
+	// question for a backlog.
+	backlogAge = time.Second
 	// mostWaiting bounds the calls that wait for one append or read.
 	mostWaiting = 2000
 )
@@ -44,6 +47,8 @@
 	cameAt vocab.Instant
 	// cancel is set if the job is to be cancelled once it is found.
 	cancel bool
+	// backlog, if set, is the queue whose backlog is asked for.
+	backlog vocab.QueueID
 }
 
 func (s *State) nextAppend() uint64 {
@@ -211,7 +216,7 @@
 		s.reply(Reply{Call: e.Call, Answer: Accepted, State: entry.Visible()})
 		return
 	}
-	s.waitForRead(waitingQuery{e.Call, e.ID, s.now, false})
+	s.waitForRead(waitingQuery{call: e.Call, id: e.ID, cameAt: s.now})
 }
 
 func (s *State) cancel(e Cancel) {
@@ -222,7 +227,7 @@
 		s.cancelEntry(e.Call, entry)
 		return
 	}
-	s.waitForRead(waitingQuery{e.Call, e.ID, s.now, true})
+	s.waitForRead(waitingQuery{call: e.Call, id: e.ID, cameAt: s.now, cancel: true})
 }
 
 func (s *State) cancelEntry(call CallID, entry *Entry) {
@@ -262,6 +267,8 @@
 func (s *State) answerQuery(q waitingQuery) {
 	entry := s.ledger.Jobs[q.id]
 	switch {
+	case q.backlog != "":
+		s.reply(Reply{Call: q.call, Answer: Accepted, Pending: s.pending(q.backlog)})
 	case entry == nil || entry.Acceptance == nil:
 		s.reply(Reply{Call: q.call, Answer: NoJob})
 	case q.cancel:
@@ -295,13 +302,22 @@
 	if !ok {
 		return
 	}
-	pending := 0
+	if s.stream.failedSince == 0 && s.stream.readAt != 0 && s.now.Sub(s.stream.readAt) < backlogAge {
+		s.reply(Reply{Call: e.Call, Answer: Accepted, Pending: s.pending(q.Name)})
+		return
+	}
+	s.waitForRead(waitingQuery{call: e.Call, cameAt: s.now, backlog: q.Name})
+}
+
+// pending counts the jobs of a queue of which no task has started.
+func (s *State) pending(queue vocab.QueueID) int {
+	n := 0
 	for _, entry := range s.ledger.Jobs {
-		if entry.Acceptance != nil && entry.Acceptance.Queue == q.Name && entry.Visible() == PhaseQueued {
-			pending++
+		if entry.Acceptance != nil && entry.Acceptance.Queue == queue && entry.Visible() == PhaseQueued {
+			n++
 		}
 	}
-	s.reply(Reply{Call: e.Call, Answer: Accepted, Pending: pending})
+	return n
 }
 
 // checkSpec returns why a job cannot be taken, or nothing.
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -65,8 +65,10 @@
 		Run        Run
 		Payload    string
 		Checkpoint string
-		Lease      time.Duration
-		Until      vocab.Instant
+		// Ticket is the advisor's, where the queue has one.
+		Ticket string
+		Lease  time.Duration
+		Until  vocab.Instant
 	}
 
 	// Stop stops a run and bars it: StopAnswered.
@@ -162,6 +164,7 @@
 	NoteStray
 	NotePaced
 	NotePool
+	NoteAdvice
 )
 
 var noteNames = map[NoteID]string{
@@ -172,7 +175,7 @@
 	NoteJobEnded: "job ended", NoteCancelled: "job cancelled", NoteWorkerSilent: "worker silent",
 	NoteWorkerBack: "worker answers again", NoteWorkerReborn: "worker restarted", NoteRecordBad: "record unreadable",
 	NoteUpkeep: "machine upkeep", NoteMove: "machine move", NoteWave: "wave", NoteStray: "stray run stopped",
-	NotePaced: "run paced", NotePool: "pool state",
+	NotePaced: "run paced", NotePool: "pool state", NoteAdvice: "advice given",
 }
 
 // String implements fmt.Stringer.
--- a/internal/core/job/fleet.go
+++ b/internal/core/job/fleet.go
@@ -13,6 +13,8 @@
 		o.machinesListed(e)
 	case MachineAnswered:
 		o.machineAnswered(e)
+	case AdviceGiven:
+		o.adviceGiven(e)
 	case StatusWritten:
 		o.statusWritten(e)
 	}
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -58,6 +58,7 @@
 	demand     map[vocab.PoolID]poolDemand
 	poolsNoted vocab.Instant
 	estimates  *estimator
+	advising   bool
 }
 
 // ownAppend is an append of the owner. It is repeated under the same number
--- a/internal/core/job/plan.go
+++ b/internal/core/job/plan.go
@@ -210,6 +210,7 @@
 				}
 				best := o.choose(t, workers)
 				if best == nil {
+					o.askAdvice(st, workers)
 					break
 				}
 				o.assign(t, best)
@@ -226,12 +227,16 @@
 		return nil
 	}
 	need := st.spec.Reserved()
+	advised := o.advisedOf(st.work) != nil
 	var best *worker
 	var bestScore float64
 	for _, w := range workers {
 		if !w.free().Holds(need) || !o.suits(t, w) {
 			continue
 		}
+		if _, held := st.ticketFor(w, o.s.now); advised && !held {
+			continue
+		}
 		score := placementScore(st.spec, w)
 		if best == nil || score < bestScore {
 			best, bestScore = w, score
@@ -324,6 +329,7 @@
 		t.lastRun, t.checkpoint = run, checkpoint
 		best := o.choose(t, workers)
 		if best == nil {
+			o.askAdvice(st, workers)
 			o.releaseAll(st)
 			return
 		}
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -62,10 +62,11 @@
 		return
 	}
 	t.stage, t.sentAt = starting, o.s.now
+	ticket, _ := t.step.ticketFor(w, o.s.now)
 	w.leaseUntil = max(w.leaseUntil, o.s.now.Add(o.s.leaseSpan()))
 	o.s.emit(Start{
 		Worker: w.info.ID, Address: w.info.Address, Fence: o.fence, Task: t.name(), Run: run,
-		Payload: t.step.work.accepted.Spec.Payload, Checkpoint: t.checkpoint,
+		Payload: t.step.work.accepted.Spec.Payload, Checkpoint: t.checkpoint, Ticket: ticket,
 		Lease: w.clockAt(o.s.now) + o.s.lease(), Until: o.ordersUntil,
 	})
 }
@@ -100,7 +101,12 @@
 		o.s.note(NoteStartFailed, "task", e.Task, "run", e.Run, "worker", e.Worker, "outcome", e.Outcome.String(),
 			"refusal", e.Refusal, "error", errText(e.Err))
 		w.avoidUntil = o.s.now.Add(avoidFor)
+		if e.Refusal == RefusalTicket {
+			delete(t.step.tickets, w.info.ID)
+			w.avoidUntil = 0
+		}
 		o.release(t)
+		o.stopGang(t.step)
 	}
 }
 
@@ -186,6 +192,20 @@
 	default:
 		o.release(t)
 	}
+	o.stopGang(t.step)
+}
+
+// stopGang stops the other members of a gang of which one ended or could not
+// start: they work only together.
+func (o *owner) stopGang(st *step) {
+	if !st.spec.Gang || st.done == len(st.tasks) {
+		return
+	}
+	for _, t := range st.tasks {
+		if t.worker != nil && t.stage != stopping {
+			o.stopTask(t)
+		}
+	}
 }
 
 // lateEnd takes the end of a run that had been given up as lost.
@@ -214,6 +234,9 @@
 	}
 	t.done = true
 	t.step.done++
+	if t.step.spec.Gang {
+		o.gangDone(t.step)
+	}
 	if t.step.done == len(t.step.tasks) {
 		t.step.occurrence.left--
 	}
@@ -223,9 +246,28 @@
 	}
 }
 
+// gangDone ends the other members of a gang: one end stands for all.
+func (o *owner) gangDone(st *step) {
+	for _, t := range st.tasks {
+		if t.done {
+			continue
+		}
+		if t.worker != nil {
+			o.release(t)
+		}
+		t.done = true
+		st.done++
+	}
+}
+
 func (o *owner) taskFailed(t *task) {
 	w := t.step.work
 	t.failed++
+	if t.step.spec.Gang {
+		for _, other := range t.step.tasks {
+			other.failed = t.failed
+		}
+	}
 	o.touch(w)
 	if t.step.spec.LongRunning || w.ended != 0 {
 		return
--- a/internal/core/job/work.go
+++ b/internal/core/job/work.go
@@ -38,6 +38,9 @@
 	tasks      []*task
 	done       int
 	assigned   int
+	// tickets holds what the advisor granted, askedAt when it was last asked.
+	tickets map[WorkerID]ticket
+	askedAt vocab.Instant
 }
 
 // stage is where an assigned task stands.
--- a/internal/jobnode/machines.go
+++ b/internal/jobnode/machines.go
@@ -27,9 +27,24 @@
 		go n.orderMachine(ctx, e)
 	case job.WriteStatus:
 		go n.writeStatus(ctx, e)
+	case job.Advise:
+		go n.advise(ctx, e)
 	}
 }
 
+// Advisor says which workers may run a step.
+type Advisor interface {
+	// Advise returns a ticket for each worker that may run the step.
+	Advise(ctx context.Context, o job.Advise) (map[job.WorkerID]string, error)
+}
+
+func (n *Node) advise(ctx context.Context, e job.Advise) {
+	ctx, cancel := context.WithTimeout(ctx, e.Within)
+	defer cancel()
+	tickets, err := n.platform.Advisor.Advise(ctx, e)
+	n.post(job.AdviceGiven{Step: e.Step, OK: err == nil, Tickets: tickets, Err: err})
+}
+
 func (n *Node) listMachines(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, machineTimeout)
 	defer cancel()
--- a/internal/jobnode/ports.go
+++ b/internal/jobnode/ports.go
@@ -60,4 +60,5 @@
 	Operators Operators
 	Workers   Workers
 	Machines  Machines
+	Advisor   Advisor
 }
