Decide claims by the order of the stream

Change: a claim names the fence that it replaces, the first on the stream takes effect; after a failed look no end is noted until the worker answered.

--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/vocab"
@@ -47,8 +48,9 @@
 	s.addToBatch(record, waitingCall{})
 }
 
-// claimIfSilent claims ownership if the stream shows no owner. The claim is
-// bound to the end of the stream, so of several only one takes effect.
+// claimIfSilent claims ownership if the stream shows no owner. Which claim takes
+// effect is decided by the order of the stream, so that other appends cannot
+// hold a claim up.
 func (s *State) claimIfSilent() {
 	if s.owner != nil || s.stopping || s.claim.appendID != 0 || !s.caughtUp() || s.config == nil {
 		return
@@ -56,15 +58,18 @@
 	if s.now.Sub(s.claim.quietSince) < s.claimWait() {
 		return
 	}
-	record, err := encodeOwner(ownerRecord{Node: s.self.Node, Incarnation: s.self.Incarnation})
+	key := claimPrefix + strconv.FormatUint(uint64(s.self.Incarnation), 36) + "-" + strconv.FormatUint(s.lastAppend, 36)
+	record, err := encodeClaim(key, claimRecord{
+		Node: s.self.Node, Incarnation: s.self.Incarnation, Replaces: s.ledger.ownerFence,
+	})
 	if err != nil {
-		s.note(NoteRecordBad, "key", ownerKey, "error", err.Error())
+		s.note(NoteRecordBad, "key", key, "error", err.Error())
 		return
 	}
 	s.claim.appendID, s.claim.lastSign = s.nextAppend(), s.claim.quietSince
 	s.note(NoteClaimed, "offset", s.stream.next, "owner", s.ledger.owner.Node,
 		"fence", s.ledger.ownerFence, "quiet_ms", s.now.Sub(s.claim.quietSince).Milliseconds())
-	s.emit(Append{ID: s.claim.appendID, Records: []Record{record}, At: s.stream.next})
+	s.emit(Append{ID: s.claim.appendID, Records: []Record{record}, At: -1})
 }
 
 // caughtUp reports whether the last read is recent.
@@ -73,29 +78,23 @@
 		s.now.Sub(s.stream.readAt) < staleAfter
 }
 
-// claimAppended takes the answer to a claim. A claim whose answer was lost
-// shows in the stream if it took effect.
-func (s *State) claimAppended(e Appended) {
+// claimAppended takes the answer to a claim. Whether it took effect shows in the
+// stream.
+func (s *State) claimAppended(Appended) {
 	s.claim.appendID = 0
-	if e.Outcome == OK {
-		s.becomeOwner(Fence(e.Offset + 1))
-		return
-	}
-	if s.ledger.owner.Incarnation == s.self.Incarnation && !s.ledger.owner.Resigned && s.owner == nil {
-		// The claim was read back before its answer was given up.
-		s.becomeOwner(s.ledger.ownerFence)
-		return
-	}
 	s.readSoon()
 }
 
-// ownerChanged follows an owner record that was folded.
+// ownerChanged follows a claim or an owner record that was folded.
 func (s *State) ownerChanged(before Fence) {
-	mine := s.ledger.owner.Incarnation == s.self.Incarnation
+	if s.ledger.ownerFence <= before {
+		return
+	}
+	s.claim.quietSince = s.now
 	if s.owner != nil && s.ledger.ownerFence > s.owner.fence {
 		s.loseOwnership("another node claimed")
 	}
-	if mine && s.owner == nil && s.ledger.ownerFence > before && s.claim.appendID == 0 && !s.ledger.owner.Resigned {
+	if s.ledger.owner.Incarnation == s.self.Incarnation && !s.ledger.owner.Resigned && s.owner == nil {
 		s.becomeOwner(s.ledger.ownerFence)
 	}
 }
@@ -104,8 +103,6 @@
 	if s.owner != nil && s.owner.fence >= fence || s.stopping {
 		return
 	}
-	s.ledger.owner = ownerRecord{Node: s.self.Node, Incarnation: s.self.Incarnation}
-	s.ledger.ownerFence = max(s.ledger.ownerFence, fence)
 	s.owner = newOwner(s, fence)
 	s.owner.begin()
 }
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -59,6 +59,8 @@
 	poolsNoted vocab.Instant
 	estimates  *estimator
 	advising   bool
+	// claimsDropped is when decided claims were last taken off the stream.
+	claimsDropped vocab.Instant
 }
 
 // ownAppend is an append of the owner. It is repeated under the same number
@@ -161,11 +163,32 @@
 		}
 		o.jobChanged(e)
 	}
+	o.dropClaims()
 	o.s.note(NoteOwning, "fence", o.fence, "jobs", len(o.works), "offset", o.s.stream.next)
 	o.s.emit(FollowWorkers{On: true})
 	o.planDue = true
 }
 
+// dropClaims takes the claims off the stream that are decided. The owner's own
+// record, written with them, names the fence from then on.
+func (o *owner) dropClaims() {
+	o.claimsDropped = o.s.now
+	keys := make([]string, 0, len(o.s.ledger.claims))
+	for key := range o.s.ledger.claims {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	record, err := encodeOwner(ownerRecord{Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence})
+	if err != nil {
+		o.s.note(NoteRecordBad, "key", ownerKey, "error", err.Error())
+		return
+	}
+	o.extra = append(o.extra, record)
+	for _, key := range keys {
+		o.extra = append(o.extra, Record{Key: key})
+	}
+}
+
 // wrote reports whether a record that was read is the owner's own.
 func (o *owner) wrote(r Record) bool {
 	return o.stage == stageActive && strings.HasPrefix(r.Key, progressPrefix)
@@ -276,6 +299,9 @@
 	}
 	o.checkWorkers()
 	o.notePools()
+	if len(o.s.ledger.claims) > 0 && o.s.now.Sub(o.claimsDropped) > dropClaimsEvery {
+		o.dropClaims()
+	}
 	o.tickFleet()
 	if o.s.now.Sub(o.planned) > planEvery {
 		o.planDue = true
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -25,6 +25,7 @@
 	progressPrefix  = "p/"
 	cancelledPrefix = "c/"
 	memberPrefix    = "n/"
+	claimPrefix     = "k/"
 	ownerKey        = "owner"
 )
 
@@ -71,13 +72,21 @@
 	Checkpoint string   `json:"c,omitempty"`
 }
 
-// ownerRecord is a claim, a renewal or a resignation.
+// ownerRecord is a renewal or a resignation of an owner.
 type ownerRecord struct {
 	Node        vocab.NodeID      `json:"node"`
 	Incarnation vocab.Incarnation `json:"inc"`
-	// Fence is 0 in a claim: the claim's own offset gives it.
-	Fence    Fence `json:"fence,omitempty"`
-	Resigned bool  `json:"resigned,omitempty"`
+	Fence       Fence             `json:"fence"`
+	Resigned    bool              `json:"resigned,omitempty"`
+}
+
+// claimRecord asks for the ownership after the owner with a fence. Of several
+// that name one fence the first on the stream takes effect; its offset gives
+// the next fence.
+type claimRecord struct {
+	Node        vocab.NodeID      `json:"node"`
+	Incarnation vocab.Incarnation `json:"inc"`
+	Replaces    Fence             `json:"replaces"`
 }
 
 // memberRecord is what a process says of itself at its start.
@@ -126,6 +135,11 @@
 	return Record{Key: ownerKey, Value: value}, errors.Wrap(err, "encoding an owner record")
 }
 
+func encodeClaim(key string, c claimRecord) (Record, error) {
+	value, err := json.Marshal(c)
+	return Record{Key: key, Value: value}, errors.Wrap(err, "encoding a claim")
+}
+
 func encodeMember(node vocab.NodeID, m memberRecord) (Record, error) {
 	value, err := json.Marshal(m)
 	return Record{Key: memberPrefix + string(node), Value: value}, errors.Wrap(err, "encoding a member record")
@@ -150,10 +164,12 @@
 	ownerFence Fence
 	// strongest is the greatest strength of any process so far.
 	strongest float64
+	// claims holds the keys of the claims that the stream keeps.
+	claims map[string]bool
 }
 
 func newLedger() *Ledger {
-	return &Ledger{Jobs: map[ID]*Entry{}}
+	return &Ledger{Jobs: map[ID]*Entry{}, claims: map[string]bool{}}
 }
 
 func (l *Ledger) entry(id ID) *Entry {
@@ -174,8 +190,11 @@
 	if !found {
 		return nil, errors.Wrapf(ErrBadRecord, "key %q", r.Key)
 	}
-	if prefix+"/" == memberPrefix {
+	switch prefix + "/" {
+	case memberPrefix:
 		return nil, l.foldMember(r)
+	case claimPrefix:
+		return nil, l.foldClaim(r)
 	}
 	if len(r.Value) == 0 {
 		delete(l.Jobs, ID(id))
@@ -220,12 +239,25 @@
 	if err := json.Unmarshal(r.Value, &o); err != nil {
 		return errors.Mark(errors.Wrap(err, "owner record"), ErrBadRecord)
 	}
-	fence := o.Fence
-	if fence == 0 {
-		fence = Fence(r.Offset + 1)
+	if o.Fence >= l.ownerFence {
+		l.owner, l.ownerFence = o, o.Fence
+	}
+	return nil
+}
+
+func (l *Ledger) foldClaim(r Record) error {
+	if len(r.Value) == 0 {
+		delete(l.claims, r.Key)
+		return nil
+	}
+	var c claimRecord
+	if err := json.Unmarshal(r.Value, &c); err != nil {
+		return errors.Mark(errors.Wrap(err, "claim"), ErrBadRecord)
 	}
-	if fence >= l.ownerFence {
-		l.owner, l.ownerFence = o, fence
+	l.claims[r.Key] = true
+	if c.Replaces == l.ownerFence {
+		l.ownerFence = Fence(r.Offset + 1)
+		l.owner = ownerRecord{Node: c.Node, Incarnation: c.Incarnation, Fence: l.ownerFence}
 	}
 	return nil
 }
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -45,6 +45,8 @@
 	ownerLeaseHold = 3 * time.Second
 	// claimSpread is the most by which nodes' claims are spread.
 	claimSpread = 250 * time.Millisecond
+	// dropClaimsEvery is the time between two removals of decided claims.
+	dropClaimsEvery = 2 * time.Second
 	// firstClaim is how long nodes wait for each other's announcements where
 	// there was never an owner.
 	firstClaim = 700 * time.Millisecond
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -1,7 +1,9 @@
 package job
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 	"strings"
 	"time"
 
@@ -177,13 +179,32 @@
 	}
 	old := s.ledger
 	s.ledger = newLedger()
-	s.foldAll(e.Records)
+	quiet := s.claim.quietSince
+	s.foldAll(inFoldOrder(e.Records))
+	// What is loaded may be old: it is no sign that the owner lives.
+	s.claim.quietSince = quiet
 	if old.ownerFence > s.ledger.ownerFence {
 		s.ledger.owner, s.ledger.ownerFence = old.owner, old.ownerFence
 	}
 	s.readSoon()
 }
 
+// inFoldOrder sorts the newest records of all keys. The owner's own record comes
+// first: claims that it has decided must not take effect again.
+func inFoldOrder(records []Record) []Record {
+	sorted := slices.Clone(records)
+	slices.SortFunc(sorted, func(a, b Record) int {
+		if (a.Key == ownerKey) != (b.Key == ownerKey) {
+			if a.Key == ownerKey {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.Offset, b.Offset)
+	})
+	return sorted
+}
+
 func (s *State) streamRead(e StreamRead) {
 	s.stream.reading = false
 	if !s.stream.loaded {
@@ -248,12 +269,10 @@
 			s.note(NoteRecordBad, "offset", r.Offset, "key", r.Key, "error", err.Error())
 			continue
 		}
-		if r.Key == ownerKey || len(r.Key) > 2 && r.Key[:2] == progressPrefix {
+		if r.Key == ownerKey || strings.HasPrefix(r.Key, progressPrefix) {
 			s.claim.quietSince = s.now
 		}
-		if r.Key == ownerKey {
-			s.ownerChanged(before)
-		}
+		s.ownerChanged(before)
 		if e != nil && s.owner != nil {
 			s.owner.jobChanged(e)
 		}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -163,8 +163,11 @@
 
 func (o *owner) look(w *worker) {
 	look := Look{
-		Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Fence: o.fence, Noted: w.noted,
-		Until: o.leasesUntil,
+		Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Fence: o.fence, Until: o.leasesUntil,
+	}
+	if w.fenced && w.failures == 0 {
+		// After a failure a later life may answer, whose ends are numbered anew.
+		look.Noted = w.noted
 	}
 	busy := len(w.tasks) > 0
 	if busy && w.fenced && w.failures == 0 && o.s.now < o.leasesUntil {
--- a/internal/core/job/world_suite_test.go
+++ b/internal/core/job/world_suite_test.go
@@ -155,6 +155,24 @@
 	g.Expect(owner.state.owner.fence).To(gomega.Equal(fence))
 }
 
+// TestClaimIsNotHeldUpByOtherAppends holds a fault of incident inc-45b9: claims
+// were bound to the end of the stream, and under many acceptances a second the
+// workers were without an owner for four seconds more.
+func TestClaimIsNotHeldUpByOtherAppends(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(8, 6, 6, faults{})
+	w.run(3 * time.Second)
+	w.after(0, func() { w.load(4*time.Millisecond, 12*time.Second) })
+	w.run(2 * time.Second)
+	for _, n := range w.nodes {
+		if n.state.Owning() {
+			n.kill()
+		}
+	}
+	w.run(ownerSilence + claimSpread + 300*time.Millisecond)
+	g.Expect(w.owners()).To(gomega.Equal(1))
+}
+
 // TestStrongestNodeOwns: a weak node leaves the first turn to stronger ones.
 func TestStrongestNodeOwns(t *testing.T) {
 	g := gomega.NewWithT(t)
