--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -13,6 +13,8 @@
 	quietSince vocab.Instant
 	// lastSign is the last sign of the owner before the claim was sent.
 	lastSign vocab.Instant
+	// before is the owner that the claim replaces.
+	before ownerRecord
 	// appendID is the claim under way, or 0.
 	appendID uint64
 }
@@ -67,6 +69,7 @@
 		return
 	}
 	s.claim.appendID, s.claim.lastSign = s.nextAppend(), s.claim.quietSince
+	s.claim.before = s.ledger.owner
 	s.note(NoteClaimed, "offset", s.stream.next, "owner", s.ledger.owner.Node,
 		"fence", s.ledger.ownerFence, "quiet_ms", s.now.Sub(s.claim.quietSince).Milliseconds())
 	s.emit(Append{ID: s.claim.appendID, Records: []Record{record}, At: -1})
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -139,7 +139,7 @@
 
 // Numbered log lines.
 const (
-	NoteClaimed NoteID = 300 + iota
+	NoteClaimed NoteID = 600 + iota
 	NoteOwning
 	NoteOwnershipLost
 	NoteResigned
--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -173,7 +173,7 @@
 // mayOrderMachines reports whether orders to machines are allowed: not right
 // after another owner may have given some.
 func (o *owner) mayOrderMachines() bool {
-	return o.mayOrder() && o.s.now.Sub(o.activeAt) > o.s.set.OrderGap && o.fleet.listedAt > o.activeAt
+	return o.mayOrder() && o.s.now >= o.machinesFrom && o.fleet.listedAt > o.activeAt
 }
 
 func (o *owner) tickFleet() {
--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -84,8 +84,13 @@
 	return list
 }
 
-// packingLoss is the part of the room that packing leaves unused.
-const packingLoss = 0.1
+const (
+	// packingLoss is the part of the room that packing leaves unused.
+	packingLoss = 0.1
+	// rising is by how much more than what waits now is asked for: demand that
+	// exceeds its pool goes on to rise while a machine is on its way.
+	rising = 1.4
+)
 
 // machinesWanted is how many machines more would take the waiting work at
 // once.
@@ -95,7 +100,7 @@
 		return 0
 	}
 	per := int64(float64(room.CPU) * (1 - packingLoss))
-	return int((o.demand[p].waiting.CPU + per - 1) / per)
+	return int((int64(float64(o.demand[p].waiting.CPU)*rising) + per - 1) / per)
 }
 
 func (f *fleet) typicalRoom() Resources {
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -44,6 +44,8 @@
 	// leaseBound is when a lease granted by an earlier owner has passed.
 	leaseBound vocab.Instant
 	activeAt   vocab.Instant
+	// machinesFrom is when orders to machines are allowed.
+	machinesFrom vocab.Instant
 
 	works      map[ID]*work
 	order      []*work // in order of arrival
@@ -59,6 +61,7 @@
 	poolsNoted vocab.Instant
 	estimates  *estimator
 	advising   bool
+	rates      map[vocab.TeamID]*teamRate
 	// claimsDropped is when decided claims were last taken off the stream.
 	claimsDropped vocab.Instant
 }
@@ -76,7 +79,7 @@
 	return &owner{
 		s: s, fence: fence,
 		works: map[ID]*work{}, workers: map[WorkerID]*worker{}, usage: map[vocab.TeamID]Resources{},
-		demand: map[vocab.PoolID]poolDemand{}, estimates: newEstimator(),
+		demand: map[vocab.PoolID]poolDemand{}, estimates: newEstimator(), rates: map[vocab.TeamID]*teamRate{},
 		fleet: fleet{machines: map[MachineID]*machine{}},
 	}
 }
@@ -84,9 +87,24 @@
 // begin fences the stream against earlier owners.
 func (o *owner) begin() {
 	o.leaseBound = o.s.claim.lastSign.Add(ownerLeaseHold + o.s.leaseSpan())
+	o.machinesFrom = o.s.machinesFrom()
 	o.send(nil)
 }
 
+// machinesFrom is when a new owner may give orders to machines: the orders of
+// two owners to one machine must lie apart.
+func (s *State) machinesFrom() vocab.Instant {
+	before := s.claim.before
+	switch {
+	case before.Fence == 0, before.Node == s.self.Node:
+		return s.now
+	case before.Resigned:
+		return s.claim.lastSign.Add(s.set.OrderGap)
+	default:
+		return s.claim.lastSign.Add(ownerHold + s.set.OrderGap)
+	}
+}
+
 // lease is the lease that is asked for.
 func (s *State) lease() time.Duration { return min(s.set.LeaseMost, leaseWanted) }
 
@@ -220,6 +238,7 @@
 	}
 	e.rows = nil
 	o.works[e.ID] = w
+	w.excess = !o.withinRate(w)
 	o.order = append(o.order, w)
 	w.extend(o.s.wall)
 	for _, row := range rows {
--- a/internal/core/job/plan.go
+++ b/internal/core/job/plan.go
@@ -99,10 +99,46 @@
 const (
 	classLasting = iota
 	classInTime
+	classExcess
 	classLate
 	classOverdue
 )
 
+// withinRate counts a new job against its team's rate: as many a second as the
+// team's weight. One team that sends many times its usual does not hold the
+// others up.
+func (o *owner) withinRate(w *work) bool {
+	if o.s.config == nil {
+		return true
+	}
+	team := o.s.config.teams[w.accepted.Team]
+	if team == nil || team.Weight <= 0 {
+		return true
+	}
+	r := o.rates[team.Name]
+	if r == nil {
+		r = &teamRate{left: team.Weight * rateBurst.Seconds(), at: w.accepted.At}
+		o.rates[team.Name] = r
+	}
+	passed := max(0, float64(w.accepted.At-r.at)/1000)
+	r.left = min(r.left+passed*team.Weight, team.Weight*rateBurst.Seconds())
+	r.at = max(r.at, w.accepted.At)
+	if r.left < 1 {
+		return false
+	}
+	r.left--
+	return true
+}
+
+// teamRate is what a team may still hand in at its rate.
+type teamRate struct {
+	left float64
+	at   Millis
+}
+
+// rateBurst is the time for which an unused rate is kept.
+const rateBurst = 2 * time.Second
+
 // rate gives a job its place in the order of service.
 func (o *owner) rate(w *work) candidate {
 	c := candidate{work: w, pool: w.accepted.Pool}
@@ -128,6 +164,8 @@
 			c.class = classOverdue
 		case age+chain > objective:
 			c.class = classLate
+		case w.excess:
+			c.class = classExcess
 		}
 	}
 	// A fixed part and one by work is earned for a whole job.
--- a/internal/core/job/work.go
+++ b/internal/core/job/work.go
@@ -14,7 +14,9 @@
 	// running counts the tasks that are assigned.
 	running int
 	// begun is set once a run was started.
-	begun   bool
+	begun bool
+	// excess is set if the job came beyond its team's rate.
+	excess  bool
 	ended   Phase // 0 while the job goes on
 	dirty   bool
 	written bool // the end is on the stream
--- a/internal/eventlog/jobs.go
+++ b/internal/eventlog/jobs.go
@@ -29,10 +29,10 @@
 
 // Numbered lines of the process itself.
 const (
-	eventStarted  = 1
-	eventStopped  = 2
-	eventReloaded = 3
-	eventLeftOut  = 4
+	eventStarted  = 690
+	eventStopped  = 691
+	eventReloaded = 692
+	eventLeftOut  = 693
 )
 
 // Jobs writes the numbered lines of the jobs side as JSON. It never blocks its
