--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -83,6 +83,10 @@
 	if !ok {
 		return
 	}
+	if !e.ID.valid() {
+		s.reply(Reply{Call: e.Call, Answer: Malformed, Detail: "an ID is 16 hexadecimal digits"})
+		return
+	}
 	if why := checkSpec(&e.Spec); why != "" {
 		s.reply(Reply{Call: e.Call, Answer: Malformed, Detail: why})
 		return
--- a/internal/core/job/types.go
+++ b/internal/core/job/types.go
@@ -17,6 +17,21 @@
 // ID names a job. It is chosen by the caller: 16 hexadecimal digits.
 type ID string
 
+// valid reports whether the ID is 16 hexadecimal digits.
+func (id ID) valid() bool {
+	if len(id) != idLength {
+		return false
+	}
+	for _, c := range []byte(id) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+const idLength = 16
+
 // WorkerID names one worker; it stays when a worker restarts in place.
 type WorkerID string
 
--- /dev/null
+++ b/internal/soak/process_test.go
@@ -0,0 +1,80 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// process is one entry node, run as a real process.
+type process struct {
+	name, dir                     string
+	callers, readiness, operators string
+	store                         *proxy
+	cmd                           *exec.Cmd
+	client                        *http.Client
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func newProcess(dir, name, store string) (*process, error) {
+	p := &process{name: name, dir: dir, client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}}}
+	var err error
+	if p.store, err = newProxy(store); err != nil {
+		return nil, err
+	}
+	for _, address := range []*string{&p.callers, &p.readiness, &p.operators} {
+		if *address, err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	settings := fmt.Sprintf(`{"node": %q, "zone": "z", "callers": %q, "readiness": %q, "operators": %q,
+  "store": "http://%s", "machines": "http://%s", "lease_most": "6s", "grace": "3s"}`,
+		name, p.callers, p.readiness, p.operators, p.store.address(), p.store.address())
+	return p, os.WriteFile(p.settings(), []byte(settings), 0o600)
+}
+
+func (p *process) settings() string { return filepath.Join(p.dir, p.name+".json") }
+
+// start starts the process; its lines are added to its log file.
+func (p *process) start(binary string) error {
+	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	p.cmd = exec.Command(binary, "serve", "--settings", p.settings())
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	return p.cmd.Start()
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// end ends the process by a signal and waits for it, at most for a time.
+func (p *process) end(s syscall.Signal, wait time.Duration) {
+	p.signal(s)
+	killer := time.AfterFunc(wait, func() { p.signal(syscall.SIGKILL) })
+	_ = p.cmd.Wait()
+	killer.Stop()
+}
+
+func (p *process) ready() bool {
+	resp, err := p.client.Get("http://" + p.readiness + "/readiness")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
