Claim after 1.6 s of silence, hurry waves after 0.4 of their time

Change: the silence is two renewals and two reads long, and longer where reads are slow; a wave does not wait for idle pools after 0.4 of its time. Ruled out: an overlap of two owners: the next one knows every intent from before its fence, and workers refuse the lower one (random series with frozen owners pass).

--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -22,7 +22,7 @@
 // claimWait is how long this node waits for the owner before it claims. Nodes
 // that are weaker than the strongest leave it the first turn.
 func (s *State) claimWait() time.Duration {
-	wait := ownerSilence
+	wait := ownerSilence + silencePerRead*s.stream.took
 	switch {
 	case s.ledger.ownerFence == 0:
 		wait = firstClaim
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -32,14 +32,18 @@
 	// another owner, and what a crashed worker ran starts again after it.
 	leaseWanted = 5 * time.Second
 	// ownerHold is how long an owner gives orders after it sent an append
-	// that was carried out. It is below ownerSilence by more than the drift
-	// of two clocks.
+	// that was carried out. It may overlap with the next owner: a worker
+	// refuses the lower fence, and what was intended before the claim is known
+	// to the next owner.
 	ownerHold = 2 * time.Second
 	// ownerRenew is the longest time between two appends of an owner.
-	ownerRenew = 600 * time.Millisecond
+	ownerRenew = 400 * time.Millisecond
 	// ownerSilence is how long the stream must be without a sign of the owner
-	// before another node claims.
-	ownerSilence = 2500 * time.Millisecond
+	// before another node claims: two renewals and two reads of a follower.
+	ownerSilence = 1600 * time.Millisecond
+	// silencePerRead times a read's time is added to it: a slow store delays
+	// the owner's appends as well.
+	silencePerRead = 4
 	// ownerLeaseHold is how long an owner without appends extends the leases
 	// of what runs. A later owner waits for it where a worker is silent.
 	ownerLeaseHold = 3 * time.Second
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -54,6 +54,7 @@
 	next            int64
 	readAt          vocab.Instant // when the last read that succeeded was sent
 	dueAt           vocab.Instant
+	took            time.Duration // time of the last read that did not wait
 	failedSince     vocab.Instant // 0 while reads succeed
 }
 
@@ -217,6 +218,9 @@
 		s.claim.quietSince = s.now
 	}
 	s.stream.next, s.stream.readAt = e.Next, e.SentAt
+	if s.owner == nil {
+		s.stream.took = s.now.Sub(e.SentAt)
+	}
 	s.stream.dueAt = s.now.Add(s.readPause(e))
 	s.foldAll(e.Records)
 	if e.Next < e.End {
--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -35,8 +35,10 @@
 	// its upkeep.
 	emptyWait = 3 * time.Second
 	// waveSlack times the time that a wave needs is when it no longer waits
-	// for pools to be idle.
-	waveSlack = 2
+	// for pools to be idle, and wavePatience the part of its time for which it
+	// does at most: machines may be down by themselves at the end.
+	waveSlack    = 2
+	wavePatience = 0.4
 )
 
 func (s *State) waveOrdered(e WaveOrdered) {
@@ -141,7 +143,9 @@
 		}
 	}
 	o.showWave(number, w, len(left) == 0 && down == 0)
-	hurry := o.s.now.Sub(w.readAt)+waveSlack*turns(len(left), w.wave.AtOnce) > w.wave.Within
+	passed := o.s.now.Sub(w.readAt)
+	hurry := passed+waveSlack*turns(len(left), w.wave.AtOnce) > w.wave.Within ||
+		passed.Seconds() > wavePatience*w.wave.Within.Seconds()
 	room := max(1, w.wave.AtOnce) - down
 	o.sortForUpkeep(left)
 	for _, m := range left {
