--- a/internal/command/operators.go
+++ b/internal/command/operators.go
@@ -203,14 +203,27 @@
 
 // Explain answers why work waits or a VM gets none.
 type Explain struct {
-	Nodes
-	Queue string `long:"queue" description:"queue to ask about"`
-	Team  string `long:"team" description:"team to ask about, with --queue"`
-	VM    string `long:"vm" description:"VM to ask about"`
+	Output
+	Node  []string `long:"node" env:"SARDINEHEAD_NODES" env-delim:"," value-name:"URL" description:"operators' address of an entry node; may be given several times"`
+	Queue string   `long:"queue" description:"queue to ask about"`
+	Team  string   `long:"team" description:"team to ask about, with --queue"`
+	VM    string   `long:"vm" description:"VM to ask about"`
+
+	Job string   `long:"job" description:"job to explain from logs, with --log"`
+	Log []string `long:"log" value-name:"FILE" description:"log of a node, - for standard input; may be given for each node"`
 }
 
 // Execute implements flags.Commander.
 func (e *Explain) Execute([]string) error {
+	if e.Job != "" {
+		if len(e.Log) == 0 {
+			return withExitCode(errors.New("say --log FILE, for each node"), ExitUsage)
+		}
+		return e.explainJob()
+	}
+	if len(e.Node) == 0 {
+		return withExitCode(errors.New("say --node URL"), ExitUsage)
+	}
 	if e.Queue == "" && e.VM == "" {
 		return withExitCode(errors.New("say --queue NAME (and --team NAME), or --vm NAME"), ExitUsage)
 	}
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -177,5 +177,12 @@
 		n.WriteMetrics(c.Response())
 		return nil
 	})
+	e.GET("/dump", func(c *echo.Context) error {
+		var dump job.Dump
+		if err := n.Read(func(s *job.State) { dump = s.Dump() }); err != nil {
+			return c.String(http.StatusServiceUnavailable, err.Error()+"\n")
+		}
+		return c.JSONPretty(http.StatusOK, dump, "  ")
+	})
 	return e
 }
--- /dev/null
+++ b/internal/core/job/dump.go
@@ -0,0 +1,91 @@
+package job
+
+import (
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// Dump is the state of a node as it is printed for people.
+type Dump struct {
+	Node          vocab.NodeID `json:"node"`
+	Ready         bool         `json:"ready"`
+	Owning        bool         `json:"owning"`
+	Owner         vocab.NodeID `json:"owner"`
+	Fence         Fence        `json:"fence"`
+	ConfigVersion uint64       `json:"config_version"`
+	// Offset is the next one to read, ReadAgeMS the age of the last read.
+	Offset    int64          `json:"offset"`
+	ReadAgeMS int64          `json:"read_age_ms"`
+	Jobs      map[string]int `json:"jobs"`
+	Workers   []WorkerDump   `json:"workers,omitempty"`
+	Waiting   []PoolDump     `json:"waiting,omitempty"`
+	Waves     []WaveDump     `json:"waves,omitempty"`
+}
+
+// WorkerDump is what an owner knows of a worker.
+type WorkerDump struct {
+	ID          WorkerID     `json:"id"`
+	Machine     MachineID    `json:"machine"`
+	Pool        vocab.PoolID `json:"pool"`
+	Usable      bool         `json:"usable"`
+	Tasks       int          `json:"tasks"`
+	Free        Resources    `json:"free"`
+	Failures    int          `json:"failures,omitempty"`
+	LeaseLeftMS int64        `json:"lease_left_ms"`
+}
+
+// PoolDump is the work that finds no room in a pool.
+type PoolDump struct {
+	Pool    vocab.PoolID `json:"pool"`
+	Waiting Resources    `json:"waiting"`
+}
+
+// WaveDump is the state of a wave.
+type WaveDump struct {
+	Wave     int64 `json:"wave"`
+	Machines int   `json:"machines"`
+	Done     int   `json:"done"`
+	Complete bool  `json:"complete"`
+}
+
+// Dump returns the state of the node. Maps become sorted lists where the order
+// matters to a reader.
+func (s *State) Dump() Dump {
+	d := Dump{
+		Node: s.self.Node, Ready: s.Ready(), Owning: s.Owning(), Owner: s.ledger.owner.Node,
+		Fence: s.ledger.ownerFence, ConfigVersion: s.configVersion(), Offset: s.stream.next,
+		ReadAgeMS: s.now.Sub(s.stream.readAt).Milliseconds(), Jobs: map[string]int{},
+	}
+	for _, e := range s.ledger.Jobs {
+		d.Jobs[string(e.Visible())]++
+	}
+	for _, number := range s.waveNumbers {
+		w := s.waves[number]
+		d.Waves = append(d.Waves, WaveDump{number, len(w.wave.Machines), len(w.done), w.shownComplete})
+	}
+	if s.owner != nil {
+		s.owner.dump(&d)
+	}
+	return d
+}
+
+func (o *owner) dump(d *Dump) {
+	for _, id := range o.ids {
+		w := o.workers[id]
+		d.Workers = append(d.Workers, WorkerDump{
+			ID: id, Machine: w.info.Machine, Pool: w.info.Pool, Usable: w.usable(o.s.now), Tasks: len(w.tasks),
+			Free: w.free(), Failures: w.failures, LeaseLeftMS: w.leaseUntil.Sub(o.s.now).Milliseconds(),
+		})
+	}
+	for _, p := range o.poolsByNeed() {
+		d.Waiting = append(d.Waiting, PoolDump{p, o.demand[p].waiting})
+	}
+}
+
+// Notes returns the numbered log lines with their texts.
+func Notes() map[NoteID]string {
+	out := make(map[NoteID]string, len(noteNames))
+	for id, text := range noteNames {
+		out[id] = text
+	}
+	return out
+}
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -179,7 +179,7 @@
 	}
 	o.s.note(NoteEnded, "task", e.Task, "run", e.Run, "worker", w.info.ID, "how", int(e.End), "failed", t.failed, "estimate_ms", t.step.spec.EstimateMS,
 		"queue", job.accepted.Queue,
-		"after_ms", o.s.now.Sub(t.sentAt).Milliseconds())
+		"after_ms", o.s.now.Sub(max(t.sentAt, job.seenAt)).Milliseconds())
 	switch e.End {
 	case EndDone:
 		if t.lastRun == 1 && t.answeredAt != 0 {
--- a/internal/eventlog/catalogue_test.go
+++ b/internal/eventlog/catalogue_test.go
@@ -9,6 +9,8 @@
 	"github.com/onsi/gomega"
 
 	"github.com/sardinehead/sardinehead/internal/core"
+	"github.com/sardinehead/sardinehead/internal/core/job"
+	"github.com/sardinehead/sardinehead/internal/eventlog"
 )
 
 // TestCatalogue compares docs/LOG-EVENTS.md with the events of the code.
@@ -23,5 +25,11 @@
 	for id, text := range core.Notices() {
 		known = append(known, fmt.Sprintf("%d %s", id, text))
 	}
+	for id, text := range job.Notes() {
+		known = append(known, fmt.Sprintf("%d %s", id, text))
+	}
+	for id, text := range eventlog.ProcessEvents() {
+		known = append(known, fmt.Sprintf("%d %s", id, text))
+	}
 	g.Expect(documented).To(gomega.ConsistOf(known))
 }
--- a/internal/eventlog/jobs.go
+++ b/internal/eventlog/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,14 @@
 	eventLeftOut  = 693
 )
 
+var processEvents = map[int]string{
+	eventStarted: "process started", eventStopped: "process stopped", eventReloaded: "settings read again",
+	eventLeftOut: "lines left out",
+}
+
+// ProcessEvents returns the numbered lines of the process with their texts.
+func ProcessEvents() map[int]string { return maps.Clone(processEvents) }
+
 // Jobs writes the numbered lines of the jobs side as JSON. It never blocks its
 // caller: what the output does not take, or what exceeds an event's bound, is
 // left out and counted.
@@ -85,7 +94,7 @@
 			l.print(next)
 		case <-ticker.C:
 			if n := l.leftOut.Load(); n != told {
-				l.print(line{time.Now(), "lines left out", eventLeftOut, []any{"lines", n - told, "total", n}})
+				l.print(line{time.Now(), processEvents[eventLeftOut], eventLeftOut, []any{"lines", n - told, "total", n}})
 				told = n
 			}
 		}
@@ -137,17 +146,17 @@
 
 // Started writes the line of a process's start.
 func (l *Jobs) Started(strength settings.Number, memory int64) {
-	l.put(line{time.Now(), "process started", eventStarted, []any{"strength", float64(strength), "memory_mib", memory}})
+	l.put(line{time.Now(), processEvents[eventStarted], eventStarted, []any{"strength", float64(strength), "memory_mib", memory}})
 }
 
 // Stopped writes the line of a process's end and waits for the output.
 func (l *Jobs) Stopped(err error) {
-	l.put(line{time.Now(), "process stopped", eventStopped, []any{"error", err}})
+	l.put(line{time.Now(), processEvents[eventStopped], eventStopped, []any{"error", err}})
 	close(l.lines)
 	<-l.ended
 }
 
 // Reloaded writes the line of a settings file that was read again.
 func (l *Jobs) Reloaded(err error, changed bool) {
-	l.put(line{time.Now(), "settings read again", eventReloaded, []any{"changed", changed, "error", err}})
+	l.put(line{time.Now(), processEvents[eventReloaded], eventReloaded, []any{"changed", changed, "error", err}})
 }
--- /dev/null
+++ b/internal/eventlog/jobs_test.go
@@ -0,0 +1,55 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/sardinehead/sardinehead/internal/core/job"
+	"github.com/sardinehead/sardinehead/internal/eventlog"
+)
+
+// stuck is an output that takes nothing.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+func TestFloodIsBoundedAndCounted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var out bytes.Buffer
+	log := eventlog.NewJobs(&out, "n1")
+	for range 10_000 {
+		log.Note(job.Note{Event: job.NoteStarted, Fields: []any{"task", "x"}})
+	}
+	log.Note(job.Note{Event: job.NoteRefused, Fields: []any{"job", "00000000000000aa", "why", "test"}})
+	log.Stopped(nil)
+	lines := strings.Count(out.String(), "\n")
+	g.Expect(log.LeftOut()).To(gomega.BeNumerically(">", 9_000))
+	g.Expect(lines + int(log.LeftOut())).To(gomega.BeNumerically(">=", 10_002))
+	g.Expect(out.String()).To(gomega.ContainSubstring("00000000000000aa"), "a refusal is not among the lines left out")
+	g.Expect(out.String()).To(gomega.ContainSubstring(`"event":608`))
+}
+
+func TestOutputThatTakesNothingBlocksNobody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	release := make(chan struct{})
+	log := eventlog.NewJobs(io.Writer(stuck{release}), "n1")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 40 {
+			for range 200 {
+				log.Note(job.Note{Event: job.NoteLost + job.NoteID(i%5)})
+			}
+		}
+	}()
+	g.Eventually(done, 5*time.Second).Should(gomega.BeClosed())
+	close(release)
+}
--- a/internal/jobnode/metrics.go
+++ b/internal/jobnode/metrics.go
@@ -13,6 +13,8 @@
 // Log writes the reducer's lines.
 type Log interface {
 	Note(job.Note)
+	// LeftOut is the number of lines that were left out so far.
+	LeftOut() uint64
 }
 
 // nodeMetrics holds the counters and histograms of one node.
@@ -26,6 +28,17 @@
 	return &nodeMetrics{set: set, steps: set.NewCounter("sardinehead_job_steps_total")}
 }
 
+func (m *nodeMetrics) gauge(name string, value float64) {
+	m.set.GetOrCreateGauge(name, nil).Set(value)
+}
+
+func boolNumber(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 var answerNames = map[job.Answer]string{
 	job.Accepted: "accepted", job.NoQueue: "no_queue", job.NoKey: "no_key", job.NoJob: "no_job",
 	job.Refused: "refused", job.Unclear: "unclear", job.Malformed: "malformed",
@@ -50,6 +63,19 @@
 // WriteMetrics writes the node's and the process's metrics in the Prometheus
 // text format.
 func (n *Node) WriteMetrics(w io.Writer) {
+	err := n.Read(func(s *job.State) {
+		d := s.Dump()
+		n.metrics.gauge("sardinehead_job_owning", boolNumber(d.Owning))
+		n.metrics.gauge("sardinehead_job_ready", boolNumber(d.Ready))
+		n.metrics.gauge("sardinehead_job_config_version", float64(d.ConfigVersion))
+		n.metrics.gauge("sardinehead_job_stream_offset", float64(d.Offset))
+		n.metrics.gauge("sardinehead_job_stream_read_age_seconds", float64(d.ReadAgeMS)/1000)
+		n.metrics.gauge("sardinehead_job_workers", float64(len(d.Workers)))
+	})
+	if err != nil {
+		fmt.Fprintln(w, "#", err)
+	}
+	n.metrics.gauge("sardinehead_log_lines_left_out", float64(n.log.LeftOut()))
 	n.metrics.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
--- a/internal/jobnode/node.go
+++ b/internal/jobnode/node.go
@@ -30,6 +30,7 @@
 	log      Log
 	metrics  *nodeMetrics
 	events   chan event.Event
+	reads    chan func(*job.State)
 	done     chan struct{}
 	lastCall atomic.Uint64
 
@@ -46,7 +47,7 @@
 func New(self job.Identity, set job.Settings, p Platform, log Log) *Node {
 	return &Node{
 		state: job.New(self, set), platform: p, log: log, metrics: newNodeMetrics(),
-		events: make(chan event.Event, queued), done: make(chan struct{}),
+		events: make(chan event.Event, queued), reads: make(chan func(*job.State)), done: make(chan struct{}),
 		waiting: map[job.CallID]chan job.Reply{},
 	}
 }
@@ -82,6 +83,8 @@
 			return nil
 		case ev := <-n.events:
 			n.step(ctx, ev)
+		case read := <-n.reads:
+			read(n.state)
 		case <-ticker.C:
 			n.step(ctx, job.Tick{})
 		}
@@ -106,6 +109,18 @@
 	}
 }
 
+// Read calls read with the reducer's state, which must not be kept or changed.
+func (n *Node) Read(read func(*job.State)) error {
+	done := make(chan struct{})
+	select {
+	case n.reads <- func(s *job.State) { read(s); close(done) }:
+		<-done
+		return nil
+	case <-n.done:
+		return ErrStopped
+	}
+}
+
 // Stopping tells the reducer that the process is to end.
 func (n *Node) Stopping() { n.post(job.Stopping{}) }
 
