Do not crowd a slow store

Acceptances of eight nodes timed out after 1.2 s, were sent again, and made the queue longer; seven nodes repeated their claims before they had read the first one, so the workers were without an owner for four seconds. Change: a claim is not repeated before the stream was read past it, claims are spread by the time of reads, an append may take 2.5 s, and at a slow store the next acceptances wait as long as the last append took.

--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -13,6 +13,8 @@
 	// backlogAge is how old the stream's last read may be in the answer to a
 	// question for a backlog.
 	backlogAge = time.Second
+	// mostPause bounds the pause between two batches at a slow store.
+	mostPause = 500 * time.Millisecond
 	// mostWaiting bounds the calls that wait for one append or read.
 	mostWaiting = 2000
 )
@@ -24,6 +26,8 @@
 	appends map[uint64]*acceptBatch
 	// next collects what comes while a batch is under way.
 	next    acceptBatch
+	// nextFrom is when the next batch may be sent.
+	nextFrom vocab.Instant
 	queries []waitingQuery
 }
 
@@ -134,7 +138,7 @@
 }
 
 func (s *State) flushBatch() {
-	if len(s.appends) > 0 || len(s.next.records) == 0 {
+	if len(s.appends) > 0 || len(s.next.records) == 0 || s.now < s.nextFrom {
 		return
 	}
 	batch := s.next
@@ -151,6 +155,9 @@
 	case s.appends[e.ID] != nil:
 		batch := s.appends[e.ID]
 		delete(s.appends, e.ID)
+		if took := s.now.Sub(e.SentAt); took > slowAppend && e.Outcome == OK {
+			s.nextFrom = s.now.Add(min(took, mostPause))
+		}
 		s.batchAppended(batch, e)
 		s.flushBatch()
 	case s.owner != nil:
--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -17,6 +17,9 @@
 	before ownerRecord
 	// appendID is the claim under way, or 0.
 	appendID uint64
+	// readTo is the offset up to which the stream must be read before another
+	// claim: it shows whether the last one took effect.
+	readTo int64
 }
 
 // claimWait is how long this node waits for the owner before it claims. Nodes
@@ -33,7 +36,8 @@
 	if s.ledger.strongest > s.self.Strength {
 		wait += time.Duration(float64(weakWait) * (1 - s.self.Strength/s.ledger.strongest))
 	}
-	return wait + s.spread(claimSpread)
+	// Others have to read the first claim before they would send theirs.
+	return wait + s.spread(claimSpread+spreadPerRead*s.stream.took)
 }
 
 // announce tells the other nodes how strong this one is.
@@ -54,7 +58,8 @@
 // effect is decided by the order of the stream, so that other appends cannot
 // hold a claim up.
 func (s *State) claimIfSilent() {
-	if s.owner != nil || s.stopping || s.claim.appendID != 0 || !s.caughtUp() || s.config == nil {
+	if s.owner != nil || s.stopping || s.claim.appendID != 0 || !s.caughtUp() || s.config == nil ||
+		s.stream.next < s.claim.readTo {
 		return
 	}
 	if s.now.Sub(s.claim.quietSince) < s.claimWait() {
@@ -83,8 +88,11 @@
 
 // claimAppended takes the answer to a claim. Whether it took effect shows in the
 // stream.
-func (s *State) claimAppended(Appended) {
+func (s *State) claimAppended(e Appended) {
 	s.claim.appendID = 0
+	if e.Outcome == OK {
+		s.claim.readTo = e.Offset + 1
+	}
 	s.readSoon()
 }
 
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -51,6 +51,11 @@
 	claimSpread = 250 * time.Millisecond
 	// dropClaimsEvery is the time between two removals of decided claims.
 	dropClaimsEvery = 2 * time.Second
+	// spreadPerRead times a read's time is added to it.
+	spreadPerRead = 6
+	// slowAppend is the time of an append above which the store is slow: the
+	// next acceptances wait as long again, so that one append takes more.
+	slowAppend = 100 * time.Millisecond
 	// firstClaim is how long nodes wait for each other's announcements where
 	// there was never an owner.
 	firstClaim = 700 * time.Millisecond
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -131,6 +131,7 @@
 func (s *State) tick() {
 	s.follow()
 	s.announce()
+	s.flushBatch()
 	s.claimIfSilent()
 	if s.owner != nil {
 		s.owner.tick()
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -17,8 +17,8 @@
 	// links.
 	loadTimeout = 30 * time.Second
 	// appendTimeout bounds an append. The store may be slow by a factor of
-	// 100 at 4 ms an answer and 3 ms an append.
-	appendTimeout = 1200 * time.Millisecond
+	// 100 at 4 ms an answer and 3 ms an append, and appends wait for each other.
+	appendTimeout = 2500 * time.Millisecond
 	// orderTimeout bounds an order to a worker beyond the time that it may wait.
 	orderTimeout = 800 * time.Millisecond
 )
