Tell a worker of noted ends once, not with every look

A worker restarted in place; the owner did not know yet and told the later life the number that its predecessor had been told, so it forgot ends that nobody had read. Change: a number is sent until it is answered and not again.

--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -25,10 +25,10 @@
 	// appends holds the batches under way, by append.
 	appends map[uint64]*acceptBatch
 	// next collects what comes while a batch is under way.
-	next    acceptBatch
+	next acceptBatch
 	// nextFrom is when the next batch may be sent.
 	nextFrom vocab.Instant
-	queries []waitingQuery
+	queries  []waitingQuery
 }
 
 // acceptBatch is a set of acceptances and cancellations in one append.
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -22,10 +22,12 @@
 	lookDue  vocab.Instant
 	failures int
 	// noted is the last end that is safe on the stream, seen the last one that
-	// was taken.
-	noted, seen int64
-	tasks       []*task
-	used        Resources
+	// was taken, told the last noted one that the worker knows of.
+	noted, seen, told int64
+	// telling is what the look under way tells.
+	telling int64
+	tasks   []*task
+	used    Resources
 	// strays is what runs there and should not.
 	strays Resources
 	// leaseUntil is when the last lease that may have been granted has passed.
@@ -108,7 +110,7 @@
 func (o *owner) reborn(w *worker, born Millis) {
 	o.s.note(NoteWorkerReborn, "worker", w.info.ID, "born", born)
 	w.info.Born = born
-	w.fenced, w.noted, w.seen, w.strays = false, 0, 0, Resources{}
+	w.fenced, w.noted, w.seen, w.told, w.strays = false, 0, 0, 0, Resources{}
 	w.lookSoon(o.s.now)
 }
 
@@ -165,10 +167,13 @@
 	look := Look{
 		Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Fence: o.fence, Until: o.leasesUntil,
 	}
-	if w.fenced && w.failures == 0 {
-		// After a failure a later life may answer, whose ends are numbered anew.
+	if w.fenced && w.failures == 0 && w.noted > w.told {
+		// A later life numbers its ends anew: one that is not known of yet must
+		// not forget ends for what its predecessor was told. So each number is
+		// sent until it is answered, and not after a failure.
 		look.Noted = w.noted
 	}
+	w.telling = look.Noted
 	busy := len(w.tasks) > 0
 	if busy && w.fenced && w.failures == 0 && o.s.now < o.leasesUntil {
 		look.Lease = w.clockAt(o.s.now) + o.s.lease()
@@ -196,6 +201,7 @@
 		o.planDue = true
 	}
 	w.failures = 0
+	w.told = max(w.told, w.telling)
 	if e.Born > w.info.Born {
 		o.reborn(w, e.Born)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -31,7 +31,11 @@
 )
 
 // regressions are the seeds that ever failed, each with its cause.
-var regressions = []uint64{}
+var regressions = []uint64{
+	// 101: a later life of a worker forgot ends that nobody had read, because a
+	// look repeated the number that its predecessor had been told.
+	101,
+}
 
 func TestSoak(t *testing.T) {
 	if testing.Short() {
