Empty machines for a pool that waits

Change: machines of pools without waiting work that have the fewest short tasks get no new ones and move when they are empty, as far as their pool keeps room.

--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -137,6 +137,9 @@
 	host WorkerID
 	// idleSince is since when nothing runs on the machine, 0 if something does.
 	idleSince vocab.Instant
+	// reserved is set while the machine gets no new work because another pool
+	// waits for it.
+	reserved bool
 	// cordonedAt is when the machine was chosen for its upkeep.
 	cordonedAt vocab.Instant
 }
--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -52,6 +52,7 @@
 	}
 	most := max(leastMoves, int(movesPart*float64(len(o.fleet.ids))))
 	idle := o.idleMachines()
+	o.unreserve()
 	for _, p := range o.poolsByNeed() {
 		want := o.machinesWanted(p) - moving[p]
 		for want > 0 && under < most && o.fleet.orders >= 1 {
@@ -63,6 +64,7 @@
 			want--
 			under++
 		}
+		o.reserve(p, want)
 	}
 	o.switchOff(idle, most-under)
 }
@@ -124,7 +126,10 @@
 		}
 		size[m.info.Pool]++
 		w := o.workerOf(m)
-		if m.idleSince == 0 || m.cordonedAt != 0 || w != nil && w.info.Draining || o.s.now.Sub(m.idleSince) < giveAfter {
+		if m.idleSince == 0 || m.cordonedAt != 0 || w != nil && w.info.Draining {
+			continue
+		}
+		if !m.reserved && o.s.now.Sub(m.idleSince) < giveAfter {
 			continue
 		}
 		idle[m.info.Pool] = append(idle[m.info.Pool], m)
@@ -161,6 +166,56 @@
 	return m
 }
 
+// unreserve gives reserved machines back to their pools; reserve takes them
+// again while they are still asked for.
+func (o *owner) unreserve() {
+	for _, id := range o.fleet.ids {
+		m := o.fleet.machines[id]
+		if !m.reserved {
+			continue
+		}
+		m.reserved = false
+		if w := o.workerOf(m); w != nil && !m.ordered && m.cordonedAt == 0 {
+			w.cordoned = false
+		}
+	}
+}
+
+// reserve empties machines for a pool: as the demand of other pools falls their
+// tasks are spread thin, and no machine would fall idle for long. Machines with
+// the fewest tasks get no new ones, as far as their pool has room without them.
+func (o *owner) reserve(to vocab.PoolID, want int) {
+	if want <= 0 {
+		return
+	}
+	room := map[vocab.PoolID]Resources{}
+	var candidates []*machine
+	for _, id := range o.fleet.ids {
+		m := o.fleet.machines[id]
+		w := o.workerOf(m)
+		if w == nil || m.info.Pool == to || o.poolWaits(m.info.Pool) || !w.usable(o.s.now) {
+			continue
+		}
+		room[m.info.Pool] = room[m.info.Pool].Plus(w.free())
+		if !m.ordered && m.cordonedAt == 0 && shortTasks(w) == len(w.tasks) {
+			candidates = append(candidates, m)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *machine) int {
+		return cmp.Compare(len(o.workerOf(a).tasks), len(o.workerOf(b).tasks))
+	})
+	for _, m := range candidates {
+		w := o.workerOf(m)
+		left := room[m.info.Pool].Minus(w.free())
+		if want == 0 || left.CPU < keepIdle*w.info.Room.CPU {
+			continue
+		}
+		room[m.info.Pool] = left
+		m.reserved, w.cordoned = true, true
+		want--
+	}
+}
+
 // switchOff moves machines that were idle for long to the spare pool.
 func (o *owner) switchOff(idle map[vocab.PoolID][]*machine, room int) {
 	spare := o.sparePool()
