Do not take up the ownership while a load is folded

Change: a load is folded whole before the owner is looked at; a fence that was lost is never taken up again.

--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -11,6 +11,8 @@
 type claim struct {
 	// quietSince is when the last sign of an owner was read.
 	quietSince vocab.Instant
+	// lost is the fence under which this process last lost the ownership.
+	lost Fence
 	// lastSign is the last sign of the owner before the claim was sent.
 	lastSign vocab.Instant
 	// before is the owner that the claim replaces.
@@ -101,11 +103,14 @@
 	if s.ledger.ownerFence <= before {
 		return
 	}
-	s.claim.quietSince = s.now
+	if before > 0 {
+		s.claim.quietSince = s.now
+	}
 	if s.owner != nil && s.ledger.ownerFence > s.owner.fence {
 		s.loseOwnership("another node claimed")
 	}
-	if s.ledger.owner.Incarnation == s.self.Incarnation && !s.ledger.owner.Resigned && s.owner == nil {
+	mine := s.ledger.owner.Incarnation == s.self.Incarnation && !s.ledger.owner.Resigned
+	if mine && s.owner == nil && s.ledger.ownerFence > s.claim.lost {
 		s.becomeOwner(s.ledger.ownerFence)
 	}
 }
@@ -123,6 +128,7 @@
 		return
 	}
 	s.note(NoteOwnershipLost, "fence", s.owner.fence, "why", why)
+	s.claim.lost = s.owner.fence
 	s.owner = nil
 	s.claim.quietSince = s.now
 	s.emit(FollowWorkers{On: false})
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -54,6 +54,7 @@
 	next            int64
 	readAt          vocab.Instant // when the last read that succeeded was sent
 	dueAt           vocab.Instant
+	folding         bool          // while a load is folded
 	took            time.Duration // time of the last read that did not wait
 	failedSince     vocab.Instant // 0 while reads succeed
 }
@@ -181,10 +182,14 @@
 	}
 	old := s.ledger
 	s.ledger = newLedger()
+	// Only the last owner counts, not those that the fold passes through.
+	s.stream.folding = true
 	quiet := s.claim.quietSince
 	s.foldAll(inFoldOrder(e.Records))
 	// What is loaded may be old: it is no sign that the owner lives.
 	s.claim.quietSince = quiet
+	s.stream.folding = false
+	s.ownerChanged(0)
 	if old.ownerFence > s.ledger.ownerFence {
 		s.ledger.owner, s.ledger.ownerFence = old.owner, old.ownerFence
 	}
@@ -277,7 +282,9 @@
 		if r.Key == ownerKey || strings.HasPrefix(r.Key, progressPrefix) {
 			s.claim.quietSince = s.now
 		}
-		s.ownerChanged(before)
+		if !s.stream.folding {
+			s.ownerChanged(before)
+		}
 		if e != nil && s.owner != nil {
 			s.owner.jobChanged(e)
 		}
--- a/internal/core/job/world_suite_test.go
+++ b/internal/core/job/world_suite_test.go
@@ -198,6 +198,25 @@
 	g.Expect(w.state(w.nodes[0], id).State).To(gomega.Equal(PhaseCompleted))
 }
 
+// TestLostOwnerDoesNotReturnWhileItLoads holds a fault of refugio-reservas-grown
+// scale-1: an owner that had lost took itself for the owner again and again,
+// since its own record came before the claim of the next one in each load.
+func TestLostOwnerDoesNotReturnWhileItLoads(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New(Identity{Node: "a", Incarnation: 1}, Settings{LeaseMost: time.Second})
+	own, err := encodeOwner(ownerRecord{Node: "a", Incarnation: 1, Fence: 5})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	claim, err := encodeClaim("k/x", claimRecord{Node: "b", Incarnation: 2, Replaces: 5})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	own.Offset, claim.Offset = 3, 10
+	effects := s.Step(Clock{Now: 1}, StreamLoaded{Records: []Record{claim, own}, From: 11})
+	g.Expect(s.owner).To(gomega.BeNil())
+	for _, e := range effects {
+		g.Expect(e).NotTo(gomega.BeAssignableToTypeOf(Append{}))
+	}
+	g.Expect(s.ledger.ownerFence).To(gomega.Equal(Fence(11)))
+}
+
 // TestStrongestNodeOwns: a weak node leaves the first turn to stronger ones.
 func TestStrongestNodeOwns(t *testing.T) {
 	g := gomega.NewWithT(t)
