--- a/internal/core/job/advice.go
+++ b/internal/core/job/advice.go
@@ -61,10 +61,7 @@
 
 // advisedOf returns how the queue of a job is advised, or nil.
 func (o *owner) advisedOf(w *work) *Advised {
-	if o.s.config == nil {
-		return nil
-	}
-	if q := o.s.config.queues[w.accepted.Queue]; q != nil {
+	if q := o.queueOf(w); q != nil {
 		return q.Advised
 	}
 	return nil
--- a/internal/core/job/plan.go
+++ b/internal/core/job/plan.go
@@ -139,16 +139,27 @@
 // rateBurst is the time for which an unused rate is kept.
 const rateBurst = 2 * time.Second
 
-// rate gives a job its place in the order of service.
-func (o *owner) rate(w *work) candidate {
-	c := candidate{work: w, pool: w.accepted.Pool}
-	var q *Queue
-	if o.s.config != nil {
-		q = o.s.config.queues[w.accepted.Queue]
+// queueOf returns the queue of a job, or nil if it is no longer configured.
+func (o *owner) queueOf(w *work) *Queue {
+	if o.s.config == nil {
+		return nil
 	}
-	if q != nil {
-		c.pool = q.Pool
+	return o.s.config.queues[w.accepted.Queue]
+}
+
+// poolOf returns the pool that runs a job: that of its queue, or the one that
+// was the queue's when the job was accepted.
+func (o *owner) poolOf(w *work) vocab.PoolID {
+	if q := o.queueOf(w); q != nil {
+		return q.Pool
 	}
+	return w.accepted.Pool
+}
+
+// rate gives a job its place in the order of service.
+func (o *owner) rate(w *work) candidate {
+	c := candidate{work: w, pool: o.poolOf(w)}
+	q := o.queueOf(w)
 	if w.lasting() {
 		c.class = classLasting
 		c.score = -float64(w.accepted.At)
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -273,10 +273,8 @@
 		return
 	}
 	most := 1
-	if o.s.config != nil {
-		if q := o.s.config.queues[w.accepted.Queue]; q != nil {
-			most = max(1, q.MaxAttempts)
-		}
+	if q := o.queueOf(w); q != nil {
+		most = max(1, q.MaxAttempts)
 	}
 	if t.failed >= most {
 		o.endJob(w, PhaseFailed)
