--- /dev/null
+++ b/internal/core/job/golden_test.go
@@ -0,0 +1,87 @@
+package job
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+var rewrite = flag.Bool("rewrite", false, "write the golden sessions anew")
+
+// sessions are whole sessions whose log lines are kept in testdata. Each takes
+// one decision after another through the reducers of all nodes.
+var sessions = map[string]func(w *world){
+	"calm": func(w *world) {
+		w.submit(Spec{Steps: []Step{
+			{Count: 2, Need: Resources{CPU: 1000, Memory: 64}, EstimateMS: 300},
+			{Count: 1, Need: Resources{CPU: 1000, Memory: 64}, EstimateMS: 300, After: []int{0}},
+		}})
+		w.run(3 * time.Second)
+	},
+	"cancel": func(w *world) {
+		id := w.submit(Spec{Steps: []Step{{Count: 2, Need: Resources{CPU: 1000, Memory: 64}, EstimateMS: 60_000}}})
+		w.run(time.Second)
+		w.cancel(id)
+		w.run(3 * time.Second)
+	},
+	"owner-lost": func(w *world) {
+		w.submit(Spec{Steps: []Step{{Count: 2, Need: Resources{CPU: 1000, Memory: 64}, EstimateMS: 4000}}})
+		w.run(time.Second)
+		for _, n := range w.nodes {
+			if n.state.Owning() {
+				n.kill()
+			}
+		}
+		w.run(8 * time.Second)
+	},
+	"worker-silent": func(w *world) {
+		w.submit(Spec{Steps: []Step{{Count: 1, Need: Resources{CPU: 1000, Memory: 64}, EstimateMS: 2000}}})
+		w.run(time.Second)
+		for _, id := range w.ids {
+			if len(w.workers[id].runs) > 0 {
+				w.workers[id].mute = true
+			}
+		}
+		w.run(12 * time.Second)
+	},
+	"handed-over": func(w *world) {
+		for _, n := range w.nodes {
+			if n.state.Owning() {
+				n.post(n.life, Stopping{})
+			}
+		}
+		w.run(2 * time.Second)
+	},
+}
+
+func TestGoldenSessions(t *testing.T) {
+	for name, play := range sessions {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w := newWorld(1, 3, 3, faults{})
+			var lines []string
+			w.trace = func(line string) {
+				if !strings.Contains(line, NotePool.String()) {
+					lines = append(lines, line)
+				}
+			}
+			w.run(3 * time.Second)
+			play(w)
+			w.report(t)
+			got := strings.Join(lines, "\n") + "\n"
+			path := filepath.Join("testdata", "sessions", name+".golden")
+			if *rewrite {
+				g.Expect(os.MkdirAll(filepath.Dir(path), 0o755)).To(gomega.Succeed())
+				g.Expect(os.WriteFile(path, []byte(got), 0o600)).To(gomega.Succeed())
+			}
+			want, err := os.ReadFile(path)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(got).To(gomega.Equal(string(want)))
+		})
+	}
+}
