--- /dev/null
+++ b/internal/core/job/kinds_test.go
@@ -0,0 +1,108 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// TestAdvisedTasksCarryTickets: on a queue with an advisor tasks start on the
+// workers that it allows, with its ticket.
+func TestAdvisedTasksCarryTickets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(20, 2, 4, faults{})
+	w.advised = "w002"
+	for _, n := range w.nodes {
+		n.kill()
+	}
+	w.config.Queues[0].Advised = &Advised{Decide: 50 * time.Millisecond, Each: time.Millisecond, Valid: 5 * time.Second}
+	for _, n := range w.nodes {
+		n.start()
+	}
+	w.run(3 * time.Second)
+	w.submit(Spec{Steps: []Step{{Count: 6, Need: Resources{CPU: 3000, Memory: 64}, EstimateMS: 300}}})
+	w.run(12 * time.Second)
+	w.report(t)
+	g.Expect(w.unfinished()).To(gomega.BeEmpty())
+	g.Expect(w.starts).To(gomega.Equal(6))
+}
+
+// TestGangStartsTogetherAndEndsAsOne: all members carry one run number, and one
+// end stands for all.
+func TestGangStartsTogetherAndEndsAsOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(21, 2, 3, faults{})
+	w.run(3 * time.Second)
+	id := w.submit(Spec{Steps: []Step{{Count: 4, Need: Resources{CPU: 4000, Memory: 64}, EstimateMS: 900, Gang: true}}})
+	w.run(500 * time.Millisecond)
+	runs := map[Run]int{}
+	for _, worker := range w.ids {
+		for _, r := range w.workers[worker].runs {
+			runs[r.run]++
+		}
+	}
+	g.Expect(runs).To(gomega.Equal(map[Run]int{1: 4}))
+	w.run(5 * time.Second)
+	w.report(t)
+	g.Expect(w.jobs[id].accepted).To(gomega.BeTrue())
+	g.Expect(w.unfinished()).To(gomega.BeEmpty())
+	g.Expect(w.starts).To(gomega.Equal(4))
+}
+
+// TestGangWaitsForRoomForAll: no member starts while one finds no room.
+func TestGangWaitsForRoomForAll(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(22, 2, 2, faults{})
+	w.run(3 * time.Second)
+	w.submit(Spec{Steps: []Step{{Count: 5, Need: Resources{CPU: 4000, Memory: 64}, EstimateMS: 300, Gang: true}}})
+	w.run(4 * time.Second)
+	g.Expect(w.starts).To(gomega.BeZero())
+}
+
+// TestOccurrencesRunAtTheirTimes: no task starts before its occurrence is due,
+// and all occurrences run.
+func TestOccurrencesRunAtTheirTimes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(23, 2, 2, faults{})
+	w.run(3 * time.Second)
+	w.submit(Spec{
+		Steps:       []Step{{Count: 1, Need: Resources{CPU: 1000, Memory: 64}, EstimateMS: 100}},
+		Occurrences: 3, FirstAt: w.wall() + 1000, IntervalMS: 2000,
+	})
+	w.run(900 * time.Millisecond)
+	g.Expect(w.starts).To(gomega.Equal(0))
+	w.run(1100 * time.Millisecond)
+	g.Expect(w.starts).To(gomega.Equal(1))
+	w.run(2 * time.Second)
+	g.Expect(w.starts).To(gomega.Equal(2))
+	w.run(4 * time.Second)
+	g.Expect(w.starts).To(gomega.Equal(3))
+	g.Expect(w.unfinished()).To(gomega.BeEmpty())
+}
+
+// TestFillersAreHeldNearTheTarget: what fills beside a serving task that nears its target is
+// held at once and goes on in steps.
+func TestFillersAreHeldNearTheTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(24, 1, 1, faults{})
+	w.run(3 * time.Second)
+	w.submit(Spec{Steps: []Step{
+		{Count: 1, Need: Resources{CPU: 1000, Memory: 64}, EstimateMS: 60_000, LongRunning: true, TailTargetMS: 100},
+		{Count: 1, Need: Resources{CPU: 1000, Memory: 64}, EstimateMS: 60_000, LongRunning: true, Filler: true},
+	}})
+	w.run(2 * time.Second)
+	o := w.nodes[0].state.owner
+	host := o.workers["w000"]
+	g.Expect(host.tasks).To(gomega.HaveLen(2))
+	filler := host.tasks[1]
+	host.tasks[0].tailMS = 90
+	o.paceFillers(host)
+	g.Expect(filler.pace).To(gomega.Equal(0))
+	host.tasks[0].tailMS = 20
+	o.paceFillers(host)
+	g.Expect(filler.pace).To(gomega.Equal(0), "it is held for a while")
+	o.s.now = o.s.now.Add(paceHold)
+	o.paceFillers(host)
+	g.Expect(filler.pace).To(gomega.Equal(paceStep))
+}
--- a/internal/core/job/work.go
+++ b/internal/core/job/work.go
@@ -83,7 +83,7 @@
 	freeAt vocab.Instant
 	pace   int
 	tailMS int64
-	// lost holds runs that were given up without a word of their end.
+	// lost holds runs that were given up and whose end is not known.
 	lost []Run
 }
 
@@ -109,7 +109,6 @@
 	grown := false
 	for w.due < w.total() && w.dueAt(w.due) <= wall {
 		w.occurrence(w.due)
-		w.due++
 		grown = true
 	}
 	return grown
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -148,7 +148,7 @@
 		return
 	}
 	for _, t := range slices.Clone(w.tasks) {
-		o.lose(t, "the lease passed without a word of the worker")
+		o.lose(t, "the lease passed without an answer from the worker")
 	}
 }
 
--- a/internal/core/job/world_test.go
+++ b/internal/core/job/world_test.go
@@ -31,6 +31,8 @@
 	calls   CallID
 	breach  []string
 	starts  int
+	// advised is the only worker that the advisor allows, if a queue has one.
+	advised WorkerID
 	// trace, if set, takes the log lines of all processes.
 	trace func(string)
 }
@@ -241,6 +243,14 @@
 		w.carry(n, e.Worker, back, func() event.Event { return w.start(e) }, func(o Outcome) event.Event {
 			return StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Outcome: o}
 		})
+	case Advise:
+		given := AdviceGiven{Step: e.Step, OK: true, Tickets: map[WorkerID]string{}}
+		for _, id := range e.Workers {
+			if id == w.advised {
+				given.Tickets[id] = "ticket"
+			}
+		}
+		back(given)
 	case Stop:
 		w.carry(n, e.Worker, back, func() event.Event { return w.stop(e) }, func(o Outcome) event.Event {
 			return StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Outcome: o}
@@ -454,6 +464,9 @@
 		return answer
 	}
 	w.checkStart(wk, e)
+	if w.advised != "" && (e.Worker != w.advised || e.Ticket != "ticket") {
+		w.fail("%s started on %s with ticket %q", e.Task, e.Worker, e.Ticket)
+	}
 	w.extend(wk, e.Lease)
 	r := &fakeRun{run: e.Run, dies: w.rng.Float64() < w.faults.failTask}
 	wk.runs[e.Task] = r
@@ -552,7 +565,7 @@
 	return id
 }
 
-// try sends a submission, and again while its outcome is unknown.
+// try hands a job in, and again while its outcome is unknown.
 func (w *world) try(id ID, left int) {
 	j := w.jobs[id]
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
--- /dev/null
+++ b/internal/settings/serve_test.go
@@ -0,0 +1,56 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/onsi/gomega"
+
+	"github.com/sardinehead/sardinehead/internal/settings"
+)
+
+const serveSettings = `{
+  "node": "front-1", "zone": "rv-a", "strength": "0.4", "memory_mib": 284,
+  "callers": "10.1.0.23:8340", "readiness": "10.1.0.23:8343", "operators": "10.1.0.23:7000",
+  "store": "http://10.200.1.7:8344", "machines": "http://10.200.0.82:8344", "orders_per_second": "64.0",
+  "grace": "6s", "lease_most": "6000ms"
+}`
+
+func TestServeSettings(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, err := settings.CheckServe("serve.json", []byte(serveSettings))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.LeaseMost.D()).To(gomega.Equal(6 * time.Second))
+	g.Expect(s.Strength).To(gomega.BeNumerically("==", 0.4))
+	g.Expect(s.KeepEnded.D()).To(gomega.Equal(2 * time.Minute))
+}
+
+func TestFaultyServeSettingsAreRefused(t *testing.T) {
+	for name, content := range map[string]string{
+		"empty":          "",
+		"cut off":        serveSettings[:len(serveSettings)/2],
+		"no store":       strings.Replace(serveSettings, `"store": "http://10.200.1.7:8344", `, "", 1),
+		"unknown field":  strings.Replace(serveSettings, `"zone"`, `"zoone"`, 1),
+		"strength 0":     strings.Replace(serveSettings, `"0.4"`, `"0"`, 1),
+		"strength text":  strings.Replace(serveSettings, `"0.4"`, `"strong"`, 1),
+		"name for an IP": strings.Replace(serveSettings, "10.200.1.7", "store.example", 1),
+		"lease too long": strings.Replace(serveSettings, "6000ms", "2h", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			_, err := settings.CheckServe("serve.json", []byte(content))
+			g.Expect(err).To(gomega.HaveOccurred())
+		})
+	}
+	g := gomega.NewWithT(t)
+	_, err := settings.LoadServe(filepath.Join(t.TempDir(), "none.json"))
+	g.Expect(errors.Is(err, settings.ErrUnreadable)).To(gomega.BeTrue())
+	path := filepath.Join(t.TempDir(), "serve.json")
+	g.Expect(os.WriteFile(path, []byte(serveSettings), 0o600)).To(gomega.Succeed())
+	_, err = settings.LoadServe(path)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
