--- a/internal/core/job/kinds_test.go
+++ b/internal/core/job/kinds_test.go
@@ -106,3 +106,25 @@
 	o.paceFillers(host)
 	g.Expect(filler.pace).To(gomega.Equal(paceStep))
 }
+
+// TestSameRackTasksShareARack: tasks that run best within one rack are placed in
+// the rack with the most room.
+func TestSameRackTasksShareARack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(25, 1, 5, faults{})
+	for i, id := range w.ids {
+		w.workers[id].info.Rack = "r1"
+		if i >= 2 {
+			w.workers[id].info.Rack = "r2"
+		}
+	}
+	w.run(3 * time.Second)
+	w.submit(Spec{Steps: []Step{{Count: 5, Need: Resources{CPU: 4000, Memory: 64}, EstimateMS: 2000, SameRack: true}}})
+	w.run(time.Second)
+	for _, id := range w.ids {
+		if len(w.workers[id].runs) > 0 {
+			g.Expect(string(w.workers[id].info.Rack)).To(gomega.Equal("r2"))
+		}
+	}
+	g.Expect(w.starts).To(gomega.Equal(5))
+}
--- a/internal/core/job/plan.go
+++ b/internal/core/job/plan.go
@@ -277,6 +277,7 @@
 	}
 	need := st.spec.Reserved()
 	advised := o.advisedOf(st.work) != nil
+	rack := st.commonRack(workers)
 	var best *worker
 	var bestScore float64
 	for _, w := range workers {
@@ -287,6 +288,9 @@
 			continue
 		}
 		score := placementScore(st.spec, w)
+		if rack != "" && w.info.Rack != rack {
+			score += wrongRack
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
@@ -350,6 +354,29 @@
 // wrongRack is added to the score of a worker far from the data.
 const wrongRack = 1e6
 
+// commonRack is the rack for the tasks of a step that run best within one: that
+// of a task that runs already, else the one with the most room.
+func (st *step) commonRack(workers []*worker) vocab.RackID {
+	if !st.spec.SameRack {
+		return ""
+	}
+	for _, t := range st.tasks {
+		if t.worker != nil {
+			return t.worker.info.Rack
+		}
+	}
+	room := map[vocab.RackID]int64{}
+	var best vocab.RackID
+	for _, w := range workers {
+		rack := w.info.Rack
+		room[rack] += max(0, w.free().CPU)
+		if room[rack] > room[best] || room[rack] == room[best] && rack < best {
+			best = rack
+		}
+	}
+	return best
+}
+
 func placementScore(spec *Step, w *worker) float64 {
 	free := w.free().Minus(spec.Reserved())
 	score := float64(free.CPU) / float64(max(w.info.Room.CPU, 1))
