--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -64,8 +64,8 @@
 	node := jobnode.New(job.Identity{
 		Node: set.Node, Incarnation: daemon.NewIncarnation(), Zone: set.Zone, Strength: float64(set.Strength),
 	}, job.Settings{
-		LeaseMost: set.LeaseMost.D(), StopMost: set.StopMost.D(), OrderGap: set.OrderGap.D(),
-		OrdersPerSecond: float64(set.OrdersPerSecond), MissAfter: set.MissAfter.D(), KeepEnded: set.KeepEnded.D(),
+		LeaseMost: set.LeaseMost.D(), OrderGap: set.OrderGap.D(),
+		OrdersPerSecond: float64(set.OrdersPerSecond), KeepEnded: set.KeepEnded.D(),
 	}, client.Ports(), log)
 
 	var stopping atomic.Bool
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -5,20 +5,14 @@
 // TickInterval is the longest time between two Tick events.
 const TickInterval = 50 * time.Millisecond
 
-// Settings are the bounds that a deployment sets, and the times derived from
-// them. All but the first group have defaults.
+// Settings are the bounds that a deployment sets.
 type Settings struct {
 	// LeaseMost is the longest lease that a worker grants.
 	LeaseMost time.Duration
-	// StopMost is the longest time that a stop takes.
-	StopMost time.Duration
 	// OrderGap is the least time between orders of two owners to one machine.
 	OrderGap time.Duration
 	// OrdersPerSecond is the most orders to machines that the platform takes.
 	OrdersPerSecond float64
-	// MissAfter is how long a long-running task may be away before it counts
-	// as missing for another reason than an order.
-	MissAfter time.Duration
 	// KeepEnded is how long the state of an ended job can be asked for.
 	KeepEnded time.Duration
 }
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -227,7 +227,7 @@
 	if s.owner == nil {
 		s.stream.took = s.now.Sub(e.SentAt)
 	}
-	s.stream.dueAt = s.now.Add(s.readPause(e))
+	s.stream.dueAt = s.now.Add(s.readPause())
 	s.foldAll(e.Records)
 	if e.Next < e.End {
 		s.stream.dueAt = s.now
@@ -239,7 +239,7 @@
 	s.follow()
 }
 
-func (s *State) readPause(StreamRead) time.Duration {
+func (s *State) readPause() time.Duration {
 	if s.owner != nil {
 		return ownerReadPause
 	}
--- a/internal/core/job/world_test.go
+++ b/internal/core/job/world_test.go
@@ -176,7 +176,7 @@
 	n.life++
 	n.up, n.follows, n.frozen = true, false, 0
 	self := Identity{Node: vocab.NodeID(fmt.Sprint("n", n.index)), Incarnation: vocab.Incarnation(n.index*1000 + n.life), Strength: 0.4}
-	n.state = New(self, Settings{LeaseMost: 6 * time.Second, StopMost: 200 * time.Millisecond, KeepEnded: time.Hour})
+	n.state = New(self, Settings{LeaseMost: 6 * time.Second, KeepEnded: time.Hour})
 	life := n.life
 	config := n.w.config
 	n.post(life, ConfigRead{Config: &config})
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -35,12 +35,8 @@
 	OrdersPerSecond Number `json:"orders_per_second"`
 	// LeaseMost is the longest lease that a worker grants.
 	LeaseMost spec.Duration `json:"lease_most"`
-	// StopMost is the longest time that a worker takes to stop a run.
-	StopMost spec.Duration `json:"stop_most"`
 	// OrderGap is the least time between the orders of two owners to a machine.
 	OrderGap spec.Duration `json:"order_gap"`
-	// MissAfter is the time after which an absent task counts as missing.
-	MissAfter spec.Duration `json:"miss_after"`
 	// KeepEnded is how long an ended job can be asked for.
 	KeepEnded spec.Duration `json:"keep_ended"`
 	// Grace is the time between the signal to stop and the end.
@@ -81,9 +77,7 @@
 const (
 	defaultKeepEnded = 2 * time.Minute
 	defaultGrace     = 6 * time.Second
-	defaultStopMost  = 200 * time.Millisecond
 	defaultOrderGap  = 3 * time.Second
-	defaultMissAfter = 4500 * time.Millisecond
 	// defaultOrders is a rate that a small platform takes.
 	defaultOrders = 10
 	minLease      = time.Second
@@ -116,9 +110,7 @@
 	}
 	setDefault(&s.KeepEnded, defaultKeepEnded)
 	setDefault(&s.Grace, defaultGrace)
-	setDefault(&s.StopMost, defaultStopMost)
 	setDefault(&s.OrderGap, defaultOrderGap)
-	setDefault(&s.MissAfter, defaultMissAfter)
 	return s, nil
 }
 
