Name the machines ordered lately when the ownership is handed over

Change: a resignation lists the machines ordered within the last 5 s; only these wait. The new test covers it.

--- a/internal/core/job/kinds_test.go
+++ b/internal/core/job/kinds_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
 // TestAdvisedTasksCarryTickets: on a queue with an advisor tasks start on the
@@ -128,3 +130,30 @@
 	}
 	g.Expect(w.starts).To(gomega.Equal(5))
 }
+
+// TestNextOwnerOrdersAllButTheLastOrderedMachines holds incident inc-7ddb: with a
+// hand-over every two seconds no owner came to give orders to machines.
+func TestNextOwnerOrdersAllButTheLastOrderedMachines(t *testing.T) {
+	g := gomega.NewWithT(t)
+	set := Settings{LeaseMost: 6 * time.Second, OrderGap: 3 * time.Second}
+	first := New(Identity{Node: "a", Incarnation: 1}, set)
+	first.now = vocab.Instant(time.Minute)
+	o := newOwner(first, 5)
+	o.fleet.ids = []MachineID{"m1", "m2"}
+	for _, id := range o.fleet.ids {
+		o.fleet.machines[id] = &machine{info: MachineInfo{ID: id}}
+	}
+	o.fleet.machines["m1"].lastOrder = first.now.Add(-time.Second)
+	g.Expect(o.orderedLately()).To(gomega.Equal([]MachineID{"m1"}))
+
+	next := New(Identity{Node: "b", Incarnation: 2}, set)
+	next.now = vocab.Instant(time.Minute)
+	next.claim.before = ownerRecord{Node: "a", Incarnation: 1, Fence: 5, Resigned: true, Ordered: o.orderedLately()}
+	n := newOwner(next, 6)
+	n.begin()
+	g.Expect(n.machinesFrom).To(gomega.Equal(next.now))
+	g.Expect(n.mayOrderMachine(o.fleet.machines["m1"])).To(gomega.BeFalse())
+	g.Expect(n.mayOrderMachine(o.fleet.machines["m2"])).To(gomega.BeTrue())
+	next.now = next.now.Add(set.OrderGap)
+	g.Expect(n.mayOrderMachine(o.fleet.machines["m1"])).To(gomega.BeTrue())
+}
--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -131,6 +131,8 @@
 	// answered is set once the order was carried out.
 	answered  bool
 	orderedAt vocab.Instant
+	// lastOrder is when the owner last gave an order.
+	lastOrder vocab.Instant
 	to        vocab.PoolID
 	wave      int64
 	// host is the worker that the order takes away.
@@ -155,11 +157,11 @@
 	writing  bool
 	// orders is how many orders may be given at once; it grows with time.
 	orders float64
+	// notBefore is when a machine may get the next order, where an earlier
+	// owner gave it one.
+	notBefore map[MachineID]vocab.Instant
 }
 
-// machineOf returns the machine of a worker, or nil.
-func (o *owner) machineOf(w *worker) *machine { return o.fleet.machines[w.info.Machine] }
-
 // workerOf returns the worker on a machine, or nil.
 func (o *owner) workerOf(m *machine) *worker {
 	if w := o.workers[m.info.Worker]; w != nil && w.info.Machine == m.info.ID {
@@ -274,11 +276,31 @@
 	}
 }
 
+// mayOrderMachine reports whether a machine may get an order now.
+func (o *owner) mayOrderMachine(m *machine) bool {
+	return !m.ordered && o.s.now >= o.fleet.notBefore[m.info.ID]
+}
+
+// orderedLately lists the machines that may have got an order from this or an
+// earlier owner within the least time between two owners' orders.
+func (o *owner) orderedLately() []MachineID {
+	var list []MachineID
+	for _, id := range o.fleet.ids {
+		m := o.fleet.machines[id]
+		ours := m.lastOrder != 0 && o.s.now.Sub(m.lastOrder) < o.s.set.OrderGap+ownerHold
+		if ours || o.s.now < o.fleet.notBefore[id] {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // orderMachine gives an order to a machine.
 func (o *owner) orderMachine(m *machine, order MachineOrder, to vocab.PoolID, wave int64) {
 	o.fleet.orders--
 	m.ordered, m.answered, m.order, m.orderedAt = true, false, order, o.s.now
 	m.to, m.wave, m.host = to, wave, ""
+	m.lastOrder = o.s.now
 	if w := o.workerOf(m); w != nil {
 		m.host = w.info.ID
 		w.cordoned, w.leaving = true, true
--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -121,7 +121,7 @@
 	size := map[vocab.PoolID]int{}
 	for _, id := range o.fleet.ids {
 		m := o.fleet.machines[id]
-		if m.ordered || m.info.State != MachineUp {
+		if !o.mayOrderMachine(m) || m.info.State != MachineUp {
 			continue
 		}
 		size[m.info.Pool]++
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -80,7 +80,7 @@
 		s: s, fence: fence,
 		works: map[ID]*work{}, workers: map[WorkerID]*worker{}, usage: map[vocab.TeamID]Resources{},
 		demand: map[vocab.PoolID]poolDemand{}, estimates: newEstimator(), rates: map[vocab.TeamID]*teamRate{},
-		fleet: fleet{machines: map[MachineID]*machine{}},
+		fleet: fleet{machines: map[MachineID]*machine{}, notBefore: map[MachineID]vocab.Instant{}},
 	}
 }
 
@@ -88,6 +88,11 @@
 func (o *owner) begin() {
 	o.leaseBound = o.s.claim.lastSign.Add(ownerLeaseHold + o.s.leaseSpan())
 	o.machinesFrom = o.s.machinesFrom()
+	if before := o.s.claim.before; before.Resigned && before.Node != o.s.self.Node {
+		for _, id := range before.Ordered {
+			o.fleet.notBefore[id] = o.s.now.Add(o.s.set.OrderGap)
+		}
+	}
 	o.send(nil)
 }
 
@@ -99,7 +104,8 @@
 	case before.Fence == 0, before.Node == s.self.Node:
 		return s.now
 	case before.Resigned:
-		return s.claim.lastSign.Add(s.set.OrderGap)
+		// It said which machines are to wait.
+		return s.now
 	default:
 		return s.claim.lastSign.Add(ownerHold + s.set.OrderGap)
 	}
@@ -352,6 +358,7 @@
 	}
 	record, err := encodeOwner(ownerRecord{
 		Node: s.self.Node, Incarnation: s.self.Incarnation, Fence: s.owner.fence, Resigned: true,
+		Ordered: s.owner.orderedLately(),
 	})
 	if err != nil {
 		s.note(NoteRecordBad, "key", ownerKey, "error", err.Error())
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -78,6 +78,9 @@
 	Incarnation vocab.Incarnation `json:"inc"`
 	Fence       Fence             `json:"fence"`
 	Resigned    bool              `json:"resigned,omitempty"`
+	// Ordered lists the machines that an owner which resigned gave orders to
+	// shortly before.
+	Ordered []MachineID `json:"ordered,omitempty"`
 }
 
 // claimRecord asks for the ownership after the owner with a fence. Of several
--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -152,7 +152,7 @@
 		if room <= 0 || o.fleet.orders < 1 {
 			return
 		}
-		if m.info.State != MachineUp || m.ordered {
+		if m.info.State != MachineUp || !o.mayOrderMachine(m) {
 			continue
 		}
 		if o.takeForUpkeep(number, m, hurry) {
--- a/internal/core/job/world_test.go
+++ b/internal/core/job/world_test.go
@@ -93,7 +93,6 @@
 type fakeRun struct {
 	run  Run
 	dies bool
-	life int
 }
 
 type timer struct {
--- a/internal/jobnode/node.go
+++ b/internal/jobnode/node.go
@@ -37,10 +37,9 @@
 	mu      sync.Mutex
 	waiting map[job.CallID]chan job.Reply
 
-	ready     atomic.Bool
-	owning    atomic.Bool
-	unfollow  context.CancelFunc
-	following context.Context
+	ready    atomic.Bool
+	owning   atomic.Bool
+	unfollow context.CancelFunc
 }
 
 // New returns a node that has not started.
