--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -38,8 +38,8 @@
 		On bool
 	}
 
-	// Look extends the lease of what runs on a worker and lists it: Looked.
-	Look struct {
+	// Poll extends the lease of what runs on a worker and lists it: Polled.
+	Poll struct {
 		out
 		Worker  WorkerID
 		Address string
@@ -47,8 +47,8 @@
 		Fence   Fence
 		// Lease, if set, is the worker's clock up to which what runs may go on.
 		Lease time.Duration
-		// Noted is the last end that needs no further listing.
-		Noted int64
+		// Acked is the last end that needs no further listing.
+		Acked int64
 		// Wait is how long the worker may wait for an end.
 		Wait time.Duration
 		// Until is when the order is no longer to be sent.
--- a/internal/core/job/events.go
+++ b/internal/core/job/events.go
@@ -88,8 +88,8 @@
 		Removed []WorkerID
 	}
 
-	// Looked answers a Look.
-	Looked struct {
+	// Polled answers a Poll.
+	Polled struct {
 		in
 		Worker  WorkerID
 		Outcome Outcome
--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -202,7 +202,7 @@
 	o.planMoves()
 }
 
-// fleetEvery is the time between two looks at waves and moves.
+// fleetEvery is the time between two passes over waves and moves.
 const fleetEvery = 100 * time.Millisecond
 
 func (o *owner) noteIdle() {
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -237,8 +237,8 @@
 	switch e := ev.(type) {
 	case WorkersListed:
 		o.workersListed(e)
-	case Looked:
-		o.looked(e)
+	case Polled:
+		o.polled(e)
 	case StartAnswered:
 		o.startAnswered(e)
 	case StopAnswered:
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -96,7 +96,7 @@
 	case Unknown:
 		o.s.note(NoteStartFailed, "task", e.Task, "run", e.Run, "worker", e.Worker, "outcome", e.Outcome.String(), "error", errText(e.Err))
 		t.stage = unclear
-		w.lookSoon(o.s.now)
+		w.pollSoon(o.s.now)
 	default:
 		o.s.note(NoteStartFailed, "task", e.Task, "run", e.Run, "worker", e.Worker, "outcome", e.Outcome.String(),
 			"refusal", e.Refusal, "error", errText(e.Err))
@@ -122,7 +122,7 @@
 	if w.ended != 0 {
 		o.stopTask(t)
 	}
-	t.worker.lookSoon(o.s.now)
+	t.worker.pollSoon(o.s.now)
 }
 
 // stopTask ends a run. One that was not ordered yet is only released.
@@ -151,7 +151,7 @@
 	switch e.Outcome {
 	case OK:
 		t.barredAt = o.s.now
-		t.worker.lookSoon(o.s.now)
+		t.worker.pollSoon(o.s.now)
 	case Gone:
 		// The worker has a later life, which knows nothing of the run.
 		o.release(t)
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -55,9 +55,9 @@
 	firstClaim = 700 * time.Millisecond
 	// weakWait is how much longer a node with no strength at all would wait.
 	weakWait = 1500 * time.Millisecond
-	// lookPausePerWorker is the pause before the next look at a worker, for
-	// each worker of the fleet, so that one look takes several ends.
-	lookPausePerWorker = 200 * time.Microsecond
+	// pollPausePerWorker is the pause before the next poll at a worker, for
+	// each worker of the fleet, so that one poll takes several ends.
+	pollPausePerWorker = 200 * time.Microsecond
 	// readWait is the long poll of an owner's reads.
 	readWait = time.Second
 	// ownerReadPause is the time between two reads of an owner, so that one
@@ -70,16 +70,16 @@
 	// staleAfter is the age of the last read above which a node no longer
 	// says that a job does not exist.
 	staleAfter = 2 * time.Second
-	// lookWait is the long poll of a look at a worker with runs.
-	lookWait = time.Second
-	// lookRetry is the time before a failed look is repeated.
-	lookRetry = 250 * time.Millisecond
+	// pollWait is the long poll of a poll at a worker with runs.
+	pollWait = time.Second
+	// pollRetry is the time before a failed poll is repeated.
+	pollRetry = 250 * time.Millisecond
 	// stopRetry is the time before a stop is repeated.
 	stopRetry = 400 * time.Millisecond
 	// barAfter is how long a start without an answer may still arrive before
 	// it is barred by a stop.
 	barAfter = 800 * time.Millisecond
-	// silentAfter is the number of failed looks after which a worker gets no
+	// silentAfter is the number of failed polls after which a worker gets no
 	// new work.
 	silentAfter = 2
 	// avoidFor is how long a worker that refused a start gets no new work.
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -18,16 +18,16 @@
 	// fenced is set once the worker answered under the owner's fence: what it
 	// lists then is all that runs there.
 	fenced   bool
-	looking  bool
-	lookDue  vocab.Instant
+	polling  bool
+	pollDue  vocab.Instant
 	failures int
-	// noted is the last end that is safe on the stream, seen the last one that
-	// was taken, told the last noted one that the worker knows of.
-	noted, seen, told int64
-	// telling is what the look under way tells.
-	telling int64
-	tasks   []*task
-	used    Resources
+	// acked is the last end that is safe on the stream, seen the last one that
+	// was taken, confirmed the last acknowledged one that the worker knows of.
+	acked, seen, confirmed int64
+	// acking is what the poll under way acknowledges.
+	acking int64
+	tasks  []*task
+	used   Resources
 	// strays is what runs there and should not.
 	strays Resources
 	// leaseUntil is when the last lease that may have been granted has passed.
@@ -54,9 +54,9 @@
 	return w.clock + now.Sub(w.clockFrom)
 }
 
-func (w *worker) lookSoon(now vocab.Instant) {
-	if w.lookDue > now {
-		w.lookDue = now
+func (w *worker) pollSoon(now vocab.Instant) {
+	if w.pollDue > now {
+		w.pollDue = now
 	}
 }
 
@@ -94,7 +94,7 @@
 		o.reborn(w, info.Born)
 	}
 	if !w.fenced {
-		w.lookSoon(o.s.now)
+		w.pollSoon(o.s.now)
 	}
 }
 
@@ -105,16 +105,16 @@
 }
 
 // reborn takes note of a later life of a worker. What the earlier one had is
-// given up when a look does not list it: a start may have reached the later one
+// given up when a poll does not list it: a start may have reached the later one
 // before it was known.
 func (o *owner) reborn(w *worker, born Millis) {
 	o.s.note(NoteWorkerReborn, "worker", w.info.ID, "born", born)
 	w.info.Born = born
-	w.fenced, w.noted, w.seen, w.told, w.strays = false, 0, 0, 0, Resources{}
-	w.lookSoon(o.s.now)
+	w.fenced, w.acked, w.seen, w.confirmed, w.strays = false, 0, 0, 0, Resources{}
+	w.pollSoon(o.s.now)
 }
 
-// checkWorkers sends the looks and stops that are due and gives up what ran on
+// checkWorkers sends the polls and stops that are due and gives up what ran on
 // workers whose leases have passed.
 func (o *owner) checkWorkers() {
 	for _, id := range o.ids {
@@ -124,8 +124,8 @@
 		if w.info.Draining {
 			o.evacuate(w)
 		}
-		if !w.looking && w.info.Address != "" && o.s.now >= w.lookDue {
-			o.look(w)
+		if !w.polling && w.info.Address != "" && o.s.now >= w.pollDue {
+			o.poll(w)
 		}
 	}
 	o.dropWorkers()
@@ -135,7 +135,7 @@
 func (o *owner) dropWorkers() {
 	o.ids = slices.DeleteFunc(o.ids, func(id WorkerID) bool {
 		w := o.workers[id]
-		if w.listed || w.looking || len(w.tasks) > 0 || o.s.now < w.leaseUntil {
+		if w.listed || w.polling || len(w.tasks) > 0 || o.s.now < w.leaseUntil {
 			return false
 		}
 		delete(o.workers, id)
@@ -163,37 +163,37 @@
 	}
 }
 
-func (o *owner) look(w *worker) {
-	look := Look{
+func (o *owner) poll(w *worker) {
+	poll := Poll{
 		Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Fence: o.fence, Until: o.leasesUntil,
 	}
-	if w.fenced && w.failures == 0 && w.noted > w.told {
+	if w.fenced && w.failures == 0 && w.acked > w.confirmed {
 		// A later life numbers its ends anew: one that is not known of yet must
 		// not forget ends for what its predecessor was told. So each number is
 		// sent until it is answered, and not after a failure.
-		look.Noted = w.noted
+		poll.Acked = w.acked
 	}
-	w.telling = look.Noted
+	w.acking = poll.Acked
 	busy := len(w.tasks) > 0
 	if busy && w.fenced && w.failures == 0 && o.s.now < o.leasesUntil {
-		look.Lease = w.clockAt(o.s.now) + o.s.lease()
+		poll.Lease = w.clockAt(o.s.now) + o.s.lease()
 		w.leaseUntil = max(w.leaseUntil, o.s.now.Add(o.s.leaseSpan()))
 	}
-	if busy && w.fenced && w.failures == 0 && w.seen == w.noted {
-		look.Wait = lookWait
+	if busy && w.fenced && w.failures == 0 && w.seen == w.acked {
+		poll.Wait = pollWait
 	}
-	w.looking = true
-	o.s.emit(look)
+	w.polling = true
+	o.s.emit(poll)
 }
 
-func (o *owner) looked(e Looked) {
+func (o *owner) polled(e Polled) {
 	w := o.workers[e.Worker]
-	if w == nil || !w.looking {
+	if w == nil || !w.polling {
 		return
 	}
-	w.looking = false
+	w.polling = false
 	if e.Outcome != OK {
-		o.lookFailed(w, e)
+		o.pollFailed(w, e)
 		return
 	}
 	if w.failures >= silentAfter {
@@ -201,12 +201,12 @@
 		o.planDue = true
 	}
 	w.failures = 0
-	w.told = max(w.told, w.telling)
+	w.confirmed = max(w.confirmed, w.acking)
 	if e.Born > w.info.Born {
 		o.reborn(w, e.Born)
 	}
 	if e.Born < w.info.Born {
-		w.lookDue = o.s.now.Add(lookRetry)
+		w.pollDue = o.s.now.Add(pollRetry)
 		return
 	}
 	if !w.fenced {
@@ -218,10 +218,10 @@
 	w.clock, w.clockFrom = e.Clock, e.GotAt
 	o.takeEnds(w, e.Ended)
 	o.takeRuns(w, e)
-	o.scheduleLook(w)
+	o.schedulePoll(w)
 }
 
-func (o *owner) lookFailed(w *worker, e Looked) {
+func (o *owner) pollFailed(w *worker, e Polled) {
 	if e.Outcome == Fenced {
 		o.s.loseOwnership("a worker has seen a later owner")
 		return
@@ -238,13 +238,13 @@
 			"lease_left_ms", w.leaseUntil.Sub(o.s.now).Milliseconds(), "error", errText(e.Err))
 	}
 	if !w.listed && len(w.tasks) == 0 {
-		w.lookDue = never
+		w.pollDue = never
 		return
 	}
-	w.lookDue = o.s.now.Add(lookRetry * time.Duration(min(w.failures, 4)))
+	w.pollDue = o.s.now.Add(pollRetry * time.Duration(min(w.failures, 4)))
 }
 
-// takeEnds takes the ends that are new. They are noted at the worker only
+// takeEnds takes the ends that are new. They are acknowledged to the worker only
 // after the stream has them.
 func (o *owner) takeEnds(w *worker, ends []EndReport) {
 	last := w.seen
@@ -262,14 +262,14 @@
 	born := w.info.Born
 	o.after = append(o.after, func() {
 		if w.info.Born == born {
-			w.noted = max(w.noted, last)
-			o.scheduleLook(w)
+			w.acked = max(w.acked, last)
+			o.schedulePoll(w)
 		}
 	})
 }
 
 // takeRuns compares what a worker lists with what is assigned to it.
-func (o *owner) takeRuns(w *worker, e Looked) {
+func (o *owner) takeRuns(w *worker, e Polled) {
 	present := make(map[*task]bool, len(e.Running))
 	w.strays = Resources{}
 	for _, r := range e.Running {
@@ -328,33 +328,33 @@
 	}
 	o.s.note(NoteStray, "task", r.Task, "run", r.Run, "worker", w.info.ID)
 	o.s.emit(Stop{Worker: w.info.ID, Address: w.info.Address, Fence: o.fence, Task: r.Task, Run: r.Run})
-	w.lookSoon(o.s.now.Add(stopRetry))
+	w.pollSoon(o.s.now.Add(stopRetry))
 }
 
-// lookPause is the pause before the next look at a busy worker. A small fleet
+// pollPause is the pause before the next poll at a busy worker. A small fleet
 // needs none.
-func (o *owner) lookPause() time.Duration {
-	pause := time.Duration(len(o.ids)) * lookPausePerWorker
+func (o *owner) pollPause() time.Duration {
+	pause := time.Duration(len(o.ids)) * pollPausePerWorker
 	if pause < TickInterval/2 {
 		return 0
 	}
 	return pause
 }
 
-// scheduleLook sets when the next look is due.
-func (o *owner) scheduleLook(w *worker) {
+// schedulePoll sets when the next poll is due.
+func (o *owner) schedulePoll(w *worker) {
 	switch {
-	case w.seen != w.noted:
+	case w.seen != w.acked:
 		// The stream has to have the ends first; the lease must not suffer.
-		w.lookDue = o.s.now.Add(lookWait)
+		w.pollDue = o.s.now.Add(pollWait)
 	case len(w.tasks) > 0:
-		w.lookDue = o.s.now.Add(o.lookPause())
+		w.pollDue = o.s.now.Add(o.pollPause())
 	case w.strays != Resources{}:
-		w.lookDue = o.s.now.Add(stopRetry)
+		w.pollDue = o.s.now.Add(stopRetry)
 	default:
-		w.lookDue = never
+		w.pollDue = never
 	}
-	if !w.looking && o.s.now >= w.lookDue {
-		o.look(w)
+	if !w.polling && o.s.now >= w.pollDue {
+		o.poll(w)
 	}
 }
--- a/internal/core/job/world_test.go
+++ b/internal/core/job/world_test.go
@@ -59,7 +59,7 @@
 	spec      Spec
 	accepted  bool
 	cancelled vocab.Instant
-	// ended holds the tasks that ended as done, done those whose end is noted.
+	// ended holds the tasks that ended as done, done those whose end is acknowledged.
 	ended, done map[TaskName]bool
 	failed      map[TaskName]int
 	rejected    bool
@@ -82,7 +82,7 @@
 	runs  map[TaskName]*fakeRun
 	ends  []EndReport
 	last  int64
-	noted int64
+	acked int64
 	// barred is the highest run that was stopped or ended, for each task.
 	barred map[TaskName]Run
 	// lapsed is when the lease last ran out, endedAt when each end came.
@@ -230,9 +230,9 @@
 		if e.On {
 			n.listWorkers(life)
 		}
-	case Look:
-		w.carry(n, e.Worker, back, func() event.Event { return w.look(e, w.now) }, func(o Outcome) event.Event {
-			return Looked{Worker: e.Worker, Outcome: o, SentAt: w.now, GotAt: w.now}
+	case Poll:
+		w.carry(n, e.Worker, back, func() event.Event { return w.poll(e, w.now) }, func(o Outcome) event.Event {
+			return Polled{Worker: e.Worker, Outcome: o, SentAt: w.now, GotAt: w.now}
 		})
 	case Start:
 		if w.now >= e.Until {
@@ -403,23 +403,23 @@
 	})
 }
 
-func (w *world) look(e Look, sent vocab.Instant) event.Event {
+func (w *world) poll(e Poll, sent vocab.Instant) event.Event {
 	wk, outcome := w.reach(e.Worker, e.Fence)
 	if wk == nil {
-		return Looked{Worker: e.Worker, Outcome: outcome, SentAt: sent, GotAt: w.now}
+		return Polled{Worker: e.Worker, Outcome: outcome, SentAt: sent, GotAt: w.now}
 	}
 	w.extend(wk, e.Lease)
-	if e.Noted > wk.noted {
+	if e.Acked > wk.acked {
 		for _, end := range wk.ends {
 			// After a lapse a task may have been started elsewhere.
-			if end.Number <= e.Noted && wk.endedAt[end.Number] > wk.lapsed {
-				w.noteEnd(end)
+			if end.Number <= e.Acked && wk.endedAt[end.Number] > wk.lapsed {
+				w.ackEnd(end)
 			}
 		}
-		wk.noted = e.Noted
-		wk.ends = slices.DeleteFunc(wk.ends, func(end EndReport) bool { return end.Number <= e.Noted })
+		wk.acked = e.Acked
+		wk.ends = slices.DeleteFunc(wk.ends, func(end EndReport) bool { return end.Number <= e.Acked })
 	}
-	answer := Looked{
+	answer := Polled{
 		Worker: e.Worker, Born: wk.info.Born, Clock: w.clock(wk), Ended: slices.Clone(wk.ends), SentAt: sent, GotAt: w.now,
 	}
 	for _, name := range sortedNames(wk.runs) {
@@ -437,8 +437,8 @@
 	return names
 }
 
-// noteEnd records an end that a worker was told is safe.
-func (w *world) noteEnd(e EndReport) {
+// ackEnd records an end that a worker was told is safe.
+func (w *world) ackEnd(e EndReport) {
 	j := w.jobs[e.Task.Job]
 	switch e.End {
 	case EndDone:
@@ -518,7 +518,7 @@
 	}
 	st := j.spec.Steps[e.Task.Step]
 	if j.done[e.Task] {
-		w.fail("%s run %d started after its end was noted", e.Task, e.Run)
+		w.fail("%s run %d started after its end was acknowledged", e.Task, e.Run)
 	}
 	if j.failed[e.Task] >= w.config.Queues[0].MaxAttempts {
 		w.fail("%s run %d started after %d failures", e.Task, e.Run, j.failed[e.Task])
@@ -621,7 +621,7 @@
 // reborn restarts a worker in place.
 func (w *world) reborn(wk *fakeWorker) {
 	wk.info.Born = w.wall()
-	wk.fence, wk.lease, wk.last, wk.noted = 0, 0, 0, 0
+	wk.fence, wk.lease, wk.last, wk.acked = 0, 0, 0, 0
 	wk.runs, wk.ends, wk.barred = map[TaskName]*fakeRun{}, nil, map[TaskName]Run{}
 	wk.endedAt = map[int64]vocab.Instant{}
 	wk.up = true
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -39,8 +39,8 @@
 		go n.append(ctx, e)
 	case job.FollowWorkers:
 		n.followWorkers(ctx, e.On)
-	case job.Look:
-		go n.look(ctx, e)
+	case job.Poll:
+		go n.poll(ctx, e)
 	case job.Start:
 		go n.start(ctx, e)
 	case job.Stop:
@@ -101,14 +101,14 @@
 	})
 }
 
-func (n *Node) look(ctx context.Context, e job.Look) {
+func (n *Node) poll(ctx context.Context, e job.Poll) {
 	if e.Lease != 0 && Now() >= e.Until {
 		e.Lease = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout+e.Wait)
 	defer cancel()
 	sentAt := Now()
-	answer := n.platform.Workers.Look(ctx, e)
+	answer := n.platform.Workers.Poll(ctx, e)
 	answer.SentAt, answer.GotAt = sentAt, Now()
 	n.post(answer)
 }
--- a/internal/jobnode/ports.go
+++ b/internal/jobnode/ports.go
@@ -48,7 +48,7 @@
 // Workers gives orders to workers. The results carry everything but the
 // times, which the node adds.
 type Workers interface {
-	Look(ctx context.Context, o job.Look) job.Looked
+	Poll(ctx context.Context, o job.Poll) job.Polled
 	Start(ctx context.Context, o job.Start) job.StartAnswered
 	Stop(ctx context.Context, o job.Stop) job.StopAnswered
 	Pace(ctx context.Context, o job.Pace) error
