Give the soak's processes ports of their own

A fault of the soak, not of the product. Change: ports below the kernel's range for outgoing connections, all held until all are chosen.

--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -20,13 +21,29 @@
 	client                        *http.Client
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// Ports below those that the kernel gives to outgoing connections, so that none
+// of these takes a process's port while it is restarted.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// freeAddresses returns addresses that are free now, all different.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for tries := 0; len(addresses) < count; tries++ {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			if tries > 100*count {
+				return nil, err
+			}
+			continue
+		}
+		defer l.Close()
+		addresses = append(addresses, address)
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return addresses, nil
 }
 
 func newProcess(dir, name, store string) (*process, error) {
@@ -35,11 +52,11 @@
 	if p.store, err = newProxy(store); err != nil {
 		return nil, err
 	}
-	for _, address := range []*string{&p.callers, &p.readiness, &p.operators} {
-		if *address, err = freeAddress(); err != nil {
-			return nil, err
-		}
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return nil, err
 	}
+	p.callers, p.readiness, p.operators = addresses[0], addresses[1], addresses[2]
 	settings := fmt.Sprintf(`{"node": %q, "zone": "z", "callers": %q, "readiness": %q, "operators": %q,
   "store": "http://%s", "machines": "http://%s", "lease_most": "6s", "grace": "3s"}`,
 		name, p.callers, p.readiness, p.operators, p.store.address(), p.store.address())
