Show and cancel a job only for its own team

Cause: any known key could ask for or cancel any job by its ID. Change: on queues that need a key, a job of another team is answered as unknown.

--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -48,6 +48,7 @@
 type waitingQuery struct {
 	call   CallID
 	id     ID
+	who    asker
 	cameAt vocab.Instant
 	// cancel is set if the job is to be cancelled once it is found.
 	cancel bool
@@ -219,26 +220,30 @@
 }
 
 func (s *State) query(e Query) {
-	if _, _, ok := s.admit(e.Call, e.Host, e.Path, e.Key); !ok {
+	q, team, ok := s.admit(e.Call, e.Host, e.Path, e.Key)
+	if !ok {
 		return
 	}
+	who := asker{team, q.Open}
 	entry := s.ledger.Jobs[e.ID]
-	if entry != nil && entry.Acceptance != nil && (entry.Visible().Ended() || s.Owning()) {
+	if entry.of(who) && (entry.Visible().Ended() || s.Owning()) {
 		s.reply(Reply{Call: e.Call, Answer: Accepted, State: entry.Visible()})
 		return
 	}
-	s.waitForRead(waitingQuery{call: e.Call, id: e.ID, cameAt: s.now})
+	s.waitForRead(waitingQuery{call: e.Call, id: e.ID, who: who, cameAt: s.now})
 }
 
 func (s *State) cancel(e Cancel) {
-	if _, _, ok := s.admit(e.Call, e.Host, e.Path, e.Key); !ok {
+	q, team, ok := s.admit(e.Call, e.Host, e.Path, e.Key)
+	if !ok {
 		return
 	}
-	if entry := s.ledger.Jobs[e.ID]; entry != nil && entry.Acceptance != nil {
+	who := asker{team, q.Open}
+	if entry := s.ledger.Jobs[e.ID]; entry.of(who) {
 		s.cancelEntry(e.Call, entry)
 		return
 	}
-	s.waitForRead(waitingQuery{call: e.Call, id: e.ID, cameAt: s.now, cancel: true})
+	s.waitForRead(waitingQuery{call: e.Call, id: e.ID, who: who, cameAt: s.now, cancel: true})
 }
 
 func (s *State) cancelEntry(call CallID, entry *Entry) {
@@ -280,7 +285,7 @@
 	switch {
 	case q.backlog != "":
 		s.reply(Reply{Call: q.call, Answer: Accepted, Pending: s.pending(q.backlog)})
-	case entry == nil || entry.Acceptance == nil:
+	case !entry.of(q.who):
 		s.reply(Reply{Call: q.call, Answer: NoJob})
 	case q.cancel:
 		s.cancelEntry(q.call, entry)
@@ -293,7 +298,7 @@
 // known of it, any other not at all.
 func (s *State) answerStale(q waitingQuery) {
 	entry := s.ledger.Jobs[q.id]
-	if entry != nil && entry.Acceptance != nil {
+	if entry.of(q.who) {
 		s.answerQuery(q)
 		return
 	}
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -117,6 +117,18 @@
 	return e.Phase
 }
 
+// asker is who asks for a job or cancels it.
+type asker struct {
+	team vocab.TeamID
+	// open is set on a queue that needs no key: its jobs are anybody's.
+	open bool
+}
+
+// of reports whether the job is accepted and the asker's own.
+func (e *Entry) of(who asker) bool {
+	return e != nil && e.Acceptance != nil && (who.open || e.Acceptance.Team == "" || e.Acceptance.Team == who.team)
+}
+
 func encodeAcceptance(id ID, a *Acceptance) (Record, error) {
 	value, err := json.Marshal(a)
 	return Record{Key: acceptedPrefix + string(id), Value: value}, errors.Wrap(err, "encoding an acceptance")
