--- a/internal/core/job/kinds_test.go
+++ b/internal/core/job/kinds_test.go
@@ -157,3 +157,22 @@
 	next.now = next.now.Add(set.OrderGap)
 	g.Expect(n.mayOrderMachine(o.fleet.machines["m1"])).To(gomega.BeTrue())
 }
+
+// TestReadsThatAreCutAnswerNobody: a job may be in what a read left out.
+func TestReadsThatAreCutAnswerNobody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New(Identity{Node: "a", Incarnation: 1}, Settings{LeaseMost: time.Second})
+	config := &Config{Version: 1, Queues: []Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Open: true}}}
+	s.Step(Clock{Now: 1}, ConfigRead{Config: config})
+	s.Step(Clock{Now: 2}, StreamLoaded{})
+	s.Step(Clock{Now: 3}, StreamRead{SentAt: 2})
+	s.Step(Clock{Now: 4}, Query{Call: 1, ID: "0000000000000001", Host: "h", Path: "/q/0000000000000001"})
+	record, err := encodeAcceptance("0000000000000001", &Acceptance{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1}}}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, e := range s.Step(Clock{Now: 6}, StreamRead{Next: 1, End: 2, SentAt: 5}) {
+		g.Expect(e).NotTo(gomega.BeAssignableToTypeOf(Reply{}))
+	}
+	record.Offset = 1
+	effects := s.Step(Clock{Now: 8}, StreamRead{Records: []Record{record}, Next: 2, End: 2, SentAt: 7})
+	g.Expect(effects).To(gomega.ContainElement(Reply{Call: 1, Answer: Accepted, State: PhaseQueued}))
+}
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -232,7 +232,10 @@
 	if e.Next < e.End {
 		s.stream.dueAt = s.now
 	}
-	s.answerQueries(e.SentAt)
+	if e.Next >= e.End {
+		// A read that was cut at its size may lack what was asked for.
+		s.answerQueries(e.SentAt)
+	}
 	if s.owner != nil {
 		s.owner.streamRead(e)
 	}
