--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -95,3 +95,12 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
+
+// lastLines returns the end of the process's log.
+func (p *process) lastLines() string {
+	content, err := os.ReadFile(filepath.Join(p.dir, p.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(content[max(0, len(content)-1500):])
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -99,6 +99,13 @@
 			_ = os.CopyFS(filepath.Join(*keep, strconv.FormatUint(seed, 10)), os.DirFS(dir))
 		}
 	})
+	t.Cleanup(func() {
+		for _, p := range s.procs {
+			if t.Failed() {
+				t.Logf("last lines of %s:\n%s", p.name, p.lastLines())
+			}
+		}
+	})
 	s.until("all processes are ready", 15*time.Second, func() bool { return s.countReady() == len(s.procs) })
 	var work sync.WaitGroup
 	end := time.Now().Add(*length)
