--- a/internal/core/job/fleet.go
+++ b/internal/core/job/fleet.go
@@ -1,10 +1,6 @@
 package job
 
-import (
-	"slices"
-
-	"github.com/sardinehead/sardinehead/internal/core/event"
-)
+import "github.com/sardinehead/sardinehead/internal/core/event"
 
 // handleFleet takes the events of machines and waves.
 func (o *owner) handleFleet(ev event.Event) {
@@ -19,7 +15,3 @@
 		o.statusWritten(e)
 	}
 }
-
-func sortIDs(ids []MachineID) { slices.Sort(ids) }
-
-func cloneTasks(w *worker) []*task { return slices.Clone(w.tasks) }
--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/vocab"
@@ -244,7 +245,7 @@
 			f.listDue = o.s.now.Add(listBusy)
 		}
 	}
-	sortIDs(f.ids)
+	slices.Sort(f.ids)
 	if o.waveUnderWay() {
 		f.listDue = min(f.listDue, o.s.now.Add(listBusy))
 	}
@@ -354,7 +355,7 @@
 	if w == nil || m.info.State == MachineUp && m.info.Worker == m.host {
 		return
 	}
-	for _, t := range cloneTasks(w) {
+	for _, t := range slices.Clone(w.tasks) {
 		o.lose(t, "the machine was taken by an order")
 	}
 	w.listed, w.cordoned, w.leaving = false, false, false
--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -104,7 +104,7 @@
 	for id := range w.done {
 		r.Done = append(r.Done, id)
 	}
-	sortIDs(r.Done)
+	slices.Sort(r.Done)
 	value, err := json.Marshal(r)
 	if err != nil {
 		o.s.note(NoteRecordBad, "wave", number, "error", err.Error())
@@ -215,7 +215,7 @@
 // evacuate stops the long-running tasks of a worker, as many of each step as
 // may be missed at a time; they start again elsewhere.
 func (o *owner) evacuate(w *worker) {
-	for _, t := range cloneTasks(w) {
+	for _, t := range slices.Clone(w.tasks) {
 		if t.step.spec.LongRunning && t.stage == running && t.step.away(t) < max(1, t.step.spec.MayMiss) {
 			o.stopTask(t)
 		}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -228,7 +228,7 @@
 	}
 	if e.Outcome == Gone {
 		// Another life answers at the address: this one has ended.
-		for _, t := range cloneTasks(w) {
+		for _, t := range slices.Clone(w.tasks) {
 			o.lose(t, "another worker has the address")
 		}
 	}
