--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -63,19 +63,19 @@
 
 // admit finds the queue of a call and checks its key. It answers the call
 // itself if it goes no further.
-func (s *State) admit(call CallID, host, path, key string) (*Queue, vocab.TeamID, bool) {
+func (s *State) admit(call CallID, id ID, host, path, key string) (*Queue, vocab.TeamID, bool) {
 	if s.config == nil {
-		s.reply(Reply{Call: call, Answer: Refused, RetryAfter: refusedRetry, Detail: "no configuration yet"})
+		s.notServed(id, Reply{Call: call, Answer: Refused, RetryAfter: refusedRetry, Detail: "no configuration yet"})
 		return nil, "", false
 	}
 	q := s.config.Match(host, path)
 	if q == nil {
-		s.reply(Reply{Call: call, Answer: NoQueue, Detail: "no queue has this host and path"})
+		s.notServed(id, Reply{Call: call, Answer: NoQueue, Detail: "no queue has this host and path"})
 		return nil, "", false
 	}
 	team, known := s.config.TeamOf(key)
 	if !known && !q.Open {
-		s.reply(Reply{Call: call, Answer: NoKey, Detail: "unknown key"})
+		s.notServed(id, Reply{Call: call, Answer: NoKey, Detail: "unknown key"})
 		return nil, "", false
 	}
 	return q, team, true
@@ -83,17 +83,25 @@
 
 func (s *State) reply(r Reply) { s.emit(r) }
 
+// notServed answers a call about a job with something else than success, and
+// says so in the log. The ID is empty for a question about a queue.
+func (s *State) notServed(id ID, r Reply) {
+	s.note(NoteNotServed, "job", id, "answer", r.Answer.String(), "why", r.Detail, "config", s.configVersion(),
+		"offset", s.stream.next, "read_age_ms", s.now.Sub(s.stream.readAt).Milliseconds())
+	s.reply(r)
+}
+
 func (s *State) submit(e Submit) {
-	q, team, ok := s.admit(e.Call, e.Host, e.Path, e.Key)
+	q, team, ok := s.admit(e.Call, e.ID, e.Host, e.Path, e.Key)
 	if !ok {
 		return
 	}
 	if !e.ID.valid() {
-		s.reply(Reply{Call: e.Call, Answer: Malformed, Detail: "an ID is 16 hexadecimal digits"})
+		s.notServed(e.ID, Reply{Call: e.Call, Answer: Malformed, Detail: "an ID is 16 hexadecimal digits"})
 		return
 	}
 	if why := checkSpec(&e.Spec); why != "" {
-		s.reply(Reply{Call: e.Call, Answer: Malformed, Detail: why})
+		s.notServed(e.ID, Reply{Call: e.Call, Answer: Malformed, Detail: why})
 		return
 	}
 	if known := s.ledger.Jobs[e.ID]; known != nil && known.Acceptance != nil {
@@ -106,7 +114,7 @@
 	}
 	record, err := encodeAcceptance(e.ID, &Acceptance{Queue: q.Name, Pool: q.Pool, Team: team, At: s.wall, Spec: e.Spec})
 	if err != nil {
-		s.reply(Reply{Call: e.Call, Answer: Malformed, Detail: err.Error()})
+		s.notServed(e.ID, Reply{Call: e.Call, Answer: Malformed, Detail: err.Error()})
 		return
 	}
 	s.addToBatch(record, waitingCall{e.Call, e.ID, NoteAccepted})
@@ -220,7 +228,7 @@
 }
 
 func (s *State) query(e Query) {
-	q, team, ok := s.admit(e.Call, e.Host, e.Path, e.Key)
+	q, team, ok := s.admit(e.Call, e.ID, e.Host, e.Path, e.Key)
 	if !ok {
 		return
 	}
@@ -234,7 +242,7 @@
 }
 
 func (s *State) cancel(e Cancel) {
-	q, team, ok := s.admit(e.Call, e.Host, e.Path, e.Key)
+	q, team, ok := s.admit(e.Call, e.ID, e.Host, e.Path, e.Key)
 	if !ok {
 		return
 	}
@@ -286,7 +294,7 @@
 	case q.backlog != "":
 		s.reply(Reply{Call: q.call, Answer: Accepted, Pending: s.pending(q.backlog)})
 	case !entry.of(q.who):
-		s.reply(Reply{Call: q.call, Answer: NoJob})
+		s.notServed(q.id, Reply{Call: q.call, Answer: NoJob, Detail: "no such job of this team"})
 	case q.cancel:
 		s.cancelEntry(q.call, entry)
 	default:
@@ -302,7 +310,7 @@
 		s.answerQuery(q)
 		return
 	}
-	s.reply(Reply{Call: q.call, Answer: Refused, RetryAfter: refusedRetry, Detail: "the job stream is not available"})
+	s.notServed(q.id, Reply{Call: q.call, Answer: Refused, RetryAfter: refusedRetry, Detail: "the job stream is not available"})
 }
 
 func (s *State) failQueries() {
@@ -314,7 +322,7 @@
 }
 
 func (s *State) backlog(e Backlog) {
-	q, _, ok := s.admit(e.Call, e.Host, e.Path, e.Key)
+	q, _, ok := s.admit(e.Call, "", e.Host, e.Path, e.Key)
 	if !ok {
 		return
 	}
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -165,6 +165,8 @@
 	NotePaced
 	NotePool
 	NoteAdvice
+	NoteNotServed
+	NoteUnanswered
 )
 
 var noteNames = map[NoteID]string{
@@ -176,8 +178,17 @@
 	NoteWorkerBack: "worker answers again", NoteWorkerReborn: "worker restarted", NoteRecordBad: "record unreadable",
 	NoteUpkeep: "machine upkeep", NoteMove: "machine move", NoteWave: "wave", NoteStray: "stray run stopped",
 	NotePaced: "run paced", NotePool: "pool state", NoteAdvice: "advice given",
+	NoteNotServed: "call not served", NoteUnanswered: "call without an answer",
 }
 
+var answerNames = map[Answer]string{
+	Accepted: "accepted", NoQueue: "no_queue", NoKey: "no_key", NoJob: "no_job",
+	Refused: "refused", Unclear: "unclear", Malformed: "malformed",
+}
+
+// String implements fmt.Stringer.
+func (a Answer) String() string { return answerNames[a] }
+
 // String implements fmt.Stringer.
 func (n NoteID) String() string { return noteNames[n] }
 
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// readTimeout bounds a read beyond the time that it may wait.
-	readTimeout = 800 * time.Millisecond
+	// ReadTimeout bounds a read beyond the time that it may wait.
+	ReadTimeout = 800 * time.Millisecond
 	// loadTimeout bounds a load of the whole stream: several pages, over slow
 	// links.
 	loadTimeout = 30 * time.Second
@@ -64,7 +64,7 @@
 }
 
 func (n *Node) read(ctx context.Context, e job.ReadStream) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout+e.Wait)
+	ctx, cancel := context.WithTimeout(ctx, ReadTimeout+e.Wait)
 	defer cancel()
 	sentAt := Now()
 	result, err := n.platform.Stream.Read(ctx, e.From, e.Wait)
--- a/internal/jobnode/metrics.go
+++ b/internal/jobnode/metrics.go
@@ -39,13 +39,8 @@
 	return 0
 }
 
-var answerNames = map[job.Answer]string{
-	job.Accepted: "accepted", job.NoQueue: "no_queue", job.NoKey: "no_key", job.NoJob: "no_job",
-	job.Refused: "refused", job.Unclear: "unclear", job.Malformed: "malformed",
-}
-
 func (m *nodeMetrics) answered(r job.Reply) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`sardinehead_job_answers_total{answer=%q}`, answerNames[r.Answer])).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sardinehead_job_answers_total{answer=%q}`, r.Answer)).Inc()
 }
 
 func (m *nodeMetrics) noted(n job.Note) {
--- a/internal/jobnode/node.go
+++ b/internal/jobnode/node.go
@@ -123,8 +123,20 @@
 // Stopping tells the reducer that the process is to end.
 func (n *Node) Stopping() { n.post(job.Stopping{}) }
 
-// Call passes a caller's request to the reducer and waits for the answer.
-func (n *Node) Call(ctx context.Context, request func(job.CallID) event.Event) (job.Reply, error) {
+// Call passes a caller's request about a job to the reducer and waits for the
+// answer. A call that gets none is logged with the reason.
+func (n *Node) Call(ctx context.Context, about job.ID, request func(job.CallID) event.Event) (job.Reply, error) {
+	cameAt := Now()
+	reply, err := n.call(ctx, request)
+	if err != nil {
+		n.log.Note(job.Note{Event: job.NoteUnanswered, Fields: []any{
+			"job", about, "error", err.Error(), "after_ms", Now().Sub(cameAt).Milliseconds(),
+		}})
+	}
+	return reply, err
+}
+
+func (n *Node) call(ctx context.Context, request func(job.CallID) event.Event) (job.Reply, error) {
 	id := job.CallID(n.lastCall.Add(1))
 	answer := n.expect(id)
 	defer n.forget(id)
