Write machine orders down before they leave; later owners order all other machines at once

After a lost owner no machine was ordered for five seconds, since nobody knew which ones it had ordered; the turn of a queue rises within two. Change: an order to a machine leaves once the owner's record on the stream names the machine. A later owner leaves the named ones alone for the gap and the predecessor's hold, and orders all others at once. Tests: TestNextOwnerOrdersAllButTheLastOrderedMachines (also after a lost owner), TestMachineOrdersFollowTheStream.

--- a/internal/core/job/kinds_test.go
+++ b/internal/core/job/kinds_test.go
@@ -131,31 +131,68 @@
 	g.Expect(w.starts).To(gomega.Equal(5))
 }
 
-// TestNextOwnerOrdersAllButTheLastOrderedMachines holds incident inc-7ddb: with a
-// hand-over every two seconds no owner came to give orders to machines.
-func TestNextOwnerOrdersAllButTheLastOrderedMachines(t *testing.T) {
-	g := gomega.NewWithT(t)
-	set := Settings{LeaseMost: 6 * time.Second, OrderGap: 3 * time.Second}
-	first := New(Identity{Node: "a", Incarnation: 1}, set)
-	first.now = vocab.Instant(time.Minute)
-	o := newOwner(first, 5)
+// machinesOwner is an owner of the machines m1 and m2, of which it ordered m1 lately.
+func machinesOwner(set Settings) *owner {
+	s := New(Identity{Node: "a", Incarnation: 1}, set)
+	s.now = vocab.Instant(time.Minute)
+	s.config = &Config{Version: 1}
+	o := newOwner(s, 5)
+	s.owner, o.stage, o.ordersUntil = o, stageActive, s.now.Add(time.Hour)
 	o.fleet.ids = []MachineID{"m1", "m2"}
 	for _, id := range o.fleet.ids {
 		o.fleet.machines[id] = &machine{info: MachineInfo{ID: id}}
 	}
-	o.fleet.machines["m1"].lastOrder = first.now.Add(-time.Second)
-	g.Expect(o.orderedLately()).To(gomega.Equal([]MachineID{"m1"}))
+	o.fleet.machines["m1"].lastOrder = s.now.Add(-time.Second)
+	return o
+}
 
+// nextOwner is an owner at another node that read the last one's record.
+func nextOwner(t *testing.T, set Settings, last Record, resigned bool) *owner {
+	t.Helper()
 	next := New(Identity{Node: "b", Incarnation: 2}, set)
 	next.now = vocab.Instant(time.Minute)
-	next.claim.before = ownerRecord{Node: "a", Incarnation: 1, Fence: 5, Resigned: true, Ordered: o.orderedLately()}
+	if _, err := next.ledger.fold(next.now, last); err != nil {
+		t.Fatal(err)
+	}
+	next.claim.before = ownerRecord{Node: "a", Incarnation: 1, Fence: 5, Resigned: resigned}
 	n := newOwner(next, 6)
-	n.begin()
-	g.Expect(n.machinesFrom).To(gomega.Equal(next.now))
-	g.Expect(n.mayOrderMachine(o.fleet.machines["m1"])).To(gomega.BeFalse())
-	g.Expect(n.mayOrderMachine(o.fleet.machines["m2"])).To(gomega.BeTrue())
-	next.now = next.now.Add(set.OrderGap)
-	g.Expect(n.mayOrderMachine(o.fleet.machines["m1"])).To(gomega.BeTrue())
+	n.leaveOrdered()
+	return n
+}
+
+// TestNextOwnerOrdersAllButTheLastOrderedMachines holds incident inc-7ddb (with a
+// hand-over every two seconds no owner came to give orders to machines) and a fault of
+// the grown sites: after a lost owner no machine was ordered for five seconds.
+func TestNextOwnerOrdersAllButTheLastOrderedMachines(t *testing.T) {
+	set := Settings{LeaseMost: 6 * time.Second, OrderGap: 3 * time.Second}
+	for resigned, wait := range map[bool]time.Duration{true: set.OrderGap, false: set.OrderGap + ownerHold} {
+		g := gomega.NewWithT(t)
+		o := machinesOwner(set)
+		g.Expect(o.orderedLately()).To(gomega.Equal([]MachineID{"m1"}))
+		n := nextOwner(t, set, o.ownRecord(resigned), resigned)
+		g.Expect(n.mayOrderMachine(o.fleet.machines["m1"])).To(gomega.BeFalse())
+		g.Expect(n.mayOrderMachine(o.fleet.machines["m2"])).To(gomega.BeTrue())
+		g.Expect(n.orderedLately()).To(gomega.Equal([]MachineID{"m1"}), "the owner after it has to know as well")
+		n.s.now = n.s.now.Add(wait - 1)
+		g.Expect(n.mayOrderMachine(o.fleet.machines["m1"])).To(gomega.BeFalse())
+		n.s.now++
+		g.Expect(n.mayOrderMachine(o.fleet.machines["m1"])).To(gomega.BeTrue())
+	}
+}
+
+// TestMachineOrdersFollowTheStream: an order leaves once the stream names its machine,
+// so that a later owner knows of it.
+func TestMachineOrdersFollowTheStream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := machinesOwner(Settings{LeaseMost: 6 * time.Second, OrderGap: 3 * time.Second})
+	o.orderMachine(o.fleet.machines["m2"], OrderMove, "p", 0)
+	g.Expect(o.s.effects).NotTo(gomega.ContainElement(gomega.BeAssignableToTypeOf(OrderMachine{})))
+	o.settle()
+	sent := o.sent
+	g.Expect(string(sent.records[len(sent.records)-1].Value)).To(gomega.ContainSubstring(`"m2"`))
+	g.Expect(o.s.effects).NotTo(gomega.ContainElement(gomega.BeAssignableToTypeOf(OrderMachine{})))
+	o.appended(Appended{ID: sent.id, Outcome: OK, SentAt: o.s.now})
+	g.Expect(o.s.effects).To(gomega.ContainElement(gomega.BeAssignableToTypeOf(OrderMachine{})))
 }
 
 // TestReadsThatAreCutAnswerNobody: a job may be in what a read left out.
--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -129,7 +129,8 @@
 	// ordered is set from an order until a list shows its end.
 	ordered bool
 	order   MachineOrder
-	// answered is set once the order was carried out.
+	// sent is set once the order has left, answered once it was carried out.
+	sent      bool
 	answered  bool
 	orderedAt vocab.Instant
 	// lastOrder is when the owner last gave an order.
@@ -176,10 +177,10 @@
 	return nil
 }
 
-// mayOrderMachines reports whether orders to machines are allowed: not right
-// after another owner may have given some.
+// mayOrderMachines reports whether orders to machines are allowed: once a list
+// shows what earlier owners ordered.
 func (o *owner) mayOrderMachines() bool {
-	return o.mayOrder() && o.s.now >= o.machinesFrom && o.fleet.listedAt > o.activeAt
+	return o.mayOrder() && o.fleet.listedAt > o.activeAt
 }
 
 func (o *owner) tickFleet() {
@@ -253,7 +254,7 @@
 
 // settleOrder ends an order once a list that was read after it shows its end.
 func (o *owner) settleOrder(m *machine, sentAt vocab.Instant) {
-	if !m.ordered || sentAt <= m.orderedAt {
+	if !m.ordered || !m.sent || sentAt <= m.orderedAt {
 		return
 	}
 	over := m.info.State == MachineUp || m.info.State == MachineDown
@@ -286,20 +287,26 @@
 // earlier owner within the least time between two owners' orders.
 func (o *owner) orderedLately() []MachineID {
 	var list []MachineID
+	for id, until := range o.fleet.notBefore {
+		if o.s.now < until {
+			list = append(list, id)
+		}
+	}
 	for _, id := range o.fleet.ids {
 		m := o.fleet.machines[id]
 		ours := m.lastOrder != 0 && o.s.now.Sub(m.lastOrder) < o.s.set.OrderGap+ownerHold
-		if ours || o.s.now < o.fleet.notBefore[id] {
+		if ours || m.ordered && !m.sent {
 			list = append(list, id)
 		}
 	}
-	return list
+	slices.Sort(list)
+	return slices.Compact(list)
 }
 
 // orderMachine gives an order to a machine.
 func (o *owner) orderMachine(m *machine, order MachineOrder, to vocab.PoolID, wave int64) {
 	o.fleet.orders--
-	m.ordered, m.answered, m.order, m.orderedAt = true, false, order, o.s.now
+	m.ordered, m.sent, m.answered, m.order, m.orderedAt = true, false, false, order, o.s.now
 	m.to, m.wave, m.host = to, wave, ""
 	m.lastOrder = o.s.now
 	if w := o.workerOf(m); w != nil {
@@ -311,10 +318,48 @@
 		id = NoteUpkeep
 	}
 	o.s.note(id, "machine", m.info.ID, "pool", m.info.Pool, "to", to, "wave", wave, "fence", o.fence)
+	o.waiting = append(o.waiting, m)
+}
+
+// orderWaiting gives the orders that the next append names, once it is on the
+// stream.
+func (o *owner) orderWaiting() {
+	named := o.waiting
+	o.waiting = nil
+	if len(named) == 0 {
+		return
+	}
+	o.after = append(o.after, func() {
+		for _, m := range named {
+			o.sendOrder(m)
+		}
+		o.fleet.listDue = min(o.fleet.listDue, o.s.now.Add(listBusy))
+	})
+}
+
+// sendOrder gives an order that the stream names, unless the machine left the list
+// or a long-running task on it must no longer be away.
+func (o *owner) sendOrder(m *machine) {
+	if o.fleet.machines[m.info.ID] != m || !m.ordered {
+		return
+	}
+	if w := o.workerOf(m); w != nil && !o.mayEndTasks(w) {
+		o.dropOrder(m)
+		return
+	}
+	m.sent, m.orderedAt, m.lastOrder = true, o.s.now, o.s.now
 	o.s.emit(OrderMachine{
-		Machine: m.info.ID, Order: order, Pool: to, Wave: wave, Holder: o.s.self.Node, Fence: o.fence, Until: o.ordersUntil,
+		Machine: m.info.ID, Order: m.order, Pool: m.to, Wave: m.wave, Holder: o.s.self.Node, Fence: o.fence,
+		Until: o.ordersUntil,
 	})
-	o.fleet.listDue = min(o.fleet.listDue, o.s.now.Add(listBusy))
+}
+
+// dropOrder ends an order that was not carried out.
+func (o *owner) dropOrder(m *machine) {
+	m.ordered, m.cordonedAt, m.idleSince = false, 0, o.s.now
+	if w := o.workerOf(m); w != nil {
+		w.cordoned, w.leaving = false, false
+	}
 }
 
 func (o *owner) machineAnswered(e MachineAnswered) {
@@ -335,11 +380,7 @@
 	case Fenced:
 		o.s.loseOwnership("a machine has seen a later owner")
 	default:
-		m.ordered, m.cordonedAt = false, 0
-		m.idleSince = o.s.now
-		if w := o.workerOf(m); w != nil {
-			w.cordoned, w.leaving = false, false
-		}
+		o.dropOrder(m)
 		if e.Outcome == Gone && e.Order == OrderUpkeep {
 			o.waveMachineDone(m.wave, m.info.ID)
 		}
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -44,8 +44,8 @@
 	// leaseBound is when a lease granted by an earlier owner has passed.
 	leaseBound vocab.Instant
 	activeAt   vocab.Instant
-	// machinesFrom is when orders to machines are allowed.
-	machinesFrom vocab.Instant
+	// waiting holds the orders to machines that leave once the stream names them.
+	waiting []*machine
 
 	works      map[ID]*work
 	order      []*work // in order of arrival
@@ -87,27 +87,23 @@
 // begin fences the stream against earlier owners.
 func (o *owner) begin() {
 	o.leaseBound = o.s.claim.lastSign.Add(ownerLeaseHold + o.s.leaseSpan())
-	o.machinesFrom = o.s.machinesFrom()
-	if before := o.s.claim.before; before.Resigned && before.Node != o.s.self.Node {
-		for _, id := range before.Ordered {
-			o.fleet.notBefore[id] = o.s.now.Add(o.s.set.OrderGap)
-		}
-	}
 	o.send(nil)
 }
 
-// machinesFrom is when a new owner may give orders to machines: the orders of
-// two owners to one machine must lie apart.
-func (s *State) machinesFrom() vocab.Instant {
-	before := s.claim.before
-	switch {
-	case before.Fence == 0, before.Node == s.self.Node:
-		return s.now
-	case before.Resigned:
-		// It said which machines are to wait.
-		return s.now
-	default:
-		return s.claim.lastSign.Add(ownerHold + s.set.OrderGap)
+// leaveOrdered has the machines wait that an earlier owner ordered lately: the
+// orders of two owners to one machine must lie apart. One that did not resign may
+// give the orders that it wrote down for as long as it holds on to the ownership.
+func (o *owner) leaveOrdered() {
+	before := o.s.claim.before
+	if before.Node == o.s.self.Node {
+		return
+	}
+	apart := o.s.set.OrderGap
+	if !before.Resigned {
+		apart += ownerHold
+	}
+	for _, id := range o.s.ledger.ordered {
+		o.fleet.notBefore[id] = o.s.now.Add(apart)
 	}
 }
 
@@ -175,6 +171,7 @@
 		return
 	}
 	o.stage, o.activeAt = stageActive, o.s.now
+	o.leaveOrdered()
 	entries := make([]*Entry, 0, len(o.s.ledger.Jobs))
 	for _, e := range o.s.ledger.Jobs {
 		entries = append(entries, e)
@@ -202,12 +199,7 @@
 		keys = append(keys, key)
 	}
 	slices.Sort(keys)
-	record, err := encodeOwner(ownerRecord{Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence})
-	if err != nil {
-		o.s.note(NoteRecordBad, "key", ownerKey, "error", err.Error())
-		return
-	}
-	o.extra = append(o.extra, record)
+	o.extra = append(o.extra, o.ownRecord(false))
 	for _, key := range keys {
 		o.extra = append(o.extra, Record{Key: key})
 	}
@@ -284,7 +276,7 @@
 	if o.sent != nil {
 		return
 	}
-	if len(o.dirty) > 0 || len(o.extra) > 0 || len(o.after) > 0 {
+	if len(o.dirty) > 0 || len(o.extra) > 0 || len(o.after) > 0 || len(o.waiting) > 0 {
 		o.flush()
 		return
 	}
@@ -296,13 +288,14 @@
 // mayOrder reports whether the node may start runs.
 func (o *owner) mayOrder() bool { return o.s.now < o.ordersUntil && !o.s.stopping }
 
-func (o *owner) renew() {
-	record, err := encodeOwner(ownerRecord{Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence})
-	if err != nil {
-		o.s.note(NoteRecordBad, "key", ownerKey, "error", err.Error())
-		return
-	}
-	o.send([]Record{record})
+func (o *owner) renew() { o.send([]Record{o.ownRecord(false)}) }
+
+// ownRecord is the owner's record as of now.
+func (o *owner) ownRecord(resigned bool) Record {
+	return encodeOwner(ownerRecord{
+		Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence, Resigned: resigned,
+		Ordered: o.orderedLately(),
+	})
 }
 
 // touch marks a job as changed.
@@ -341,12 +334,10 @@
 	if len(ended) > 0 {
 		o.after = append(o.after, func() { o.endsWritten(ended) })
 	}
-	if len(records) == 0 {
-		record, err := encodeOwner(ownerRecord{Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence})
-		if err == nil {
-			records = append(records, record)
-		}
+	if len(records) == 0 || len(o.waiting) > 0 {
+		records = append(records, o.ownRecord(false))
 	}
+	o.orderWaiting()
 	o.send(records)
 }
 
@@ -356,17 +347,9 @@
 	if s.owner == nil {
 		return
 	}
-	record, err := encodeOwner(ownerRecord{
-		Node: s.self.Node, Incarnation: s.self.Incarnation, Fence: s.owner.fence, Resigned: true,
-		Ordered: s.owner.orderedLately(),
-	})
-	if err != nil {
-		s.note(NoteRecordBad, "key", ownerKey, "error", err.Error())
-		return
-	}
-	s.note(NoteResigned, "fence", s.owner.fence)
 	o := s.owner
-	o.extra = append(o.extra, record)
+	s.note(NoteResigned, "fence", o.fence)
+	o.extra = append(o.extra, o.ownRecord(true))
 	// Nothing is written after the resignation: an append would disturb claims.
 	o.after = append(o.after, func() { s.loseOwnership("handed over") })
 }
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -78,8 +78,8 @@
 	Incarnation vocab.Incarnation `json:"inc"`
 	Fence       Fence             `json:"fence"`
 	Resigned    bool              `json:"resigned,omitempty"`
-	// Ordered lists the machines that an owner which resigned gave orders to
-	// shortly before.
+	// Ordered lists the machines that got an order lately, or get one once the
+	// record is on the stream.
 	Ordered []MachineID `json:"ordered,omitempty"`
 }
 
@@ -145,9 +145,13 @@
 	}, errors.Wrap(err, "encoding progress")
 }
 
-func encodeOwner(o ownerRecord) (Record, error) {
+func encodeOwner(o ownerRecord) Record {
 	value, err := json.Marshal(o)
-	return Record{Key: ownerKey, Value: value}, errors.Wrap(err, "encoding an owner record")
+	if err != nil {
+		// Strings, numbers and lists of them always have an encoding.
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encoding an owner record"))
+	}
+	return Record{Key: ownerKey, Value: value}
 }
 
 func encodeClaim(key string, c claimRecord) (Record, error) {
@@ -177,6 +181,9 @@
 	// owner is the newest owner record, ownerFence its fence.
 	owner      ownerRecord
 	ownerFence Fence
+	// ordered lists the machines that the last owner record names, whoever wrote
+	// it: a later owner leaves them alone for a while.
+	ordered []MachineID
 	// strongest is the greatest strength of any process so far.
 	strongest float64
 	// claims holds the keys of the claims that the stream keeps.
@@ -254,6 +261,7 @@
 	if err := json.Unmarshal(r.Value, &o); err != nil {
 		return errors.Mark(errors.Wrap(err, "owner record"), ErrBadRecord)
 	}
+	l.ordered = o.Ordered
 	if o.Fence >= l.ownerFence {
 		l.owner, l.ownerFence = o, o.Fence
 	}
--- a/internal/core/job/world_suite_test.go
+++ b/internal/core/job/world_suite_test.go
@@ -204,8 +204,7 @@
 func TestLostOwnerDoesNotReturnWhileItLoads(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New(Identity{Node: "a", Incarnation: 1}, Settings{LeaseMost: time.Second})
-	own, err := encodeOwner(ownerRecord{Node: "a", Incarnation: 1, Fence: 5})
-	g.Expect(err).NotTo(gomega.HaveOccurred())
+	own := encodeOwner(ownerRecord{Node: "a", Incarnation: 1, Fence: 5})
 	claim, err := encodeClaim("k/x", claimRecord{Node: "b", Incarnation: 2, Replaces: 5})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	own.Offset, claim.Offset = 3, 10
