Repeat overdue appends of the owner, keep weak nodes from owning, serve callers while loading anew

Change: an append without an answer is sent again after 0.3 s under its number, which the stream takes once; weak nodes wait longer where reads are slow, and hand the ownership over when a clearly stronger node offers to take it; a node that loads anew goes on accepting.

--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -108,7 +108,7 @@
 		s.reply(Reply{Call: e.Call, Answer: Accepted})
 		return
 	}
-	if s.stream.failedSince != 0 || !s.stream.loaded || len(s.next.calls) > mostWaiting {
+	if s.stream.failedSince != 0 || !s.stream.known || len(s.next.calls) > mostWaiting {
 		s.refuse(e.Call, e.ID, "the job stream is not available")
 		return
 	}
@@ -264,7 +264,7 @@
 }
 
 func (s *State) waitForRead(q waitingQuery) {
-	if s.stream.failedSince != 0 || !s.stream.loaded || len(s.queries) > mostWaiting {
+	if s.stream.failedSince != 0 || !s.stream.known || len(s.queries) > mostWaiting {
 		s.answerStale(q)
 		return
 	}
--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -36,18 +36,20 @@
 		wait = 0
 	}
 	if s.ledger.strongest > s.self.Strength {
-		wait += time.Duration(float64(weakWait) * (1 - s.self.Strength/s.ledger.strongest))
+		weakness := 1 - s.self.Strength/s.ledger.strongest
+		wait += time.Duration(weakness * float64(weakWait+weakPerRead*s.stream.took))
 	}
 	// Others have to read the first claim before they would send theirs.
 	return wait + s.spread(claimSpread+spreadPerRead*s.stream.took)
 }
 
-// announce tells the other nodes how strong this one is.
+// announce tells the other nodes how strong this one is: at its start, and again
+// while a clearly weaker node owns the workers.
 func (s *State) announce() {
-	if s.announced || !s.stream.loaded {
+	if !s.stream.loaded || s.announced && !s.offers() {
 		return
 	}
-	s.announced = true
+	s.announced, s.offeredAt = true, s.now
 	record, err := encodeMember(s.self.Node, memberRecord{Strength: s.self.Strength})
 	if err != nil {
 		s.note(NoteRecordBad, "key", memberPrefix, "error", err.Error())
@@ -56,6 +58,25 @@
 	s.addToBatch(record, waitingCall{})
 }
 
+// offers reports whether it is time to offer to take the ownership over from a
+// clearly weaker node.
+func (s *State) offers() bool {
+	owner, known := s.ledger.strengths[s.ledger.owner.Node]
+	return known && s.owner == nil && !s.stopping && s.caughtUp() && s.stream.took < slowAppend &&
+		owner < clearlyWeaker*s.self.Strength && s.now.Sub(s.offeredAt) > offerEvery
+}
+
+// offered hands the ownership over to a clearly stronger node that offers to take
+// it. An owner keeps it for a while, so that it does not change hands too often.
+func (s *State) offered(node vocab.NodeID) {
+	o := s.owner
+	if o == nil || o.stage != stageActive || o.resigned || s.now.Sub(o.activeAt) < keepOwning ||
+		s.self.Strength >= clearlyWeaker*s.ledger.strengths[node] {
+		return
+	}
+	o.resign()
+}
+
 // claimIfSilent claims ownership if the stream shows no owner. Which claim takes
 // effect is decided by the order of the stream, so that other appends cannot
 // hold a claim up.
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -31,8 +31,9 @@
 	// readTo is the offset that must be read before the owner acts.
 	readTo int64
 	seq    uint64
-	// sent is the append under way.
+	// sent is the append under way, took the time of the last one that succeeded.
 	sent *ownAppend
+	took time.Duration
 	// dirty lists the jobs whose state is not on the stream.
 	dirty []*work
 	extra []Record
@@ -44,6 +45,8 @@
 	// leaseBound is when a lease granted by an earlier owner has passed.
 	leaseBound vocab.Instant
 	activeAt   vocab.Instant
+	// resigned is set once the owner hands over: it gives no orders any more.
+	resigned bool
 	// waiting holds the orders to machines that leave once the stream names them.
 	waiting []*machine
 
@@ -73,6 +76,9 @@
 	records []Record
 	after   []func()
 	retryAt vocab.Instant
+	// attempts counts those that have no answer yet; the last one left at sentAt.
+	attempts int
+	sentAt   vocab.Instant
 }
 
 func newOwner(s *State, fence Fence) *owner {
@@ -124,7 +130,8 @@
 }
 
 func (o *owner) emitAppend() {
-	o.sent.retryAt = 0
+	o.sent.retryAt, o.sent.sentAt = 0, o.s.now
+	o.sent.attempts++
 	o.s.emit(Append{ID: o.sent.id, Records: o.sent.records, At: -1, Fence: o.fence, Seq: o.seq})
 }
 
@@ -139,13 +146,27 @@
 	case Fenced:
 		o.s.loseOwnership("the stream has seen a later owner")
 	default:
+		o.sent.attempts--
 		o.sent.retryAt = o.s.now.Add(retryPause)
 	}
 }
 
+// repeatAppend sends the append under way once more, after a failure or if its
+// answer is overdue. The stream takes it once, by its number, so that a lost answer
+// does not hold the owner up until the call times out.
+func (o *owner) repeatAppend() {
+	if o.sent == nil || o.sent.attempts >= mostAttempts {
+		return
+	}
+	overdue := o.s.now.Sub(o.sent.sentAt) > max(repeatAppendAfter, repeatPerAppend*o.took)
+	if o.sent.retryAt != 0 && o.s.now >= o.sent.retryAt || overdue {
+		o.emitAppend()
+	}
+}
+
 func (o *owner) appendDone(e Appended) {
 	sent := o.sent
-	o.sent = nil
+	o.sent, o.took = nil, o.s.now.Sub(e.SentAt)
 	o.seq++
 	o.ordersUntil = max(o.ordersUntil, e.SentAt.Add(ownerHold))
 	o.leasesUntil = max(o.leasesUntil, e.SentAt.Add(ownerLeaseHold))
@@ -241,9 +262,7 @@
 }
 
 func (o *owner) tick() {
-	if o.sent != nil && o.sent.retryAt != 0 && o.s.now >= o.sent.retryAt {
-		o.emitAppend()
-	}
+	o.repeatAppend()
 	if o.stage != stageActive {
 		return
 	}
@@ -286,7 +305,7 @@
 }
 
 // mayOrder reports whether the node may start runs.
-func (o *owner) mayOrder() bool { return o.s.now < o.ordersUntil && !o.s.stopping }
+func (o *owner) mayOrder() bool { return o.s.now < o.ordersUntil && !o.resigned }
 
 func (o *owner) renew() { o.send([]Record{o.ownRecord(false)}) }
 
@@ -344,12 +363,16 @@
 // stop hands the ownership over at a planned stop.
 func (s *State) stop() {
 	s.stopping = true
-	if s.owner == nil {
-		return
+	if s.owner != nil {
+		s.owner.resign()
 	}
-	o := s.owner
-	s.note(NoteResigned, "fence", o.fence)
+}
+
+// resign hands the ownership over. Nothing is written after the resignation: an
+// append would disturb claims.
+func (o *owner) resign() {
+	o.resigned = true
+	o.s.note(NoteResigned, "fence", o.fence)
 	o.extra = append(o.extra, o.ownRecord(true))
-	// Nothing is written after the resignation: an append would disturb claims.
-	o.after = append(o.after, func() { s.loseOwnership("handed over") })
+	o.after = append(o.after, func() { o.s.loseOwnership("handed over") })
 }
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -184,14 +184,16 @@
 	// ordered lists the machines that the last owner record names, whoever wrote
 	// it: a later owner leaves them alone for a while.
 	ordered []MachineID
-	// strongest is the greatest strength of any process so far.
+	// strengths holds what each node announced, strongest the greatest of any
+	// process so far.
+	strengths map[vocab.NodeID]float64
 	strongest float64
 	// claims holds the keys of the claims that the stream keeps.
 	claims map[string]bool
 }
 
 func newLedger() *Ledger {
-	return &Ledger{Jobs: map[ID]*Entry{}, claims: map[string]bool{}}
+	return &Ledger{Jobs: map[ID]*Entry{}, claims: map[string]bool{}, strengths: map[vocab.NodeID]float64{}}
 }
 
 func (l *Ledger) entry(id ID) *Entry {
@@ -252,6 +254,7 @@
 	if err := json.Unmarshal(r.Value, &m); err != nil {
 		return errors.Mark(errors.Wrap(err, "member record"), ErrBadRecord)
 	}
+	l.strengths[vocab.NodeID(strings.TrimPrefix(r.Key, memberPrefix))] = m.Strength
 	l.strongest = max(l.strongest, m.Strength)
 	return nil
 }
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -47,14 +47,31 @@
 	dropClaimsEvery = 2 * time.Second
 	// spreadPerRead times a read's time is added to it.
 	spreadPerRead = 6
+	// clearlyWeaker times its own strength is the strength of an owner below which
+	// a node offers to take over. A change of owner costs about a second of starts.
+	clearlyWeaker = 0.6
+	// offerEvery is the time between two such offers, and keepOwning how long an
+	// owner keeps the ownership before it heeds one.
+	offerEvery = 2 * time.Second
+	keepOwning = 3 * time.Second
+	// repeatAppendAfter is the time without an answer after which an append of the
+	// owner is sent once more; over a slow store it is repeatPerAppend times the
+	// time of the last one.
+	repeatAppendAfter = 300 * time.Millisecond
+	repeatPerAppend   = 3
+	// mostAttempts bounds the attempts of one append that are under way.
+	mostAttempts = 3
 	// slowAppend is the time of an append above which the store is slow: the
 	// next acceptances wait as long again, so that one append takes more.
 	slowAppend = 100 * time.Millisecond
 	// firstClaim is how long nodes wait for each other's announcements where
 	// there was never an owner.
 	firstClaim = 700 * time.Millisecond
-	// weakWait is how much longer a node with no strength at all would wait.
-	weakWait = 1500 * time.Millisecond
+	// weakWait is how much longer a node with no strength at all would wait, and
+	// weakPerRead times a read's time is added to it: over a slow store the spread
+	// of the strong nodes' claims and an append's way to the stream come first.
+	weakWait    = 1500 * time.Millisecond
+	weakPerRead = 12
 	// pollPausePerWorker is the pause before the next poll at a worker, for
 	// each worker of the fleet, so that one poll takes several ends.
 	pollPausePerWorker = 200 * time.Microsecond
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -42,21 +42,26 @@
 	callers
 	waves       map[int64]*waveState
 	waveNumbers []int64 // keys of waves, sorted
-	announced   bool
-	stopping    bool
-	effects     []event.Effect
+	// announced is set once the node told its strength, offeredAt when it last did.
+	announced bool
+	offeredAt vocab.Instant
+	stopping  bool
+	effects   []event.Effect
 }
 
 // stream is what the node knows of its reading of the job stream.
 type stream struct {
 	loading, loaded bool
-	reading         bool
-	next            int64
-	readAt          vocab.Instant // when the last read that succeeded was sent
-	dueAt           vocab.Instant
-	folding         bool          // while a load is folded
-	took            time.Duration // time of the last read that did not wait
-	failedSince     vocab.Instant // 0 while reads succeed
+	// known is set once a first load succeeded: a node that loads anew goes on
+	// serving callers.
+	known       bool
+	reading     bool
+	next        int64
+	readAt      vocab.Instant // when the last read that succeeded was sent
+	dueAt       vocab.Instant
+	folding     bool          // while a load is folded
+	took        time.Duration // time of the last read that did not wait
+	failedSince vocab.Instant // 0 while reads succeed
 }
 
 // New returns the state of a process that has just started.
@@ -142,7 +147,7 @@
 
 // Ready reports whether the node should get new callers.
 func (s *State) Ready() bool {
-	return s.config != nil && s.stream.loaded && !s.stopping
+	return s.config != nil && s.stream.known && !s.stopping
 }
 
 // Owning reports whether this node is the owner of the workers.
@@ -173,7 +178,7 @@
 }
 
 func (s *State) streamLoaded(e StreamLoaded) {
-	s.stream.loading, s.stream.loaded = false, true
+	s.stream.loading, s.stream.loaded, s.stream.known = false, true, true
 	s.stream.next = e.From
 	if s.claim.quietSince == 0 {
 		// A process that starts has to hear nothing of the owner for as long as
@@ -288,6 +293,9 @@
 		if !s.stream.folding {
 			s.ownerChanged(before)
 		}
+		if node, found := strings.CutPrefix(r.Key, memberPrefix); found && !s.stream.folding {
+			s.offered(vocab.NodeID(node))
+		}
 		if e != nil && s.owner != nil {
 			s.owner.jobChanged(e)
 		}
--- a/internal/core/job/world_suite_test.go
+++ b/internal/core/job/world_suite_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
 // short is a job of one or two steps.
@@ -230,6 +232,73 @@
 	g.Expect(w.nodes[4].state.Owning()).To(gomega.BeTrue())
 }
 
+// TestWeakOwnerHandsOverToAStrongNode holds a fault of both grown sites, trouble-2: the
+// store was slow, a weak node owned, and kept the ownership for twenty seconds that it
+// could not carry.
+func TestWeakOwnerHandsOverToAStrongNode(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(8, 3, 8, faults{})
+	for _, n := range w.nodes {
+		n.state.self.Strength = 0.192
+	}
+	w.nodes[2].kill()
+	w.run(4 * time.Second)
+	g.Expect(w.owners()).To(gomega.Equal(1))
+	w.after(0, func() { w.load(150*time.Millisecond, 10*time.Second) })
+	w.nodes[2].start()
+	w.nodes[2].state.self.Strength = 0.8
+	w.run(9 * time.Second)
+	g.Expect(w.nodes[2].state.Owning()).To(gomega.BeTrue())
+	w.run(60 * time.Second)
+	w.report(t)
+	g.Expect(w.owners()).To(gomega.Equal(1))
+	g.Expect(w.unfinished()).To(gomega.BeEmpty())
+}
+
+// TestWeakNodesClaimLastOverASlowStore: the claims of the strong nodes are spread by
+// the time of reads, and those of weak nodes come after them.
+func TestWeakNodesClaimLastOverASlowStore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, took := range []time.Duration{5 * time.Millisecond, 400 * time.Millisecond, time.Second} {
+		var latestStrong, earliestWeak time.Duration
+		for i := range 40 {
+			s := New(Identity{Node: vocab.NodeID(fmt.Sprint("n", i)), Strength: 0.8}, Settings{})
+			s.ledger.ownerFence, s.ledger.strongest, s.stream.took = 1, 0.8, took
+			latestStrong = max(latestStrong, s.claimWait())
+			s.self.Strength = 0.192
+			if wait := s.claimWait(); earliestWeak == 0 || wait < earliestWeak {
+				earliestWeak = wait
+			}
+		}
+		g.Expect(earliestWeak).To(gomega.BeNumerically(">", latestStrong), "reads take %v", took)
+	}
+}
+
+// TestOverdueAppendIsRepeatedUnderItsNumber holds a fault of refugio-reservas-grown
+// scale-1: one lost answer kept the owner silent until the call timed out, and the
+// others claimed.
+func TestOverdueAppendIsRepeatedUnderItsNumber(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := machinesOwner(Settings{LeaseMost: 6 * time.Second})
+	o.renew()
+	first := o.s.effects[len(o.s.effects)-1].(Append)
+	step := func(passed time.Duration) []Append {
+		var appends []Append
+		for _, e := range o.s.Step(Clock{Now: o.s.now.Add(passed)}, Tick{}) {
+			if a, ok := e.(Append); ok {
+				appends = append(appends, a)
+			}
+		}
+		return appends
+	}
+	g.Expect(step(repeatAppendAfter / 2)).To(gomega.BeEmpty())
+	g.Expect(step(repeatAppendAfter)).To(gomega.Equal([]Append{first}))
+	g.Expect(step(repeatAppendAfter + 1)).To(gomega.Equal([]Append{first}))
+	g.Expect(step(repeatAppendAfter+1)).To(gomega.BeEmpty(), "three attempts are under way")
+	o.s.Step(Clock{Now: o.s.now}, Appended{ID: first.ID, Outcome: OK, SentAt: o.s.now})
+	g.Expect(o.seq).To(gomega.Equal(first.Seq + 1))
+}
+
 func TestEverythingKilledAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	w := newWorld(5, 4, 6, faults{})
