--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -41,6 +41,8 @@
 	// ownerLeaseHold is how long an owner without appends extends the leases
 	// of what runs. A later owner waits for it where a worker is silent.
 	ownerLeaseHold = 3 * time.Second
+	// tookKept is the part of the time of slow reads that counts on at each read.
+	tookKept = 0.8
 	// claimSpread is the most by which nodes' claims are spread.
 	claimSpread = 250 * time.Millisecond
 	// dropClaimsEvery is the time between two removals of decided claims.
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -230,7 +230,9 @@
 	}
 	s.stream.next, s.stream.readAt = e.Next, e.SentAt
 	if s.owner == nil {
-		s.stream.took = s.now.Sub(e.SentAt)
+		// It falls slowly: when a slow store recovers, what the owner sent meanwhile
+		// is still on its way.
+		s.stream.took = max(s.now.Sub(e.SentAt), time.Duration(tookKept*float64(s.stream.took)))
 	}
 	s.stream.dueAt = s.now.Add(s.readPause())
 	s.foldAll(e.Records)
