Wait longer for the owner's answer over a slow store

Change: 2.4 s for the owner over a slow store, 0.9 s a node elsewhere; the owner makes no pause between its callers' appends.

--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -183,7 +183,7 @@
 	case s.appends[e.ID] != nil:
 		batch := s.appends[e.ID]
 		delete(s.appends, e.ID)
-		if took := s.now.Sub(e.SentAt); took > slowAppend && e.Outcome == OK {
+		if took := s.now.Sub(e.SentAt); took > slowAppend && e.Outcome == OK && s.owner == nil {
 			s.nextFrom = s.now.Add(min(took, mostPause))
 			s.slowUntil = s.now.Add(passWhileSlow)
 		}
--- a/internal/core/job/passing.go
+++ b/internal/core/job/passing.go
@@ -67,6 +67,8 @@
 	Call    CallID
 	Address string
 	Request Request
+	// Within bounds the wait for the answer.
+	Within time.Duration
 }
 
 // PassedOn answers a PassOn. With OK the Reply is the other node's.
@@ -81,6 +83,11 @@
 const (
 	// mostPasses bounds the nodes that one call is passed on to.
 	mostPasses = 3
+	// passWithin bounds the wait for one node's answer, so that several are tried
+	// within a caller's deadline of 3 s, passWithinSlow that for the owner's over a
+	// slow store.
+	passWithin     = 900 * time.Millisecond
+	passWithinSlow = 2400 * time.Millisecond
 	// passWhileSlow is how long calls are passed on after a slow append.
 	passWhileSlow = 1500 * time.Millisecond
 )
@@ -139,7 +146,11 @@
 	p.tried = append(p.tried, node)
 	p.request.ConfigAtLeast = max(s.configVersion(), s.shown)
 	s.passing[call] = p
-	s.emit(PassOn{Call: call, Address: address, Request: p.request})
+	within := passWithin
+	if p.ownerOnly {
+		within = passWithinSlow
+	}
+	s.emit(PassOn{Call: call, Address: address, Request: p.request, Within: within})
 	return true
 }
 
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -137,16 +137,12 @@
 	n.post(n.platform.Workers.Stop(ctx, e))
 }
 
-// passTimeout bounds a call that is passed on: several nodes are tried within a
-// caller's deadline.
-const passTimeout = 900 * time.Millisecond
-
 func (n *Node) passOn(ctx context.Context, e job.PassOn) {
 	if n.platform.Peers == nil {
 		n.post(job.PassedOn{Call: e.Call, Outcome: job.NotDone, Err: errors.New("no way to other nodes")})
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, passTimeout)
+	ctx, cancel := context.WithTimeout(ctx, e.Within)
 	defer cancel()
 	reply, outcome, err := n.platform.Peers.Pass(ctx, e.Address, e.Request)
 	n.post(job.PassedOn{Call: e.Call, Outcome: outcome, Reply: reply, Err: err})
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -22,6 +22,8 @@
 	// dialTimeout bounds the opening of a connection; a node without power gives
 	// no answer.
 	dialTimeout = 400 * time.Millisecond
+	// answerMargin is what is left of the time for the answer's way back.
+	answerMargin = 50 * time.Millisecond
 	// idleConns bounds the idle connections to one node, idleTimeout how long they
 	// are kept.
 	idleConns   = 8
@@ -48,6 +50,9 @@
 	if err != nil {
 		return job.Reply{}, job.NotDone, err
 	}
+	if deadline, limited := ctx.Deadline(); limited {
+		call.WithinMs = uint32(max(0, time.Until(deadline)-answerMargin).Milliseconds())
+	}
 	conn := c.connection(address)
 	answer, err := conn.rpc.Pass(ctx, call)
 	if err != nil {
--- a/internal/jobpeer/jobpeer_test.go
+++ b/internal/jobpeer/jobpeer_test.go
@@ -30,6 +30,13 @@
 	return b.reply, nil
 }
 
+func within(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
 func addressOf(server *httptest.Server) string { return strings.TrimPrefix(server.URL, "http://") }
 
 // TestPassCarriesCallAndAnswer: a call and its answer arrive as they were.
@@ -49,7 +56,7 @@
 		case job.RequestBacklog:
 			r.ID = ""
 		}
-		reply, outcome, err := jobpeer.NewClient().Pass(context.Background(), addressOf(server), r)
+		reply, outcome, err := jobpeer.NewClient().Pass(within(t, 5*time.Second), addressOf(server), r)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(outcome).To(gomega.Equal(job.OK))
 		g.Expect(reply).To(gomega.Equal(b.reply))
@@ -62,13 +69,11 @@
 func TestPassKnowsWhatMayHaveBeenDone(t *testing.T) {
 	g := gomega.NewWithT(t)
 	server := httptest.NewServer(jobpeer.Handler(&backend{hang: true}))
-	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-	defer cancel()
-	_, outcome, err := jobpeer.NewClient().Pass(ctx, addressOf(server), job.Request{Kind: job.RequestCancel, ID: "a"})
+	_, outcome, err := jobpeer.NewClient().Pass(within(t, 200*time.Millisecond), addressOf(server), job.Request{Kind: job.RequestCancel, ID: "a"})
 	g.Expect(err).To(gomega.HaveOccurred())
 	g.Expect(outcome).To(gomega.Equal(job.Unknown))
 	server.Close()
-	_, outcome, err = jobpeer.NewClient().Pass(context.Background(), addressOf(server), job.Request{Kind: job.RequestCancel, ID: "a"})
+	_, outcome, err = jobpeer.NewClient().Pass(within(t, 5*time.Second), addressOf(server), job.Request{Kind: job.RequestCancel, ID: "a"})
 	g.Expect(err).To(gomega.HaveOccurred())
 	g.Expect(outcome).To(gomega.Equal(job.NotDone))
 }
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -18,10 +18,6 @@
 // pathPrefix comes before the service's name in each path.
 const pathPrefix = "/p"
 
-// answerTimeout bounds the wait for this node's own answer; the other node waits
-// little longer.
-const answerTimeout = 800 * time.Millisecond
-
 // Backend answers callers' calls.
 type Backend interface {
 	Call(ctx context.Context, about job.ID, request func(job.CallID) event.Event) (job.Reply, error)
@@ -42,7 +38,10 @@
 	if err != nil {
 		return nil, twirp.InvalidArgument.Error(err.Error())
 	}
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	if in.WithinMs == 0 {
+		return nil, twirp.InvalidArgument.Error("the call names no time to wait")
+	}
+	ctx, cancel := context.WithTimeout(ctx, milliseconds(in.WithinMs))
 	defer cancel()
 	reply, err := s.backend.Call(ctx, request.ID, request.Event)
 	if err != nil {
@@ -55,6 +54,8 @@
 	}, nil
 }
 
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
 var kinds = map[jobpeerpb.Call_Kind]job.RequestKind{
 	jobpeerpb.Call_SUBMIT: job.RequestSubmit, jobpeerpb.Call_QUERY: job.RequestQuery,
 	jobpeerpb.Call_CANCEL: job.RequestCancel, jobpeerpb.Call_BACKLOG: job.RequestBacklog,
