Count machines for waiting work by the scarcest resource, spread and limits

Cause: machines were ordered for waiting processor time alone. Long-running tasks that must be spread asked for one machine after the other, two seconds each, and reached their places after ten seconds; tasks that no machine holds, and those beyond their team's limit, asked for machines that could not help. Change: the demand of a pool is counted in machines by the scarcest resource, by how steps are spread, and as far as the team's limit goes (internal/core/job/demand.go).

--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -8,14 +8,6 @@
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
-// poolDemand is what a pool's work asks for, as of the last plan.
-type poolDemand struct {
-	// waiting is the sum of what found no room.
-	waiting Resources
-	// since is since when something waits.
-	since vocab.Instant
-}
-
 const (
 	// moveAfter is how long work must wait before machines are moved for it.
 	moveAfter = 100 * time.Millisecond
@@ -54,7 +46,7 @@
 	idle := o.idleMachines()
 	o.unreserve()
 	for _, p := range o.poolsByNeed() {
-		want := o.machinesWanted(p) - moving[p]
+		want := o.demand[p].machines() - moving[p]
 		for want > 0 && under < most && o.fleet.orders >= 1 {
 			m := o.takeIdle(idle, p)
 			if m == nil {
@@ -73,7 +65,7 @@
 func (o *owner) poolsByNeed() []vocab.PoolID {
 	var list []vocab.PoolID
 	for p, d := range o.demand {
-		if d.waiting.CPU > 0 && o.s.now.Sub(d.since) > moveAfter {
+		if d.waits() && o.s.now.Sub(d.since) > moveAfter {
 			list = append(list, p)
 		}
 	}
@@ -94,17 +86,6 @@
 	rising = 1.4
 )
 
-// machinesWanted is how many machines more would take the waiting work at
-// once.
-func (o *owner) machinesWanted(p vocab.PoolID) int {
-	room := o.fleet.typicalRoom()
-	if room.CPU == 0 {
-		return 0
-	}
-	per := int64(float64(room.CPU) * (1 - packingLoss))
-	return int((int64(float64(o.demand[p].waiting.CPU)*rising) + per - 1) / per)
-}
-
 func (f *fleet) typicalRoom() Resources {
 	for _, id := range f.ids {
 		if r := f.machines[id].info.Room; r.CPU > 0 {
--- a/internal/core/job/plan.go
+++ b/internal/core/job/plan.go
@@ -19,43 +19,12 @@
 			pools[w.info.Pool] = append(pools[w.info.Pool], w)
 		}
 	}
-	waiting := map[vocab.PoolID]Resources{}
+	d := newDemand(o)
 	for _, c := range o.candidates() {
 		o.placeJob(c.work, pools[c.pool])
-		waiting[c.pool] = waiting[c.pool].Plus(o.unplaced(c.work))
-	}
-	o.noteDemand(waiting)
-}
-
-// unplaced is what the waiting tasks of a job ask for, as far as the job's
-// team may have it.
-func (o *owner) unplaced(w *work) Resources {
-	var sum Resources
-	for _, occ := range w.occurrences {
-		for _, st := range occ.steps {
-			if n := int64(st.waiting()); n > 0 && st.ready() && o.withinLimit(st) {
-				need := st.spec.Reserved()
-				sum = sum.Plus(Resources{need.CPU * n, need.Memory * n, need.GPU * n})
-			}
-		}
-	}
-	return sum
-}
-
-func (o *owner) noteDemand(waiting map[vocab.PoolID]Resources) {
-	for p, d := range o.demand {
-		if waiting[p].CPU == 0 {
-			delete(o.demand, p)
-			continue
-		}
-		d.waiting = waiting[p]
-		o.demand[p] = d
-	}
-	for p, r := range waiting {
-		if _, known := o.demand[p]; !known && r.CPU > 0 {
-			o.demand[p] = poolDemand{waiting: r, since: o.s.now}
-		}
+		d.add(c.pool, c.work)
 	}
+	o.noteDemand(d.pools)
 }
 
 // candidate is a job with tasks that wait.
@@ -337,18 +306,13 @@
 // its step before it takes any.
 const spreadFor = 500 * time.Millisecond
 
-// mostPerWorker is the most tasks of a step on one worker, or 0 for no bound.
-// Long-running tasks are spread, so that a worker that goes does not take more
-// of them than may be missed.
+// mostPerWorker is the most tasks of a step on one worker, or 0 for no bound. A
+// long-running task that has waited takes any worker that its step allows.
 func (t *task) mostPerWorker(now vocab.Instant) int {
-	spec := t.step.spec
-	if !spec.LongRunning || spec.MayMiss == 0 || now.Sub(max(t.freeAt, t.step.work.seenAt)) > spreadFor {
-		return spec.MaxPerWorker
-	}
-	if spec.MaxPerWorker == 0 {
-		return spec.MayMiss
+	if t.step.spec.LongRunning && now.Sub(max(t.freeAt, t.step.work.seenAt)) > spreadFor {
+		return t.step.spec.MaxPerWorker
 	}
-	return min(spec.MaxPerWorker, spec.MayMiss)
+	return t.step.spreadMost()
 }
 
 // wrongRack is added to the score of a worker far from the data.
--- a/internal/core/job/types.go
+++ b/internal/core/job/types.go
@@ -68,6 +68,9 @@
 	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.GPU - o.GPU}
 }
 
+// Times returns r n times.
+func (r Resources) Times(n int64) Resources { return Resources{r.CPU * n, r.Memory * n, r.GPU * n} }
+
 // Holds reports whether o fits into r.
 func (r Resources) Holds(o Resources) bool {
 	return o.CPU <= r.CPU && o.Memory <= r.Memory && o.GPU <= r.GPU
--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -234,7 +234,7 @@
 }
 
 // poolWaits reports whether a pool has work that finds no room.
-func (o *owner) poolWaits(pool vocab.PoolID) bool { return o.demand[pool].waiting.CPU > 0 }
+func (o *owner) poolWaits(pool vocab.PoolID) bool { return o.demand[pool].waits() }
 
 // mayEndTasks reports whether every long-running task on a worker may be away
 // for a while: fewer of its step are away than may be missed.
