Heed machine orders of an earlier owner by their age

Change: the owner's record says how long ago each order had its answer; a later owner leaves a machine alone for what is left of the gap, and longer only where an order had no answer yet.

--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -133,8 +134,8 @@
 	sent      bool
 	answered  bool
 	orderedAt vocab.Instant
-	// lastOrder is when the owner last gave an order.
-	lastOrder vocab.Instant
+	// answeredAt is when an order of this owner last had an answer, whatever it was.
+	answeredAt vocab.Instant
 	to        vocab.PoolID
 	wave      int64
 	// host is the worker that the order takes away.
@@ -267,7 +268,7 @@
 	case !m.answered && over && sentAt.Sub(m.orderedAt) > doubtFor:
 		// The order had no answer. Where it took effect, the next order is
 		// answered as done.
-		m.ordered = false
+		m.ordered, m.answeredAt = false, o.s.now
 	}
 	if !m.ordered {
 		if w := o.workerOf(m); w != nil {
@@ -285,22 +286,32 @@
 
 // orderedLately lists the machines that may have got an order from this or an
 // earlier owner within the least time between two owners' orders.
-func (o *owner) orderedLately() []MachineID {
-	var list []MachineID
-	for id, until := range o.fleet.notBefore {
-		if o.s.now < until {
-			list = append(list, id)
-		}
-	}
+func (o *owner) orderedLately() []orderedMachine {
+	var list []orderedMachine
 	for _, id := range o.fleet.ids {
 		m := o.fleet.machines[id]
-		ours := m.lastOrder != 0 && o.s.now.Sub(m.lastOrder) < o.s.set.OrderGap+ownerHold
-		if ours || m.ordered && !m.sent {
-			list = append(list, id)
+		switch since := o.s.now.Sub(m.answeredAt); {
+		case m.ordered && !m.answered:
+			list = append(list, orderedMachine{Machine: id, Open: true})
+		case m.answeredAt != 0 && since < o.s.set.OrderGap:
+			list = append(list, orderedMachine{Machine: id, AgeMS: since.Milliseconds()})
+		}
+	}
+	return append(list, o.inherited(list)...)
+}
+
+// inherited lists the machines that are still left alone for an earlier owner's
+// orders, but for those that are listed anyway.
+func (o *owner) inherited(listed []orderedMachine) []orderedMachine {
+	var list []orderedMachine
+	for id, until := range o.fleet.notBefore {
+		known := slices.ContainsFunc(listed, func(m orderedMachine) bool { return m.Machine == id })
+		if o.s.now < until && !known {
+			list = append(list, orderedMachine{Machine: id, AgeMS: (o.s.set.OrderGap - until.Sub(o.s.now)).Milliseconds()})
 		}
 	}
-	slices.Sort(list)
-	return slices.Compact(list)
+	slices.SortFunc(list, func(a, b orderedMachine) int { return cmp.Compare(a.Machine, b.Machine) })
+	return list
 }
 
 // orderMachine gives an order to a machine.
@@ -308,7 +319,6 @@
 	o.fleet.orders--
 	m.ordered, m.sent, m.answered, m.order, m.orderedAt = true, false, false, order, o.s.now
 	m.to, m.wave, m.host = to, wave, ""
-	m.lastOrder = o.s.now
 	if w := o.workerOf(m); w != nil {
 		m.host = w.info.ID
 		w.cordoned, w.leaving = true, true
@@ -347,7 +357,7 @@
 		o.dropOrder(m)
 		return
 	}
-	m.sent, m.orderedAt, m.lastOrder = true, o.s.now, o.s.now
+	m.sent, m.orderedAt = true, o.s.now
 	o.s.emit(OrderMachine{
 		Machine: m.info.ID, Order: m.order, Pool: m.to, Wave: m.wave, Holder: o.s.self.Node, Fence: o.fence,
 		Until: o.ordersUntil,
@@ -367,6 +377,9 @@
 	if m == nil || !m.ordered || m.order != e.Order {
 		return
 	}
+	if e.Outcome != Unknown {
+		m.answeredAt = o.s.now
+	}
 	switch e.Outcome {
 	case OK:
 		// A list that was read before the answer may not show the order yet.
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -104,12 +104,12 @@
 	if before.Node == o.s.self.Node {
 		return
 	}
-	apart := o.s.set.OrderGap
-	if !before.Resigned {
-		apart += ownerHold
-	}
-	for _, id := range o.s.ledger.ordered {
-		o.fleet.notBefore[id] = o.s.now.Add(apart)
+	for _, m := range o.s.ledger.ordered {
+		from := o.s.ledger.orderedAt.Add(-time.Duration(m.AgeMS) * time.Millisecond)
+		if m.Open && !before.Resigned {
+			from = o.s.now.Add(ownerHold)
+		}
+		o.fleet.notBefore[m.Machine] = from.Add(o.s.set.OrderGap)
 	}
 }
 
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -80,7 +80,17 @@
 	Resigned    bool              `json:"resigned,omitempty"`
 	// Ordered lists the machines that got an order lately, or get one once the
 	// record is on the stream.
-	Ordered []MachineID `json:"ordered,omitempty"`
+	Ordered []orderedMachine `json:"ordered,omitempty"`
+}
+
+// orderedMachine is a machine that got an order lately.
+type orderedMachine struct {
+	Machine MachineID `json:"m"`
+	// Open is set while the order has no answer: it may still leave.
+	Open bool `json:"open,omitempty"`
+	// AgeMS is how long before the record the order had its answer. It is negative
+	// where an earlier owner's order is to be heeded for longer.
+	AgeMS int64 `json:"ms,omitempty"`
 }
 
 // claimRecord asks for the ownership after the owner with a fence. Of several
@@ -184,8 +194,10 @@
 	owner      ownerRecord
 	ownerFence Fence
 	// ordered lists the machines that the last owner record names, whoever wrote
-	// it: a later owner leaves them alone for a while.
-	ordered []MachineID
+	// it, and orderedAt is when it was folded: a later owner leaves them alone for a
+	// while.
+	ordered   []orderedMachine
+	orderedAt vocab.Instant
 	// members holds what each node announced, strongest the greatest strength of any
 	// process so far.
 	members   map[vocab.NodeID]memberRecord
@@ -210,7 +222,7 @@
 // fold applies one record. It returns the job that changed, if any.
 func (l *Ledger) fold(now vocab.Instant, r Record) (*Entry, error) {
 	if r.Key == ownerKey {
-		return nil, l.foldOwner(r)
+		return nil, l.foldOwner(now, r)
 	}
 	prefix, id, found := strings.Cut(r.Key, "/")
 	if !found {
@@ -261,12 +273,12 @@
 	return nil
 }
 
-func (l *Ledger) foldOwner(r Record) error {
+func (l *Ledger) foldOwner(now vocab.Instant, r Record) error {
 	var o ownerRecord
 	if err := json.Unmarshal(r.Value, &o); err != nil {
 		return errors.Mark(errors.Wrap(err, "owner record"), ErrBadRecord)
 	}
-	l.ordered = o.Ordered
+	l.ordered, l.orderedAt = o.Ordered, now
 	if o.Fence >= l.ownerFence {
 		l.owner, l.ownerFence = o, o.Fence
 	}
