Claim after a second of silence; contenders read more often than weak nodes

Cause: a lost owner left the workers without orders for 1.9 s, of which 1.7 s were silence. Change: an owner renews after 0.25 s, nodes that may be the next owner read each 0.2 s and claim after 1.05 s; clearly weaker nodes read each 0.5 s.

--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -136,8 +136,8 @@
 	orderedAt vocab.Instant
 	// answeredAt is when an order of this owner last had an answer, whatever it was.
 	answeredAt vocab.Instant
-	to        vocab.PoolID
-	wave      int64
+	to         vocab.PoolID
+	wave       int64
 	// host is the worker that the order takes away.
 	host WorkerID
 	// idleSince is since when nothing runs on the machine, 0 if something does.
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -31,10 +31,11 @@
 	// to the next owner.
 	ownerHold = 2 * time.Second
 	// ownerRenew is the longest time between two appends of an owner.
-	ownerRenew = 400 * time.Millisecond
+	ownerRenew = 250 * time.Millisecond
 	// ownerSilence is how long the stream must be without a sign of the owner
-	// before another node claims: two renewals and two reads of a follower.
-	ownerSilence = 1600 * time.Millisecond
+	// before another node claims: two renewals and two reads of a follower, and what
+	// delays them.
+	ownerSilence = 2*(ownerRenew+followPause) + 150*time.Millisecond
 	// silencePerRead times a read's time is added to it: a slow store delays
 	// the owner's appends as well.
 	silencePerRead = 4
@@ -85,8 +86,10 @@
 	// ownerReadPause is the time between two reads of an owner, so that one
 	// read takes several records.
 	ownerReadPause = 10 * time.Millisecond
-	// followPause is the time between two reads of other nodes.
-	followPause = 400 * time.Millisecond
+	// followPause is the time between two reads of nodes that may well be the next
+	// owner, weakPause that of nodes which are clearly weaker than the strongest.
+	followPause = 200 * time.Millisecond
+	weakPause   = 500 * time.Millisecond
 	// retryPause is the time before a failed call to the stream is repeated.
 	retryPause = 150 * time.Millisecond
 	// staleAfter is the age of the last read above which a node no longer
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -264,6 +264,9 @@
 	if s.owner != nil {
 		return ownerReadPause
 	}
+	if s.self.Strength < clearlyWeaker*s.ledger.strongest {
+		return weakPause
+	}
 	return followPause
 }
 
