Forecast the machines of a pool from the rate of new work

The backlog shows first steps only, and a machine takes two seconds to come. Change: the work handed in is averaged over 0.6 s and gives the machines that a pool will keep busy; the greater of that and the backlog is ordered, and machines that will be needed are not given away. Tests: TestForecastSeesATurnBeforeTheBacklog replays the begin of that turn; TestForecastLeavesOutWhatNeedsNoMachines. Ruled out in an earlier trial: an average over several seconds, which came no sooner than the backlog.

--- a/internal/core/job/demand_test.go
+++ b/internal/core/job/demand_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -12,24 +13,35 @@
 // demandOf is what jobs with the given steps ask for of machines of 16 cores and
 // 32 GiB.
 func demandOf(limit Resources, steps ...Step) poolDemand {
+	o := demandOwner(limit)
+	d := newDemand(o)
+	for _, st := range steps {
+		d.add("p", newJob(o, "00000000000000aa", st))
+	}
+	return d.pools["p"]
+}
+
+// demandOwner is an owner of machines of 16 cores and 32 GiB.
+func demandOwner(limit Resources) *owner {
 	s := New(Identity{Node: "a", Incarnation: 1}, Settings{LeaseMost: 6 * time.Second})
 	s.now = vocab.Instant(time.Minute)
-	s.config = &Config{Version: 1, Teams: []Team{{Name: "t", Limit: limit}}}
+	s.config = &Config{Version: 1, Pools: []Pool{{Name: "p"}}, Teams: []Team{{Name: "t", Limit: limit}}}
 	s.config.Index()
 	o := newOwner(s, 5)
 	o.fleet.ids = []MachineID{"m"}
 	o.fleet.machines["m"] = &machine{info: MachineInfo{ID: "m", Room: Resources{CPU: 16000, Memory: 32768}}}
-	d := newDemand(o)
-	for _, st := range steps {
-		e := &Entry{ID: "00000000000000aa", Phase: PhaseQueued, Acceptance: &Acceptance{Team: "t", Spec: Spec{Steps: []Step{st}}}}
-		w, _, err := newWork(s.now, e)
-		if err != nil {
-			panic(err)
-		}
-		w.extend(0)
-		d.add("p", w)
+	return o
+}
+
+func newJob(o *owner, id ID, steps ...Step) *work {
+	w, _, err := newWork(o.s.now, &Entry{ID: id, Phase: PhaseQueued, Acceptance: &Acceptance{
+		Queue: "q", Pool: "p", Team: "t", At: o.s.wall, Spec: Spec{Steps: steps},
+	}})
+	if err != nil {
+		panic(err)
 	}
-	return d.pools["p"]
+	w.extend(o.s.wall)
+	return w
 }
 
 // TestSpreadTasksAskForAsManyMachines holds a fault of all sites: long-running tasks of
@@ -58,3 +70,53 @@
 	step := Step{Count: 100, Need: Resources{CPU: 1000, Memory: 64}}
 	g.Expect(demandOf(Resources{CPU: 8000}, step, step).waiting.CPU).To(gomega.BeEquivalentTo(8000))
 }
+
+// TestForecastSeesATurnBeforeTheBacklog replays the begin of a turn of foster-place on
+// refugio-reservas-grown: twenty jobs a second of two steps of eight tasks of 1.3 s and
+// 8.8 cores. They keep 114 machines of 32 cores busy, of which the first steps that wait
+// after half a second show a third.
+func TestForecastSeesATurnBeforeTheBacklog(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := demandOwner(Resources{})
+	o.fleet.machines["m"].info.Room = Resources{CPU: 32000, Memory: 65536}
+	step := Step{Count: 8, Need: Resources{CPU: 8800, Memory: 2048}, EstimateMS: 1300}
+	second := step
+	second.After = []int{0}
+	d := newDemand(o)
+	arrive := func(d *demand, seconds float64) {
+		for i := range int(20 * seconds) {
+			o.s.now = o.s.now.Add(50 * time.Millisecond)
+			o.s.wall += 50
+			w := newJob(o, ID(fmt.Sprintf("%016x", i)), step, second)
+			o.expectWork(w)
+			d.add("p", w)
+		}
+	}
+	arrive(d, 0.5)
+	const kept = 20 * 2 * 8 * 1.3 / 3 // three tasks fill a machine
+	g.Expect(o.forecast("p")).To(gomega.BeNumerically(">", kept/2))
+	g.Expect(o.forecast("p")).To(gomega.BeNumerically(">", d.pools["p"].machines()))
+	arrive(d, 2)
+	g.Expect(o.forecast("p")).To(gomega.BeNumerically("~", kept/(1-packingLoss), kept/10))
+	o.s.now = o.s.now.Add(3 * forecastMemory)
+	g.Expect(o.forecast("p")).To(gomega.BeNumerically("<", kept/10), "the turn is over")
+}
+
+// TestForecastLeavesOutWhatNeedsNoMachines: jobs taken over from another owner are in
+// the backlog already; long-running ones and those beyond their team's rate do not
+// come again and again.
+func TestForecastLeavesOutWhatNeedsNoMachines(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := demandOwner(Resources{})
+	o.s.wall = 100_000
+	step := Step{Count: 100, Need: Resources{CPU: 8000}, EstimateMS: 1000}
+	old := newJob(o, "0000000000000001", step)
+	old.accepted.At -= 5000
+	excess := newJob(o, "0000000000000002", step)
+	excess.excess = true
+	step.LongRunning = true
+	for _, w := range []*work{old, excess, newJob(o, "0000000000000003", step)} {
+		o.expectWork(w)
+	}
+	g.Expect(o.forecast("p")).To(gomega.BeZero())
+}
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -1,6 +1,9 @@
 package job
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -76,7 +79,7 @@
 			Free: w.free(), Failures: w.failures, LeaseLeftMS: w.leaseUntil.Sub(o.s.now).Milliseconds(),
 		})
 	}
-	for _, p := range o.poolsByNeed() {
+	for _, p := range slices.Sorted(maps.Keys(o.demand)) {
 		d.Waiting = append(d.Waiting, PoolDump{p, o.demand[p].waiting})
 	}
 }
--- a/internal/core/job/jobs.go
+++ b/internal/core/job/jobs.go
@@ -34,6 +34,7 @@
 	for _, row := range rows {
 		o.restore(w, row)
 	}
+	o.expectWork(w)
 	o.planDue = true
 	return w
 }
--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -43,10 +43,11 @@
 		}
 	}
 	most := max(leastMoves, int(movesPart*float64(len(o.fleet.ids))))
-	idle := o.idleMachines()
+	need := o.machinesNeeded(moving)
+	idle := o.idleMachines(need)
 	o.unreserve()
-	for _, p := range o.poolsByNeed() {
-		want := o.demand[p].machines() - moving[p]
+	for _, p := range o.poolsByNeed(need) {
+		want := need[p]
 		for want > 0 && under < most && o.fleet.orders >= 1 {
 			m := o.takeIdle(idle, p)
 			if m == nil {
@@ -61,16 +62,41 @@
 	o.switchOff(idle, most-under)
 }
 
-// poolsByNeed lists the pools with waiting work, the longest waiting first.
-func (o *owner) poolsByNeed() []vocab.PoolID {
+// machinesNeeded is how many machines more each pool needs, for the work that waits
+// and for what is expected, beyond those that are on their way. It is negative where
+// fewer would do for what is expected.
+func (o *owner) machinesNeeded(moving map[vocab.PoolID]int) map[vocab.PoolID]int {
+	need := map[vocab.PoolID]int{}
+	sizes := o.poolSizes()
+	for i := range o.s.config.Pools {
+		p := o.s.config.Pools[i].Name
+		if o.s.config.Pools[i].Spare {
+			continue
+		}
+		need[p] = o.forecast(p) - sizes[p] - moving[p]
+		if d := o.demand[p]; d.waits() && o.s.now.Sub(d.since) > moveAfter {
+			need[p] = max(need[p], d.machines()-moving[p])
+		}
+	}
+	return need
+}
+
+// poolsByNeed lists the pools that need machines, the longest waiting first.
+func (o *owner) poolsByNeed(need map[vocab.PoolID]int) []vocab.PoolID {
 	var list []vocab.PoolID
-	for p, d := range o.demand {
-		if d.waits() && o.s.now.Sub(d.since) > moveAfter {
+	for p, n := range need {
+		if n > 0 {
 			list = append(list, p)
 		}
 	}
+	since := func(p vocab.PoolID) vocab.Instant {
+		if d := o.demand[p]; d.waits() {
+			return d.since
+		}
+		return o.s.now
+	}
 	slices.SortFunc(list, func(a, b vocab.PoolID) int {
-		if c := cmp.Compare(o.demand[a].since, o.demand[b].since); c != 0 {
+		if c := cmp.Compare(since(a), since(b)); c != 0 {
 			return c
 		}
 		return cmp.Compare(a, b)
@@ -96,8 +122,8 @@
 }
 
 // idleMachines lists the machines of each pool that may leave it, the longest
-// idle last.
-func (o *owner) idleMachines() map[vocab.PoolID][]*machine {
+// idle last. A pool keeps those that it will need.
+func (o *owner) idleMachines(need map[vocab.PoolID]int) map[vocab.PoolID][]*machine {
 	idle := map[vocab.PoolID][]*machine{}
 	size := map[vocab.PoolID]int{}
 	for _, id := range o.fleet.ids {
@@ -120,7 +146,7 @@
 		if pool := o.s.config.pools[p]; pool != nil && pool.Spare {
 			continue
 		}
-		keep := max(keepIdle, keepLeast-(size[p]-len(list)))
+		keep := max(keepIdle, keepLeast-(size[p]-len(list)), len(list)+need[p])
 		idle[p] = list[min(keep, len(list)):]
 	}
 	return idle
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -61,6 +61,7 @@
 	ended      []*Entry
 	fleet      fleet
 	demand     map[vocab.PoolID]poolDemand
+	arriving   map[vocab.PoolID]*workRate
 	poolsNoted vocab.Instant
 	estimates  *estimator
 	advising   bool
@@ -85,7 +86,7 @@
 	return &owner{
 		s: s, fence: fence,
 		works: map[ID]*work{}, workers: map[WorkerID]*worker{}, usage: map[vocab.TeamID]Resources{},
-		demand: map[vocab.PoolID]poolDemand{}, estimates: newEstimator(), rates: map[vocab.TeamID]*teamRate{},
+		demand: map[vocab.PoolID]poolDemand{}, arriving: map[vocab.PoolID]*workRate{}, estimates: newEstimator(), rates: map[vocab.TeamID]*teamRate{},
 		fleet: fleet{machines: map[MachineID]*machine{}, notBefore: map[MachineID]vocab.Instant{}},
 	}
 }
