Let waves with time in hand leave busy pools their machines

Change: a wave that is not in a hurry takes machines only of pools that have some to spare by the forecast. Test: TestWaveLeavesABusyPoolItsMachines.

--- a/internal/core/job/demand_test.go
+++ b/internal/core/job/demand_test.go
@@ -120,3 +120,25 @@
 	}
 	g.Expect(o.forecast("p")).To(gomega.BeZero())
 }
+
+// TestWaveLeavesABusyPoolItsMachines holds a fault of dukajaza-sched-grown scale-2: a wave
+// with time in hand took 65 of the 220 machines of a pool whose turn had just begun,
+// because all of its first steps had found room.
+func TestWaveLeavesABusyPoolItsMachines(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := demandOwner(Resources{})
+	host := o.worker("w1")
+	host.info = WorkerInfo{ID: "w1", Machine: "m", Pool: "p", Room: Resources{CPU: 16000, Memory: 32768}}
+	host.listed, host.fenced = true, true
+	m := o.fleet.machines["m"]
+	m.info.Pool, m.info.Worker = "p", "w1"
+	task := newJob(o, "00000000000000aa", Step{Count: 1, Need: Resources{CPU: 1000}}).occurrences[0].steps[0].tasks[0]
+	o.bind(task, host, 0)
+	o.fleet.need = map[vocab.PoolID]int{"p": 0}
+	g.Expect(o.takeForUpkeep(1, m, false)).To(gomega.BeFalse())
+	g.Expect(host.cordoned).To(gomega.BeFalse())
+	o.fleet.need["p"] = -1
+	g.Expect(o.takeForUpkeep(1, m, false)).To(gomega.BeTrue())
+	o.fleet.need["p"], m.cordonedAt, host.cordoned = 0, 0, false
+	g.Expect(o.takeForUpkeep(1, m, true)).To(gomega.BeTrue(), "its time runs out")
+}
--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -158,6 +158,9 @@
 	listDue  vocab.Instant
 	tickedAt vocab.Instant
 	writing  bool
+	// need is how many machines more each pool needs, as of the last pass; negative
+	// where it has some to spare.
+	need map[vocab.PoolID]int
 	// orders is how many orders may be given at once; it grows with time.
 	orders float64
 	// notBefore is when a machine may get the next order, where an earlier
@@ -198,9 +201,10 @@
 	f.orders = min(f.orders+rate*passed, max(1, rate*ordersBurst.Seconds()))
 	f.tickedAt = o.s.now
 	o.noteIdle()
-	if !o.mayOrderMachines() || !o.listed {
+	if !o.mayOrderMachines() || !o.listed || o.s.config == nil {
 		return
 	}
+	f.need = o.machinesNeeded()
 	o.planWaves()
 	o.planMoves()
 }
--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -30,20 +30,9 @@
 // one pool serve the pool whose turn it is. Machines that no pool asks for go
 // to the spare pool, where they cost nothing.
 func (o *owner) planMoves() {
-	if o.s.config == nil {
-		return
-	}
-	moving := map[vocab.PoolID]int{}
-	under := 0
-	for _, id := range o.fleet.ids {
-		m := o.fleet.machines[id]
-		if m.ordered && m.order == OrderMove {
-			moving[m.to]++
-			under++
-		}
-	}
+	under := o.movesUnderWay()
+	need := o.fleet.need
 	most := max(leastMoves, int(movesPart*float64(len(o.fleet.ids))))
-	need := o.machinesNeeded(moving)
 	idle := o.idleMachines(need)
 	o.unreserve()
 	for _, p := range o.poolsByNeed(need) {
@@ -62,11 +51,27 @@
 	o.switchOff(idle, most-under)
 }
 
+// movesUnderWay counts the moves that have not ended.
+func (o *owner) movesUnderWay() int {
+	n := 0
+	for _, id := range o.fleet.ids {
+		if m := o.fleet.machines[id]; m.ordered && m.order == OrderMove {
+			n++
+		}
+	}
+	return n
+}
+
 // machinesNeeded is how many machines more each pool needs, for the work that waits
 // and for what is expected, beyond those that are on their way. It is negative where
 // fewer would do for what is expected.
-func (o *owner) machinesNeeded(moving map[vocab.PoolID]int) map[vocab.PoolID]int {
-	need := map[vocab.PoolID]int{}
+func (o *owner) machinesNeeded() map[vocab.PoolID]int {
+	need, moving := map[vocab.PoolID]int{}, map[vocab.PoolID]int{}
+	for _, id := range o.fleet.ids {
+		if m := o.fleet.machines[id]; m.ordered && m.order == OrderMove {
+			moving[m.to]++
+		}
+	}
 	sizes := o.poolSizes()
 	for i := range o.s.config.Pools {
 		p := o.s.config.Pools[i].Name
@@ -143,7 +148,7 @@
 	}
 	for p, list := range idle {
 		slices.SortStableFunc(list, func(a, b *machine) int { return cmp.Compare(b.idleSince, a.idleSince) })
-		if pool := o.s.config.pools[p]; pool != nil && pool.Spare {
+		if o.isSpare(p) {
 			continue
 		}
 		keep := max(keepIdle, keepLeast-(size[p]-len(list)), len(list)+need[p])
@@ -242,6 +247,11 @@
 	}
 }
 
+func (o *owner) isSpare(p vocab.PoolID) bool {
+	pool := o.s.config.pools[p]
+	return pool != nil && pool.Spare
+}
+
 func (o *owner) sparePool() vocab.PoolID {
 	for i := range o.s.config.Pools {
 		if o.s.config.Pools[i].Spare {
--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -196,7 +196,8 @@
 		return true
 	}
 	if m.cordonedAt == 0 {
-		if !hurry && o.poolWaits(m.info.Pool) {
+		if !hurry && (o.poolWaits(m.info.Pool) || o.fleet.need[m.info.Pool] >= 0 && !o.isSpare(m.info.Pool)) {
+			// The pool needs all that it has.
 			return false
 		}
 		m.cordonedAt, w.cordoned = o.s.now, true
