Find lost answers to polls sooner; say what a late wave waits for

Change: long polls of 0.4 s, given up 0.4 s later and repeated after 50 ms; three failures in a row make a worker silent, since two answers may be lost. A wave that is short of time says every two seconds what its next machine waits for.

--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -95,10 +95,13 @@
 	// staleAfter is the age of the last read above which a node no longer
 	// says that a job does not exist.
 	staleAfter = 2 * time.Second
-	// pollWait is the long poll of a poll at a worker with runs.
-	pollWait = time.Second
-	// pollRetry is the time before a failed poll is repeated.
-	pollRetry = 250 * time.Millisecond
+	// pollWait is the long poll of a poll at a worker with runs. While an answer is
+	// lost nothing is known of the ends there, so it is short.
+	pollWait = 400 * time.Millisecond
+	// firstPollRetry is the time before a failed poll is repeated, pollRetry that,
+	// times the failures, before the ones after it.
+	firstPollRetry = 50 * time.Millisecond
+	pollRetry      = 250 * time.Millisecond
 	// stopRetry is the time before a stop is repeated.
 	stopRetry = 400 * time.Millisecond
 	// repeatStart is the time without an answer after which a start is sent once
@@ -107,9 +110,9 @@
 	// barAfter is how long a start without an answer may still arrive before
 	// it is barred by a stop.
 	barAfter = 800 * time.Millisecond
-	// silentAfter is the number of failed polls after which a worker gets no
-	// new work.
-	silentAfter = 2
+	// silentAfter is the number of failed polls in a row after which a worker gets no
+	// new work: a single answer may be lost, or two.
+	silentAfter = 3
 	// avoidFor is how long a worker that refused a start gets no new work.
 	avoidFor = 500 * time.Millisecond
 	// planEvery is the longest time between two passes of placement while
--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -17,6 +17,8 @@
 	done   map[MachineID]bool
 	// shown is the state that operators were shown.
 	shownRunning, shownComplete bool
+	// notedAt is when a line last said what the wave waits for.
+	notedAt vocab.Instant
 }
 
 // waveRecord is the durable state of a wave.
@@ -148,6 +150,9 @@
 		passed.Seconds() > wavePatience*w.wave.Within.Seconds()
 	room := max(1, w.wave.AtOnce) - down
 	o.sortForUpkeep(left)
+	if hurry && len(left) > 0 {
+		o.noteWaveWaits(number, w, left[0])
+	}
 	for _, m := range left {
 		if room <= 0 || o.fleet.orders < 1 {
 			return
@@ -161,6 +166,26 @@
 	}
 }
 
+// waveNoteEvery is the time between two lines on a wave that is short of time.
+const waveNoteEvery = 2 * time.Second
+
+// noteWaveWaits says what the next machine of a wave that is short of time waits for.
+func (o *owner) noteWaveWaits(number int64, w *waveState, m *machine) {
+	if o.s.now.Sub(w.notedAt) < waveNoteEvery {
+		return
+	}
+	w.notedAt = o.s.now
+	fields := []any{
+		"wave", number, "waits_for", m.info.ID, "pool", m.info.Pool, "state", int(m.info.State), "ordered", m.ordered,
+		"order", int(m.order), "answered", m.answered, "left_alone_ms", max(0, o.fleet.notBefore[m.info.ID].Sub(o.s.now)).Milliseconds(),
+	}
+	if host := o.workerOf(m); host != nil {
+		fields = append(fields, "worker", host.info.ID, "tasks", len(host.tasks), "short", shortTasks(host),
+			"may_end", o.mayEndTasks(host), "strays", host.strays.CPU)
+	}
+	o.s.note(NoteWave, fields...)
+}
+
 func turns(left, atOnce int) time.Duration {
 	atOnce = max(1, atOnce)
 	return time.Duration((left+atOnce-1)/atOnce) * upkeepTurn
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -243,6 +243,9 @@
 		return
 	}
 	w.pollDue = o.s.now.Add(pollRetry * time.Duration(min(w.failures, 4)))
+	if w.failures == 1 {
+		w.pollDue = o.s.now.Add(firstPollRetry)
+	}
 }
 
 // takeEnds takes the ends that are new. They are acknowledged to the worker only
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -19,8 +19,11 @@
 	// appendTimeout bounds an append. The store may be slow by a factor of
 	// 100 at 4 ms an answer and 3 ms an append, and appends wait for each other.
 	appendTimeout = 2500 * time.Millisecond
-	// orderTimeout bounds an order to a worker beyond the time that it may wait.
+	// orderTimeout bounds an order to a worker.
 	orderTimeout = 800 * time.Millisecond
+	// pollTimeout bounds a poll beyond the time that it may wait. It may be repeated
+	// freely.
+	pollTimeout = 400 * time.Millisecond
 )
 
 // do carries out one effect. What may block runs beside the loop.
@@ -107,7 +110,7 @@
 	if e.Lease != 0 && Now() >= e.Until {
 		e.Lease = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout+e.Wait)
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout+e.Wait)
 	defer cancel()
 	sentAt := Now()
 	answer := n.platform.Workers.Poll(ctx, e)
