Let an owner that cannot write offer the ownership to another node

Change: an owner whose append has no success for 0.45 s offers the ownership to the strong nodes in turn, over the peers' service; a node whose own last read is fresh and fast claims at once. The claim decides as ever. With the claim sooner, an append of the last owner may come between claim and fence: leases are then counted from the fence.

--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -15,6 +15,11 @@
 	lost Fence
 	// lastSign is the last sign of the owner before the claim was sent.
 	lastSign vocab.Instant
+	// signAt is the last sign of an owner, also since the claim was sent.
+	signAt vocab.Instant
+	// offered is the fence under which an owner that cannot write any more offered
+	// the ownership to this node.
+	offered Fence
 	// before is the owner that the claim replaces.
 	before ownerRecord
 	// appendID is the claim under way, or 0.
@@ -27,6 +32,9 @@
 // claimWait is how long this node waits for the owner before it claims. Nodes
 // that are weaker than the strongest leave it the first turn.
 func (s *State) claimWait() time.Duration {
+	if s.offerHolds() {
+		return 0
+	}
 	wait := ownerSilence + silencePerRead*s.stream.took
 	switch {
 	case s.ledger.ownerFence == 0:
@@ -43,6 +51,47 @@
 	return wait + s.spread(claimSpread+spreadPerRead*s.stream.took)
 }
 
+// offerHolds reports whether the owner offered the ownership, and this node's own way
+// to the stream is good.
+func (s *State) offerHolds() bool {
+	return s.claim.offered != 0 && s.claim.offered == s.ledger.ownerFence && s.stream.took < slowAppend &&
+		s.now.Sub(s.stream.readAt) < freshRead
+}
+
+// ownershipOffered takes an owner's offer. The claim decides as ever: a later owner's
+// fence makes the offer void.
+func (s *State) ownershipOffered(e OwnershipOffered) {
+	if s.owner != nil || s.stopping || e.Fence != s.ledger.ownerFence {
+		return
+	}
+	s.note(NoteOffered, "fence", e.Fence, "owner", s.ledger.owner.Node, "read_age_ms", s.now.Sub(s.stream.readAt).Milliseconds())
+	s.claim.offered = e.Fence
+	s.readSoon()
+}
+
+// offerIfCutOff offers the ownership to the other strong nodes in turn while nothing
+// that this owner writes reaches the stream. It answers a store that turns the owner
+// away: the others need not wait for its silence. A slow store is slow for all.
+func (o *owner) offerIfCutOff() {
+	if o.sent == nil || o.resigned || o.took > slowAppend || o.s.now.Sub(o.sent.firstAt) < offerAfter ||
+		o.s.now.Sub(o.offeredAt) < offerAgain {
+		return
+	}
+	var strong []string
+	for _, node := range o.s.others() {
+		m := o.s.ledger.members[node]
+		if m.Address != "" && m.Strength >= clearlyWeaker*o.s.ledger.strongest {
+			strong = append(strong, m.Address)
+		}
+	}
+	if len(strong) == 0 {
+		return
+	}
+	o.offeredAt = o.s.now
+	o.offers++
+	o.s.emit(OfferOwnership{Address: strong[(o.offers+int(o.fence))%len(strong)], Fence: o.fence})
+}
+
 // announce tells the other nodes how strong this one is: at its start, and again
 // while a clearly weaker node owns the workers.
 func (s *State) announce() {
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -92,6 +92,13 @@
 		Percent int
 	}
 
+	// OfferOwnership tells another node that this owner cannot write any more.
+	OfferOwnership struct {
+		out
+		Address string
+		Fence   Fence
+	}
+
 	// Reply answers a caller.
 	Reply struct {
 		out
@@ -170,6 +177,7 @@
 	NoteNotServed
 	NoteUnanswered
 	NotePassedOn
+	NoteOffered
 )
 
 var noteNames = map[NoteID]string{
@@ -183,6 +191,7 @@
 	NotePaced: "run paced", NotePool: "pool state", NoteAdvice: "advice given",
 	NoteNotServed: "call not served", NoteUnanswered: "call without an answer",
 	NotePassedOn: "call passed on",
+	NoteOffered:  "ownership offered",
 }
 
 var answerNames = map[Answer]string{
--- a/internal/core/job/events.go
+++ b/internal/core/job/events.go
@@ -163,6 +163,12 @@
 		Passed          Passed
 	}
 
+	// OwnershipOffered is an owner's offer, under its fence, to take over.
+	OwnershipOffered struct {
+		in
+		Fence Fence
+	}
+
 	// Stopping says that the process is to end soon.
 	Stopping struct{ in }
 )
--- a/internal/core/job/kinds_test.go
+++ b/internal/core/job/kinds_test.go
@@ -272,3 +272,27 @@
 		})
 	}
 }
+
+// TestLeasesCountFromTheLastSignBeforeTheFence: an owner that wrote once more after the
+// claim was sent may have extended leases as late as that.
+func TestLeasesCountFromTheLastSignBeforeTheFence(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, late := range []bool{false, true} {
+		s := New(Identity{Node: "b", Incarnation: 2}, Settings{LeaseMost: 6 * time.Second})
+		s.now = vocab.Instant(time.Minute)
+		s.claim.lastSign = s.now.Add(-2 * time.Second)
+		s.owner = newOwner(s, 6)
+		s.owner.begin()
+		s.now = s.now.Add(time.Second)
+		if late {
+			s.claim.signAt = s.now
+		}
+		s.owner.stage = stageReading
+		s.owner.takeOverIfRead()
+		from := s.claim.lastSign
+		if late {
+			from = s.now
+		}
+		g.Expect(s.owner.leaseBound).To(gomega.Equal(from.Add(ownerLeaseHold + s.leaseSpan())))
+	}
+}
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -66,6 +66,9 @@
 	estimates  *estimator
 	advising   bool
 	rates      map[vocab.TeamID]*teamRate
+	// offeredAt is when the ownership was last offered, offers how often.
+	offeredAt vocab.Instant
+	offers    int
 	// claimsDropped is when decided claims were last taken off the stream.
 	claimsDropped vocab.Instant
 }
@@ -80,6 +83,8 @@
 	// attempts counts those that have no answer yet; the last one left at sentAt.
 	attempts int
 	sentAt   vocab.Instant
+	// firstAt is when the first attempt left.
+	firstAt vocab.Instant
 }
 
 func newOwner(s *State, fence Fence) *owner {
@@ -125,7 +130,7 @@
 
 // send appends records under the owner's fence.
 func (o *owner) send(records []Record) {
-	o.sent = &ownAppend{id: o.s.nextAppend(), records: records, after: o.after}
+	o.sent = &ownAppend{id: o.s.nextAppend(), records: records, after: o.after, firstAt: o.s.now}
 	o.after = nil
 	o.emitAppend()
 }
@@ -193,6 +198,11 @@
 		return
 	}
 	o.stage, o.activeAt = stageActive, o.s.now
+	if o.s.claim.signAt > o.s.claim.lastSign {
+		// The last owner wrote once more after the claim was sent, and may have
+		// extended leases as late as that.
+		o.leaseBound = o.s.now.Add(ownerLeaseHold + o.s.leaseSpan())
+	}
 	o.leaveOrdered()
 	entries := make([]*Entry, 0, len(o.s.ledger.Jobs))
 	for _, e := range o.s.ledger.Jobs {
@@ -272,6 +282,7 @@
 			o.planDue = true
 		}
 	}
+	o.offerIfCutOff()
 	o.checkWorkers()
 	o.notePools()
 	if len(o.s.ledger.claims) > 0 && o.s.now.Sub(o.claimsDropped) > dropClaimsEvery {
--- a/internal/core/job/passing_test.go
+++ b/internal/core/job/passing_test.go
@@ -128,6 +128,55 @@
 	w.report(t)
 }
 
+// TestOwnerTurnedAwayHandsOver: an owner that the store turns away offers the ownership,
+// so that the others need not wait for its silence.
+func TestOwnerTurnedAwayHandsOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(35, 4, 6, faults{})
+	w.run(3 * time.Second)
+	w.after(0, func() { w.load(60*time.Millisecond, 6*time.Second) })
+	w.run(2 * time.Second)
+	var cut *node
+	for _, n := range w.nodes {
+		if n.state.Owning() {
+			cut = n
+		}
+	}
+	cut.cut = true
+	w.run(ownerSilence)
+	next := 0
+	for _, n := range w.nodes {
+		if n != cut && n.state.Owning() {
+			next++
+		}
+	}
+	g.Expect(next).To(gomega.Equal(1))
+	cut.cut = false
+	w.run(60 * time.Second)
+	w.report(t)
+	g.Expect(w.owners()).To(gomega.Equal(1))
+	g.Expect(w.unfinished()).To(gomega.BeEmpty())
+}
+
+// TestOffersOfEarlierOwnersAreVoid: an offer under another fence than the owner's does
+// nothing, and neither does one to a node whose own way to the stream is bad.
+func TestOffersOfEarlierOwnersAreVoid(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(36, 3, 4, faults{})
+	w.run(3 * time.Second)
+	n := w.follower()
+	fence := n.state.ledger.ownerFence
+	n.post(n.life, OwnershipOffered{Fence: fence - 1})
+	g.Expect(n.state.offerHolds()).To(gomega.BeFalse())
+	n.post(n.life, OwnershipOffered{Fence: fence})
+	g.Expect(n.state.offerHolds()).To(gomega.BeTrue())
+	n.state.stream.took = time.Second
+	g.Expect(n.state.offerHolds()).To(gomega.BeFalse())
+	n.state.stream.took = 0
+	n.state.stream.readAt = w.now.Add(-freshRead)
+	g.Expect(n.state.offerHolds()).To(gomega.BeFalse())
+}
+
 // TestNodeNeverFallsBackBehindAConfigurationItShowed holds a fault of
 // dukajaza-sched-grown scale-2: a node that had passed a call on answered the next one
 // itself, by an older configuration.
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -57,6 +57,13 @@
 	// owner keeps the ownership before it heeds one.
 	offerEvery = 2 * time.Second
 	keepOwning = 3 * time.Second
+	// offerAfter is how long an owner's append is without success before the owner
+	// offers the ownership to another node, offerAgain the time before the next one.
+	offerAfter = 450 * time.Millisecond
+	offerAgain = 250 * time.Millisecond
+	// freshRead is the age of the last read up to which a node takes an offer: two
+	// pauses between reads.
+	freshRead = 2 * followPause
 	// repeatAppendAfter is the time without an answer after which an append of the
 	// owner is sent once more; over a slow store it is repeatPerAppend times the
 	// time of the last one.
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -119,6 +119,8 @@
 		s.backlog(e)
 	case PassedOn:
 		s.passedOn(e)
+	case OwnershipOffered:
+		s.ownershipOffered(e)
 	case Stopping:
 		s.stop()
 	default:
@@ -304,7 +306,7 @@
 			continue
 		}
 		if r.Key == ownerKey || strings.HasPrefix(r.Key, progressPrefix) {
-			s.claim.quietSince = s.now
+			s.claim.quietSince, s.claim.signAt = s.now, s.now
 		}
 		if !s.stream.folding {
 			s.ownerChanged(before)
--- a/internal/core/job/world_test.go
+++ b/internal/core/job/world_test.go
@@ -232,6 +232,14 @@
 		if _, answered := w.replies[e.Call]; !answered {
 			w.replies[e.Call] = e
 		}
+	case OfferOwnership:
+		w.after(w.delay(), func() {
+			for _, to := range w.nodes {
+				if fmt.Sprint("n", to.index) == e.Address {
+					to.post(to.life, OwnershipOffered{Fence: e.Fence})
+				}
+			}
+		})
 	case PassOn:
 		w.after(w.delay(), func() { n.pass(e, back) })
 	case LoadStream:
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -50,6 +50,8 @@
 		go n.stopRun(ctx, e)
 	case job.PassOn:
 		go n.passOn(ctx, e)
+	case job.OfferOwnership:
+		go n.offer(ctx, e)
 	case job.Pace:
 		go n.pace(ctx, e)
 	default:
@@ -151,6 +153,20 @@
 	n.post(job.PassedOn{Call: e.Call, Outcome: outcome, Reply: reply, Err: err})
 }
 
+// offerTimeout bounds an offer of the ownership; the next one goes to another node.
+const offerTimeout = 500 * time.Millisecond
+
+func (n *Node) offer(ctx context.Context, e job.OfferOwnership) {
+	if n.platform.Peers == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	if err := n.platform.Peers.Offer(ctx, e.Address, e.Fence); err != nil {
+		n.log.Note(job.Note{Event: job.NoteOffered, Fields: []any{"fence", e.Fence, "to", e.Address, "error", err.Error()}})
+	}
+}
+
 func (n *Node) pace(ctx context.Context, e job.Pace) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/internal/jobnode/node.go
+++ b/internal/jobnode/node.go
@@ -123,6 +123,9 @@
 // Stopping tells the reducer that the process is to end.
 func (n *Node) Stopping() { n.post(job.Stopping{}) }
 
+// Offered tells the reducer that the owner under a fence offers the ownership.
+func (n *Node) Offered(fence job.Fence) { n.post(job.OwnershipOffered{Fence: fence}) }
+
 // Call passes a caller's request about a job to the reducer and waits for the
 // answer. A call that gets none is logged with the reason.
 func (n *Node) Call(ctx context.Context, about job.ID, request func(job.CallID) event.Event) (job.Reply, error) {
--- a/internal/jobnode/ports.go
+++ b/internal/jobnode/ports.go
@@ -58,6 +58,8 @@
 type Peers interface {
 	// Pass has the node at an address answer a caller's call.
 	Pass(ctx context.Context, address string, r job.Request) (job.Reply, job.Outcome, error)
+	// Offer offers the ownership of the workers to the node at an address.
+	Offer(ctx context.Context, address string, fence job.Fence) error
 }
 
 // Platform is all that a node needs of its platform.
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -65,6 +65,16 @@
 	}, job.OK, nil
 }
 
+// Offer implements jobnode.Peers.
+func (c *Client) Offer(ctx context.Context, address string, fence job.Fence) error {
+	conn := c.connection(address)
+	if _, err := conn.rpc.Offer(ctx, &jobpeerpb.OwnershipOffer{Fence: uint64(fence)}); err != nil {
+		conn.failed(err)
+		return err
+	}
+	return nil
+}
+
 func encodeCall(r job.Request) (*jobpeerpb.Call, error) {
 	call := &jobpeerpb.Call{
 		Job: string(r.ID), Host: r.Host, Path: r.Path, Key: r.Key, ConfigAtLeast: r.ConfigAtLeast,
--- a/internal/jobpeer/jobpeer_test.go
+++ b/internal/jobpeer/jobpeer_test.go
@@ -19,8 +19,11 @@
 	got   event.Event
 	reply job.Reply
 	hang  bool
+	fence job.Fence
 }
 
+func (b *backend) Offered(fence job.Fence) { b.fence = fence }
+
 func (b *backend) Call(ctx context.Context, _ job.ID, request func(job.CallID) event.Event) (job.Reply, error) {
 	b.got = request(7)
 	if b.hang {
@@ -77,3 +80,14 @@
 	g.Expect(err).To(gomega.HaveOccurred())
 	g.Expect(outcome).To(gomega.Equal(job.NotDone))
 }
+
+// TestOfferArrives: an owner's offer carries its fence.
+func TestOfferArrives(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := &backend{}
+	server := httptest.NewServer(jobpeer.Handler(b))
+	g.Expect(jobpeer.NewClient().Offer(within(t, 5*time.Second), addressOf(server), 7)).To(gomega.Succeed())
+	g.Expect(b.fence).To(gomega.Equal(job.Fence(7)))
+	server.Close()
+	g.Expect(jobpeer.NewClient().Offer(within(t, 5*time.Second), addressOf(server), 8)).NotTo(gomega.Succeed())
+}
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -21,6 +21,8 @@
 // Backend answers callers' calls.
 type Backend interface {
 	Call(ctx context.Context, about job.ID, request func(job.CallID) event.Event) (job.Reply, error)
+	// Offered takes an owner's offer of the ownership.
+	Offered(fence job.Fence)
 }
 
 // Handler serves the calls that other processes pass on.
@@ -54,6 +56,12 @@
 	}, nil
 }
 
+// Offer implements jobpeerpb.Jobs.
+func (s service) Offer(_ context.Context, in *jobpeerpb.OwnershipOffer) (*jobpeerpb.Taken, error) {
+	s.backend.Offered(job.Fence(in.Fence))
+	return &jobpeerpb.Taken{}, nil
+}
+
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
 var kinds = map[jobpeerpb.Call_Kind]job.RequestKind{
