Bound the owner's appends; a step that is done is one row of its record

Cause: the owner wrote all changed jobs in one append. The store takes 2 MiB; some thousand jobs of thirteen tasks are more, and an append that is refused was sent again for ever. The largest job that was accepted (10,000 tasks) had a record beyond the store's 256 KiB as well. Change: changed jobs are written in order, 512 KiB an append; what depends on a change follows the append that has it; the resignation comes with the last. A job has at most 2,000 tasks, and its steps of all occurrences together 2,000; acceptances that wait for one append are bounded by bytes.

--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -36,6 +36,7 @@
 	records []Record
 	calls   []waitingCall
 	keys    map[string]bool
+	size    int // of the records, in bytes
 	sentAt  vocab.Instant
 	// passed is set once the calls went to another node as well.
 	passed bool
@@ -122,7 +123,7 @@
 		s.reply(Reply{Call: e.Call, Answer: Accepted})
 		return
 	}
-	if s.streamLost() || len(s.next.calls) > mostWaiting {
+	if s.streamLost() || len(s.next.calls) > mostWaiting || s.next.size > mostBatch {
 		s.refuse(e.Call, e.ID, "the job stream is not available")
 		return
 	}
@@ -159,6 +160,7 @@
 	if !s.next.keys[r.Key] {
 		s.next.keys[r.Key] = true
 		s.next.records = append(s.next.records, r)
+		s.next.size += len(r.Key) + len(r.Value)
 	}
 	s.next.calls = append(s.next.calls, c)
 	s.flushBatch()
@@ -379,15 +381,15 @@
 
 // checkSpec returns why a job cannot be taken, or nothing.
 func checkSpec(spec *Spec) string {
-	if len(spec.Steps) == 0 || len(spec.Steps) > maxSteps {
-		return "a job has 1 to 500 steps"
+	if len(spec.Steps) == 0 || len(spec.Steps)*max(1, spec.Occurrences) > maxSteps {
+		return "a job has 1 to 2000 steps, those of all occurrences taken together"
 	}
 	tasks := 0
 	for i := range spec.Steps {
 		step := &spec.Steps[i]
 		tasks += step.Count
 		if step.Count < 1 || tasks > maxTasks {
-			return "a job has 1 to 10000 tasks, and each step at least one"
+			return "a job has 1 to 2000 tasks, and each step at least one"
 		}
 		if step.Need.CPU < 0 || step.Need.Memory < 0 || step.Need.GPU < 0 {
 			return "needs must not be negative"
@@ -398,8 +400,8 @@
 			}
 		}
 	}
-	if spec.Occurrences < 0 || spec.Occurrences > maxTasks {
-		return "a job repeats 0 to 10000 times"
+	if spec.Occurrences < 0 {
+		return "a job repeats 0 times or more"
 	}
 	return ""
 }
--- a/internal/core/job/jobs.go
+++ b/internal/core/job/jobs.go
@@ -46,6 +46,14 @@
 	}
 	occ := w.occurrence(row.Occurrence)
 	st := occ.steps[row.Step]
+	if row.All {
+		for _, t := range st.tasks {
+			t.done = true
+		}
+		st.done = len(st.tasks)
+		occ.left--
+		return
+	}
 	if row.Index >= len(st.tasks) {
 		return
 	}
--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -335,20 +335,20 @@
 	o.waiting = append(o.waiting, m)
 }
 
-// orderWaiting gives the orders that the next append names, once it is on the
-// stream.
-func (o *owner) orderWaiting() {
+// orderWaiting returns what gives the orders that the next append names, once it is on
+// the stream.
+func (o *owner) orderWaiting() []func() {
 	named := o.waiting
 	o.waiting = nil
 	if len(named) == 0 {
-		return
+		return nil
 	}
-	o.after = append(o.after, func() {
+	return []func(){func() {
 		for _, m := range named {
 			o.sendOrder(m)
 		}
 		o.fleet.listDue = min(o.fleet.listDue, o.s.now.Add(listBusy))
-	})
+	}}
 }
 
 // sendOrder gives an order that the stream names, unless the machine left the list
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -36,9 +36,11 @@
 	took time.Duration
 	// dirty lists the jobs whose state is not on the stream.
 	dirty []*work
+	// marks counts how often a job was marked as changed.
+	marks uint64
 	extra []Record
-	// after is what is to be done once the next append is on the stream.
-	after []func()
+	// after is what is to be done once changes are on the stream, in their order.
+	after []afterAppend
 	// ordersUntil ends the right to start runs, leasesUntil that to extend
 	// leases. Both move on with each append that was carried out.
 	ordersUntil, leasesUntil vocab.Instant
@@ -99,7 +101,7 @@
 // begin fences the stream against earlier owners.
 func (o *owner) begin() {
 	o.leaseBound = o.s.claim.lastSign.Add(ownerLeaseHold + o.s.leaseSpan())
-	o.send(nil)
+	o.send(nil, nil)
 }
 
 // leaveOrdered has the machines wait that an earlier owner ordered lately: the
@@ -129,9 +131,8 @@
 }
 
 // send appends records under the owner's fence.
-func (o *owner) send(records []Record) {
-	o.sent = &ownAppend{id: o.s.nextAppend(), records: records, after: o.after, firstAt: o.s.now}
-	o.after = nil
+func (o *owner) send(records []Record, after []func()) {
+	o.sent = &ownAppend{id: o.s.nextAppend(), records: records, after: after, firstAt: o.s.now}
 	o.emitAppend()
 }
 
@@ -307,7 +308,7 @@
 	if o.sent != nil {
 		return
 	}
-	if len(o.dirty) > 0 || len(o.extra) > 0 || len(o.after) > 0 || len(o.waiting) > 0 {
+	if o.toWrite() {
 		o.flush()
 		return
 	}
@@ -319,7 +320,7 @@
 // mayOrder reports whether the node may start runs.
 func (o *owner) mayOrder() bool { return o.s.now < o.ordersUntil && !o.resigned }
 
-func (o *owner) renew() { o.send([]Record{o.ownRecord(false)}) }
+func (o *owner) renew() { o.send([]Record{o.ownRecord(false)}, nil) }
 
 // ownRecord is the owner's record as of now.
 func (o *owner) ownRecord(resigned bool) Record {
@@ -329,49 +330,6 @@
 	})
 }
 
-// touch marks a job as changed.
-func (o *owner) touch(w *work) {
-	if !w.dirty {
-		w.dirty = true
-		o.dirty = append(o.dirty, w)
-	}
-}
-
-// flush writes the changed jobs in one append.
-func (o *owner) flush() {
-	records := o.extra
-	o.extra = nil
-	var ended []*work
-	for _, w := range o.dirty {
-		w.dirty = false
-		if w.written {
-			continue
-		}
-		record, err := encodeProgress(w.entry.ID, w.phase(), w.rows())
-		if err != nil {
-			o.s.note(NoteRecordBad, "job", w.entry.ID, "error", err.Error())
-			continue
-		}
-		records = append(records, record)
-		if w.ended != 0 {
-			records = append(records, o.shortAcceptance(w)...)
-			w.written = true
-			ended = append(ended, w)
-		} else if phase := w.phase(); phase != w.entry.Phase {
-			o.after = append(o.after, func() { w.entry.Phase = phase })
-		}
-	}
-	o.dirty = o.dirty[:0]
-	if len(ended) > 0 {
-		o.after = append(o.after, func() { o.endsWritten(ended) })
-	}
-	if len(records) == 0 || len(o.waiting) > 0 {
-		records = append(records, o.ownRecord(false))
-	}
-	o.orderWaiting()
-	o.send(records)
-}
-
 // stop hands the ownership over at a planned stop.
 func (s *State) stop() {
 	s.stopping = true
@@ -380,11 +338,11 @@
 	}
 }
 
-// resign hands the ownership over. Nothing is written after the resignation: an
-// append would disturb claims.
+// resign hands the ownership over, once all that changed is on the stream.
 func (o *owner) resign() {
+	if o.resigned {
+		return
+	}
 	o.resigned = true
 	o.s.note(NoteResigned, "fence", o.fence)
-	o.extra = append(o.extra, o.ownRecord(true))
-	o.after = append(o.after, func() { o.s.loseOwnership("handed over") })
 }
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -61,10 +61,12 @@
 
 // taskRow is the durable state of a task that is no longer untouched.
 type taskRow struct {
-	Occurrence int      `json:"k,omitempty"`
-	Step       int      `json:"s,omitempty"`
-	Index      int      `json:"i,omitempty"`
-	Done       bool     `json:"d,omitempty"`
+	Occurrence int  `json:"k,omitempty"`
+	Step       int  `json:"s,omitempty"`
+	Index      int  `json:"i,omitempty"`
+	Done       bool `json:"d,omitempty"`
+	// All is set if all tasks of the step are done; Index means nothing then.
+	All        bool     `json:"all,omitempty"`
 	Run        Run      `json:"r,omitempty"`
 	Failed     int      `json:"f,omitempty"`
 	Worker     WorkerID `json:"w,omitempty"`
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -49,7 +49,7 @@
 	t.stage = planned
 	run := t.lastRun
 	o.touch(t.step.work)
-	o.after = append(o.after, func() { o.orderStart(t, run) })
+	o.then(func() { o.orderStart(t, run) })
 }
 
 // orderStart orders the start of an intended run, unless it is no longer wanted.
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -125,8 +125,14 @@
 	// planEvery is the longest time between two passes of placement while
 	// work waits.
 	planEvery = 200 * time.Millisecond
-	// maxTasks bounds the tasks of one job.
-	maxTasks = 10_000
-	// maxSteps bounds the steps of one job.
-	maxSteps = 500
+	// mostAppend bounds an append of the owner, in bytes, but for its last record. The
+	// store takes 2 MiB and writes 20 MB a second.
+	mostAppend = 512 << 10
+	// mostBatch bounds the acceptances that wait for one append, in bytes.
+	mostBatch = 1 << 20
+	// maxTasks bounds the tasks of one job, so that its record, about 110 bytes a task
+	// that is not done, is one that the store takes: 256 KiB.
+	maxTasks = 2000
+	// maxSteps bounds the steps of all occurrences of one job, for the same reason.
+	maxSteps = 2000
 )
--- a/internal/core/job/work.go
+++ b/internal/core/job/work.go
@@ -188,6 +188,10 @@
 	var rows []taskRow
 	for _, o := range w.occurrences {
 		for _, st := range o.steps {
+			if st.done == len(st.tasks) {
+				rows = append(rows, taskRow{Occurrence: o.number, Step: st.number, All: true})
+				continue
+			}
 			for _, t := range st.tasks {
 				if row, touched := t.row(); touched {
 					rows = append(rows, row)
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -264,7 +264,7 @@
 	}
 	w.seen = last
 	born := w.info.Born
-	o.after = append(o.after, func() {
+	o.then(func() {
 		if w.info.Born == born {
 			w.acked = max(w.acked, last)
 			o.schedulePoll(w)
