Try slow appends ever more seldom; give each process of the soak ports of its own

Change: the time for which calls are passed on doubles with each slow append, to 24 s. Test: TestSlowAppendsAreTriedEverMoreSeldom. The soak's processes pass calls on as well.

--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -185,9 +185,13 @@
 	case s.appends[e.ID] != nil:
 		batch := s.appends[e.ID]
 		delete(s.appends, e.ID)
-		if took := s.now.Sub(e.SentAt); took > slowAppend && e.Outcome == OK && s.owner == nil {
+		switch took := s.now.Sub(e.SentAt); {
+		case e.Outcome != OK || s.owner != nil:
+		case took > slowAppend:
 			s.nextFrom = s.now.Add(min(took, mostPause))
-			s.slowUntil = s.now.Add(passWhileSlow)
+			s.ownAppendSlow()
+		default:
+			s.ownAppendFast()
 		}
 		s.batchAppended(batch, e)
 		s.flushBatch()
--- a/internal/core/job/passing.go
+++ b/internal/core/job/passing.go
@@ -88,8 +88,11 @@
 	// slow store.
 	passWithin     = 900 * time.Millisecond
 	passWithinSlow = 2400 * time.Millisecond
-	// passWhileSlow is how long calls are passed on after a slow append.
-	passWhileSlow = 1500 * time.Millisecond
+	// passWhileSlow is how long calls are passed on after a slow append. It doubles
+	// with each slow one that follows, up to mostPassWhileSlow: where hundreds of nodes
+	// share one partition of 3 ms an append, trying it out is most of the load.
+	passWhileSlow     = 1500 * time.Millisecond
+	mostPassWhileSlow = 24 * time.Second
 )
 
 // passing is a call that is passed on.
@@ -234,7 +237,7 @@
 			continue
 		}
 		batch.passed = true
-		s.slowUntil = s.now.Add(passWhileSlow)
+		s.ownAppendSlow()
 		if s.owner != nil {
 			continue
 		}
@@ -247,6 +250,18 @@
 	}
 }
 
+// ownAppendSlow notes that the node's own append is slow or overdue, ownAppendFast that
+// one was not.
+func (s *State) ownAppendSlow() {
+	if s.now < s.slowUntil {
+		return
+	}
+	s.slowFor = min(max(2*s.slowFor, passWhileSlow), mostPassWhileSlow)
+	s.slowUntil = s.now.Add(s.slowFor)
+}
+
+func (s *State) ownAppendFast() { s.slowFor = 0 }
+
 // ownAppendFailed says that the node's own append for a call was not carried out,
 // or may have been. It reports whether the call still waits for another node.
 func (s *State) ownAppendFailed(call CallID, unclear bool) bool {
--- a/internal/core/job/passing_test.go
+++ b/internal/core/job/passing_test.go
@@ -210,3 +210,24 @@
 	reply, _ = w.ask(n, 3*time.Second, query)
 	g.Expect(reply.Answer).To(gomega.Equal(Refused))
 }
+
+// TestSlowAppendsAreTriedEverMoreSeldom replays the load of 300 nodes on one partition:
+// each that tries its own append again after 1.5 s would be two thirds of what the
+// partition takes.
+func TestSlowAppendsAreTriedEverMoreSeldom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New(Identity{Node: "a", Incarnation: 1}, Settings{})
+	s.now = 1
+	tries := 0
+	for end := s.now.Add(time.Minute); s.now < end; s.now = s.now.Add(10 * time.Millisecond) {
+		if s.now >= s.slowUntil {
+			tries++
+			s.ownAppendSlow()
+		}
+	}
+	g.Expect(tries).To(gomega.BeNumerically("<=", 7))
+	s.ownAppendFast()
+	s.slowUntil = 0
+	s.ownAppendSlow()
+	g.Expect(s.slowUntil).To(gomega.Equal(s.now.Add(passWhileSlow)))
+}
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -46,7 +46,9 @@
 	// shown is the latest configuration by which another node answered for this one.
 	shown uint64
 	// slowUntil is when calls are no longer passed on after a slow append.
-	slowUntil   vocab.Instant
+	slowUntil vocab.Instant
+	// slowFor is how long that was after the last slow append, 0 after a fast one.
+	slowFor     time.Duration
 	waves       map[int64]*waveState
 	waveNumbers []int64 // keys of waves, sorted
 	// announced is set once the node told its strength, offeredAt when it last did.
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -14,11 +15,11 @@
 
 // process is one entry node, run as a real process.
 type process struct {
-	name, dir                     string
-	callers, readiness, operators string
-	store                         *proxy
-	cmd                           *exec.Cmd
-	client                        *http.Client
+	name, dir                            string
+	callers, readiness, operators, peers string
+	store                                *proxy
+	cmd                                  *exec.Cmd
+	client                               *http.Client
 }
 
 // Ports below those that the kernel gives to outgoing connections, so that none
@@ -26,21 +27,32 @@
 const (
 	firstPort = 20_000
 	lastPort  = 32_000
+	// mostTries bounds the search for a free port.
+	mostTries = 10_000
 )
 
-// freeAddresses returns addresses that are free now, all different.
+// given holds the ports that were given to a process of this run. A process binds its
+// ports some time after they were found free; until then they look free to the next one.
+var given = map[int]bool{}
+
+// freeAddresses returns addresses that are free now and were not given before.
 func freeAddresses(count int) ([]string, error) {
 	var addresses []string
 	for tries := 0; len(addresses) < count; tries++ {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if tries > mostTries {
+			return nil, errors.New("no free port is left")
+		}
+		if given[port] {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
-			if tries > 100*count {
-				return nil, err
-			}
 			continue
 		}
 		defer l.Close()
+		given[port] = true
 		addresses = append(addresses, address)
 	}
 	return addresses, nil
@@ -52,14 +64,14 @@
 	if p.store, err = newProxy(store); err != nil {
 		return nil, err
 	}
-	addresses, err := freeAddresses(3)
+	addresses, err := freeAddresses(4)
 	if err != nil {
 		return nil, err
 	}
-	p.callers, p.readiness, p.operators = addresses[0], addresses[1], addresses[2]
-	settings := fmt.Sprintf(`{"node": %q, "zone": "z", "callers": %q, "readiness": %q, "operators": %q,
+	p.callers, p.readiness, p.operators, p.peers = addresses[0], addresses[1], addresses[2], addresses[3]
+	settings := fmt.Sprintf(`{"node": %q, "zone": "z", "callers": %q, "readiness": %q, "operators": %q, "peers": %q,
   "store": "http://%s", "machines": "http://%s", "lease_most": "6s", "grace": "3s"}`,
-		name, p.callers, p.readiness, p.operators, p.store.address(), p.store.address())
+		name, p.callers, p.readiness, p.operators, p.peers, p.store.address(), p.store.address())
 	return p, os.WriteFile(p.settings(), []byte(settings), 0o600)
 }
 
