Take an offer of the ownership only while one's own way to the store is good

Change: a node whose last read is not fresh takes no offer; the owner repeats it. Test: TestOwnerGoesOnAfterAnOutageForAll fails before and passes after.

--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -58,10 +58,12 @@
 		s.now.Sub(s.stream.readAt) < freshRead
 }
 
-// ownershipOffered takes an owner's offer. The claim decides as ever: a later owner's
-// fence makes the offer void.
+// ownershipOffered takes an owner's offer, if this node is better off right now: where
+// the store is away for all, the owner goes on once it is back. The claim decides as
+// ever: a later owner's fence makes the offer void.
 func (s *State) ownershipOffered(e OwnershipOffered) {
-	if s.owner != nil || s.stopping || e.Fence != s.ledger.ownerFence {
+	if s.owner != nil || s.stopping || e.Fence != s.ledger.ownerFence || s.streamLost() ||
+		s.now.Sub(s.stream.readAt) >= freshRead {
 		return
 	}
 	s.note(NoteOffered, "fence", e.Fence, "owner", s.ledger.owner.Node, "read_age_ms", s.now.Sub(s.stream.readAt).Milliseconds())
--- a/internal/core/job/passing_test.go
+++ b/internal/core/job/passing_test.go
@@ -158,6 +158,27 @@
 	g.Expect(w.unfinished()).To(gomega.BeEmpty())
 }
 
+// TestOwnerGoesOnAfterAnOutageForAll holds incident inc-7977: offers made while the store
+// was away for all nodes took effect on its return, and the ownership changed twice.
+func TestOwnerGoesOnAfterAnOutageForAll(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(37, 4, 6, faults{})
+	w.run(3 * time.Second)
+	var before *node
+	for _, n := range w.nodes {
+		if n.state.Owning() {
+			before = n
+		}
+	}
+	fence := before.state.owner.fence
+	w.stream.down = true
+	w.run(4 * time.Second)
+	w.stream.down = false
+	w.run(3 * time.Second)
+	g.Expect(before.state.Owning()).To(gomega.BeTrue())
+	g.Expect(before.state.owner.fence).To(gomega.Equal(fence))
+}
+
 // TestOffersOfEarlierOwnersAreVoid: an offer under another fence than the owner's does
 // nothing, and neither does one to a node whose own way to the stream is bad.
 func TestOffersOfEarlierOwnersAreVoid(t *testing.T) {
