--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -97,10 +97,10 @@
 // announce tells the other nodes how strong this one is: at its start, and again
 // while a clearly weaker node owns the workers.
 func (s *State) announce() {
-	if !s.stream.loaded || s.announced && !s.offers() {
+	if !s.stream.loaded || s.announced && !s.volunteers() {
 		return
 	}
-	s.announced, s.offeredAt = true, s.now
+	s.announced, s.volunteeredAt = true, s.now
 	record, err := encodeMember(s.self.Node, memberRecord{Strength: s.self.Strength, Address: s.self.Peers})
 	if err != nil {
 		s.note(NoteRecordBad, "key", memberPrefix, "error", err.Error())
@@ -109,17 +109,17 @@
 	s.addToBatch(record, waitingCall{})
 }
 
-// offers reports whether it is time to offer to take the ownership over from a
+// volunteers reports whether it is time to offer to take the ownership over from a
 // clearly weaker node.
-func (s *State) offers() bool {
+func (s *State) volunteers() bool {
 	owner, known := s.ledger.members[s.ledger.owner.Node]
 	return known && s.owner == nil && !s.stopping && s.caughtUp() && s.stream.took < slowAppend &&
-		owner.Strength < clearlyWeaker*s.self.Strength && s.now.Sub(s.offeredAt) > offerEvery
+		owner.Strength < clearlyWeaker*s.self.Strength && s.now.Sub(s.volunteeredAt) > volunteerEvery
 }
 
-// offered hands the ownership over to a clearly stronger node that offers to take
+// volunteered hands the ownership over to a clearly stronger node that offers to take
 // it. An owner keeps it for a while, so that it does not change hands too often.
-func (s *State) offered(node vocab.NodeID) {
+func (s *State) volunteered(node vocab.NodeID) {
 	o := s.owner
 	if o == nil || o.stage != stageActive || o.resigned || s.now.Sub(o.activeAt) < keepOwning ||
 		s.self.Strength >= clearlyWeaker*s.ledger.members[node].Strength {
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -53,10 +53,10 @@
 	// clearlyWeaker times its own strength is the strength of an owner below which
 	// a node offers to take over. A change of owner costs about a second of starts.
 	clearlyWeaker = 0.6
-	// offerEvery is the time between two such offers, and keepOwning how long an
+	// volunteerEvery is the time between two such offers, and keepOwning how long an
 	// owner keeps the ownership before it heeds one.
-	offerEvery = 2 * time.Second
-	keepOwning = 3 * time.Second
+	volunteerEvery = 2 * time.Second
+	keepOwning     = 3 * time.Second
 	// offerAfter is how long an owner's append is without success before the owner
 	// offers the ownership to another node, offerAgain the time before the next one.
 	offerAfter = 450 * time.Millisecond
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -51,11 +51,11 @@
 	slowFor     time.Duration
 	waves       map[int64]*waveState
 	waveNumbers []int64 // keys of waves, sorted
-	// announced is set once the node told its strength, offeredAt when it last did.
-	announced bool
-	offeredAt vocab.Instant
-	stopping  bool
-	effects   []event.Effect
+	// announced is set once the node told its strength, volunteeredAt when it last did.
+	announced     bool
+	volunteeredAt vocab.Instant
+	stopping      bool
+	effects       []event.Effect
 }
 
 // stream is what the node knows of its reading of the job stream.
@@ -314,7 +314,7 @@
 			s.ownerChanged(before)
 		}
 		if node, found := strings.CutPrefix(r.Key, memberPrefix); found && !s.stream.folding {
-			s.offered(vocab.NodeID(node))
+			s.volunteered(vocab.NodeID(node))
 		}
 		if e != nil && s.owner != nil {
 			s.owner.jobChanged(e)
