--- a/internal/core/job/flush.go
+++ b/internal/core/job/flush.go
@@ -60,7 +60,10 @@
 	if len(records) == 0 || len(o.waiting) > 0 || resigning {
 		records = append(records, o.ownRecord(resigning))
 	}
-	after = append(after, o.orderWaiting()...)
+	if named := o.waiting; len(named) > 0 {
+		o.waiting = nil
+		after = append(after, func() { o.sendOrders(named) })
+	}
 	if resigning {
 		// Nothing is written after the resignation: an append would disturb claims.
 		after = append(after, func() { o.s.loseOwnership("handed over") })
--- a/internal/core/job/forecast.go
+++ b/internal/core/job/forecast.go
@@ -68,13 +68,14 @@
 	return int(r.machines / (1 - packingLoss))
 }
 
-// poolSizes counts the machines of each pool that can take work that ends by itself:
+// poolSizes counts the machines of each pool but the spare one that can take work that
+// ends by itself:
 // those that are up and not about to go, less what long-running tasks hold.
 func (o *owner) poolSizes() map[vocab.PoolID]int {
 	sizes, lasting := map[vocab.PoolID]int{}, map[vocab.PoolID]float64{}
 	for _, id := range o.fleet.ids {
 		m := o.fleet.machines[id]
-		if m.info.State != MachineUp || m.ordered || m.cordonedAt != 0 {
+		if m.info.State != MachineUp || m.ordered || m.cordonedAt != 0 || o.isSpare(m.info.Pool) {
 			continue
 		}
 		sizes[m.info.Pool]++
--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -275,10 +275,7 @@
 		m.ordered, m.answeredAt = false, o.s.now
 	}
 	if !m.ordered {
-		if w := o.workerOf(m); w != nil {
-			w.cordoned, w.leaving = false, false
-		}
-		m.cordonedAt = 0
+		o.uncordon(m)
 		o.planDue = true
 	}
 }
@@ -335,20 +332,12 @@
 	o.waiting = append(o.waiting, m)
 }
 
-// orderWaiting returns what gives the orders that the next append names, once it is on
-// the stream.
-func (o *owner) orderWaiting() []func() {
-	named := o.waiting
-	o.waiting = nil
-	if len(named) == 0 {
-		return nil
-	}
-	return []func(){func() {
-		for _, m := range named {
-			o.sendOrder(m)
-		}
-		o.fleet.listDue = min(o.fleet.listDue, o.s.now.Add(listBusy))
-	}}
+// sendOrders gives the orders to machines that the stream names.
+func (o *owner) sendOrders(named []*machine) {
+	for _, m := range named {
+		o.sendOrder(m)
+	}
+	o.fleet.listDue = min(o.fleet.listDue, o.s.now.Add(listBusy))
 }
 
 // sendOrder gives an order that the stream names, unless the machine left the list
@@ -370,7 +359,13 @@
 
 // dropOrder ends an order that was not carried out.
 func (o *owner) dropOrder(m *machine) {
-	m.ordered, m.cordonedAt, m.idleSince = false, 0, o.s.now
+	m.ordered, m.idleSince = false, o.s.now
+	o.uncordon(m)
+}
+
+// uncordon lets a machine get work again after an order.
+func (o *owner) uncordon(m *machine) {
+	m.cordonedAt = 0
 	if w := o.workerOf(m); w != nil {
 		w.cordoned, w.leaving = false, false
 	}
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -43,7 +43,7 @@
 	if in.WithinMs == 0 {
 		return nil, twirp.InvalidArgument.Error("the call names no time to wait")
 	}
-	ctx, cancel := context.WithTimeout(ctx, milliseconds(in.WithinMs))
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(in.WithinMs)*time.Millisecond)
 	defer cancel()
 	reply, err := s.backend.Call(ctx, request.ID, request.Event)
 	if err != nil {
@@ -62,8 +62,6 @@
 	return &jobpeerpb.Taken{}, nil
 }
 
-func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
-
 var kinds = map[jobpeerpb.Call_Kind]job.RequestKind{
 	jobpeerpb.Call_SUBMIT: job.RequestSubmit, jobpeerpb.Call_QUERY: job.RequestQuery,
 	jobpeerpb.Call_CANCEL: job.RequestCancel, jobpeerpb.Call_BACKLOG: job.RequestBacklog,
