Keep leaving reports that arrive before the VM list shows the VM

Cause: a process that has not read the VM list yet (after a restart) dropped the report of another node that a VM is leaving; gossip then counted it as known, and the lagging list still showed the VM as live. The VM got new requests. Change: observe.State keeps such a report until the list shows the incarnation, for at most leavingConfirmTimeout. TestLeavingReportBeforeListing failed before.

The check now records the VM's own report too, and reports about VMs that the list does not show yet, so that it is stricter in both respects.

--- a/internal/core/observe/state.go
+++ b/internal/core/observe/state.go
@@ -1,6 +1,7 @@
 package observe
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -28,15 +29,24 @@
 	version      uint64 // version of the newest reading of the VM list
 	observations map[vocab.VMID]*observation
 	names        []vocab.VMID // sorted
+	// earlyReports holds the leaving reports about incarnations that the VM list did not
+	// show yet when the report arrived.
+	earlyReports map[vocab.VMID]earlyReport
 	ready        map[vocab.PoolID][]*VM
 	readyStale   bool // ready must be rebuilt
 	// generation grows each time ready is rebuilt.
 	generation uint64
 }
 
+// earlyReport is a leaving report about an incarnation that is not known yet.
+type earlyReport struct {
+	incarnation vocab.VMIncarnation
+	receivedAt  vocab.Instant
+}
+
 // New returns a State without VMs.
 func New() *State {
-	return &State{observations: map[vocab.VMID]*observation{}}
+	return &State{observations: map[vocab.VMID]*observation{}, earlyReports: map[vocab.VMID]earlyReport{}}
 }
 
 // ApplyListing applies one full reading of the VM list. It ignores a reading with
@@ -76,14 +86,35 @@
 	o.inList = true
 	o.vm.Incarnation = r.Incarnation
 	o.vm.Region, o.vm.Zone, o.vm.Rack, o.vm.Address = r.Region, r.Zone, r.Rack, r.Address
+	s.applyEarlyReport(o)
+}
+
+// applyEarlyReport applies a leaving report that arrived before the VM list showed the
+// incarnation.
+func (s *State) applyEarlyReport(o *observation) {
+	early, found := s.earlyReports[o.vm.Name]
+	if !found || early.incarnation > o.vm.Incarnation {
+		return
+	}
+	delete(s.earlyReports, o.vm.Name)
+	if early.incarnation == o.vm.Incarnation {
+		o.leavingIncarnation, o.leavingReportedAt = early.incarnation, early.receivedAt
+	}
 }
 
 // MarkLeaving records that the upstream on this incarnation of the VM reported to
 // be leaving. It returns false if that is known already, or if this is not the
-// current incarnation of a known VM.
+// current incarnation of a known VM. A report about an incarnation that the VM list
+// does not show yet takes effect once it does.
 func (s *State) MarkLeaving(vm vocab.VMID, incarnation vocab.VMIncarnation) bool {
 	o, ok := s.observations[vm]
-	if !ok || incarnation != o.vm.Incarnation || o.leavingIncarnation == incarnation {
+	if !ok || incarnation > o.vm.Incarnation {
+		if incarnation >= s.earlyReports[vm].incarnation {
+			s.earlyReports[vm] = earlyReport{incarnation, s.now}
+		}
+		return false
+	}
+	if incarnation != o.vm.Incarnation || o.leavingIncarnation == incarnation {
 		return false
 	}
 	o.leavingIncarnation = incarnation
@@ -96,6 +127,9 @@
 // within leavingConfirmTimeout. Callers call it about once a second.
 func (s *State) ExpireLeavingReports(now vocab.Instant) {
 	s.advanceClock(now)
+	maps.DeleteFunc(s.earlyReports, func(_ vocab.VMID, r earlyReport) bool {
+		return s.now.Sub(r.receivedAt) >= leavingConfirmTimeout
+	})
 	for _, name := range s.names {
 		o := s.observations[name]
 		if o.leavingIncarnation == 0 || o.listed.Phase != ListLive || s.now.Sub(o.leavingReportedAt) < leavingConfirmTimeout {
--- a/internal/core/observe/state_test.go
+++ b/internal/core/observe/state_test.go
@@ -116,3 +116,29 @@
 	s.ApplyListing(3, 2, nil)
 	g.Expect(phase()).To(Equal(PhaseLost))
 }
+
+// TestLeavingReportBeforeListing delivers a leaving report by gossip to a process that has
+// not read the VM list yet, as after a restart. The list lags and still shows the VM as
+// live: the VM must not become ready.
+func TestLeavingReportBeforeListing(t *testing.T) {
+	g := NewWithT(t)
+	row := func(incarnation vocab.VMIncarnation) []Row {
+		return []Row{{Name: "vm1", Pool: "a", Incarnation: incarnation, Phase: ListLive}}
+	}
+
+	s := New()
+	s.MarkLeaving("vm1", 2)
+	s.ApplyListing(0, 1, row(1))
+	g.Expect(s.Ready("a")).To(HaveLen(1), "the report concerns a later incarnation")
+	s.ApplyListing(0, 2, row(2))
+	g.Expect(s.Ready("a")).To(BeEmpty(), "the incarnation is leaving")
+	s.ApplyListing(0, 3, row(3))
+	g.Expect(s.Ready("a")).To(HaveLen(1), "the next incarnation is not leaving")
+
+	s = New()
+	s.MarkLeaving("vm1", 1)
+	expired := vocab.Instant(0).Add(leavingConfirmTimeout)
+	s.ExpireLeavingReports(expired)
+	s.ApplyListing(expired, 1, row(1))
+	g.Expect(s.Ready("a")).To(HaveLen(1), "the report has expired")
+}
--- a/internal/core/simulation/check_test.go
+++ b/internal/core/simulation/check_test.go
@@ -37,9 +37,11 @@
 type receivedFacts struct {
 	withdrawn map[vocab.KeyID]bool
 	leaving   map[vocab.VMID]leavingReport
-	// gossiped holds the leaving reports received before. Gossip repeats a report even after
-	// the VM stopped leaving.
+	// gossiped holds the leaving reports known before, by gossip or from the VM itself. Gossip
+	// repeats a report even after the VM stopped leaving.
 	gossiped   map[gossip.Leaving]bool
+	// attemptVMs holds the VM of each attempt, whose response may report that it is leaving.
+	attemptVMs map[vocab.AttemptID]vocab.VMID
 	listedRows map[vocab.VMID]observe.Row
 	version    uint64
 	offset     vocab.Offset
@@ -52,6 +54,7 @@
 		leaving:    map[vocab.VMID]leavingReport{},
 		listedRows: map[vocab.VMID]observe.Row{},
 		gossiped:   map[gossip.Leaving]bool{},
+		attemptVMs: map[vocab.AttemptID]vocab.VMID{},
 	}
 }
 
@@ -61,6 +64,10 @@
 	switch e := ev.(type) {
 	case core.WithdrawKey:
 		facts.withdrawn[e.Key] = true
+	case core.AttemptEnded:
+		if vm := facts.attemptVMs[e.Attempt]; e.Draining {
+			n.recordLeaving(vm, facts.listedRows[vm].Incarnation)
+		}
 	case core.GossipArrived:
 		n.recordWithdrawn(e.Message.Withdrawn)
 		for _, l := range e.Message.Leaving {
@@ -86,7 +93,7 @@
 
 func (n *entryNode) recordLeaving(vm vocab.VMID, incarnation vocab.VMIncarnation) {
 	fact := gossip.Leaving{VM: vm, Incarnation: incarnation}
-	if n.received.listedRows[vm].Incarnation == incarnation && !n.received.gossiped[fact] {
+	if n.received.listedRows[vm].Incarnation <= incarnation && !n.received.gossiped[fact] {
 		n.received.gossiped[fact] = true
 		n.received.leaving[vm] = leavingReport{incarnation: incarnation, receivedAt: n.now()}
 	}
@@ -173,6 +180,7 @@
 	case !n.state.AcceptsWork(e.VM):
 		n.sim.fail("%s sends a request to %s, which it does not consider ready", n.name, e.VM)
 	}
+	n.received.attemptVMs[e.Attempt] = e.VM
 }
 
 // checkStart checks the invariants of the cluster when an upstream starts an execution.
