A machine whose worker is not listed is not idle while tasks are assigned to it

The node that takes over at 20.37 s knows the workers of the long-running tasks from the stream, but their entries are not back, so that it does not know their machines; workerOf found no worker for these machines, they counted as idle, and at 20.88 s six of them were moved at once. Change: the list of machines names the worker of each machine, which is enough for a worker that has not been listed yet. The search through all workers for a machine without a known worker is an index now (540 x 540 steps each 0.1 s on the large site). Ruled out: canInterruptTasks (it refuses such tasks, but was asked about no worker). TestMachineOfUnlistedWorkerIsNotIdle failed before.

--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -180,15 +180,15 @@
 	orderNotBefore map[MachineID]vocab.Instant
 }
 
-// workerOf returns the worker that runs on a machine, or nil.
+// workerOf returns the worker that runs on a machine, or nil. A worker that the platform's
+// list of workers lacks, as after an outage of the store, is known by the tasks that are
+// assigned to it; the list of machines then says where it runs.
 func (o *owner) workerOf(m *machine) *worker {
-	if w := o.workers[m.info.Worker]; w != nil && w.info.Machine == m.info.ID {
+	if w := o.workers[m.info.Worker]; w != nil && (w.info.Machine == m.info.ID || w.info.Machine == "") {
 		return w
 	}
-	for _, id := range o.workerIDs {
-		if w := o.workers[id]; w.info.Machine == m.info.ID && w.listed {
-			return w
-		}
+	if w := o.workersByMachine[m.info.ID]; w != nil && w.listed && w.info.Machine == m.info.ID {
+		return w
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/core/job/machines_test.go
@@ -0,0 +1,35 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// TestMachineOfUnlistedWorkerIsNotIdle replays deploy/days/rare-3.toml, seed 1021824841228:
+// the entries of the workers lapsed during an outage of the store, and the owner that took
+// over after it knew the workers of long-running tasks only from the stream. It took their
+// machines for idle and moved several of them at once.
+func TestMachineOfUnlistedWorkerIsNotIdle(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := machinesOwner(Settings{MaxLease: 6 * time.Second, MinOrderGap: 3 * time.Second, MaxOrdersPerSecond: 100})
+	j := newJob(o, "00000000000000aa", Step{Count: 2, Need: Resources{CPU: 1000}, LongRunning: true, MaxUnavailable: 1})
+	o.jobs[j.record.ID] = j
+	for i, id := range []MachineID{"m1", "m2"} {
+		m := o.fleet.machines[id]
+		m.info.Worker, m.info.Capacity, m.lastResponseAt = WorkerID("w-"+id), Resources{CPU: 8000}, 0
+		task := j.occurrences[0].steps[0].tasks[i]
+		o.bind(task, o.worker(m.info.Worker), 1)
+		task.state = runStartUnknown
+	}
+	for range 10 {
+		o.s.now = o.s.now.Add(time.Second)
+		o.updateIdleTimes()
+	}
+	for _, id := range []MachineID{"m1", "m2"} {
+		g.Expect(o.fleet.machines[id].idleSince).To(gomega.BeZero())
+		g.Expect(o.prepareMaintenance(1, o.fleet.machines[id], true)).To(gomega.BeTrue(), "counts as being drained")
+	}
+	g.Expect(o.pendingOrders).To(gomega.BeEmpty(), "no order while the tasks may be at work")
+}
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -59,22 +59,24 @@
 	// lists them is on the stream.
 	pendingOrders []*machine
 
-	jobs          map[ID]*activeJob // active jobs
-	jobOrder      []*activeJob      // values of jobs, in order of arrival
-	workers       map[WorkerID]*worker
-	workerIDs     []WorkerID                 // keys of workers, sorted
-	workersKnown  bool                       // a full list of workers was received
-	teamUsage     map[vocab.TeamID]Resources // demand of the assigned tasks
-	planDue       bool                       // a placement pass is due
-	plannedAt     vocab.Instant              // when the last placement pass ran
-	finished      []*JobRecord               // kept until their retention has passed
-	fleet         fleet
-	demand        map[vocab.PoolID]poolDemand
-	arrivals      map[vocab.PoolID]*arrivalRate
-	poolsLoggedAt vocab.Instant
-	estimates     *runTimeModel
-	advicePending bool // an advice request has no response yet
-	teamRates     map[vocab.TeamID]*tokenBucket
+	jobs      map[ID]*activeJob // active jobs
+	jobOrder  []*activeJob      // values of jobs, in order of arrival
+	workers   map[WorkerID]*worker
+	workerIDs []WorkerID // keys of workers, sorted
+	// workersByMachine holds the worker last listed on each machine.
+	workersByMachine map[MachineID]*worker
+	workersKnown     bool                       // a full list of workers was received
+	teamUsage        map[vocab.TeamID]Resources // demand of the assigned tasks
+	planDue          bool                       // a placement pass is due
+	plannedAt        vocab.Instant              // when the last placement pass ran
+	finished         []*JobRecord               // kept until their retention has passed
+	fleet            fleet
+	demand           map[vocab.PoolID]poolDemand
+	arrivals         map[vocab.PoolID]*arrivalRate
+	poolsLoggedAt    vocab.Instant
+	estimates        *runTimeModel
+	advicePending    bool // an advice request has no response yet
+	teamRates        map[vocab.TeamID]*tokenBucket
 	// offeredAt is the time when the ownership was last offered, offers the number of
 	// offers.
 	offeredAt vocab.Instant
@@ -102,7 +104,7 @@
 func newOwner(s *State, fence Fence) *owner {
 	return &owner{
 		s: s, fence: fence,
-		jobs: map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, teamUsage: map[vocab.TeamID]Resources{},
+		jobs: map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, teamUsage: map[vocab.TeamID]Resources{},
 		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), teamRates: map[vocab.TeamID]*tokenBucket{},
 		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}},
 	}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -98,6 +98,7 @@
 		return
 	}
 	w.info, w.listed = info, true
+	o.workersByMachine[info.Machine] = w
 	if restarted {
 		o.handleRestart(w, info.Incarnation)
 	}
@@ -148,6 +149,9 @@
 			return false
 		}
 		delete(o.workers, id)
+		if o.workersByMachine[w.info.Machine] == w {
+			delete(o.workersByMachine, w.info.Machine)
+		}
 		return true
 	})
 }
