A panic or malformed message ends no process that runs jobs

Cause: a panic in the reducer's loop, in a call to the platform or in a follower of its topics ended the process; net/http recovers only the handlers of requests. Change: calls beside the loop and followers are guarded; a call that panics counts as one whose outcome is unknown. Event 630 has the stack. A job on the stream is checked as one from a caller is.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"github.com/cockroachdb/errors"
+
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -101,6 +103,9 @@
 
 // newActiveJob builds the state of a job from its records and decodes its task rows.
 func newActiveJob(now vocab.Instant, record *JobRecord) (*activeJob, []taskRow, error) {
+	if reason := validateSpec(&record.Acceptance.Spec); reason != "" {
+		return nil, nil, errors.Wrap(ErrBadRecord, reason)
+	}
 	j := &activeJob{record: record, acceptance: record.Acceptance, firstSeenAt: now, started: record.Phase != PhaseQueued}
 	rows, err := decodeRows(record.progress)
 	if err != nil {
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -187,6 +187,7 @@
 	LogCallUnanswered
 	LogCallForwarded
 	LogOwnershipOffered
+	LogInternalError
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -201,6 +202,7 @@
 	LogCallNotServed: "call not served", LogCallUnanswered: "call without a reply",
 	LogCallForwarded:    "call forwarded",
 	LogOwnershipOffered: "ownership offered",
+	LogInternalError:    "internal error",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -45,5 +45,6 @@
 		627: "call without an answer",
 		628: "call passed on",
 		629: "ownership offered",
+		630: "internal error",
 	}))
 }
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -194,6 +194,11 @@
 	if err := json.Unmarshal(raw, &rows); err != nil {
 		return nil, errors.Mark(err, ErrBadRecord)
 	}
+	for _, row := range rows {
+		if row.Occurrence < 0 || row.Step < 0 || row.Index < 0 {
+			return nil, errors.Wrap(ErrBadRecord, "a row with a negative number")
+		}
+	}
 	return rows, nil
 }
 
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -34,60 +34,60 @@
 		n.metrics.countLogEvent(e)
 		n.log.Write(e)
 	case job.LoadStream:
-		go n.load(ctx)
+		n.background(job.StreamFailed{Err: errPanicked}, func() event.Event { return n.load(ctx) })
 	case job.ReadStream:
-		go n.read(ctx, e)
+		n.background(job.StreamFailed{Err: errPanicked}, func() event.Event { return n.read(ctx, e) })
 	case job.Append:
-		go n.append(ctx, e)
+		n.background(job.Appended{ID: e.ID, Outcome: job.Unknown, SentAt: Now()}, func() event.Event { return n.append(ctx, e) })
 	case job.FollowWorkers:
 		n.followWorkers(ctx, e.On)
 	case job.Poll:
-		go n.poll(ctx, e)
+		n.background(job.Polled{Worker: e.Worker, Outcome: job.Unknown, Err: errPanicked}, func() event.Event { return n.poll(ctx, e) })
 	case job.Start:
-		go n.start(ctx, e)
+		n.background(job.StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Outcome: job.Unknown, Err: errPanicked},
+			func() event.Event { return n.start(ctx, e) })
 	case job.Stop:
-		go n.stopRun(ctx, e)
+		n.background(job.StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Outcome: job.Unknown, Err: errPanicked},
+			func() event.Event { return n.stopRun(ctx, e) })
 	case job.Forward:
-		go n.forward(ctx, e)
+		n.background(job.ForwardAnswered{Call: e.Call, Outcome: job.Unknown, Err: errPanicked}, func() event.Event { return n.forward(ctx, e) })
 	case job.OfferOwnership:
-		go n.offerOwnership(ctx, e)
+		n.background(nil, func() event.Event { n.offerOwnership(ctx, e); return nil })
 	case job.Throttle:
-		go n.throttle(ctx, e)
+		n.background(nil, func() event.Event { n.throttle(ctx, e); return nil })
 	default:
 		n.executeMachineEffect(ctx, effect)
 	}
 }
 
-func (n *Node) load(ctx context.Context) {
+func (n *Node) load(ctx context.Context) event.Event {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	records, from, err := n.platform.Stream.Load(ctx)
 	if err != nil {
-		n.post(job.StreamFailed{Err: err})
-		return
+		return job.StreamFailed{Err: err}
 	}
-	n.post(job.StreamLoaded{Records: records, From: from})
+	return job.StreamLoaded{Records: records, From: from}
 }
 
-func (n *Node) read(ctx context.Context, e job.ReadStream) {
+func (n *Node) read(ctx context.Context, e job.ReadStream) event.Event {
 	ctx, cancel := context.WithTimeout(ctx, ReadTimeout+e.Wait)
 	defer cancel()
 	sentAt := Now()
 	result, err := n.platform.Stream.Read(ctx, e.From, e.Wait)
 	if err != nil {
-		n.post(job.StreamFailed{Trimmed: errors.Is(err, ErrTrimmed), Err: err})
-		return
+		return job.StreamFailed{Trimmed: errors.Is(err, ErrTrimmed), Err: err}
 	}
-	n.post(job.StreamRead{Records: result.Records, Next: result.Next, End: result.End, SentAt: sentAt})
+	return job.StreamRead{Records: result.Records, Next: result.Next, End: result.End, SentAt: sentAt}
 }
 
-func (n *Node) append(ctx context.Context, e job.Append) {
+func (n *Node) append(ctx context.Context, e job.Append) event.Event {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	sentAt := Now()
 	result := n.platform.Stream.Append(ctx, e)
 	n.metrics.observeAppend(result.Outcome, Now().Sub(sentAt))
-	n.post(job.Appended{ID: e.ID, Outcome: result.Outcome, Offset: result.Offset, End: result.End, SentAt: sentAt})
+	return job.Appended{ID: e.ID, Outcome: result.Outcome, Offset: result.Offset, End: result.End, SentAt: sentAt}
 }
 
 // followWorkers starts or stops the delivery of the list of workers. A change that
@@ -102,16 +102,18 @@
 	}
 	followCtx, cancel := context.WithCancel(ctx)
 	n.stopFollowingWorkers = cancel
-	go n.platform.Operators.FollowWorkers(followCtx, func(e job.WorkersListed) {
-		if followCtx.Err() == nil {
-			n.post(e)
-		}
+	go n.follow(followCtx, func() {
+		n.platform.Operators.FollowWorkers(followCtx, func(e job.WorkersListed) {
+			if followCtx.Err() == nil {
+				n.post(e)
+			}
+		})
 	})
 }
 
 // poll polls a worker. After e.Until it doesn't extend the leases, since another node may
 // be the owner by then.
-func (n *Node) poll(ctx context.Context, e job.Poll) {
+func (n *Node) poll(ctx context.Context, e job.Poll) event.Event {
 	if e.Lease != 0 && Now() >= e.Until {
 		e.Lease = 0
 	}
@@ -120,41 +122,39 @@
 	sentAt := Now()
 	polled := n.platform.Workers.Poll(ctx, e)
 	polled.SentAt, polled.ReceivedAt = sentAt, Now()
-	n.post(polled)
+	return polled
 }
 
 // start starts a run, unless e.Until has passed: another node may be the owner by then. The
 // time is checked directly before the order is sent, since the process may have been
 // suspended after the reducer's decision.
-func (n *Node) start(ctx context.Context, e job.Start) {
+func (n *Node) start(ctx context.Context, e job.Start) event.Event {
 	sentAt := Now()
 	if sentAt >= e.Until {
-		n.post(job.StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Outcome: job.NotDone, SentAt: sentAt})
-		return
+		return job.StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Outcome: job.NotDone, SentAt: sentAt}
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	started := n.platform.Workers.Start(ctx, e)
 	started.SentAt = sentAt
 	n.metrics.observeStart(started.Outcome, Now().Sub(sentAt))
-	n.post(started)
+	return started
 }
 
-func (n *Node) stopRun(ctx context.Context, e job.Stop) {
+func (n *Node) stopRun(ctx context.Context, e job.Stop) event.Event {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	n.post(n.platform.Workers.Stop(ctx, e))
+	return n.platform.Workers.Stop(ctx, e)
 }
 
-func (n *Node) forward(ctx context.Context, e job.Forward) {
+func (n *Node) forward(ctx context.Context, e job.Forward) event.Event {
 	if n.platform.Peers == nil {
-		n.post(job.ForwardAnswered{Call: e.Call, Outcome: job.NotDone, Err: errors.New("forwarding to other nodes is not configured")})
-		return
+		return job.ForwardAnswered{Call: e.Call, Outcome: job.NotDone, Err: errors.New("forwarding to other nodes is not configured")}
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
 	reply, outcome, err := n.platform.Peers.Forward(ctx, e.Address, e.Request)
-	n.post(job.ForwardAnswered{Call: e.Call, Outcome: outcome, Reply: reply, Err: err})
+	return job.ForwardAnswered{Call: e.Call, Outcome: outcome, Reply: reply, Err: err}
 }
 
 // offerTimeout bounds an offer of the ownership. The reducer sends the next offer to another
--- a/internal/jobnode/machines.go
+++ b/internal/jobnode/machines.go
@@ -22,13 +22,14 @@
 func (n *Node) executeMachineEffect(ctx context.Context, effect event.Effect) {
 	switch e := effect.(type) {
 	case job.ListMachines:
-		go n.listMachines(ctx)
+		n.background(job.MachinesListed{Err: errPanicked}, func() event.Event { return n.listMachines(ctx) })
 	case job.OrderMachine:
-		go n.orderMachine(ctx, e)
+		n.background(job.MachineOrderAnswered{Machine: e.Machine, Order: e.Order, Outcome: job.Unknown, Err: errPanicked},
+			func() event.Event { return n.orderMachine(ctx, e) })
 	case job.WriteStatus:
-		go n.writeStatus(ctx, e)
+		n.background(job.StatusWritten{Wave: e.Wave, Complete: e.Complete, Outcome: job.Unknown}, func() event.Event { return n.writeStatus(ctx, e) })
 	case job.RequestAdvice:
-		go n.requestAdvice(ctx, e)
+		n.background(job.AdviceReceived{Step: e.Step, Err: errPanicked}, func() event.Event { return n.requestAdvice(ctx, e) })
 	}
 }
 
@@ -38,39 +39,39 @@
 	Advise(ctx context.Context, o job.RequestAdvice) (map[job.WorkerID]string, error)
 }
 
-func (n *Node) requestAdvice(ctx context.Context, e job.RequestAdvice) {
+func (n *Node) requestAdvice(ctx context.Context, e job.RequestAdvice) event.Event {
 	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
 	tickets, err := n.platform.Advisor.Advise(ctx, e)
-	n.post(job.AdviceReceived{Step: e.Step, OK: err == nil, Tickets: tickets, Err: err})
+	return job.AdviceReceived{Step: e.Step, OK: err == nil, Tickets: tickets, Err: err}
 }
 
-func (n *Node) listMachines(ctx context.Context) {
+func (n *Node) listMachines(ctx context.Context) event.Event {
 	ctx, cancel := context.WithTimeout(ctx, machineCallTimeout)
 	defer cancel()
 	sentAt := Now()
 	list, err := n.platform.Machines.ListMachines(ctx)
-	n.post(job.MachinesListed{OK: err == nil, Machines: list, SentAt: sentAt, Err: err})
+	return job.MachinesListed{OK: err == nil, Machines: list, SentAt: sentAt, Err: err}
 }
 
 // orderMachine sends an order to a machine, unless e.Until has passed: another node may be
 // the owner by then.
-func (n *Node) orderMachine(ctx context.Context, e job.OrderMachine) {
+func (n *Node) orderMachine(ctx context.Context, e job.OrderMachine) event.Event {
 	result := job.MachineOrderAnswered{Machine: e.Machine, Order: e.Order, Outcome: job.NotDone}
 	if Now() < e.Until {
 		ctx, cancel := context.WithTimeout(ctx, machineCallTimeout)
 		defer cancel()
 		result.Outcome, result.Err = n.platform.Machines.OrderMachine(ctx, e)
 	}
-	n.post(result)
+	return result
 }
 
-func (n *Node) writeStatus(ctx context.Context, e job.WriteStatus) {
+func (n *Node) writeStatus(ctx context.Context, e job.WriteStatus) event.Event {
 	ctx, cancel := context.WithTimeout(ctx, machineCallTimeout)
 	defer cancel()
 	outcome, err := n.platform.Machines.WriteStatus(ctx, e.Wave, e.Complete)
 	if err != nil {
 		n.log.Write(job.LogEvent{ID: job.LogWave, Fields: []any{"wave", e.Wave, "outcome", outcome.String(), "error", err.Error()}})
 	}
-	n.post(job.StatusWritten{Wave: e.Wave, Complete: e.Complete, Outcome: outcome})
+	return job.StatusWritten{Wave: e.Wave, Complete: e.Complete, Outcome: outcome}
 }
--- a/internal/jobnode/node.go
+++ b/internal/jobnode/node.go
@@ -73,9 +73,11 @@
 // Run runs the loop until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.done)
-	go n.platform.Operators.FollowConfig(ctx,
-		func(c *job.Config) { n.post(job.ConfigRead{Config: c}) },
-		func(w job.Wave) { n.post(job.WaveRequested{Wave: w}) })
+	go n.follow(ctx, func() {
+		n.platform.Operators.FollowConfig(ctx,
+			func(c *job.Config) { n.post(job.ConfigRead{Config: c}) },
+			func(w job.Wave) { n.post(job.WaveRequested{Wave: w}) })
+	})
 	ticker := time.NewTicker(job.TickInterval)
 	defer ticker.Stop()
 	n.step(ctx, job.Tick{})
@@ -94,8 +96,7 @@
 }
 
 func (n *Node) step(ctx context.Context, ev event.Event) {
-	clock := job.Clock{Now: Now(), Wall: job.Millis(time.Now().UnixMilli())}
-	for _, effect := range n.state.Step(clock, ev) {
+	for _, effect := range n.stepState(ev) {
 		n.execute(ctx, effect)
 	}
 	n.ready.Store(n.state.Ready())
@@ -116,7 +117,10 @@
 func (n *Node) Read(read func(*job.State)) error {
 	done := make(chan struct{})
 	select {
-	case n.reads <- func(s *job.State) { read(s); close(done) }:
+	case n.reads <- func(s *job.State) {
+		defer close(done)
+		n.guard("a read of the state", func() { read(s) })
+	}:
 		<-done
 		return nil
 	case <-n.done:
