Orders to machines are on the stream as changes, and waves leave orders for moves

A wave over half of the fleet uses every order that the platform allows (248 a second) for six seconds, and a pool with waiting work gets no machine meanwhile. While a pool needs machines, waves use half of the orders. The list in owner records of earlier versions is still read. TestOrderRecordsStaySmall and TestWaveLeavesOrdersForMoves failed before.

--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -1,7 +1,6 @@
 package job
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -144,9 +143,6 @@
 	// orderedAt is the time when the order was last scheduled, sent or
 	// confirmed.
 	orderedAt vocab.Instant
-	// lastResponseAt is the time when an order of this owner last got a definite response, whether
-	// it succeeded or not.
-	lastResponseAt vocab.Instant
 	targetPool     vocab.PoolID
 	wave           int64
 	// orderedWorker is the worker that the order takes off the machine.
@@ -175,6 +171,8 @@
 	machinesNeeded map[vocab.PoolID]int
 	// orderTokens is the number of orders that may be sent at once; it is refilled over time.
 	orderTokens float64
+	// waveTokens is the part of orderTokens that waves may use in the current pass.
+	waveTokens float64
 	// orderNotBefore is the earliest time of the next order to a machine that an earlier
 	// owner sent an order to.
 	orderNotBefore map[MachineID]vocab.Instant
@@ -218,12 +216,31 @@
 		return
 	}
 	f.machinesNeeded = o.machinesNeededByPool()
+	f.waveTokens = f.orderTokens
+	if o.anyPoolNeedsMachines() {
+		f.waveTokens *= waveOrderFraction
+	}
 	o.planWaves()
 	o.planMoves()
 }
 
-// fleetInterval is the time between two planning passes over waves and moves.
-const fleetInterval = 100 * time.Millisecond
+const (
+	// fleetInterval is the time between two planning passes over waves and moves.
+	fleetInterval = 100 * time.Millisecond
+	// waveOrderFraction is the fraction of the orders to machines that waves may use while a
+	// pool needs machines.
+	waveOrderFraction = 0.5
+)
+
+// anyPoolNeedsMachines reports whether a pool needs more machines than it has.
+func (o *owner) anyPoolNeedsMachines() bool {
+	for _, n := range o.fleet.machinesNeeded {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
 
 // updateIdleTimes records since when each machine has been idle.
 func (o *owner) updateIdleTimes() {
@@ -288,7 +305,8 @@
 	case !m.orderConfirmed && settled && sentAt.Sub(m.orderedAt) > unansweredOrderTimeout:
 		// No response to the order came. If the order did take effect, the response to the
 		// next one is OK.
-		m.orderPending, m.lastResponseAt = false, o.s.now
+		m.orderPending = false
+		o.orderLog.note(o.s.now, m.info.ID, false)
 	}
 	if !m.orderPending {
 		o.uncordon(m)
@@ -301,40 +319,13 @@
 	return !m.orderPending && o.s.now >= o.fleet.orderNotBefore[m.info.ID]
 }
 
-// recentOrders lists the machines that may have received an order from this or an earlier
-// owner within MinOrderGap, the minimum time between the orders of two owners.
-func (o *owner) recentOrders() []recentOrder {
-	var list []recentOrder
-	for _, id := range o.fleet.machineIDs {
-		m := o.fleet.machines[id]
-		switch since := o.s.now.Sub(m.lastResponseAt); {
-		case m.orderPending && !m.orderConfirmed:
-			list = append(list, recentOrder{Machine: id, Open: true})
-		case m.lastResponseAt != 0 && since < o.s.settings.MinOrderGap:
-			list = append(list, recentOrder{Machine: id, AgeMS: since.Milliseconds()})
-		}
-	}
-	return append(list, o.inheritedOrders(list)...)
-}
-
-// inheritedOrders lists the machines that still wait for MinOrderGap to pass after the order of
-// an earlier owner, except those already listed.
-func (o *owner) inheritedOrders(listed []recentOrder) []recentOrder {
-	var list []recentOrder
-	for id, until := range o.fleet.orderNotBefore {
-		alreadyListed := slices.ContainsFunc(listed, func(m recentOrder) bool { return m.Machine == id })
-		if o.s.now < until && !alreadyListed {
-			list = append(list, recentOrder{Machine: id, AgeMS: (o.s.settings.MinOrderGap - until.Sub(o.s.now)).Milliseconds()})
-		}
-	}
-	slices.SortFunc(list, func(a, b recentOrder) int { return cmp.Compare(a.Machine, b.Machine) })
-	return list
-}
-
 // scheduleOrder cordons a machine and schedules an order to it. The order is sent once a
 // record on the stream names the machine.
 func (o *owner) scheduleOrder(m *machine, order MachineOrder, to vocab.PoolID, wave int64) {
 	o.fleet.orderTokens--
+	if order == OrderMaintenance {
+		o.fleet.waveTokens--
+	}
 	m.orderPending, m.orderSent, m.orderConfirmed, m.order, m.orderedAt = true, false, false, order, o.s.now
 	m.targetPool, m.wave, m.orderedWorker = to, wave, ""
 	if w := o.workerOf(m); w != nil {
@@ -346,6 +337,7 @@
 		id = LogMachineMaintenance
 	}
 	o.s.logEvent(id, "machine", m.info.ID, "pool", m.info.Pool, "to", to, "wave", wave, "fence", o.fence)
+	o.orderLog.note(o.s.now, m.info.ID, true)
 	o.pendingOrders = append(o.pendingOrders, m)
 }
 
@@ -394,7 +386,7 @@
 		return
 	}
 	if e.Outcome != Unknown {
-		m.lastResponseAt = o.s.now
+		o.orderLog.note(o.s.now, m.info.ID, false)
 	}
 	switch e.Outcome {
 	case OK:
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -55,9 +55,10 @@
 	activeAt vocab.Instant
 	// resigned is set once the owner resigns: from then on it gives no orders.
 	resigned bool
-	// pendingOrders holds the machines whose orders are sent once an owner record that
-	// lists them is on the stream.
+	// pendingOrders holds the machines whose orders are sent once a record that lists them
+	// is on the stream; orderLog builds these records.
 	pendingOrders []*machine
+	orderLog      orderLog
 
 	jobs      map[ID]*activeJob // active jobs
 	jobOrder  []*activeJob      // values of jobs, in order of arrival
@@ -125,12 +126,13 @@
 	if previous.Node == o.s.self.Node {
 		return
 	}
-	for _, order := range o.s.ledger.recentOrders {
-		from := o.s.ledger.recentOrdersAt.Add(-time.Duration(order.AgeMS) * time.Millisecond)
-		if order.Open && !previous.Resigned {
-			from = o.s.now.Add(orderAuthority)
+	o.s.ledger.expireOrders(o.s.now)
+	for id, order := range o.s.ledger.lastOrders {
+		from := order.readAt
+		if order.open && !previous.Resigned {
+			from = from.Add(orderAuthority)
 		}
-		o.fleet.orderNotBefore[order.Machine] = from.Add(o.s.settings.MinOrderGap)
+		o.fleet.orderNotBefore[id] = from.Add(o.s.settings.MinOrderGap)
 	}
 }
 
@@ -240,14 +242,19 @@
 	o.planDue = true
 }
 
-// removeClaims removes all claims that this node has read from the stream. None of them
-// can take effect any more, and the owner record written in the same append keeps the fence.
+// removeClaims removes all claims and expired records of orders that this node has read from
+// the stream. None of the claims can take effect any more, and the owner record written in
+// the same append keeps the fence.
 func (o *owner) removeClaims() {
 	o.claimsRemovedAt = o.s.now
-	keys := make([]string, 0, len(o.s.ledger.claims))
+	keys := o.s.ledger.expiredOrderRecords(o.s.now)
+	o.s.ledger.expireOrders(o.s.now)
 	for key := range o.s.ledger.claims {
 		keys = append(keys, key)
 	}
+	if len(keys) == 0 {
+		return
+	}
 	slices.Sort(keys)
 	o.extraRecords = append(o.extraRecords, o.newOwnerRecord(false))
 	for _, key := range keys {
@@ -303,7 +310,7 @@
 	o.offerIfAppendsFail()
 	o.checkWorkers()
 	o.logPools()
-	if len(o.s.ledger.claims) > 0 && o.s.now.Sub(o.claimsRemovedAt) > claimRemovalInterval {
+	if o.s.now.Sub(o.claimsRemovedAt) > claimRemovalInterval {
 		o.removeClaims()
 	}
 	o.tickFleet()
@@ -341,10 +348,7 @@
 
 // newOwnerRecord returns the owner record for the present state.
 func (o *owner) newOwnerRecord(resigned bool) Record {
-	return encodeOwner(ownerRecord{
-		Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence, Resigned: resigned,
-		RecentOrders: o.recentOrders(),
-	})
+	return encodeOwner(ownerRecord{Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence, Resigned: resigned})
 }
 
 // handleStopping prepares for the end of the process; an owner resigns.
--- a/internal/core/job/owner_append.go
+++ b/internal/core/job/owner_append.go
@@ -56,8 +56,11 @@
 	if len(finished) > 0 {
 		actions = append(actions, func() { o.finishWritten(finished) })
 	}
+	if o.orderLog.changed {
+		records = append(records, o.orderLogRecord()...)
+	}
 	resigning := o.resigned && len(o.dirty) == 0
-	if len(records) == 0 || len(o.pendingOrders) > 0 || resigning {
+	if len(records) == 0 || resigning {
 		records = append(records, o.newOwnerRecord(resigning))
 	}
 	if orders := o.pendingOrders; len(orders) > 0 {
@@ -71,6 +74,16 @@
 	o.sendAppend(records, actions)
 }
 
+// orderLogRecord returns the record of the orders since the last one.
+func (o *owner) orderLogRecord() []Record {
+	record, err := o.orderLog.record(o.fence)
+	if err != nil {
+		o.s.logEvent(LogRecordUnreadable, "key", record.Key, "error", err.Error())
+		return nil
+	}
+	return []Record{record}
+}
+
 // takeDeferred removes and returns the deferred actions whose changes are all written
 // by the append being built or earlier ones.
 func (o *owner) takeDeferred() []func() {
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -83,20 +83,16 @@
 	Incarnation vocab.Incarnation `json:"inc"`
 	Fence       Fence             `json:"fence"`
 	Resigned    bool              `json:"resigned,omitempty"`
-	// RecentOrders lists the machines that recently received an order, or will receive
-	// one once the record is on the stream.
+	// RecentOrders is written by processes of earlier versions, instead of orderRecord.
 	RecentOrders []recentOrder `json:"ordered,omitempty"`
 }
 
-// recentOrder is the last order to a machine, as the next owner needs it to keep
-// the minimum time between the orders of two owners.
+// recentOrder is the last order to a machine in an owner record of an earlier version.
 type recentOrder struct {
 	Machine MachineID `json:"m"`
 	// Open is set while the order has no response; it may also not have been sent yet.
 	Open bool `json:"open,omitempty"`
-	// AgeMS is the time from the response to the order until this record, in
-	// milliseconds. It is negative for an order of an earlier owner that blocks the
-	// machine beyond the minimum time between orders.
+	// AgeMS is the time from the response to the order until the record, in milliseconds.
 	AgeMS int64 `json:"ms,omitempty"`
 }
 
@@ -208,11 +204,11 @@
 	// owner is the newest owner record, ownerFence its fence.
 	owner      ownerRecord
 	ownerFence Fence
-	// recentOrders is the list of the last owner record, whichever owner wrote it, and
-	// recentOrdersAt is the time when it was folded. The next owner must not order these
-	// machines before the minimum time between orders has passed.
-	recentOrders   []recentOrder
-	recentOrdersAt vocab.Instant
+	// lastOrders holds the last order to each machine, whichever owner sent it. The next
+	// owner must not order these machines before the minimum time between orders has
+	// passed. orderRecords holds the keys of the records of orders and when they were read.
+	lastOrders   map[MachineID]lastOrder
+	orderRecords map[string]vocab.Instant
 	// members holds the member records by node; maxCPUShare is the highest CPU share of
 	// all member records read so far.
 	members     map[vocab.NodeID]memberRecord
@@ -222,7 +218,10 @@
 }
 
 func newLedger() *Ledger {
-	return &Ledger{Jobs: map[ID]*JobRecord{}, claims: map[string]bool{}, members: map[vocab.NodeID]memberRecord{}}
+	return &Ledger{
+		Jobs: map[ID]*JobRecord{}, claims: map[string]bool{}, members: map[vocab.NodeID]memberRecord{},
+		lastOrders: map[MachineID]lastOrder{}, orderRecords: map[string]vocab.Instant{},
+	}
 }
 
 func (l *Ledger) job(id ID) *JobRecord {
@@ -248,6 +247,8 @@
 		return nil, l.foldMember(r)
 	case claimPrefix:
 		return nil, l.foldClaim(r)
+	case ordersPrefix:
+		return nil, l.foldOrders(now, r)
 	}
 	if len(r.Value) == 0 {
 		delete(l.Jobs, ID(id))
@@ -293,7 +294,7 @@
 	if err := json.Unmarshal(r.Value, &o); err != nil {
 		return errors.Mark(errors.Wrap(err, "decoding an owner record"), ErrBadRecord)
 	}
-	l.recentOrders, l.recentOrdersAt = o.RecentOrders, now
+	l.foldEarlierFormat(now, o.RecentOrders)
 	if o.Fence >= l.ownerFence {
 		l.owner, l.ownerFence = o, o.Fence
 	}
--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -164,7 +164,7 @@
 		o.logWaveDelay(number, ws, remaining[0])
 	}
 	for _, m := range remaining {
-		if available <= 0 || o.fleet.orderTokens < 1 {
+		if available <= 0 || o.fleet.waveTokens < 1 {
 			return
 		}
 		if m.info.State != MachineUp || !o.acceptsOrder(m) {
