--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -142,9 +142,9 @@
 	orderConfirmed bool
 	// orderedAt is the time when the order was last scheduled, sent or
 	// confirmed.
-	orderedAt vocab.Instant
-	targetPool     vocab.PoolID
-	wave           int64
+	orderedAt  vocab.Instant
+	targetPool vocab.PoolID
+	wave       int64
 	// orderedWorker is the worker that the order takes off the machine.
 	orderedWorker WorkerID
 	// idleSince is the time when the machine became idle, or 0 while it runs
--- a/internal/core/simulation/check_test.go
+++ b/internal/core/simulation/check_test.go
@@ -39,7 +39,7 @@
 	leaving   map[vocab.VMID]leavingReport
 	// gossiped holds the leaving reports known before, by gossip or from the VM itself. Gossip
 	// repeats a report even after the VM stopped leaving.
-	gossiped   map[gossip.Leaving]bool
+	gossiped map[gossip.Leaving]bool
 	// attemptVMs holds the VM of each attempt, whose response may report that it is leaving.
 	attemptVMs map[vocab.AttemptID]vocab.VMID
 	listedRows map[vocab.VMID]observe.Row
