In a large fleet only nodes with a high CPU share follow the job stream

Change: each node writes itself to a directory, a topic of its own. From 60 nodes on, those with a much lower CPU share than the highest don't follow the stream and forward their calls to one that does, for each job the same one; it may forward them on to the owner as before when the store is slow. A call that any node can answer (unknown queue or key) is not forwarded. Remote nodes follow the stream one after the other when the owner's heartbeat in the directory is missing, or when no other node answers their calls. Failed reads get smaller, and rarer on nodes with a low share. Weighed: all nodes follow (as before); all calls to the owner (its connections and processor); owner and a number of writers a zone (the same as here, but weak VMs among them).

--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -139,7 +139,7 @@
 		return
 	}
 	c := waitingCall{call: e.Call, id: e.ID, event: LogJobAccepted}
-	if !e.Origin.Forwarded {
+	if !e.Origin.isFinal() {
 		c.request = &request
 	}
 	s.addToBatch(record, c)
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -19,6 +19,8 @@
 		From int64
 		// Wait bounds the wait for a record if there is none yet.
 		Wait time.Duration
+		// MaxBytes bounds the size of the response, unless its first record is larger.
+		MaxBytes int
 	}
 
 	// Append appends records to the stream. The response is Appended.
@@ -188,6 +190,7 @@
 	LogCallForwarded
 	LogOwnershipOffered
 	LogInternalError
+	LogRemoteNode
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -203,6 +206,7 @@
 	LogCallForwarded:    "call forwarded",
 	LogOwnershipOffered: "ownership offered",
 	LogInternalError:    "internal error",
+	LogRemoteNode:       "remote node",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/forward.go
+++ b/internal/core/job/forward.go
@@ -23,9 +23,14 @@
 	// ConfigAtLeast is the lowest configuration version with which the other node may
 	// reply: callers of the forwarding node have had replies based on this version.
 	ConfigAtLeast uint64
+	// FromRemote is set if the forwarding node is remote: the other node may forward the
+	// call like one of its own callers.
+	FromRemote bool
 }
 
-func (r Request) origin() Origin { return Origin{Forwarded: true, ConfigAtLeast: r.ConfigAtLeast} }
+func (r Request) origin() Origin {
+	return Origin{Forwarded: true, ConfigAtLeast: r.ConfigAtLeast, FromRemote: r.FromRemote}
+}
 
 // Origin describes how a call reached this node: from its caller, or forwarded by another
 // node.
@@ -34,8 +39,13 @@
 	// ConfigAtLeast is the lowest configuration version with which this node may reply to a
 	// forwarded call.
 	ConfigAtLeast uint64
+	// FromRemote is set if a remote node forwarded the call.
+	FromRemote bool
 }
 
+// isFinal reports whether this node must not forward the call.
+func (o Origin) isFinal() bool { return o.Forwarded && !o.FromRemote }
+
 // RequestKind is the kind of a Request.
 type RequestKind int
 
@@ -121,13 +131,21 @@
 // configuration and can't be forwarded is refused. It reports whether the call was
 // forwarded or refused.
 func (s *State) forwardIfNeeded(call CallID, origin Origin, r Request) bool {
-	if origin.Forwarded {
-		return s.refuseIfConfigBehind(call, r.ID, origin.ConfigAtLeast)
+	if origin.Forwarded && s.refuseIfConfigBehind(call, r.ID, origin.ConfigAtLeast) {
+		return true
+	}
+	if origin.isFinal() {
+		return false
 	}
 	slow := s.owner == nil && (s.now < s.forwardUntil || s.stream.readLatency > slowAppendLatency)
 	if !s.streamLost() && !slow && !s.configBehind() {
 		return false
 	}
+	if s.config != nil && !s.configBehind() {
+		if _, _, ok := s.admit(call, r.ID, r.Host, r.Path, r.Key); !ok {
+			return true
+		}
+	}
 	fwd := &forwardedCall{request: r}
 	// The store is as slow for the other nodes; only the owner batches the calls of
 	// many nodes in one append.
@@ -158,6 +176,7 @@
 	}
 	fwd.tried = append(fwd.tried, node)
 	fwd.request.ConfigAtLeast = max(s.configVersion(), s.shownConfigVersion)
+	fwd.request.FromRemote = s.directory.remote
 	s.forwards[call] = fwd
 	timeout := forwardTimeout
 	if fwd.ownerOnly {
@@ -171,6 +190,9 @@
 	if len(fwd.tried) >= maxForwards {
 		return "", ""
 	}
+	if s.directory.remote {
+		return s.followerFor(fwd.request.routingKey(), fwd.tried)
+	}
 	owner := s.ledger.owner.Node
 	if address := s.ledger.members[owner].Address; address != "" && owner != s.self.Node && !slices.Contains(fwd.tried, owner) {
 		return owner, address
@@ -189,6 +211,14 @@
 	return "", ""
 }
 
+// routingKey is equal for all calls about a job, and for all calls about a queue.
+func (r Request) routingKey() string {
+	if r.ID != "" {
+		return string(r.ID)
+	}
+	return r.Host + r.Path
+}
+
 // otherNodes lists the other nodes, sorted by name.
 func (s *State) otherNodes() []vocab.NodeID {
 	nodes := make([]vocab.NodeID, 0, len(s.ledger.members))
@@ -207,6 +237,7 @@
 		// The node's own append completed first.
 		return
 	}
+	s.noteForwarded(fwd.tried[len(fwd.tried)-1], e.Outcome == OK)
 	answered := e.Outcome == OK && e.Reply.Answer != Refused && e.Reply.Answer != Unclear
 	if answered {
 		delete(s.forwards, e.Call)
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -46,5 +46,6 @@
 		628: "call passed on",
 		629: "ownership offered",
 		630: "internal error",
+		631: "remote node",
 	}))
 }
--- a/internal/core/job/scheduling_test.go
+++ b/internal/core/job/scheduling_test.go
@@ -218,6 +218,19 @@
 	g.Expect(next.s.ledger.expiredOrderRecords(next.s.now.Add(orderRetention + 1))).To(gomega.HaveLen(1))
 }
 
+// TestOrdersAreHeartbeats: an owner that writes nothing but orders to machines for a while
+// is alive. Four owners in twelve seconds had been replaced while they switched machines off.
+func TestOrdersAreHeartbeats(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New(Identity{Node: "b", Incarnation: 2}, Settings{MaxLease: time.Second})
+	s.Step(Clock{Now: 1}, StreamLoaded{})
+	o := machinesOwner(Settings{MaxLease: time.Second})
+	o.scheduleOrder(o.fleet.machines["m1"], OrderMove, "p", 0)
+	now := vocab.Instant(ownerTimeout)
+	s.Step(Clock{Now: now}, StreamRead{Records: o.orderLogRecord(), Next: 1, End: 1, SentAt: now})
+	g.Expect(s.claim.ownerTimeoutFrom).To(gomega.Equal(now))
+}
+
 // TestOrderRecordsStaySmall replays the load of a fleet of 3,000 machines that is sent 248
 // orders a second for ten seconds. The owner record had listed all recent orders in each of
 // its appends, 45 kB with 50 appends a second, and the reads of 296 nodes then took more
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -13,6 +13,8 @@
 	MinOrderGap time.Duration
 	// MaxOrdersPerSecond is the rate limit of the platform for orders to machines.
 	MaxOrdersPerSecond float64
+	// Directory is set if the platform keeps a directory of the nodes.
+	Directory bool
 	// KeepFinished is the time for which the state of a finished job can be
 	// queried.
 	KeepFinished time.Duration
@@ -108,6 +110,16 @@
 	lowShareReadInterval = 500 * time.Millisecond
 	// streamRetryDelay is the delay before a failed call to the stream is retried.
 	streamRetryDelay = 150 * time.Millisecond
+	// maxRetryDelay bounds the delay before a failed read is retried on a node with a much
+	// lower CPU share than the highest; the delay doubles with each failure. Together with
+	// smaller reads it ends the overload of a store whose reads all time out.
+	maxRetryDelay = 1200 * time.Millisecond
+	// maxReadBytes is the maximum size of one read: more than the largest record (256 KiB),
+	// and a third of what the slowest link (10 Mbit/s) transfers within the timeout of a
+	// read, because the reads of other topics share the link. After a failed read the next
+	// one is smaller, down to minReadBytes: a read returns at least one record.
+	maxReadBytes = 288 << 10
+	minReadBytes = 32 << 10
 	// maxReadAge is the age of the last read above which a node doesn't count as caught
 	// up with the stream, and doesn't claim the ownership.
 	maxReadAge = 2 * time.Second
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -19,10 +19,13 @@
 	now vocab.Instant
 	// seq is the number of calls that were scheduled so far, queue holds those to make. seq
 	// orders calls that are due at the same time.
-	seq       int
-	queue     timers
-	nodes     []*node
-	stream    *fakeStream
+	seq    int
+	queue  timers
+	nodes  []*node
+	stream *fakeStream
+	// directory is the directory of the nodes, if the settings have one.
+	directory *fakeStream
+	settings  Settings
 	workers   map[WorkerID]*fakeWorker
 	workerIDs []WorkerID
 	config    Config
@@ -58,6 +61,11 @@
 	frozenUntil    vocab.Instant // the process is suspended until then
 	state          *State
 	followsWorkers bool
+	// followsDirectory is set while the process reads the directory, streamReads counts its
+	// reads and loads of the stream.
+	followsDirectory bool
+	streamReads      int
+	cpuShare         float64 // 0.4 if not set
 }
 
 // fakeJob is a submitted job as its caller and the workers observe it.
@@ -134,8 +142,9 @@
 func newSimulation(seed uint64, nodes, workers int, f faults) *simulation {
 	sim := &simulation{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: vocab.Instant(time.Hour), faults: f,
-		stream:  &fakeStream{newest: map[string]int{}},
-		workers: map[WorkerID]*fakeWorker{}, jobs: map[ID]*fakeJob{}, replies: map[CallID]Reply{},
+		stream: &fakeStream{newest: map[string]int{}}, directory: &fakeStream{newest: map[string]int{}},
+		settings: Settings{MaxLease: 6 * time.Second, KeepFinished: time.Hour},
+		workers:  map[WorkerID]*fakeWorker{}, jobs: map[ID]*fakeJob{}, replies: map[CallID]Reply{},
 		forwarded: map[CallID]func(Reply){},
 	}
 	sim.config = Config{
@@ -195,7 +204,11 @@
 	self := Identity{
 		Node: vocab.NodeID(name), PeerAddress: name, Incarnation: vocab.Incarnation(n.index*1000 + n.incarnation), CPUShare: 0.4,
 	}
-	n.state = New(self, Settings{MaxLease: 6 * time.Second, KeepFinished: time.Hour})
+	if n.cpuShare != 0 {
+		self.CPUShare = n.cpuShare
+	}
+	n.followsDirectory = false
+	n.state = New(self, n.sim.settings)
 	incarnation := n.incarnation
 	config := n.sim.config
 	n.post(incarnation, ConfigRead{Config: &config})
@@ -253,6 +266,16 @@
 		})
 	case Forward:
 		sim.after(sim.delay(), func() { n.forward(e, reply) })
+	case FollowDirectory:
+		n.followsDirectory = e.On
+		if e.On {
+			n.readDirectory(incarnation, -1)
+		}
+	case WriteDirectory:
+		sim.after(sim.delay(), func() {
+			answer := sim.directory.append(Append{Records: e.Records, At: -1})
+			reply(DirectoryWritten{Outcome: answer.Outcome})
+		})
 	case LoadStream:
 		sim.after(sim.delay(), func() { n.loadStream(reply) })
 	case ReadStream:
@@ -330,7 +353,24 @@
 	n.sim.after(time.Second, func() { n.listWorkers(incarnation) })
 }
 
+// readDirectory delivers the records of the directory from an offset on, all of them from
+// -1 on, and again every 200 ms.
+func (n *node) readDirectory(incarnation int, from int) {
+	if !n.followsDirectory || n.incarnation != incarnation || !n.up {
+		return
+	}
+	if n.streamCut || n.sim.stream.down {
+		n.sim.after(200*time.Millisecond, func() { n.readDirectory(incarnation, from) })
+		return
+	}
+	records := n.sim.directory.records
+	read := DirectoryRead{Full: from < 0, Records: slices.Clone(records[max(0, from):])}
+	n.sim.after(n.sim.delay(), func() { n.post(incarnation, read) })
+	n.sim.after(200*time.Millisecond, func() { n.readDirectory(incarnation, len(records)) })
+}
+
 func (n *node) loadStream(reply func(event.Event)) {
+	n.streamReads++
 	s := n.sim.stream
 	if n.streamCut || s.down {
 		n.sim.after(700*time.Millisecond, func() { reply(StreamFailed{}) })
@@ -347,6 +387,7 @@
 }
 
 func (n *node) readStream(e ReadStream, sent vocab.Instant, reply func(event.Event)) {
+	n.streamReads++
 	s := n.sim.stream
 	if n.streamCut || s.down {
 		n.sim.after(700*time.Millisecond, func() { reply(StreamFailed{}) })
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -42,7 +42,9 @@
 	ledger   *Ledger
 	stream   streamState
 	claim    claim
-	owner    *owner
+	// directory is the node's view of the fleet's nodes.
+	directory directoryState
+	owner     *owner
 	callerState
 	// forwards holds the calls forwarded to other nodes that have no reply yet.
 	forwards map[CallID]*forwardedCall
@@ -77,6 +79,9 @@
 	foldingLoad bool          // the records of a load are being folded
 	readLatency time.Duration // decaying maximum of the latency of reads without a long poll
 	failedSince vocab.Instant // 0 while reads succeed
+	// failures counts the failed reads in a row, readBytes is the maximum size of the next
+	// read.
+	failures, readBytes int
 }
 
 // New returns the initial state of a process.
@@ -85,6 +90,7 @@
 		self: self, settings: settings, ledger: newLedger(), waves: map[int64]*waveState{},
 		forwards:    map[CallID]*forwardedCall{},
 		callerState: callerState{batches: map[uint64]*recordBatch{}},
+		directory:   directoryState{members: map[vocab.NodeID]memberRecord{}, unreachable: map[vocab.NodeID]vocab.Instant{}},
 	}
 }
 
@@ -127,6 +133,10 @@
 		s.handleBacklog(e)
 	case ForwardAnswered:
 		s.handleForwardAnswered(e)
+	case DirectoryRead:
+		s.handleDirectoryRead(e)
+	case DirectoryWritten:
+		s.handleDirectoryWritten(e)
 	case OwnershipOffered:
 		s.handleOwnershipOffered(e)
 	case Stopping:
@@ -155,6 +165,7 @@
 }
 
 func (s *State) tick() {
+	s.tickDirectory()
 	s.followStream()
 	s.announce()
 	s.sendBatch()
@@ -168,15 +179,24 @@
 
 // Ready reports whether the node can serve new callers.
 func (s *State) Ready() bool {
-	return s.config != nil && s.stream.everLoaded && !s.stopping
+	return s.config != nil && (s.stream.everLoaded || s.directory.remote) && !s.stopping
 }
 
 // Owning reports whether this node is the owner of the workers and has completed its
 // takeover.
 func (s *State) Owning() bool { return s.owner != nil && s.owner.stage == stageActive }
 
+// waitsForDirectory reports whether a process that has just started does not load the stream
+// yet, because it may turn out to be a remote node.
+func (s *State) waitsForDirectory() bool {
+	return s.settings.Directory && !s.directory.loaded && s.now.Sub(s.directory.startedAt) < directoryLoadWait
+}
+
 // followStream sends the next load or read of the stream if it is due.
 func (s *State) followStream() {
+	if s.directory.remote || s.waitsForDirectory() {
+		return
+	}
 	if s.stream.loading || s.stream.reading || s.now < s.stream.nextReadAt {
 		return
 	}
@@ -186,7 +206,10 @@
 		return
 	}
 	s.stream.reading = true
-	read := ReadStream{From: s.stream.nextOffset}
+	if s.stream.readBytes == 0 {
+		s.stream.readBytes = maxReadBytes
+	}
+	read := ReadStream{From: s.stream.nextOffset, MaxBytes: s.stream.readBytes}
 	if s.owner != nil {
 		read.Wait = ownerReadWait
 	}
@@ -200,6 +223,9 @@
 }
 
 func (s *State) handleStreamLoaded(e StreamLoaded) {
+	if s.directory.remote {
+		return
+	}
 	s.stream.loading, s.stream.loaded, s.stream.everLoaded = false, true, true
 	s.stream.nextOffset = e.From
 	if s.claim.ownerTimeoutFrom == 0 {
@@ -242,7 +268,7 @@
 
 func (s *State) handleStreamRead(e StreamRead) {
 	s.stream.reading = false
-	if !s.stream.loaded {
+	if !s.stream.loaded || s.directory.remote {
 		s.followStream()
 		return
 	}
@@ -252,6 +278,7 @@
 		s.claim.ownerTimeoutFrom = s.now
 	}
 	s.stream.nextOffset, s.stream.lastReadAt = e.Next, e.SentAt
+	s.stream.failures, s.stream.readBytes = 0, min(2*s.stream.readBytes, maxReadBytes)
 	if s.owner == nil {
 		// The latency decays slowly: when a slow store recovers, appends that the
 		// owner sent before are still in flight.
@@ -284,7 +311,8 @@
 
 func (s *State) handleStreamFailed(e StreamFailed) {
 	s.stream.loading, s.stream.reading = false, false
-	s.stream.nextReadAt = s.now.Add(streamRetryDelay)
+	s.stream.nextReadAt = s.now.Add(s.readRetryDelay())
+	s.stream.readBytes = max(s.stream.readBytes/2, minReadBytes)
 	if e.Trimmed {
 		s.stream.loaded = false
 		s.stream.nextReadAt = s.now
@@ -297,6 +325,15 @@
 	s.answerQueriesStale()
 }
 
+// readRetryDelay counts a failed read and returns the delay before the next one.
+func (s *State) readRetryDelay() time.Duration {
+	s.stream.failures++
+	if s.self.CPUShare >= lowShareRatio*s.ledger.maxCPUShare {
+		return streamRetryDelay
+	}
+	return min(streamRetryDelay<<min(s.stream.failures-1, 4), maxRetryDelay) + s.jitter(streamRetryDelay)
+}
+
 // foldRecords folds records into the ledger and passes jobs changed by other nodes to
 // the owner.
 func (s *State) foldRecords(records []Record) {
@@ -316,7 +353,7 @@
 			s.logEvent(LogRecordUnreadable, "offset", r.Offset, "key", r.Key, "error", err.Error())
 			continue
 		}
-		if r.Key == ownerKey || strings.HasPrefix(r.Key, progressPrefix) {
+		if r.Key == ownerKey || strings.HasPrefix(r.Key, progressPrefix) || isOrderRecord(r.Key) {
 			s.claim.ownerTimeoutFrom, s.claim.lastHeartbeat = s.now, s.now
 		}
 		if !s.stream.foldingLoad {
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -41,6 +41,10 @@
 		n.background(job.Appended{ID: e.ID, Outcome: job.Unknown, SentAt: Now()}, func() event.Event { return n.append(ctx, e) })
 	case job.FollowWorkers:
 		n.followWorkers(ctx, e.On)
+	case job.FollowDirectory:
+		n.followDirectory(ctx, e.On)
+	case job.WriteDirectory:
+		n.background(job.DirectoryWritten{Outcome: job.Unknown}, func() event.Event { return n.writeDirectory(ctx, e) })
 	case job.Poll:
 		n.background(job.Polled{Worker: e.Worker, Outcome: job.Unknown, Err: errPanicked}, func() event.Event { return n.poll(ctx, e) })
 	case job.Start:
@@ -74,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ReadTimeout+e.Wait)
 	defer cancel()
 	sentAt := Now()
-	result, err := n.platform.Stream.Read(ctx, e.From, e.Wait)
+	result, err := n.platform.Stream.Read(ctx, e.From, e.Wait, e.MaxBytes)
 	if err != nil {
 		return job.StreamFailed{Trimmed: errors.Is(err, ErrTrimmed), Err: err}
 	}
@@ -90,20 +94,23 @@
 	return job.Appended{ID: e.ID, Outcome: result.Outcome, Offset: result.Offset, End: result.End, SentAt: sentAt}
 }
 
-// followWorkers starts or stops the delivery of the list of workers. A change that
-// arrives after the stop is discarded.
-func (n *Node) followWorkers(ctx context.Context, on bool) {
-	if n.stopFollowingWorkers != nil {
-		n.stopFollowingWorkers()
-		n.stopFollowingWorkers = nil
+// subscription is a follower that can be stopped.
+type subscription struct{ stop context.CancelFunc }
+
+// set starts a follower, or stops the one that runs. post passes events on until then: a
+// change that arrives after the stop is discarded.
+func (s *subscription) set(ctx context.Context, n *Node, on bool, follow func(ctx context.Context, post func(event.Event))) {
+	if s.stop != nil {
+		s.stop()
+		s.stop = nil
 	}
 	if !on {
 		return
 	}
 	followCtx, cancel := context.WithCancel(ctx)
-	n.stopFollowingWorkers = cancel
+	s.stop = cancel
 	go n.follow(followCtx, func() {
-		n.platform.Operators.FollowWorkers(followCtx, func(e job.WorkersListed) {
+		follow(followCtx, func(e event.Event) {
 			if followCtx.Err() == nil {
 				n.post(e)
 			}
@@ -111,6 +118,24 @@
 	})
 }
 
+func (n *Node) followWorkers(ctx context.Context, on bool) {
+	n.workersSubscription.set(ctx, n, on, func(ctx context.Context, post func(event.Event)) {
+		n.platform.Operators.FollowWorkers(ctx, func(e job.WorkersListed) { post(e) })
+	})
+}
+
+func (n *Node) followDirectory(ctx context.Context, on bool) {
+	n.directorySubscription.set(ctx, n, on, func(ctx context.Context, post func(event.Event)) {
+		n.platform.Directory.FollowDirectory(ctx, func(e job.DirectoryRead) { post(e) })
+	})
+}
+
+func (n *Node) writeDirectory(ctx context.Context, e job.WriteDirectory) event.Event {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	return job.DirectoryWritten{Outcome: n.platform.Directory.WriteDirectory(ctx, e.Records).Outcome}
+}
+
 // poll polls a worker. After e.Until it doesn't extend the leases, since another node may
 // be the owner by then.
 func (n *Node) poll(ctx context.Context, e job.Poll) event.Event {
--- a/internal/jobnode/node.go
+++ b/internal/jobnode/node.go
@@ -38,9 +38,10 @@
 	mu           sync.Mutex
 	pendingCalls map[job.CallID]chan job.Reply
 
-	ready                atomic.Bool
-	owning               atomic.Bool
-	stopFollowingWorkers context.CancelFunc
+	ready  atomic.Bool
+	owning atomic.Bool
+	// Followers that the reducer starts and stops.
+	workersSubscription, directorySubscription subscription
 }
 
 // New returns a node whose loop is not running; Run starts it.
--- a/internal/jobnode/panics_test.go
+++ b/internal/jobnode/panics_test.go
@@ -52,7 +52,7 @@
 	return nil, 0, nil
 }
 
-func (s *panickingStream) Read(context.Context, int64, time.Duration) (ReadResult, error) {
+func (s *panickingStream) Read(context.Context, int64, time.Duration, int) (ReadResult, error) {
 	return ReadResult{}, nil
 }
 
--- a/internal/jobnode/ports.go
+++ b/internal/jobnode/ports.go
@@ -15,9 +15,10 @@
 	// Load returns the newest record of each key and an offset. Every record that is missing
 	// from the result can be read from this offset on.
 	Load(ctx context.Context) ([]job.Record, int64, error)
-	// Read returns records from an offset on. If there is none, it waits up to wait. It fails
-	// with ErrTrimmed if the stream no longer retains the offset.
-	Read(ctx context.Context, from int64, wait time.Duration) (ReadResult, error)
+	// Read returns records from an offset on, at least one and at most maxBytes of them. If
+	// there is none, it waits up to wait. It fails with ErrTrimmed if the stream no longer
+	// retains the offset.
+	Read(ctx context.Context, from int64, wait time.Duration, maxBytes int) (ReadResult, error)
 	// Append appends records in order and contiguously.
 	Append(ctx context.Context, a job.Append) AppendResult
 }
@@ -37,6 +38,15 @@
 	Err         error
 }
 
+// Directory is a compacted log that lists the nodes.
+type Directory interface {
+	// FollowDirectory calls read with the newest record of each key, and with the result of
+	// each later read, until ctx ends.
+	FollowDirectory(ctx context.Context, read func(job.DirectoryRead))
+	// WriteDirectory appends records.
+	WriteDirectory(ctx context.Context, records []job.Record) AppendResult
+}
+
 // Operators delivers the operators' configuration and waves, and the list of workers. Each
 // method blocks until ctx ends.
 type Operators interface {
@@ -72,6 +82,8 @@
 	Workers   Workers
 	Machines  Machines
 	Advisor   Advisor
+	// Directory may be nil if the settings have no directory.
+	Directory Directory
 	// Peers may be nil if calls are not forwarded.
 	Peers Peers
 }
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -79,7 +79,7 @@
 
 func encodeCall(r job.Request) (*jobpeerpb.Call, error) {
 	call := &jobpeerpb.Call{
-		Job: string(r.ID), Host: r.Host, Path: r.Path, Key: r.Key, ConfigAtLeast: r.ConfigAtLeast,
+		Job: string(r.ID), Host: r.Host, Path: r.Path, Key: r.Key, ConfigAtLeast: r.ConfigAtLeast, FromRemote: r.FromRemote,
 	}
 	for pbKind, kind := range requestKinds {
 		if kind == r.Kind {
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -77,7 +77,7 @@
 		return job.Request{}, ErrBadCall
 	}
 	r := job.Request{
-		Kind: kind, ID: job.ID(in.Job), Host: in.Host, Path: in.Path, Key: in.Key, ConfigAtLeast: in.ConfigAtLeast,
+		Kind: kind, ID: job.ID(in.Job), Host: in.Host, Path: in.Path, Key: in.Key, ConfigAtLeast: in.ConfigAtLeast, FromRemote: in.FromRemote,
 	}
 	if kind != job.RequestSubmit {
 		return r, nil
