--- a/internal/core/job/forward.go
+++ b/internal/core/job/forward.go
@@ -141,7 +141,7 @@
 	if !s.streamLost() && !slow && !s.configBehind() {
 		return false
 	}
-	if s.config != nil && !s.configBehind() {
+	if s.config != nil && !s.configBehind() && s.reachesStore() {
 		if _, _, ok := s.admit(call, r.ID, r.Host, r.Path, r.Key); !ok {
 			return true
 		}
@@ -153,6 +153,15 @@
 	return s.forwardNext(call, fwd) || s.configBehind() && s.refuseIfConfigBehind(call, r.ID, s.shownConfigVersion)
 }
 
+// reachesStore reports whether this node's last reads succeeded, so that its configuration is
+// not older than the other nodes'.
+func (s *State) reachesStore() bool {
+	if s.directory.remote {
+		return s.now.Sub(s.directory.readAt) < maxReadAge
+	}
+	return !s.streamLost()
+}
+
 // configBehind reports whether another node used a later configuration than this node has
 // for the reply to a forwarded call. This node must not use its earlier one then.
 func (s *State) configBehind() bool { return s.configVersion() < s.shownConfigVersion }
