Poll few idle workers at once after a takeover

Cause: after a takeover all workers are due for a poll. Change: 256 polls of workers without tasks are in flight at once; workers with tasks come first. TestTakeoverPollsFewIdleWorkersAtOnce failed before (3,000 polls).

--- a/internal/core/job/machines_test.go
+++ b/internal/core/job/machines_test.go
@@ -35,6 +35,48 @@
 	g.Expect(o.pendingOrders).To(gomega.BeEmpty(), "no order while the tasks may be at work")
 }
 
+// TestTakeoverPollsFewIdleWorkersAtOnce replays a takeover of 3,000 workers: the polls of
+// all workers at once had delayed the owner's appends until another node took over, which
+// then did the same.
+func TestTakeoverPollsFewIdleWorkersAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := machinesOwner(Settings{MaxLease: 6 * time.Second})
+	o.earlierLeasesUntil = o.s.now.Add(time.Minute)
+	listed := WorkersListed{Full: true}
+	for i := range 3000 {
+		id := WorkerID(fmt.Sprintf("w-%04d", i))
+		listed.Workers = append(listed.Workers, WorkerInfo{ID: id, Machine: MachineID(id), Pool: "p", Address: "a", Incarnation: 1})
+	}
+	j := newJob(o, "00000000000000aa", Step{Count: 1, Need: Resources{CPU: 1000}})
+	o.bind(j.occurrences[0].steps[0].tasks[0], o.worker("w-2999"), 1)
+	o.s.effects = nil
+	o.handle(listed)
+	polled := map[WorkerID]bool{}
+	for _, e := range o.s.effects {
+		if poll, ok := e.(Poll); ok {
+			polled[poll.Worker] = true
+		}
+	}
+	g.Expect(polled).To(gomega.HaveLen(maxPollsInFlight))
+	g.Expect(polled).To(gomega.HaveKey(WorkerID("w-2999")), "workers with tasks come first")
+	for len(polled) < 3000 {
+		o.s.effects = nil
+		for id := range polled {
+			if o.workers[id].pollInFlight {
+				o.handlePolled(Polled{Worker: id, Incarnation: 1, SentAt: o.s.now, ReceivedAt: o.s.now})
+			}
+		}
+		o.checkWorkers()
+		before := len(polled)
+		for _, e := range o.s.effects {
+			if poll, ok := e.(Poll); ok {
+				polled[poll.Worker] = true
+			}
+		}
+		g.Expect(len(polled)).To(gomega.BeNumerically(">", before))
+	}
+}
+
 // TestWaveLeavesOrdersForMoves replays a wave over half of a large fleet during a pool's
 // burst: the wave had used every order that the platform allows for six seconds, and the
 // pool waited for machines all the while.
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -126,6 +126,8 @@
 // checkWorkers sends the polls, starts and stops that are due and marks the tasks of workers
 // with expired leases as lost.
 func (o *owner) checkWorkers() {
+	inFlight := 0
+	var due []*worker
 	for _, id := range o.workerIDs {
 		w := o.workers[id]
 		o.expireLease(w)
@@ -134,13 +136,36 @@
 		if w.info.Draining {
 			o.evacuate(w)
 		}
-		if !w.pollInFlight && w.info.Address != "" && o.s.now >= w.nextPollAt {
+		switch {
+		case w.pollInFlight:
+			inFlight++
+		case w.info.Address == "" || o.s.now < w.nextPollAt:
+		case len(w.tasks) > 0:
+			inFlight++
 			o.sendPoll(w)
+		default:
+			due = append(due, w)
 		}
 	}
+	o.pollIdle(due, inFlight)
 	o.removeGoneWorkers()
 }
 
+// maxPollsInFlight bounds the polls of workers without tasks. After a takeover all workers of
+// a large fleet are due at once, and the owner must go on renewing its ownership meanwhile.
+const maxPollsInFlight = 256
+
+// pollIdle polls workers without tasks, as many as the polls in flight allow.
+func (o *owner) pollIdle(due []*worker, inFlight int) {
+	for _, w := range due {
+		if inFlight >= maxPollsInFlight {
+			return
+		}
+		inFlight++
+		o.sendPoll(w)
+	}
+}
+
 // removeGoneWorkers removes workers that are not listed, have no tasks and hold no lease.
 func (o *owner) removeGoneWorkers() {
 	o.workerIDs = slices.DeleteFunc(o.workerIDs, func(id WorkerID) bool {
