--- a/internal/core/job/owner_jobs.go
+++ b/internal/core/job/owner_jobs.go
@@ -36,6 +36,9 @@
 		o.restoreTasks(active, row)
 	}
 	o.recordArrival(active)
+	if total, _, _ := o.workAmounts(active); !active.hasLongRunningTasks() {
+		o.queueWork.observe(active.acceptance.Queue, total)
+	}
 	o.planDue = true
 	return active
 }
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -149,9 +149,7 @@
 			c.class = classOverRate
 		}
 	}
-	// The value of a job has a fixed part and a part proportional to its work. It is earned
-	// only when the whole job completes.
-	c.score = (fixedValueFraction*typicalCoreSeconds + (1-fixedValueFraction)*total) / max(remaining, minRemainingCoreSeconds)
+	c.score = o.queueWork.value(j.acceptance.Queue, total) / max(remaining, minRemainingCoreSeconds)
 	return c
 }
 
@@ -159,10 +157,6 @@
 	// overdueFactor times the latency objective is the age at which a job has no value any
 	// more.
 	overdueFactor = 3
-	// fixedValueFraction is the part of a job's value that does not depend on its work.
-	fixedValueFraction = 0.3
-	// typicalCoreSeconds is the assumed work of a typical job, in core-seconds.
-	typicalCoreSeconds = 12.0
 	// minRemainingCoreSeconds bounds the score of a job that is nearly complete, in core-seconds.
 	minRemainingCoreSeconds = 0.05
 )
