In a large fleet the owner appends for all nodes

Change: from 60 nodes on, followers forward calls that need an append to the owner, as they did once they knew that the store is slow; they append themselves if the owner does not answer. Calls at an owner that is replaced are forwarded to the new one.

--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -185,6 +185,7 @@
 	}
 	if before > 0 {
 		s.claim.ownerTimeoutFrom = s.now
+		s.forwardToNewOwner()
 	}
 	if s.owner != nil && s.ledger.ownerFence > s.owner.fence {
 		s.loseOwnership("another node claimed")
--- a/internal/core/job/directory.go
+++ b/internal/core/job/directory.go
@@ -85,6 +85,8 @@
 	following, loaded bool
 	readAt            vocab.Instant
 	members           map[vocab.NodeID]memberRecord
+	// large is set if the fleet has remote nodes.
+	large bool
 	// announced is set once the node's own record was written; writing is set while an append
 	// to the directory has no response. The next one is sent at writeFrom at the earliest.
 	announced, writing bool
@@ -136,7 +138,7 @@
 		}
 		records = append(records, record)
 	}
-	if s.Owning() && s.isLargeFleet() && s.now.Sub(d.heartbeatAt) >= directoryHeartbeatInterval {
+	if s.Owning() && d.large && s.now.Sub(d.heartbeatAt) >= directoryHeartbeatInterval {
 		d.heartbeatAt = s.now
 		records = append(records, Record{Key: directoryOwnerKey, Value: []byte(s.self.Node)})
 	}
@@ -168,6 +170,7 @@
 			s.logEvent(LogRecordUnreadable, "key", r.Key, "offset", r.Offset, "error", err.Error())
 		}
 	}
+	d.large = len(d.members) >= minRemoteFleet && len(s.followers()) >= minFollowers
 	s.becomeRemoteIfLarge()
 	s.followStream()
 }
@@ -194,11 +197,6 @@
 	return nil
 }
 
-// isLargeFleet reports whether the fleet has remote nodes.
-func (s *State) isLargeFleet() bool {
-	return len(s.directory.members) >= minRemoteFleet && len(s.followers()) >= minFollowers
-}
-
 // followers lists the other nodes that follow the stream in a large fleet, sorted by name:
 // those with a CPU share that is not much lower than the highest.
 func (s *State) followers() []vocab.NodeID {
@@ -230,7 +228,7 @@
 // unless the node is the owner or about to be.
 func (s *State) becomeRemoteIfLarge() {
 	d := &s.directory
-	if d.remote || s.now.Sub(d.startedAt) > directoryWatch || s.owner != nil || s.claim.appendID != 0 || !s.hasLowShare() || !s.isLargeFleet() {
+	if d.remote || s.now.Sub(d.startedAt) > directoryWatch || s.owner != nil || s.claim.appendID != 0 || !s.hasLowShare() || !d.large {
 		return
 	}
 	d.remote, d.ownerSeenAt = true, s.now
--- a/internal/core/job/directory_test.go
+++ b/internal/core/job/directory_test.go
@@ -164,3 +164,37 @@
 	}
 	g.Expect(s.stream.readBytes).To(gomega.Equal(maxReadBytes))
 }
+
+// TestSlowStoreIsLeftToTheOwner replays trouble-2 of the large site: from one moment on an
+// append takes 237 ms, and all nodes that follow the stream have a call for it. Their appends
+// had delayed the owner's for four seconds, in which no task started.
+func TestSlowStoreIsLeftToTheOwner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sim := newSimulation(53, 0, 40, faults{})
+	sim.settings.Directory = true
+	for i := range 64 {
+		n := &node{sim: sim, index: i, cpuShare: 0.2}
+		if i < 15 {
+			n.cpuShare = 0.8
+		}
+		sim.nodes = append(sim.nodes, n)
+		n.start()
+	}
+	sim.run(6 * time.Second)
+	sim.after(0, func() { sim.load(25*time.Millisecond, 6*time.Second) })
+	sim.run(time.Second)
+	sim.stream.appendTime = 237 * time.Millisecond
+	startsBefore := sim.starts
+	sim.run(4400 * time.Millisecond)
+	g.Expect(sim.starts-startsBefore).To(gomega.BeNumerically(">", 100), "tasks start while the store is slow")
+	sim.stream.appendTime = 0
+	sim.run(40 * time.Second)
+	sim.report(t)
+	accepted := 0
+	for _, id := range sim.jobIDs {
+		if sim.jobs[id].accepted {
+			accepted++
+		}
+	}
+	g.Expect(accepted).To(gomega.Equal(len(sim.jobIDs)))
+}
--- a/internal/core/job/forward.go
+++ b/internal/core/job/forward.go
@@ -119,6 +119,9 @@
 	outcomeUnknown bool
 	// ownerOnly is set if the call may be forwarded only to the owner.
 	ownerOnly bool
+	// inFlight counts the attempts without a response: a call is forwarded again when the
+	// owner changes.
+	inFlight int
 	// ownAppend is set while this node's own append for the call is in progress.
 	ownAppend bool
 }
@@ -137,8 +140,8 @@
 	if origin.isFinal() {
 		return false
 	}
-	slow := s.owner == nil && (s.now < s.forwardUntil || s.stream.readLatency > slowAppendLatency)
-	if !s.streamLost() && !slow && !s.configBehind() {
+	throughOwner := s.isSlow() || s.appendsThroughOwner(r)
+	if !s.streamLost() && !throughOwner && !s.configBehind() {
 		return false
 	}
 	if s.config != nil && !s.configBehind() && s.reachesStore() {
@@ -149,10 +152,24 @@
 	fwd := &forwardedCall{request: r}
 	// The store is as slow for the other nodes; only the owner batches the calls of
 	// many nodes in one append.
-	fwd.ownerOnly = slow && !s.streamLost() && !s.configBehind()
+	fwd.ownerOnly = throughOwner && !s.streamLost() && !s.configBehind()
 	return s.forwardNext(call, fwd) || s.configBehind() && s.refuseIfConfigBehind(call, r.ID, s.shownConfigVersion)
 }
 
+// isSlow reports whether the store is slow for this node, which is not the owner.
+func (s *State) isSlow() bool {
+	return s.owner == nil && (s.now < s.forwardUntil || s.stream.readLatency > slowAppendLatency)
+}
+
+// appendsThroughOwner reports whether a call that needs an append is forwarded to the owner.
+// In a large fleet the owner appends for all nodes: when the store turns slow, one append of
+// each node that follows the stream would delay the owner's by seconds, before any of
+// them has noticed.
+func (s *State) appendsThroughOwner(r Request) bool {
+	return s.owner == nil && s.directory.large && (r.Kind == RequestSubmit || r.Kind == RequestCancel) &&
+		!s.ledger.owner.Resigned && s.now.Sub(s.claim.ownerTimeoutFrom) < ownerTimeout+ownerTimeoutReads*s.stream.readLatency
+}
+
 // reachesStore reports whether this node's last reads succeeded, so that its configuration is
 // not older than the other nodes'.
 func (s *State) reachesStore() bool {
@@ -186,6 +203,7 @@
 	fwd.tried = append(fwd.tried, node)
 	fwd.request.ConfigAtLeast = max(s.configVersion(), s.shownConfigVersion)
 	fwd.request.FromRemote = s.directory.remote
+	fwd.inFlight++
 	s.forwards[call] = fwd
 	timeout := forwardTimeout
 	if fwd.ownerOnly {
@@ -257,7 +275,8 @@
 		return
 	}
 	fwd.outcomeUnknown = fwd.outcomeUnknown || e.Outcome == Unknown || e.Outcome == OK && e.Reply.Answer == Unclear
-	if s.forwardNext(e.Call, fwd) {
+	fwd.inFlight--
+	if s.forwardNext(e.Call, fwd) || fwd.inFlight > 0 {
 		return
 	}
 	delete(s.forwards, e.Call)
@@ -266,6 +285,21 @@
 	}
 }
 
+// forwardToNewOwner forwards the calls that wait for an earlier owner to the new one. The
+// earlier owner may be suspended or cut off, and would keep them until they time out.
+func (s *State) forwardToNewOwner() {
+	calls := make([]CallID, 0, len(s.forwards))
+	for call, fwd := range s.forwards {
+		if fwd.ownerOnly && fwd.inFlight > 0 {
+			calls = append(calls, call)
+		}
+	}
+	slices.Sort(calls)
+	for _, call := range calls {
+		s.forwardNext(call, s.forwards[call])
+	}
+}
+
 // replyUnforwarded replies to a call that no other node served. A call that may have
 // been carried out is not reported as refused.
 func (s *State) replyUnforwarded(call CallID, fwd *forwardedCall, e ForwardAnswered) {
