--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -191,6 +191,7 @@
 	LogOwnershipOffered
 	LogInternalError
 	LogRemoteNode
+	LogFleetState
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -207,6 +208,7 @@
 	LogOwnershipOffered: "ownership offered",
 	LogInternalError:    "internal error",
 	LogRemoteNode:       "remote node",
+	LogFleetState:       "fleet state",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -47,5 +47,6 @@
 		629: "ownership offered",
 		630: "internal error",
 		631: "remote node",
+		632: "fleet state",
 	}))
 }
--- a/internal/core/job/poollog.go
+++ b/internal/core/job/poollog.go
@@ -44,8 +44,36 @@
 	for _, p := range pools {
 		u := usage[p]
 		o.s.logEvent(LogPoolState, "pool", p, "machines", u.machines, "usable", u.usable, "idle", u.idle, "room", u.capacity,
-			"lasting", u.longRunning, "short", u.finite, "waiting", o.demand[p].waiting.CPU, "jobs", len(o.jobs))
+			"lasting", u.longRunning, "short", u.finite, "waiting", o.demand[p].waiting.CPU, "jobs", len(o.jobs),
+			"needed", o.fleet.machinesNeeded[p])
 	}
+	o.logFleet()
+}
+
+// logFleet logs one event for the machines of all pools: those that are up in the spare pool,
+// those that an order moves or takes down for maintenance, and those that are down.
+func (o *owner) logFleet() {
+	if o.s.config == nil || len(o.fleet.machineIDs) == 0 {
+		return
+	}
+	spare, blocked, moving, maintenance, down := 0, 0, 0, 0, 0
+	for _, id := range o.fleet.machineIDs {
+		m := o.fleet.machines[id]
+		switch {
+		case m.orderPending && m.order == OrderMove || m.info.State == MachineMoving:
+			moving++
+		case m.orderPending || m.info.State == MachineInMaintenance:
+			maintenance++
+		case m.info.State == MachineDown:
+			down++
+		case o.isSparePool(m.info.Pool) && !o.acceptsOrder(m):
+			blocked++
+		case o.isSparePool(m.info.Pool):
+			spare++
+		}
+	}
+	o.s.logEvent(LogFleetState, "machines", len(o.fleet.machineIDs), "spare", spare, "spare_blocked", blocked, "moving", moving,
+		"maintenance", maintenance, "down", down, "orders_left", int(o.fleet.orderTokens), "list_age_ms", o.s.now.Sub(o.fleet.listSentAt).Milliseconds())
 }
 
 func (u *poolUsage) add(w *worker, usable bool) {
