--- a/internal/core/job/poollog.go
+++ b/internal/core/job/poollog.go
@@ -57,9 +57,16 @@
 		return
 	}
 	spare, blocked, moving, maintenance, down := 0, 0, 0, 0, 0
+	unsent, unanswered := 0, 0
 	for _, id := range o.fleet.machineIDs {
 		m := o.fleet.machines[id]
 		switch {
+		case m.orderPending && !m.orderSent:
+			unsent++
+		case m.orderPending && !m.orderConfirmed:
+			unanswered++
+		}
+		switch {
 		case m.orderPending && m.order == OrderMove || m.info.State == MachineMoving:
 			moving++
 		case m.orderPending || m.info.State == MachineInMaintenance:
@@ -73,7 +80,7 @@
 		}
 	}
 	o.s.logEvent(LogFleetState, "machines", len(o.fleet.machineIDs), "spare", spare, "spare_blocked", blocked, "moving", moving,
-		"maintenance", maintenance, "down", down, "orders_left", int(o.fleet.orderTokens), "list_age_ms", o.s.now.Sub(o.fleet.listSentAt).Milliseconds())
+		"maintenance", maintenance, "down", down, "orders_unsent", unsent, "orders_unanswered", unanswered, "orders_left", int(o.fleet.orderTokens), "list_age_ms", o.s.now.Sub(o.fleet.listSentAt).Milliseconds())
 }
 
 func (u *poolUsage) add(w *worker, usable bool) {
