Retry-After grows with an outage and differs between jobs; cancels are refused at once

Cancellations at a node that has lost the stream waited for an append until their deadline. Change: the delay is the age of the outage, between 1 and 4 s, and up to half as much again by the job's ID; a remote node passes on the longest delay that it was given.

--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// retryAfterRefusal is the delay after which a caller may retry a call that was
-	// refused for a failure of the stream.
-	retryAfterRefusal = time.Second
 	// maxBacklogAge is the maximum age of the last read for a backlog query to be
 	// answered without another read.
 	maxBacklogAge = time.Second
@@ -75,7 +72,7 @@
 // or the key is unknown, it replies to the call and returns false.
 func (s *State) admit(call CallID, id ID, host, path, key string) (*Queue, vocab.TeamID, bool) {
 	if s.config == nil {
-		s.replyNotServed(id, Reply{Call: call, Answer: Refused, RetryAfter: retryAfterRefusal, Detail: "no configuration yet"})
+		s.replyNotServed(id, Reply{Call: call, Answer: Refused, RetryAfter: s.retryAfter(id), Detail: "no configuration yet"})
 		return nil, "", false
 	}
 	q := s.config.Match(host, path)
@@ -148,7 +145,7 @@
 // refuse replies that a call was not carried out and may be retried.
 func (s *State) refuse(call CallID, id ID, reason string) {
 	s.logEvent(LogJobRefused, "job", id, "why", reason, "config", s.configVersion())
-	s.reply(Reply{Call: call, Answer: Refused, RetryAfter: retryAfterRefusal, Detail: reason})
+	s.reply(Reply{Call: call, Answer: Refused, RetryAfter: s.retryAfter(id), Detail: reason})
 }
 
 func (s *State) configVersion() uint64 {
@@ -306,6 +303,10 @@
 		s.reply(Reply{Call: call, Answer: Accepted})
 		return
 	}
+	if s.streamLost() {
+		s.refuse(call, job.ID, "the job stream is not available")
+		return
+	}
 	s.addToBatch(Record{Key: cancelledPrefix + string(job.ID), Value: []byte{'1'}},
 		waitingCall{call: call, id: job.ID, event: LogJobCancelled})
 }
@@ -358,7 +359,7 @@
 		s.answerQuery(q)
 		return
 	}
-	s.replyNotServed(q.id, Reply{Call: q.call, Answer: Refused, RetryAfter: retryAfterRefusal, Detail: "the job stream is not available"})
+	s.replyNotServed(q.id, Reply{Call: q.call, Answer: Refused, RetryAfter: s.retryAfter(q.id), Detail: "the job stream is not available"})
 }
 
 func (s *State) answerQueriesStale() {
--- a/internal/core/job/forward.go
+++ b/internal/core/job/forward.go
@@ -119,6 +119,8 @@
 	outcomeUnknown bool
 	// ownerOnly is set if the call may be forwarded only to the owner.
 	ownerOnly bool
+	// retryAfter is the longest delay that another node named in a refusal.
+	retryAfter time.Duration
 	// inFlight counts the attempts without a response: a call is forwarded again when the
 	// owner changes.
 	inFlight int
@@ -189,7 +191,7 @@
 	if s.configVersion() >= atLeast {
 		return false
 	}
-	s.replyNotServed(id, Reply{Call: call, Answer: Refused, RetryAfter: retryAfterRefusal, Detail: "a later configuration is on its way"})
+	s.replyNotServed(id, Reply{Call: call, Answer: Refused, RetryAfter: s.retryAfter(id), Detail: "a later configuration is on its way"})
 	return true
 }
 
@@ -275,6 +277,7 @@
 		return
 	}
 	fwd.outcomeUnknown = fwd.outcomeUnknown || e.Outcome == Unknown || e.Outcome == OK && e.Reply.Answer == Unclear
+	fwd.retryAfter = max(fwd.retryAfter, e.Reply.RetryAfter)
 	fwd.inFlight--
 	if s.forwardNext(e.Call, fwd) || fwd.inFlight > 0 {
 		return
@@ -307,7 +310,7 @@
 	case fwd.outcomeUnknown && fwd.request.Kind != RequestQuery && fwd.request.Kind != RequestBacklog:
 		s.replyNotServed(fwd.request.ID, Reply{Call: call, Answer: Unclear, Detail: "no answer from another node: " + errorText(e.Err)})
 	case s.streamLost() || s.configBehind():
-		s.replyNotServed(fwd.request.ID, Reply{Call: call, Answer: Refused, RetryAfter: retryAfterRefusal, Detail: "the job stream is not available"})
+		s.replyNotServed(fwd.request.ID, Reply{Call: call, Answer: Refused, RetryAfter: max(fwd.retryAfter, s.retryAfter(fwd.request.ID)), Detail: "the job stream is not available"})
 	default:
 		s.handle(fwd.request.Event(call))
 	}
