An owner whose calls to the workers are slow or fail hands the ownership over

The loop keeps its pace and the appends succeed, but nine of ten calls to workers and machines time out: the list of machines is 6 s old, 178 orders to machines are unanswered, 1 of 24 workers of a pool is usable. The same holds for an owner that is cut off from the workers but not from the store. Change: the owner judges its calls to workers each second; after two windows in which most starts took over 150 ms, or most polls failed, it resigns if there is a node with a like CPU share, at most once in 15 s over the fleet.

--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -24,6 +24,9 @@
 	// offeredFence is the fence of an owner that offered the ownership to this node
 	// because its own appends fail.
 	offeredFence Fence
+	// handedOverAt is the time when this node last handed the ownership over because of its
+	// health.
+	handedOverAt vocab.Instant
 	// previousOwner is the owner that the claim replaces.
 	previousOwner ownerRecord
 	// appendID is the ID of the append of the claim while it is in progress, else 0.
@@ -48,6 +51,9 @@
 		// The owner resigned, or was an earlier process of this node.
 		delay = 0
 	}
+	if s.claim.handedOverAt != 0 && s.now.Sub(s.claim.handedOverAt) < handoverClaimTime {
+		delay += handoverClaimDelay
+	}
 	if s.ledger.maxCPUShare > s.self.CPUShare {
 		missingShare := 1 - s.self.CPUShare/s.ledger.maxCPUShare
 		delay += time.Duration(missingShare * float64(lowShareClaimDelay+lowShareClaimReads*s.stream.readLatency))
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -53,8 +53,10 @@
 	earlierLeasesUntil vocab.Instant
 	// activeAt is the time when the takeover was completed.
 	activeAt vocab.Instant
-	// resigned is set once the owner resigns: from then on it gives no orders.
-	resigned bool
+	// resigned is set once the owner resigns: from then on it gives no orders. overloaded is
+	// set as well if it does so because of its own health.
+	resigned, overloaded bool
+	health               ownerHealth
 	// pendingOrders holds the machines whose orders are sent once a record that lists them
 	// is on the stream; orderLog builds these records.
 	pendingOrders []*machine
@@ -309,6 +311,7 @@
 		}
 	}
 	o.offerIfAppendsFail()
+	o.checkHealth()
 	o.checkWorkers()
 	o.logPools()
 	if o.s.now.Sub(o.claimsRemovedAt) > claimRemovalInterval {
@@ -349,7 +352,7 @@
 
 // newOwnerRecord returns the owner record for the present state.
 func (o *owner) newOwnerRecord(resigned bool) Record {
-	return encodeOwner(ownerRecord{Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence, Resigned: resigned})
+	return encodeOwner(ownerRecord{Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence, Resigned: resigned, Overloaded: resigned && o.overloaded})
 }
 
 // handleStopping prepares for the end of the process; an owner resigns.
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -83,6 +83,9 @@
 	Incarnation vocab.Incarnation `json:"inc"`
 	Fence       Fence             `json:"fence"`
 	Resigned    bool              `json:"resigned,omitempty"`
+	// Overloaded is set if the owner resigned because most of its calls to workers were slow
+	// or failed.
+	Overloaded bool `json:"overloaded,omitempty"`
 	// RecentOrders is written by processes of earlier versions, instead of orderRecord.
 	RecentOrders []recentOrder `json:"ordered,omitempty"`
 }
@@ -204,6 +207,8 @@
 	// owner is the newest owner record, ownerFence its fence.
 	owner      ownerRecord
 	ownerFence Fence
+	// handedOverAt is the time when the last owner record with Overloaded was read.
+	handedOverAt vocab.Instant
 	// lastOrders holds the last order to each machine, whichever owner sent it. The next
 	// owner must not order these machines before the minimum time between orders has
 	// passed. orderRecords holds the keys of the records of orders and when they were read.
@@ -295,6 +300,9 @@
 		return errors.Mark(errors.Wrap(err, "decoding an owner record"), ErrBadRecord)
 	}
 	l.foldEarlierFormat(now, o.RecentOrders)
+	if o.Overloaded {
+		l.handedOverAt = now
+	}
 	if o.Fence >= l.ownerFence {
 		l.owner, l.ownerFence = o, o.Fence
 	}
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -111,6 +111,7 @@
 	t.startsUnanswered--
 	switch e.Outcome {
 	case OK:
+		o.health.noteStart(o.s.now.Sub(e.SentAt))
 		o.markStarted(t)
 	case Unknown:
 		if t.startsUnanswered > 0 {
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -570,7 +570,7 @@
 }
 
 func (sim *simulation) startRun(e Start) event.Event {
-	answer := StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run}
+	answer := StartAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, SentAt: sim.now}
 	wk, outcome := sim.reach(e.Worker, e.Fence)
 	if wk == nil {
 		answer.Outcome = outcome
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -236,6 +236,9 @@
 		return
 	}
 	w.pollInFlight = false
+	if len(w.tasks) > 0 {
+		o.health.notePoll(e.Outcome == Unknown || e.Outcome == NotDone)
+	}
 	if e.Outcome != OK {
 		o.handlePollFailure(w, e)
 		return
