--- a/internal/core/job/directory.go
+++ b/internal/core/job/directory.go
@@ -23,7 +23,7 @@
 const (
 	// minRemoteFleet is the number of nodes from which on a fleet has remote nodes, and
 	// minFollowers the number of other nodes that it must have at least.
-	minRemoteFleet = 60
+	minRemoteFleet = 30
 	minFollowers   = 3
 	// directoryLoadWait is the time for which a process waits for the directory before it
 	// loads the stream, and directoryWatch the time after its start during which a node
