A resigning owner names its successor

Change: the resignation names a node with a high CPU share, another one each time, which claims at once; the others wait three read latencies more.

--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -45,6 +45,10 @@
 	}
 	delay := ownerTimeout + ownerTimeoutReads*s.stream.readLatency
 	switch {
+	case s.ledger.owner.Resigned && s.ledger.owner.Successor == s.self.Node:
+		return 0
+	case s.ledger.owner.Resigned && s.ledger.owner.Successor != "":
+		delay = successorHeadStart + successorReads*s.stream.readLatency
 	case s.ledger.ownerFence == 0:
 		delay = firstClaimDelay
 	case s.ledger.owner.Resigned, s.ledger.owner.Node == s.self.Node:
--- a/internal/core/job/directory_test.go
+++ b/internal/core/job/directory_test.go
@@ -198,3 +198,30 @@
 	}
 	g.Expect(accepted).To(gomega.Equal(len(sim.jobIDs)))
 }
+
+// TestResignationUnderASlowStoreNamesTheSuccessor replays the stop of the owner while an
+// append takes 237 ms (trouble-2 of the large site): the nodes waited up to two seconds before
+// they claimed, several of them did, and the next owner gave its first order after 4.5 s. It
+// takes over within the time of ten calls to the store.
+func TestResignationUnderASlowStoreNamesTheSuccessor(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const appendTime = 237 * time.Millisecond
+	sim := newSimulation(58, 15, 40, faults{})
+	sim.run(4 * time.Second)
+	sim.after(0, func() { sim.load(25*time.Millisecond, 12*time.Second) })
+	sim.stream.appendTime = appendTime
+	sim.run(2 * time.Second)
+	var owner *node
+	for _, n := range sim.nodes {
+		if n.state.Owning() {
+			owner = n
+		}
+	}
+	owner.post(owner.incarnation, Stopping{})
+	for owner.state.Owning() {
+		sim.run(50 * time.Millisecond)
+	}
+	sim.run(10 * appendTime)
+	g.Expect(sim.countOwners()).To(gomega.Equal(1))
+	sim.report(t)
+}
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -352,7 +352,11 @@
 
 // newOwnerRecord returns the owner record for the present state.
 func (o *owner) newOwnerRecord(resigned bool) Record {
-	return encodeOwner(ownerRecord{Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence, Resigned: resigned, Overloaded: resigned && o.overloaded})
+	record := ownerRecord{Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence, Resigned: resigned}
+	if resigned {
+		record.Overloaded, record.Successor = o.overloaded, o.successor()
+	}
+	return encodeOwner(record)
 }
 
 // handleStopping prepares for the end of the process; an owner resigns.
@@ -363,6 +367,22 @@
 	}
 }
 
+// successor names the node that should claim first after a resignation: one with a CPU share
+// that is not much lower than the highest, another one each time. It is empty if there is
+// none.
+func (o *owner) successor() vocab.NodeID {
+	var nodes []vocab.NodeID
+	for _, node := range o.s.otherNodes() {
+		if o.s.ledger.members[node].CPUShare >= lowShareRatio*o.s.ledger.maxCPUShare {
+			nodes = append(nodes, node)
+		}
+	}
+	if len(nodes) == 0 {
+		return ""
+	}
+	return nodes[uint64(o.fence)%uint64(len(nodes))]
+}
+
 // resign ends the ownership with a resignation record, which follows once all changes
 // are on the stream.
 func (o *owner) resign() {
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -83,6 +83,8 @@
 	Incarnation vocab.Incarnation `json:"inc"`
 	Fence       Fence             `json:"fence"`
 	Resigned    bool              `json:"resigned,omitempty"`
+	// Successor is set if Resigned is: the node that should claim first.
+	Successor vocab.NodeID `json:"next,omitempty"`
 	// Overloaded is set if the owner resigned because most of its calls to workers were slow
 	// or failed.
 	Overloaded bool `json:"overloaded,omitempty"`
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -51,6 +51,10 @@
 	latencyDecay = 0.8
 	// claimJitter is the maximum jitter of a node's claim.
 	claimJitter = 250 * time.Millisecond
+	// successorHeadStart and successorReads times the read latency are the additional claim
+	// delay of the nodes that a resigned owner did not name as its successor.
+	successorHeadStart = followerReadInterval
+	successorReads     = 3
 	// claimRemovalInterval is the minimum time between two removals of claims from the stream.
 	claimRemovalInterval = 2 * time.Second
 	// claimJitterReads times the read latency is added to claimJitter.
