The next owner knows the leases of silent workers

Change: an owner puts on the stream when the lease of a silent worker ends, and extends it again only once the removal of that record is on the stream.

--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -250,6 +250,7 @@
 // the same append keeps the fence.
 func (o *owner) removeClaims() {
 	o.claimsRemovedAt = o.s.now
+	o.removeStaleSilence()
 	keys := o.s.ledger.expiredOrderRecords(o.s.now)
 	o.s.ledger.expireOrders(o.s.now)
 	for key := range o.s.ledger.claims {
@@ -275,6 +276,7 @@
 	w := o.workers[id]
 	if w == nil {
 		w = &worker{info: WorkerInfo{ID: id}, leaseUntil: o.earlierLeasesUntil}
+		o.inheritSilence(w)
 		o.workers[id] = w
 		at, _ := slices.BinarySearch(o.workerIDs, id)
 		o.workerIDs = slices.Insert(o.workerIDs, at, id)
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -209,6 +209,8 @@
 	// owner is the newest owner record, ownerFence its fence.
 	owner      ownerRecord
 	ownerFence Fence
+	// silentUntil holds the workers whose lease is not extended, and when it has ended.
+	silentUntil map[WorkerID]vocab.Instant
 	// handedOverAt is the time when the last owner record with Overloaded was read.
 	handedOverAt vocab.Instant
 	// lastOrders holds the last order to each machine, whichever owner sent it. The next
@@ -227,7 +229,7 @@
 func newLedger() *Ledger {
 	return &Ledger{
 		Jobs: map[ID]*JobRecord{}, claims: map[string]bool{}, members: map[vocab.NodeID]memberRecord{},
-		lastOrders: map[MachineID]lastOrder{}, orderRecords: map[string]vocab.Instant{},
+		silentUntil: map[WorkerID]vocab.Instant{}, lastOrders: map[MachineID]lastOrder{}, orderRecords: map[string]vocab.Instant{},
 	}
 }
 
@@ -256,6 +258,8 @@
 		return nil, l.foldClaim(r)
 	case ordersPrefix:
 		return nil, l.foldOrders(now, r)
+	case silentPrefix:
+		return nil, l.foldSilent(now, WorkerID(id), r.Value)
 	}
 	if len(r.Value) == 0 {
 		delete(l.Jobs, ID(id))
--- /dev/null
+++ b/internal/core/job/silent_workers.go
@@ -0,0 +1,89 @@
+package job
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// The tasks of a worker that does not respond start again elsewhere once its lease has
+// expired. A later owner cannot know when an earlier one last extended the lease, and would
+// have to wait as if that had been just before its takeover. Hence an owner puts on the
+// stream that it extends the lease of a silent worker no more, and when the lease ends. It
+// extends the lease again only once the removal of that record is on the stream.
+
+const silentPrefix = "u/"
+
+// silentRecord returns the record that the lease of a worker ends within a time.
+func silentRecord(id WorkerID, leaseLeft time.Duration) Record {
+	ms := max(0, leaseLeft.Milliseconds()+1)
+	return Record{Key: silentPrefix + string(id), Value: []byte(strconv.FormatInt(ms, 10))}
+}
+
+// foldSilent applies a record of a silent worker. The time counts from the append, and so
+// from the reading at the latest.
+func (l *Ledger) foldSilent(now vocab.Instant, id WorkerID, value []byte) error {
+	if len(value) == 0 {
+		delete(l.silentUntil, id)
+		return nil
+	}
+	ms, err := strconv.ParseInt(string(value), 10, 64)
+	if err != nil || ms < 0 || ms > maxSilentMS {
+		return errors.Wrapf(ErrBadRecord, "lease of worker %s", id)
+	}
+	l.silentUntil[id] = now.Add(time.Duration(ms) * time.Millisecond)
+	return nil
+}
+
+// maxSilentMS bounds the time in a record, in milliseconds. It is longer than any lease.
+const maxSilentMS = 600_000
+
+// noteSilent records that the lease of a worker with tasks is not extended any more.
+func (o *owner) noteSilent(w *worker) {
+	if w.silent || len(w.tasks) == 0 {
+		return
+	}
+	w.silent = true
+	o.extraRecords = append(o.extraRecords, silentRecord(w.info.ID, w.leaseUntil.Sub(o.s.now)))
+}
+
+// endSilence lets a worker that responds again have its lease extended, once the stream says
+// so.
+func (o *owner) endSilence(w *worker) {
+	if !w.silent || w.silenceEnding {
+		return
+	}
+	w.silenceEnding = true
+	o.extraRecords = append(o.extraRecords, Record{Key: silentPrefix + string(w.info.ID)})
+	o.afterWrite(func() {
+		w.silent, w.silenceEnding = false, false
+		w.pollBy(o.s.now)
+		o.planDue = true
+	})
+}
+
+// inheritSilence applies what an earlier owner wrote about a worker.
+func (o *owner) inheritSilence(w *worker) {
+	if until, found := o.s.ledger.silentUntil[w.info.ID]; found {
+		w.silent = true
+		w.leaseUntil = min(w.leaseUntil, until)
+	}
+}
+
+// removeStaleSilence removes the records of workers that the owner does not know.
+func (o *owner) removeStaleSilence() {
+	var stale []string
+	for id := range o.s.ledger.silentUntil {
+		if o.workers[id] == nil {
+			stale = append(stale, silentPrefix+string(id))
+		}
+	}
+	slices.Sort(stale)
+	for _, key := range stale {
+		o.extraRecords = append(o.extraRecords, Record{Key: key})
+	}
+}
--- /dev/null
+++ b/internal/core/job/silent_workers_test.go
@@ -0,0 +1,68 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// silentWorkerSim runs a job of one long-running task, silences its worker, and returns the
+// worker after it has been silent for a duration.
+func silentWorkerSim(t *testing.T, silentFor time.Duration) (*simulation, *fakeWorker) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	sim := newSimulation(80, 4, 4, faults{})
+	sim.run(3 * time.Second)
+	sim.submit(Spec{Steps: []Step{{Count: 1, Need: Resources{CPU: 1000, Memory: 64}, EstimateMS: 600_000, LongRunning: true}}})
+	sim.run(2 * time.Second)
+	g.Expect(sim.starts).To(gomega.Equal(1))
+	var host *fakeWorker
+	for _, wk := range sim.workers {
+		if len(wk.runs) > 0 {
+			host = wk
+		}
+	}
+	host.unreachable = true
+	sim.run(silentFor)
+	return sim, host
+}
+
+// TestLeaseOfSilentWorkerIsKnownToTheNextOwner guards against tasks that were away for twice
+// as long as a lease: each change of owner started the wait for a silent worker anew
+// (incidents inc-97dd and inc-e0d3).
+func TestLeaseOfSilentWorkerIsKnownToTheNextOwner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sim, _ := silentWorkerSim(t, 4*time.Second)
+	for _, n := range sim.nodes {
+		if n.state.Owning() {
+			n.kill()
+		}
+	}
+	sim.run(4 * time.Second)
+	g.Expect(sim.countOwners()).To(gomega.Equal(1))
+	g.Expect(sim.starts).To(gomega.Equal(2), "started again 8 s after the worker went silent")
+	sim.run(20 * time.Second)
+	sim.report(t)
+}
+
+// TestWorkerThatRespondsAgainKeepsItsTask: the lease is extended again once the stream no
+// longer says that it is not, by this owner and by the next.
+func TestWorkerThatRespondsAgainKeepsItsTask(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sim, host := silentWorkerSim(t, 2500*time.Millisecond)
+	host.unreachable = false
+	sim.run(20 * time.Second)
+	g.Expect(sim.starts).To(gomega.Equal(1))
+	g.Expect(host.runs).To(gomega.HaveLen(1))
+	for _, n := range sim.nodes {
+		g.Expect(n.state.ledger.silentUntil).To(gomega.BeEmpty())
+		if n.state.Owning() {
+			n.kill()
+		}
+	}
+	sim.run(20 * time.Second)
+	g.Expect(sim.starts).To(gomega.Equal(1))
+	g.Expect(host.runs).To(gomega.HaveLen(1))
+	sim.report(t)
+}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -35,6 +35,9 @@
 	// leaseUntil is the time when the last lease that may have been granted to the worker has
 	// expired.
 	leaseUntil vocab.Instant
+	// silent is set while the stream says that the worker's lease is not extended,
+	// silenceEnding while the removal of that record is being written.
+	silent, silenceEnding bool
 	// avoidUntil is the time before which the worker gets no new tasks after it refused a start.
 	avoidUntil vocab.Instant
 	// cordoned is set while the worker gets no new tasks so that its machine becomes idle.
@@ -47,7 +50,7 @@
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(now vocab.Instant) bool {
-	return w.listed && w.fenced && !w.info.Draining && !w.cordoned && w.failedPolls < unreachableAfterPolls && now >= w.avoidUntil
+	return w.listed && w.fenced && !w.info.Draining && !w.cordoned && !w.silent && w.failedPolls < unreachableAfterPolls && now >= w.avoidUntil
 }
 
 // free is the capacity that is neither reserved by tasks nor used by orphaned runs.
@@ -218,7 +221,7 @@
 	}
 	w.ackInFlight = poll.Acked
 	busy := len(w.tasks) > 0
-	if busy && w.fenced && w.failedPolls == 0 && o.s.now < o.leasesUntil {
+	if busy && w.fenced && w.failedPolls == 0 && !w.silent && o.s.now < o.leasesUntil {
 		poll.Lease = w.clockAt(o.s.now) + o.s.lease()
 		w.leaseUntil = max(w.leaseUntil, o.s.now.Add(o.s.maxLeaseSpan()))
 	}
@@ -248,6 +251,7 @@
 		o.planDue = true
 	}
 	w.failedPolls = 0
+	o.endSilence(w)
 	w.confirmedEnd = max(w.confirmedEnd, w.ackInFlight)
 	if e.Incarnation > w.info.Incarnation {
 		o.handleRestart(w, e.Incarnation)
@@ -284,6 +288,7 @@
 	if w.failedPolls == unreachableAfterPolls && (w.listed || len(w.tasks) > 0) {
 		o.s.logEvent(LogWorkerUnreachable, "worker", w.info.ID, "tasks", len(w.tasks), "outcome", e.Outcome.String(),
 			"lease_left_ms", w.leaseUntil.Sub(o.s.now).Milliseconds(), "error", errorText(e.Err))
+		o.noteSilent(w)
 	}
 	if !w.listed && len(w.tasks) == 0 {
 		w.nextPollAt = never
