--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -106,7 +107,7 @@
 // newTestFleet builds the binary and starts the stand-ins, but no entry process.
 func newTestFleet(t *testing.T) *testFleet {
 	dir := t.TempDir()
-	f := &testFleet{t: t, dir: dir, binary: testproc.Build(t, "../.."), outcomeByOrder: map[string]string{}}
+	f := &testFleet{t: t, dir: dir, binary: buildBinary(t), outcomeByOrder: map[string]string{}}
 	f.client.Timeout = callerTimeout
 	var err error
 	if f.fleetSpec, err = spec.Load("../../examples/duka-jaza"); err != nil {
@@ -122,7 +123,7 @@
 	for i := range 3 {
 		addresses, settings := testproc.Addresses(t, 3), filepath.Join(dir, fmt.Sprint(i, ".json"))
 		f.nodes = append(f.nodes, &process{
-			Process: testproc.New(t, dir, fmt.Sprint("node-", i), f.binary, "entry", "--settings", settings),
+			Process: testproc.New(t, dir, fmt.Sprint("node-", i), run(f.binary, "entry", "--settings", settings)),
 			callers: addresses[0], peers: addresses[1], operators: addresses[2], settings: settings,
 		})
 	}
@@ -130,6 +131,31 @@
 	return f
 }
 
+// command is a running program of a test.
+type command struct{ *exec.Cmd }
+
+// Signal implements testproc.Child.
+func (c command) Signal(s os.Signal) error { return c.Process.Signal(s) }
+
+// run returns a starter of a program.
+func run(path string, args ...string) testproc.Starter {
+	return func(output *os.File) (testproc.Child, error) {
+		cmd := exec.Command(path, args...)
+		cmd.Stdout, cmd.Stderr = output, output
+		return command{cmd}, cmd.Start()
+	}
+}
+
+// buildBinary builds the sardinehead binary and returns its path.
+func buildBinary(t testing.TB) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "sardinehead")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/sardinehead").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
 func (f *testFleet) writeSettings() {
 	f.writeFile(filepath.Join(f.dir, "secret"), strings.Repeat("s", 32))
 	for i, p := range f.nodes {
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -22,12 +23,37 @@
 	client     *http.Client
 }
 
+// command is a running program of a test.
+type command struct{ *exec.Cmd }
+
+// Signal implements testproc.Child.
+func (c command) Signal(s os.Signal) error { return c.Process.Signal(s) }
+
+// run returns a starter of a program.
+func run(path string, args ...string) testproc.Starter {
+	return func(output *os.File) (testproc.Child, error) {
+		cmd := exec.Command(path, args...)
+		cmd.Stdout, cmd.Stderr = output, output
+		return command{cmd}, cmd.Start()
+	}
+}
+
+// buildBinary builds the sardinehead binary and returns its path.
+func buildBinary(t testing.TB) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "sardinehead")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/sardinehead").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
 // newProcess writes the settings of a node that reaches the stand-in at storeAddress
 // through a proxy. It doesn't start the process.
 func newProcess(t *testing.T, dir, binary, name, storeAddress string) (*process, error) {
 	settingsPath := filepath.Join(dir, name+".json")
 	p := &process{
-		Process: testproc.New(t, dir, name, binary, "serve", "--settings", settingsPath),
+		Process: testproc.New(t, dir, name, run(binary, "serve", "--settings", settingsPath)),
 		name:    name, client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{}},
 	}
 	var err error
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,7 +18,6 @@
 	"testing"
 	"time"
 
-	"github.com/sardinehead/sardinehead/internal/testproc"
 	"github.com/sardinehead/sardinehead/platform/standin"
 )
 
@@ -41,7 +40,7 @@
 	if testing.Short() {
 		t.Skip("skipped in short mode: runs for several seconds")
 	}
-	binary := testproc.Build(t, "../..")
+	binary := buildBinary(t)
 	seeds := slices.Clone(regressionSeeds)
 	for i := range uint64(*seriesCount) {
 		seeds = append(seeds, *firstSeed+i)
--- a/internal/testproc/process.go
+++ b/internal/testproc/process.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -13,13 +12,23 @@
 	"github.com/cockroachdb/errors"
 )
 
+// Child is a running program.
+type Child interface {
+	Signal(os.Signal) error
+	Wait() error
+}
+
+// Starter starts a program with its output going to a file. Test files implement it: only
+// they start programs.
+type Starter func(output *os.File) (Child, error)
+
 // Process is a program that a test starts, and may start again after it has ended.
 type Process struct {
 	name, logPath string
-	command       []string
+	starter       Starter
 
-	mu  sync.Mutex
-	cmd *exec.Cmd
+	mu    sync.Mutex
+	child Child
 	// ended is closed once the process has ended; endedAsked is set if the test ended it.
 	ended      chan struct{}
 	endedAsked bool
@@ -28,8 +37,8 @@
 
 // New returns a process that is not started. Its output goes to a file in dir. When t
 // ends, the process is killed, and if t has failed the end of its output is logged.
-func New(t testing.TB, dir, name string, command ...string) *Process {
-	p := &Process{name: name, logPath: filepath.Join(dir, name+".log"), command: command}
+func New(t testing.TB, dir, name string, starter Starter) *Process {
+	p := &Process{name: name, logPath: filepath.Join(dir, name+".log"), starter: starter}
 	t.Cleanup(func() {
 		p.Signal(syscall.SIGCONT)
 		_ = p.End(syscall.SIGKILL, time.Second)
@@ -40,18 +49,6 @@
 	return p
 }
 
-// Build builds the sardinehead binary from the module's root and returns its path.
-func Build(t testing.TB, root string) string {
-	t.Helper()
-	binary := filepath.Join(t.TempDir(), "sardinehead")
-	build := exec.Command("go", "build", "-o", binary, "./cmd/sardinehead")
-	build.Dir = root
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	return binary
-}
-
 // Start starts the process.
 func (p *Process) Start() error {
 	logFile, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -59,17 +56,16 @@
 		return errors.Wrap(err, "opening the output file")
 	}
 	defer logFile.Close()
-	cmd := exec.Command(p.command[0], p.command[1:]...)
-	cmd.Stdout, cmd.Stderr = logFile, logFile
-	if err := cmd.Start(); err != nil {
+	child, err := p.starter(logFile)
+	if err != nil {
 		return errors.Wrapf(err, "starting %s", p.name)
 	}
 	ended := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.ended, p.endedAsked = cmd, ended, false
+	p.child, p.ended, p.endedAsked = child, ended, false
 	p.mu.Unlock()
 	go func() {
-		err := cmd.Wait()
+		err := child.Wait()
 		p.mu.Lock()
 		p.exit = err
 		p.mu.Unlock()
@@ -82,8 +78,8 @@
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd != nil && !p.hasEnded() {
-		_ = p.cmd.Process.Signal(s)
+	if p.child != nil && !p.hasEnded() {
+		_ = p.child.Signal(s)
 	}
 }
 
@@ -125,10 +121,10 @@
 func (p *Process) EndedUnasked() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd == nil || p.endedAsked || !p.hasEnded() {
+	if p.child == nil || p.endedAsked || !p.hasEnded() {
 		return nil
 	}
-	return errors.Wrapf(ErrEndedUnasked, "%v", p.cmd.ProcessState)
+	return errors.Wrapf(ErrEndedUnasked, "%v", p.exit)
 }
 
 func (p *Process) hasEnded() bool {
--- a/internal/testproc/testproc_test.go
+++ b/internal/testproc/testproc_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"os"
+	"os/exec"
 	"syscall"
 	"testing"
 	"time"
@@ -9,6 +11,21 @@
 	. "github.com/onsi/gomega"
 )
 
+// command is a running program of a test.
+type command struct{ *exec.Cmd }
+
+// Signal implements Child.
+func (c command) Signal(s os.Signal) error { return c.Process.Signal(s) }
+
+// run returns a starter of a program.
+func run(path string, args ...string) Starter {
+	return func(output *os.File) (Child, error) {
+		cmd := exec.Command(path, args...)
+		cmd.Stdout, cmd.Stderr = output, output
+		return command{cmd}, cmd.Start()
+	}
+}
+
 // fakeTest records a failure instead of failing, and runs its cleanups on demand.
 type fakeTest struct {
 	testing.TB
@@ -53,7 +70,7 @@
 func TestProcessThatEndsUnaskedFailsTheTest(t *testing.T) {
 	g := NewWithT(t)
 	fake := &fakeTest{TB: t}
-	p := New(fake, t.TempDir(), "p", "/bin/sh", "-c", "echo the reason; exit 3")
+	p := New(fake, t.TempDir(), "p", run("/bin/sh", "-c", "echo the reason; exit 3"))
 	g.Expect(p.Start()).To(Succeed())
 	g.Eventually(func() bool { p.CheckRunning(fake); return fake.failed }).Should(BeTrue())
 	fake.end()
@@ -63,7 +80,7 @@
 func TestProcessThatIsEndedByTheTest(t *testing.T) {
 	g := NewWithT(t)
 	fake := &fakeTest{TB: t}
-	p := New(fake, t.TempDir(), "p", "/bin/sleep", "60")
+	p := New(fake, t.TempDir(), "p", run("/bin/sleep", "60"))
 	g.Expect(p.Start()).To(Succeed())
 	g.Expect(p.End(syscall.SIGTERM, 5*time.Second)).To(MatchError(ContainSubstring("terminated")))
 	p.CheckRunning(fake)
