--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -22,8 +22,9 @@
 	// the claim was sent.
 	lastHeartbeat vocab.Instant
 	// offeredFence is the fence of an owner that offered the ownership to this node
-	// because its own appends fail.
+	// because its own appends fail, offeredAt the time when it did.
 	offeredFence Fence
+	offeredAt    vocab.Instant
 	// handedOverAt is the time when this node last handed the ownership over because of its
 	// health.
 	handedOverAt vocab.Instant
@@ -69,7 +70,8 @@
 // offerValid reports whether the current owner offered the ownership to this node and
 // this node reads the stream without delay.
 func (s *State) offerValid() bool {
-	return s.claim.offeredFence != 0 && s.claim.offeredFence == s.ledger.ownerFence && s.stream.readLatency < slowAppendLatency &&
+	return s.claim.offeredFence != 0 && s.claim.offeredFence == s.ledger.ownerFence && s.now.Sub(s.claim.offeredAt) < offerValidity &&
+		s.stream.readLatency < slowAppendLatency &&
 		s.now.Sub(s.stream.lastReadAt) < freshReadAge
 }
 
@@ -82,7 +84,7 @@
 		return
 	}
 	s.logEvent(LogOwnershipOffered, "fence", e.Fence, "owner", s.ledger.owner.Node, "read_age_ms", s.now.Sub(s.stream.lastReadAt).Milliseconds())
-	s.claim.offeredFence = e.Fence
+	s.claim.offeredFence, s.claim.offeredAt = e.Fence, s.now
 	s.readNow()
 }
 
--- a/internal/core/job/forward_test.go
+++ b/internal/core/job/forward_test.go
@@ -195,6 +195,12 @@
 	n.state.stream.readLatency = time.Second
 	g.Expect(n.state.offerValid()).To(gomega.BeFalse())
 	n.state.stream.readLatency = 0
+	// Incident inc-f5b8: an offer made when the store turned slow took effect six seconds
+	// later, when it was fast again and the owner well.
+	n.state.claim.offeredAt = sim.now.Add(-offerValidity)
+	g.Expect(n.state.offerValid()).To(gomega.BeFalse())
+	n.state.claim.offeredAt = sim.now
+	n.state.stream.readLatency = 0
 	n.state.stream.lastReadAt = sim.now.Add(-freshReadAge)
 	g.Expect(n.state.offerValid()).To(gomega.BeFalse())
 }
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -72,6 +72,9 @@
 	// offers.
 	ownershipOfferDelay    = 450 * time.Millisecond
 	ownershipOfferInterval = 250 * time.Millisecond
+	// offerValidity is the time for which an offer is valid. Afterwards the owner's appends
+	// may succeed again.
+	offerValidity = time.Second
 	// freshReadAge is the maximum age of the last read with which a node accepts an
 	// offer of the ownership: two read intervals.
 	freshReadAge = 2 * followerReadInterval
