--- a/internal/core/job/directory_test.go
+++ b/internal/core/job/directory_test.go
@@ -43,6 +43,9 @@
 	g := gomega.NewWithT(t)
 	sim := largeFleet(50)
 	g.Expect(sim.countRemote()).To(gomega.Equal(60))
+	dump := sim.nodes[20].state.Dump()
+	g.Expect(dump.Remote && dump.LargeFleet && dump.Ready).To(gomega.BeTrue())
+	g.Expect(dump.Nodes).To(gomega.Equal(64))
 	for _, n := range sim.nodes {
 		n.streamReads = 0
 	}
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -19,6 +19,13 @@
 	// milliseconds.
 	Offset    int64 `json:"offset"`
 	ReadAgeMS int64 `json:"read_age_ms"`
+	// Remote is set if the node does not follow the stream, LargeFleet if the fleet has such
+	// nodes. Nodes is the number of nodes in the directory as this node last read it.
+	Remote     bool `json:"remote"`
+	LargeFleet bool `json:"large_fleet"`
+	Nodes      int  `json:"nodes"`
+	// Forwarded is the number of calls that wait for the reply of another node.
+	Forwarded int `json:"forwarded"`
 	// Jobs is the number of jobs by phase.
 	Jobs    map[string]int `json:"jobs"`
 	Workers []WorkerDump   `json:"workers,omitempty"`
@@ -35,7 +42,9 @@
 	Tasks   int          `json:"tasks"`
 	Free    Resources    `json:"free"`
 	// Failures is the number of consecutive failed polls.
-	Failures    int   `json:"failures,omitempty"`
+	Failures int `json:"failures,omitempty"`
+	// Silent is set if the stream says that the worker's lease is not extended.
+	Silent      bool  `json:"silent,omitempty"`
 	LeaseLeftMS int64 `json:"lease_left_ms"`
 }
 
@@ -59,6 +68,7 @@
 		Node: s.self.Node, Ready: s.Ready(), Owning: s.Owning(), Owner: s.ledger.owner.Node,
 		Fence: s.ledger.ownerFence, ConfigVersion: s.configVersion(), Offset: s.stream.nextOffset,
 		ReadAgeMS: s.now.Sub(s.stream.lastReadAt).Milliseconds(), Jobs: map[string]int{},
+		Remote: s.directory.remote, LargeFleet: s.directory.large, Nodes: len(s.directory.members), Forwarded: len(s.forwards),
 	}
 	for _, job := range s.ledger.Jobs {
 		d.Jobs[string(job.VisiblePhase())]++
@@ -78,7 +88,7 @@
 		w := o.workers[id]
 		d.Workers = append(d.Workers, WorkerDump{
 			ID: id, Machine: w.info.Machine, Pool: w.info.Pool, Usable: w.usable(o.s.now), Tasks: len(w.tasks),
-			Free: w.free(), Failures: w.failedPolls, LeaseLeftMS: w.leaseUntil.Sub(o.s.now).Milliseconds(),
+			Free: w.free(), Failures: w.failedPolls, Silent: w.silent, LeaseLeftMS: w.leaseUntil.Sub(o.s.now).Milliseconds(),
 		})
 	}
 	for _, p := range slices.Sorted(maps.Keys(o.demand)) {
--- a/internal/jobnode/metrics.go
+++ b/internal/jobnode/metrics.go
@@ -63,6 +63,8 @@
 		d := s.Dump()
 		n.metrics.gauge("sardinehead_job_owning", boolToFloat(d.Owning))
 		n.metrics.gauge("sardinehead_job_ready", boolToFloat(d.Ready))
+		n.metrics.gauge("sardinehead_job_remote", boolToFloat(d.Remote))
+		n.metrics.gauge("sardinehead_job_forwarded_calls", float64(d.Forwarded))
 		n.metrics.gauge("sardinehead_job_config_version", float64(d.ConfigVersion))
 		n.metrics.gauge("sardinehead_job_stream_offset", float64(d.Offset))
 		n.metrics.gauge("sardinehead_job_stream_read_age_seconds", float64(d.ReadAgeMS)/1000)
