Keep records of orders for as long as they block machines

Ten seconds were too short where a deployment asks for more than eight seconds between the orders of two owners to a machine.

--- a/internal/core/job/order_log.go
+++ b/internal/core/job/order_log.go
@@ -21,11 +21,16 @@
 	// orderPeriod is the period of one record. The record is written again while its
 	// period lasts.
 	orderPeriod = 125 * time.Millisecond
-	// orderRetention is the time for which the records are kept: longer than MinOrderGap and
-	// orderAuthority together.
-	orderRetention = 10 * time.Second
+	// minOrderRetention is the minimum time for which the records are kept.
+	minOrderRetention = 10 * time.Second
 )
 
+// orderRetention is the time for which records of orders are kept: longer than an earlier
+// owner's order may block a machine.
+func (s *State) orderRetention() time.Duration {
+	return max(minOrderRetention, 2*(s.settings.MinOrderGap+orderAuthority))
+}
+
 // orderRecord lists the machines that are about to receive an order, and those that have
 // responded to one. A machine is in one of the lists.
 type orderRecord struct {
@@ -108,21 +113,21 @@
 	}
 }
 
-// expireOrders forgets the orders that matter to no later owner any more.
-func (l *Ledger) expireOrders(now vocab.Instant) {
+// expireOrders forgets the orders that are older than the retention.
+func (l *Ledger) expireOrders(now vocab.Instant, retention time.Duration) {
 	for id, order := range l.lastOrders {
-		if now.Sub(order.readAt) > orderRetention {
+		if now.Sub(order.readAt) > retention {
 			delete(l.lastOrders, id)
 		}
 	}
 }
 
-// expiredOrderRecords returns the keys of the records of orders that may be removed from the
-// stream, in no particular order.
-func (l *Ledger) expiredOrderRecords(now vocab.Instant) []string {
+// expiredOrderRecords returns the keys of the records of orders that are older than the
+// retention, in no particular order.
+func (l *Ledger) expiredOrderRecords(now vocab.Instant, retention time.Duration) []string {
 	var keys []string
 	for key, readAt := range l.orderRecords {
-		if now.Sub(readAt) > orderRetention {
+		if now.Sub(readAt) > retention {
 			keys = append(keys, key)
 		}
 	}
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -129,7 +129,7 @@
 	if previous.Node == o.s.self.Node {
 		return
 	}
-	o.s.ledger.expireOrders(o.s.now)
+	o.s.ledger.expireOrders(o.s.now, o.s.orderRetention())
 	for id, order := range o.s.ledger.lastOrders {
 		from := order.readAt
 		if order.open && !previous.Resigned {
@@ -251,8 +251,8 @@
 func (o *owner) removeClaims() {
 	o.claimsRemovedAt = o.s.now
 	o.removeStaleSilence()
-	keys := o.s.ledger.expiredOrderRecords(o.s.now)
-	o.s.ledger.expireOrders(o.s.now)
+	keys := o.s.ledger.expiredOrderRecords(o.s.now, o.s.orderRetention())
+	o.s.ledger.expireOrders(o.s.now, o.s.orderRetention())
 	for key := range o.s.ledger.claims {
 		keys = append(keys, key)
 	}
--- a/internal/core/job/scheduling_test.go
+++ b/internal/core/job/scheduling_test.go
@@ -212,12 +212,22 @@
 	m1.orderPending = false
 	next := readerOf(t, set, records, false)
 	next.s.ledger.orderRecords[records[0].Key] = next.s.now
-	g.Expect(next.s.ledger.expiredOrderRecords(next.s.now.Add(orderRetention))).To(gomega.BeEmpty(), "the record stays on the stream")
+	g.Expect(next.s.ledger.expiredOrderRecords(next.s.now.Add(minOrderRetention), next.s.orderRetention())).To(gomega.BeEmpty(), "the record stays on the stream")
 	after := readerOf(t, set, append(records, next.newOwnerRecord(false)), false)
 	g.Expect(after.acceptsOrder(m1)).To(gomega.BeFalse())
 	g.Expect(next.s.ledger.expiredOrderRecords(next.s.now.Add(orderRetention + 1))).To(gomega.HaveLen(1))
 }
 
+// TestOrdersAreKeptAsLongAsTheyBlockMachines: also where owners must leave a long time between
+// their orders to a machine.
+func TestOrdersAreKeptAsLongAsTheyBlockMachines(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, gap := range []time.Duration{0, 3 * time.Second, 30 * time.Second} {
+		s := New(Identity{}, Settings{MinOrderGap: gap})
+		g.Expect(s.orderRetention()).To(gomega.BeNumerically(">", gap+orderAuthority), gap.String())
+	}
+}
+
 // TestOrdersAreHeartbeats: an owner that writes nothing but orders to machines for a while
 // is alive. Four owners in twelve seconds had been replaced while they switched machines off.
 func TestOrdersAreHeartbeats(t *testing.T) {
