--- a/internal/core/job/scheduling_test.go
+++ b/internal/core/job/scheduling_test.go
@@ -215,7 +215,7 @@
 	g.Expect(next.s.ledger.expiredOrderRecords(next.s.now.Add(minOrderRetention), next.s.orderRetention())).To(gomega.BeEmpty(), "the record stays on the stream")
 	after := readerOf(t, set, append(records, next.newOwnerRecord(false)), false)
 	g.Expect(after.acceptsOrder(m1)).To(gomega.BeFalse())
-	g.Expect(next.s.ledger.expiredOrderRecords(next.s.now.Add(orderRetention + 1))).To(gomega.HaveLen(1))
+	g.Expect(next.s.ledger.expiredOrderRecords(next.s.now.Add(minOrderRetention+1), next.s.orderRetention())).To(gomega.HaveLen(1))
 }
 
 // TestOrdersAreKeptAsLongAsTheyBlockMachines: also where owners must leave a long time between
