A new owner interrupts nothing for two seconds; a promoted node waits for the owner timeout

A node that became remote kept the time of the last heartbeat it had read. When it followed the stream later, the owner timeout had passed long ago, and it claimed from a living owner. 2. The stops of the last owner are not on the stream, and a worker lists a task as serving until its stop has completed (up to 0.9 s). The next owner counts it as serving and stops another one of the step. Change: a node that becomes remote forgets that time; an owner interrupts no long-running task in its first two seconds.

--- a/internal/core/job/directory.go
+++ b/internal/core/job/directory.go
@@ -234,6 +234,8 @@
 	d.remote, d.ownerSeenAt = true, s.now
 	s.stream = streamState{}
 	s.ledger = newLedger()
+	// Should it follow the stream later, the owner timeout counts from then.
+	s.claim.ownerTimeoutFrom = 0
 	s.logEvent(LogRemoteNode, "nodes", len(d.members), "followers", len(s.followers()))
 }
 
--- a/internal/core/job/directory_test.go
+++ b/internal/core/job/directory_test.go
@@ -118,6 +118,8 @@
 	step := func(ev event.Event) []event.Effect { return s.Step(Clock{Now: now}, ev) }
 	step(ConfigRead{Config: &Config{Version: 1, Queues: []Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Open: true}}}})
 	step(Tick{})
+	s.claim.ownerTimeoutFrom = 1
+	s.announced = true
 	var members []Record
 	for i := range 70 {
 		share := 0.2
@@ -144,6 +146,16 @@
 	}
 	g.Expect(s.directory.remote).To(gomega.BeFalse())
 	g.Expect(s.stream.loading).To(gomega.BeTrue())
+	// The owner has the full timeout from now on, although this node followed the stream and
+	// read a heartbeat long ago.
+	owner := encodeOwner(ownerRecord{Node: "A", Incarnation: 9, Fence: 5})
+	step(StreamLoaded{Records: []Record{owner}, From: 1})
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		for _, e := range append(step(StreamRead{Next: 1, End: 1, SentAt: now}), step(Tick{})...) {
+			g.Expect(e).NotTo(gomega.BeAssignableToTypeOf(Append{}), "a claim, or a member record")
+		}
+	}
 }
 
 // TestFailedReadsGetSmallerAndRarer: where every read times out because all nodes read at
--- a/internal/core/job/machines_test.go
+++ b/internal/core/job/machines_test.go
@@ -110,3 +110,29 @@
 	g.Expect(orders[OrderMaintenance]).To(gomega.BeNumerically(">", 20))
 	g.Expect(orders[OrderMove]).To(gomega.BeNumerically(">", 20))
 }
+
+// TestNewOwnerInterruptsNothingAtFirst guards against a step that loses more tasks than may be
+// missed around a change of owner: the tasks that the last owner had just told their workers
+// to stop were still listed as serving, and the next owner stopped another one (mta-lima-grown,
+// hunt-b653-39, AVAIL).
+func TestNewOwnerInterruptsNothingAtFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := machinesOwner(Settings{MaxLease: 6 * time.Second, MaxOrdersPerSecond: 100})
+	o.activeAt = o.s.now
+	j := newJob(o, "00000000000000aa", Step{Count: 2, Need: Resources{CPU: 1000}, LongRunning: true, MaxUnavailable: 1})
+	var w *worker
+	for i, id := range []WorkerID{"w1", "w2"} {
+		w = o.worker(id)
+		w.info.Address = string(id)
+		task := j.occurrences[0].steps[0].tasks[i]
+		o.bind(task, w, 1)
+		task.state, task.progressPercent = runRunning, 100
+	}
+	o.evacuate(w)
+	g.Expect(w.tasks[0].state).To(gomega.Equal(runRunning))
+	g.Expect(o.canInterruptTasks(w)).To(gomega.BeFalse())
+	o.s.now = o.s.now.Add(interruptionHold)
+	g.Expect(o.canInterruptTasks(w)).To(gomega.BeTrue())
+	o.evacuate(w)
+	g.Expect(w.tasks[0].state).To(gomega.Equal(runStopping))
+}
--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -251,9 +251,21 @@
 	return true
 }
 
+// interruptionHold is the time after a takeover for which the owner interrupts no long-running
+// task. A worker still lists a task that an earlier owner told it to stop as serving until the
+// stop has completed, which takes up to a second.
+const interruptionHold = 2 * time.Second
+
+// knowsInterruptions reports whether the interruptions by earlier owners show in the reports
+// of the workers.
+func (o *owner) knowsInterruptions() bool { return o.s.now.Sub(o.activeAt) >= interruptionHold }
+
 // evacuate stops the long-running tasks of a worker, as many of each step as may be
 // unavailable at a time. They start again on other workers.
 func (o *owner) evacuate(w *worker) {
+	if !o.knowsInterruptions() {
+		return
+	}
 	for _, t := range slices.Clone(w.tasks) {
 		if t.step.spec.LongRunning && t.state == runRunning && t.step.unavailable(t) < max(1, t.step.spec.MaxUnavailable) {
 			o.stopTask(t)
@@ -279,6 +291,9 @@
 // canInterruptTasks reports whether every long-running task on a worker may be unavailable
 // for a while: no step would have more unavailable tasks than its availability budget allows.
 func (o *owner) canInterruptTasks(w *worker) bool {
+	if !o.knowsInterruptions() && countFiniteTasks(w) < len(w.tasks) {
+		return false
+	}
 	for _, t := range w.tasks {
 		if !t.step.spec.LongRunning || t.step.spec.MaxUnavailable == 0 {
 			continue
