Positions of jobs relative to their objective in one place

Cause: placement ranks jobs by their objective, and the parts that are to come (machines ahead of demand, reservations, refusals) need the same figure. Change: times, slack and slackUntilOverdue in due.go; rank uses them. No change of behaviour. Ruled out: a copy of the arithmetic in each part.

--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -129,7 +129,6 @@
 // rank determines the position of a job in the order of service.
 func (o *owner) rank(j *activeJob) candidate {
 	c := candidate{job: j, pool: o.poolOf(j)}
-	q := o.queueOf(j)
 	if j.hasLongRunningTasks() {
 		c.class = classLongRunning
 		c.score = -float64(j.acceptance.At)
@@ -137,13 +136,11 @@
 	}
 	total, remaining, remainingPath := o.workAmounts(j)
 	c.class = classOnTime
-	if q != nil {
-		age := time.Duration(o.s.wall-j.acceptance.At) * time.Millisecond
-		objective := time.Duration(q.Stretch*float64(o.criticalPath(j))) + q.Latency
+	if t := o.times(j, remainingPath); t.known {
 		switch {
-		case age+remainingPath > overdueFactor*objective:
+		case t.slackUntilOverdue() < 0:
 			c.class = classOverdue
-		case age+remainingPath > objective:
+		case t.slack() < 0:
 			c.class = classLate
 		case j.overTeamRate:
 			c.class = classOverRate
