Evacuation of an availability zone; starts avoid cold workers

Change: every node reads the set of evacuated zones with the configuration. In such a zone the owner starts nothing, also where the intent is written or the start is repeated (a start without an answer is stopped), uses no machine for a pool, moves long-running tasks out within their budget and lets the others end. With evacuate_within set, an owner whose last read of the requests is too old starts nothing, and a node without one does not claim. If every zone is evacuated, jobs wait and long-running tasks stay.

A start goes to a worker that is still slow after its restart only if no other one has room.

Ruled out: a status record (the store's answer is the acknowledgement); a copy on the job stream; moving finite tasks by their checkpoint.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -72,7 +72,7 @@
 		Node: conf.Node, Incarnation: daemon.NewIncarnation(), Zone: conf.Zone, CPUShare: float64(conf.CPUShare),
 		PeerAddress: addressText(conf.Peers),
 	}, job.Settings{
-		Directory: true, MaxLease: conf.MaxLease.D(), MinOrderGap: conf.MinOrderGap.D(),
+		Directory: true, MaxLease: conf.MaxLease.D(), MinOrderGap: conf.MinOrderGap.D(), EvacuationLimit: conf.EvacuationLimit.D(),
 		MaxOrdersPerSecond: float64(conf.OrdersPerSecond), KeepFinished: conf.KeepFinished.D(),
 	}, ports, log)
 
--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -151,7 +151,7 @@
 // owner. The order of the claims in the stream decides which one takes effect, so the
 // append needs no condition on the end of the stream that other appends could break.
 func (s *State) claimIfOwnerTimedOut() {
-	if s.owner != nil || s.stopping || s.claim.appendID != 0 || !s.caughtUp() || s.config == nil ||
+	if s.owner != nil || s.stopping || s.claim.appendID != 0 || !s.caughtUp() || s.config == nil || !s.evacuationsKnown() ||
 		s.stream.nextOffset < s.claim.readTo {
 		return
 	}
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -31,6 +31,10 @@
 	Workers []WorkerDump   `json:"workers,omitempty"`
 	Waiting []PoolDump     `json:"waiting,omitempty"`
 	Waves   []WaveDump     `json:"waves,omitempty"`
+	// Evacuations are the evacuated availability zones. EvacuationsCurrent is false while the node
+	// last read the operators' requests too long ago to start tasks.
+	Evacuations        []EvacuationDump `json:"evacuations,omitempty"`
+	EvacuationsCurrent bool             `json:"evacuations_current"`
 }
 
 // WorkerDump is the state of a worker as known to the owner.
@@ -77,6 +81,7 @@
 		w := s.waves[number]
 		d.Waves = append(d.Waves, WaveDump{number, len(w.wave.Machines), len(w.done), w.reportedComplete})
 	}
+	d.Evacuations, d.EvacuationsCurrent = s.dumpEvacuations(), s.evacuationsCurrent()
 	if s.owner != nil {
 		s.owner.dump(&d)
 	}
--- a/internal/core/job/forecast.go
+++ b/internal/core/job/forecast.go
@@ -78,7 +78,7 @@
 	sizes, longRunning := map[vocab.PoolID]int{}, map[vocab.PoolID]float64{}
 	for _, id := range o.fleet.machineIDs {
 		m := o.fleet.machines[id]
-		if m.info.State != MachineUp || m.orderPending || m.cordonedAt != 0 || o.isSparePool(m.info.Pool) {
+		if m.info.State != MachineUp || m.orderPending || m.cordonedAt != 0 || o.isSparePool(m.info.Pool) || o.evacuatedMachine(m) {
 			continue
 		}
 		sizes[m.info.Pool]++
--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -355,7 +355,7 @@
 	if o.fleet.machines[m.info.ID] != m || !m.orderPending {
 		return
 	}
-	if w := o.workerOf(m); w != nil && !o.canInterruptTasks(w) {
+	if w := o.workerOf(m); w != nil && !o.canInterruptTasks(w) || o.movesIntoEvacuatedZone(m) {
 		o.abandonOrder(m)
 		return
 	}
--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -71,7 +71,7 @@
 func (o *owner) machinesNeededByPool() map[vocab.PoolID]int {
 	need, moving := map[vocab.PoolID]int{}, map[vocab.PoolID]int{}
 	for _, id := range o.fleet.machineIDs {
-		if m := o.fleet.machines[id]; m.orderPending && m.order == OrderMove {
+		if m := o.fleet.machines[id]; m.orderPending && m.order == OrderMove && !o.evacuatedMachine(m) {
 			moving[m.targetPool]++
 		}
 	}
@@ -138,7 +138,7 @@
 	size := map[vocab.PoolID]int{}
 	for _, id := range o.fleet.machineIDs {
 		m := o.fleet.machines[id]
-		if !o.acceptsOrder(m) || m.info.State != MachineUp {
+		if !o.acceptsOrder(m) || m.info.State != MachineUp || o.evacuatedMachine(m) {
 			continue
 		}
 		size[m.info.Pool]++
@@ -245,7 +245,8 @@
 		if maxMoves <= 0 || o.fleet.orderTokens < 1 {
 			return
 		}
-		if m.info.Pool == spare || !slices.Contains(surplus[m.info.Pool], m) || o.s.now.Sub(m.idleSince) < minIdleBeforeSwitchOff {
+		if m.info.Pool == spare || !o.idleInEvacuatedZone(m) &&
+			(!slices.Contains(surplus[m.info.Pool], m) || o.s.now.Sub(m.idleSince) < minIdleBeforeSwitchOff) {
 			continue
 		}
 		o.scheduleOrder(m, OrderMove, spare, 0)
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -77,10 +77,12 @@
 	demand           map[vocab.PoolID]poolDemand
 	arrivals         map[vocab.PoolID]*arrivalRate
 	poolsLoggedAt    vocab.Instant
-	estimates        *runTimeModel
-	queueWork        *queueWork
-	advicePending    bool // an advice request has no response yet
-	teamRates        map[vocab.TeamID]*tokenBucket
+	// evacuationsLoggedAt is the time when the state of the evacuations was last logged.
+	evacuationsLoggedAt vocab.Instant
+	estimates           *runTimeModel
+	queueWork           *queueWork
+	advicePending       bool // an advice request has no response yet
+	teamRates           map[vocab.TeamID]*tokenBucket
 	// offeredAt is the time when the ownership was last offered, offers the number of
 	// offers.
 	offeredAt vocab.Instant
@@ -316,6 +318,7 @@
 	o.checkHealth()
 	o.checkWorkers()
 	o.logPools()
+	o.logEvacuations()
 	if o.s.now.Sub(o.claimsRemovedAt) > claimRemovalInterval {
 		o.removeClaims()
 	}
@@ -331,7 +334,7 @@
 	if o.s.owner != o || o.stage != stageActive {
 		return
 	}
-	if o.planDue && o.pendingAppend == nil && o.workersKnown && o.mayOrder() {
+	if o.planDue && o.pendingAppend == nil && o.workersKnown && o.mayStart() {
 		o.planDue, o.plannedAt = false, o.s.now
 		o.plan()
 	}
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -250,7 +250,7 @@
 		if _, valid := st.ticketFor(w, o.s.now); hasAdvisor && !valid {
 			continue
 		}
-		score := placementScore(st.spec, w)
+		score := placementScore(st.spec, w) + w.coldPenalty(o.s.now)
 		if rack != "" && w.info.Rack != rack {
 			score += wrongRackPenalty
 		}
--- a/internal/core/job/restart.go
+++ b/internal/core/job/restart.go
@@ -12,13 +12,13 @@
 
 // Restart returns the state of a new incarnation on the same node, and its first effects,
 // after processing an event has panicked. The new state has only what does not depend on
-// earlier events but the configuration. The caller of the event's call gets a reply.
+// earlier events but the configuration and the operators' requests. The caller of the event's call gets a reply.
 func (s *State) Restart(clock Clock, ev event.Event) (*State, []event.Effect) {
 	self := s.self
 	self.Incarnation++
 	next := New(self, s.settings)
 	next.now, next.wall = max(s.now, clock.Now), clock.Wall
-	next.config, next.shownConfigVersion, next.stopping = s.config, s.shownConfigVersion, s.stopping
+	next.config, next.shownConfigVersion, next.stopping, next.evacuations = s.config, s.shownConfigVersion, s.stopping, s.evacuations
 	// Responses to appends of the earlier state must not be taken for responses to its own.
 	next.lastAppendID = s.lastAppendID
 	for number, ws := range s.waves {
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -57,7 +57,7 @@
 		return
 	}
 	w := t.worker
-	if t.step.job.terminalPhase != 0 || !o.mayOrder() || w.info.Draining || !w.usable(o.s.now) || t.incarnation != w.info.Incarnation {
+	if t.step.job.terminalPhase != 0 || !o.mayStart() || w.info.Draining || !w.usable(o.s.now) || t.incarnation != w.info.Incarnation {
 		o.release(t)
 		return
 	}
@@ -67,8 +67,11 @@
 
 // resendStarts sends each unanswered start once more, under the same run number.
 func (o *owner) resendStarts(w *worker) {
-	for _, t := range w.tasks {
-		if t.state == runStarting && t.startsSent == 1 && o.s.now.Sub(t.startSentAt) > startRepeatDelay && o.mayOrder() &&
+	for _, t := range slices.Clone(w.tasks) {
+		if w.evacuated {
+			o.fenceStart(t)
+		}
+		if t.state == runStarting && t.startsSent == 1 && o.s.now.Sub(t.startSentAt) > startRepeatDelay && o.mayStart() &&
 			t.step.job.terminalPhase == 0 && !w.info.Draining && t.incarnation == w.info.Incarnation {
 			o.emitStart(t)
 		}
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -13,6 +13,9 @@
 	MinOrderGap time.Duration
 	// MaxOrdersPerSecond is the rate limit of the platform for orders to machines.
 	MaxOrdersPerSecond float64
+	// EvacuationLimit is the time from the acknowledgement of an evacuation of an availability
+	// zone after which nothing may start there; 0 means that operators evacuate no zones.
+	EvacuationLimit time.Duration
 	// Directory is set if the platform keeps a directory of the nodes.
 	Directory bool
 	// KeepFinished is the time for which the state of a finished job can be
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -42,6 +42,8 @@
 	advisedWorker WorkerID
 	// trace, if set, receives the log events of all nodes.
 	trace func(string)
+	// evacuated holds since when each availability zone is evacuated.
+	evacuated map[vocab.ZoneID]vocab.Instant
 }
 
 // faults holds the probabilities of random faults, each between 0 and 1: of an append or an
@@ -584,6 +586,7 @@
 		return answer
 	}
 	sim.checkStart(wk, e)
+	sim.checkZone(wk, e)
 	if sim.advisedWorker != "" && (e.Worker != sim.advisedWorker || e.Ticket != "ticket") {
 		sim.addViolation("%s started on %s with ticket %q", e.Task, e.Worker, e.Ticket)
 	}
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -39,9 +39,11 @@
 	now      vocab.Instant
 	wall     Millis
 	config   *Config
-	ledger   *Ledger
-	stream   streamState
-	claim    claim
+	// evacuations are the availability zones in which nothing may start.
+	evacuations evacuations
+	ledger      *Ledger
+	stream      streamState
+	claim       claim
 	// directory is the node's view of the fleet's nodes.
 	directory directoryState
 	owner     *owner
@@ -113,6 +115,8 @@
 		s.tick()
 	case ConfigRead:
 		s.handleConfigRead(e)
+	case EvacuationsRead:
+		s.handleEvacuationsRead(e)
 	case WaveRequested:
 		s.handleWaveRequested(e)
 	case StreamLoaded:
--- a/internal/core/job/types.go
+++ b/internal/core/job/types.go
@@ -279,6 +279,8 @@
 	Capacity Resources
 	// Incarnation is the incarnation of the worker: the time of its last restart.
 	Incarnation Millis
+	// ColdLeft is the time for which the worker remains slow after its restart, as of the entry.
+	ColdLeft time.Duration
 	// Draining is set if the worker will be removed soon.
 	Draining bool
 }
--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -234,7 +234,7 @@
 		return true
 	}
 	if m.cordonedAt == 0 {
-		if !urgent && (o.poolNeedsMachines(m.info.Pool) || o.fleet.machinesNeeded[m.info.Pool] >= 0 && !o.isSparePool(m.info.Pool)) {
+		if !urgent && !w.evacuated && (o.poolNeedsMachines(m.info.Pool) || o.fleet.machinesNeeded[m.info.Pool] >= 0 && !o.isSparePool(m.info.Pool)) {
 			// The pool needs all its machines.
 			return false
 		}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -42,6 +42,10 @@
 	avoidUntil vocab.Instant
 	// cordoned is set while the worker gets no new tasks so that its machine becomes idle.
 	cordoned bool
+	// evacuated is set while the worker's availability zone is being evacuated.
+	evacuated bool
+	// coldUntil is the time until which the worker is slow after its restart.
+	coldUntil vocab.Instant
 	// leaving is set while an order takes the machine away.
 	leaving bool
 	// resumeAt is the earliest time at which throttled tasks may resume.
@@ -50,7 +54,7 @@
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(now vocab.Instant) bool {
-	return w.listed && w.fenced && !w.info.Draining && !w.cordoned && !w.silent && w.failedPolls < unreachableAfterPolls && now >= w.avoidUntil
+	return w.listed && w.fenced && !w.info.Draining && !w.cordoned && !w.evacuated && !w.silent && w.failedPolls < unreachableAfterPolls && now >= w.avoidUntil
 }
 
 // free is the capacity that is neither reserved by tasks nor used by orphaned runs.
@@ -101,6 +105,7 @@
 		return
 	}
 	w.info, w.listed = info, true
+	w.evacuated, w.coldUntil = o.s.evacuations.contains(info.Zone), o.s.now.Add(info.ColdLeft)
 	o.workersByMachine[info.Machine] = w
 	if restarted {
 		o.handleRestart(w, info.Incarnation)
@@ -131,14 +136,13 @@
 func (o *owner) checkWorkers() {
 	inFlight := 0
 	var due []*worker
+	canLeaveZones := len(o.s.evacuations.zones) > 0 && o.canLeaveZones()
 	for _, id := range o.workerIDs {
 		w := o.workers[id]
 		o.expireLease(w)
 		o.resendStops(w)
 		o.resendStarts(w)
-		if w.info.Draining {
-			o.evacuate(w)
-		}
+		o.moveTasksOut(w, canLeaveZones)
 		switch {
 		case w.pollInFlight:
 			inFlight++
--- a/internal/jobnode/metrics.go
+++ b/internal/jobnode/metrics.go
@@ -68,6 +68,13 @@
 		n.metrics.gauge("sardinehead_job_config_version", float64(d.ConfigVersion))
 		n.metrics.gauge("sardinehead_job_stream_offset", float64(d.Offset))
 		n.metrics.gauge("sardinehead_job_stream_read_age_seconds", float64(d.ReadAgeMS)/1000)
+		n.metrics.gauge("sardinehead_job_evacuated_zones", float64(len(d.Evacuations)))
+		n.metrics.gauge("sardinehead_job_evacuations_current", boolToFloat(d.EvacuationsCurrent))
+		left := 0
+		for _, e := range d.Evacuations {
+			left += e.LongRunningTasks + e.FiniteTasks
+		}
+		n.metrics.gauge("sardinehead_job_evacuated_tasks", float64(left))
 		n.metrics.gauge("sardinehead_job_workers", float64(len(d.Workers)))
 	})
 	if err != nil {
--- a/internal/jobnode/node.go
+++ b/internal/jobnode/node.go
@@ -77,7 +77,8 @@
 	go n.follow(ctx, func() {
 		n.platform.Operators.FollowConfig(ctx,
 			func(c *job.Config) { n.post(job.ConfigRead{Config: c}) },
-			func(w job.Wave) { n.post(job.WaveRequested{Wave: w}) })
+			func(w job.Wave) { n.post(job.WaveRequested{Wave: w}) },
+			func(e job.EvacuationsRead) { n.post(e) })
 	})
 	ticker := time.NewTicker(job.TickInterval)
 	defer ticker.Stop()
--- a/internal/jobnode/panics_test.go
+++ b/internal/jobnode/panics_test.go
@@ -63,7 +63,7 @@
 // panickingOperators panics in the first call of each method.
 type panickingOperators struct{ calls atomic.Int64 }
 
-func (o *panickingOperators) FollowConfig(ctx context.Context, changed func(*job.Config), _ func(job.Wave)) {
+func (o *panickingOperators) FollowConfig(ctx context.Context, changed func(*job.Config), _ func(job.Wave), _ func(job.EvacuationsRead)) {
 	if o.calls.Add(1) == 1 {
 		panic("malformed record")
 	}
--- a/internal/jobnode/ports.go
+++ b/internal/jobnode/ports.go
@@ -50,8 +50,9 @@
 // Operators delivers the operators' configuration and waves, and the list of workers. Each
 // method blocks until ctx ends.
 type Operators interface {
-	// FollowConfig calls changed with each newer configuration and wave with each wave.
-	FollowConfig(ctx context.Context, changed func(*job.Config), wave func(job.Wave))
+	// FollowConfig calls evacuations after each read, then changed with each newer configuration
+	// and wave with each wave of that read.
+	FollowConfig(ctx context.Context, changed func(*job.Config), wave func(job.Wave), evacuations func(job.EvacuationsRead))
 	// FollowWorkers calls changed with the list of workers and with each change of it.
 	FollowWorkers(ctx context.Context, changed func(job.WorkersListed))
 }
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -43,6 +43,10 @@
 	// MinOrderGap is the minimum time between orders of two owners to the same
 	// machine.
 	MinOrderGap spec.Duration `json:"order_gap"`
+	// EvacuationLimit is the time after which nothing may start in an availability zone whose
+	// evacuation was acknowledged. Without it a node starts tasks whatever the age of its last
+	// read of the operators' requests.
+	EvacuationLimit spec.Duration `json:"evacuate_within"`
 	// KeepFinished is the time for which finished jobs can be queried.
 	KeepFinished spec.Duration `json:"keep_ended"`
 	// GracePeriod is the time from the stop signal until the process must have exited.
