Poll a worker again once the platform lists it again

Cause: a worker whose entry expired while its polls failed is no longer polled. When the entry of the same incarnation came back, only a worker that had never answered was polled, so that this one stayed unusable until the next change of owner.

Change: an entry of a worker whose polls have ended after a failure lets it be polled at once.

TestWorkerIsPolledAgainOnceListed fails before.

--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -110,7 +110,7 @@
 	if restarted {
 		o.handleRestart(w, info.Incarnation)
 	}
-	if !w.fenced {
+	if !w.fenced || w.failedPolls > 0 && w.nextPollAt == never {
 		w.pollBy(o.s.now)
 	}
 }
