A short limit for evacuations does not stop all starts

A read of the operators' requests without a change takes a second, so that with evacuate_within of 2 s or less an owner would have started nothing. It now counts a read of up to 2 s as current.

--- a/internal/core/job/evacuation.go
+++ b/internal/core/job/evacuation.go
@@ -32,6 +32,10 @@
 	readAt vocab.Instant
 }
 
+// minRequestAge is the least age of the last read of the requests at which an owner starts no
+// tasks. While nothing changes a read takes a second, so that with a lower one no task would start.
+const minRequestAge = 2 * time.Second
+
 // startMargin is the time that the start of a task may take from the decision to its execution.
 const startMargin = time.Second
 
@@ -46,7 +50,7 @@
 // owner's authority does not imply it, because it depends on appends to another topic.
 func (s *State) evacuationsCurrent() bool {
 	limit := s.settings.EvacuationLimit
-	return limit == 0 || s.evacuations.readAt != 0 && s.now.Sub(s.evacuations.readAt) < limit-startMargin
+	return limit == 0 || s.evacuations.readAt != 0 && s.now.Sub(s.evacuations.readAt) < max(limit-startMargin, minRequestAge)
 }
 
 // evacuationsKnown reports whether the node has read the evacuations since its start.
--- a/internal/core/job/evacuation_test.go
+++ b/internal/core/job/evacuation_test.go
@@ -154,6 +154,8 @@
 	g.Expect(st.assigned).To(gomega.BeZero())
 	o.s.evacuate()
 	g.Expect(st.assigned).To(gomega.Equal(2))
+	o.s.settings.EvacuationLimit = time.Second
+	g.Expect(o.s.evacuationsCurrent()).To(gomega.BeTrue(), "a limit below the time of a read does not stop all starts")
 
 	s := New(Identity{Node: "a", Incarnation: 1}, Settings{MaxLease: time.Second, EvacuationLimit: 5 * time.Second})
 	now := vocab.Instant(time.Minute)
