Refuse a job at once that cannot complete while it has a value

Setting refuse_worthless. Ruled out: refusing what will be late; figures at every entrance; leaving out accepted jobs that go overdue before their turn (then a newcomer always seems to fit just before its end).

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -74,6 +74,7 @@
 	}, job.Settings{
 		Directory: true, MaxLease: conf.MaxLease.D(), MinOrderGap: conf.MinOrderGap.D(),
 		MaxOrdersPerSecond: float64(conf.OrdersPerSecond), KeepFinished: conf.KeepFinished.D(),
+		RefuseWorthless: conf.RefuseWorthless,
 	}, ports, log)
 
 	var stopping atomic.Bool
--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -130,7 +130,11 @@
 		s.refuse(e.Call, e.ID, "the job stream is not available")
 		return
 	}
-	record, err := encodeAcceptance(e.ID, &Acceptance{Queue: q.Name, Pool: q.Pool, Team: team, At: s.wall, Spec: e.Spec})
+	acceptance := &Acceptance{Queue: q.Name, Pool: q.Pool, Team: team, At: s.wall, Spec: e.Spec}
+	if s.refuseForLoad(e.Call, e.ID, q, acceptance) {
+		return
+	}
+	record, err := encodeAcceptance(e.ID, acceptance)
 	if err != nil {
 		s.replyNotServed(e.ID, Reply{Call: e.Call, Answer: Malformed, Detail: err.Error()})
 		return
@@ -148,6 +152,34 @@
 	s.reply(Reply{Call: call, Answer: Refused, RetryAfter: s.retryAfter(id), Detail: reason})
 }
 
+// refuseForLoad refuses a job that the owner knows to be too late, and reports whether it
+// did. An earlier attempt to submit the job that is being appended is not overtaken by a
+// refusal.
+func (s *State) refuseForLoad(call CallID, id ID, q *Queue, a *Acceptance) bool {
+	if s.owner == nil || s.isBeingAppended(acceptedPrefix+string(id)) {
+		return false
+	}
+	retryAfter, refused := s.owner.refuseForLoad(id, q, a)
+	if refused {
+		s.reply(Reply{Call: call, Answer: Overloaded, RetryAfter: retryAfter, Detail: "the job cannot be served in time"})
+	}
+	return refused
+}
+
+// isBeingAppended reports whether the record with a key is in a batch that is being appended or
+// waits to be.
+func (s *State) isBeingAppended(key string) bool {
+	if s.nextBatch.keys[key] {
+		return true
+	}
+	for _, batch := range s.batches {
+		if batch.keys[key] {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *State) configVersion() uint64 {
 	if s.config == nil {
 		return 0
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -31,6 +31,9 @@
 	Workers []WorkerDump   `json:"workers,omitempty"`
 	Waiting []PoolDump     `json:"waiting,omitempty"`
 	Waves   []WaveDump     `json:"waves,omitempty"`
+	// RefusedForLoad is the number of jobs of each team that this owner refused because they
+	// could not be served in time.
+	RefusedForLoad map[vocab.TeamID]int `json:"refused_for_load,omitempty"`
 }
 
 // WorkerDump is the state of a worker as known to the owner.
@@ -52,6 +55,11 @@
 type PoolDump struct {
 	Pool    vocab.PoolID `json:"pool"`
 	Waiting Resources    `json:"waiting"`
+	// Jobs and CoreSeconds are the finite jobs that wait and their remaining work, Cores the
+	// capacity that may serve them.
+	Jobs        int `json:"jobs"`
+	CoreSeconds int `json:"core_seconds"`
+	Cores       int `json:"cores"`
 }
 
 // WaveDump is the progress of a maintenance wave.
@@ -91,11 +99,23 @@
 			Free: w.free(), Failures: w.failedPolls, Silent: w.silent, LeaseLeftMS: w.leaseUntil.Sub(o.s.now).Milliseconds(),
 		})
 	}
+	d.RefusedForLoad = maps.Clone(o.door.refusals)
 	for _, p := range slices.Sorted(maps.Keys(o.demand)) {
-		d.Waiting = append(d.Waiting, PoolDump{p, o.demand[p].waiting})
+		d.Waiting = append(d.Waiting, o.dumpPool(p))
 	}
 }
 
+func (o *owner) dumpPool(p vocab.PoolID) PoolDump {
+	dump := PoolDump{Pool: p, Waiting: o.demand[p].waiting}
+	if backlog := o.door.pools[p]; backlog != nil {
+		dump.Jobs, dump.Cores = len(backlog.jobs), int(backlog.cores)
+		for _, c := range backlog.jobs {
+			dump.CoreSeconds += int(c.remaining)
+		}
+	}
+	return dump
+}
+
 // LogEvents returns the log events with their texts.
 func LogEvents() map[LogEventID]string {
 	texts := make(map[LogEventID]string, len(logEventTexts))
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -152,6 +152,9 @@
 	Unclear
 	// Malformed means that the request is invalid.
 	Malformed
+	// Overloaded means that the job was not accepted and never will be, because it cannot be
+	// served in time; the caller may retry it later.
+	Overloaded
 )
 
 // LogEventID is the number of a log event; docs/LOG-EVENTS.md explains each event.
@@ -192,6 +195,7 @@
 	LogInternalError
 	LogRemoteNode
 	LogFleetState
+	LogJobRefusedForLoad
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -204,11 +208,12 @@
 	LogMachineMaintenance: "machine maintenance", LogMachineMove: "machine move", LogWave: "wave", LogOrphanedRunStopped: "orphaned run stopped",
 	LogRunThrottled: "run throttled", LogPoolState: "pool state", LogAdvisorAnswered: "advisor answered",
 	LogCallNotServed: "call not served", LogCallUnanswered: "call without a reply",
-	LogCallForwarded:    "call forwarded",
-	LogOwnershipOffered: "ownership offered",
-	LogInternalError:    "internal error",
-	LogRemoteNode:       "remote node",
-	LogFleetState:       "fleet state",
+	LogCallForwarded:     "call forwarded",
+	LogOwnershipOffered:  "ownership offered",
+	LogInternalError:     "internal error",
+	LogRemoteNode:        "remote node",
+	LogFleetState:        "fleet state",
+	LogJobRefusedForLoad: "job refused for load",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
@@ -232,7 +237,7 @@
 
 var answerNames = map[Answer]string{
 	Accepted: "accepted", NoQueue: "no_queue", NoKey: "no_key", NoJob: "no_job",
-	Refused: "refused", Unclear: "unclear", Malformed: "malformed",
+	Refused: "refused", Unclear: "unclear", Malformed: "malformed", Overloaded: "overloaded",
 }
 
 // String implements fmt.Stringer.
--- a/internal/core/job/forward_test.go
+++ b/internal/core/job/forward_test.go
@@ -105,6 +105,17 @@
 	g.Expect(reply.Answer).To(gomega.Equal(Unclear))
 }
 
+// TestRefusalForLoadIsFinal: every node would forward the call to the same owner, so it is not
+// sent to another one. While another attempt may have been carried out, no refusal is passed
+// on.
+func TestRefusalForLoadIsFinal(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fwd := &forwardedCall{request: Request{Kind: RequestSubmit}}
+	g.Expect(fwd.isFinalAnswer(Overloaded)).To(gomega.BeTrue())
+	fwd.outcomeUnknown = true
+	g.Expect(fwd.isFinalAnswer(Overloaded)).To(gomega.BeFalse())
+}
+
 // TestSlowStoreAcceptsJobsThroughTheOwner guards against lost jobs on a slow store: where
 // an append takes 180 ms, the separate appends of forty nodes had delayed each other
 // and those of the owner. Found in trouble-2 of both grown sites.
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -79,6 +79,7 @@
 	poolsLoggedAt    vocab.Instant
 	estimates        *runTimeModel
 	queueWork        *queueWork
+	door             *door
 	advicePending    bool // an advice request has no response yet
 	teamRates        map[vocab.TeamID]*tokenBucket
 	// offeredAt is the time when the ownership was last offered, offers the number of
@@ -109,7 +110,7 @@
 	return &owner{
 		s: s, fence: fence,
 		jobs: map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, teamUsage: map[vocab.TeamID]Resources{},
-		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), queueWork: newQueueWork(), teamRates: map[vocab.TeamID]*tokenBucket{},
+		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), queueWork: newQueueWork(), door: newDoor(), teamRates: map[vocab.TeamID]*tokenBucket{},
 		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}},
 	}
 }
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -20,11 +20,13 @@
 		}
 	}
 	d := newDemandCollector(o)
-	for _, c := range o.candidates() {
+	candidates := o.candidates()
+	for _, c := range candidates {
 		o.placeJob(c.job, pools[c.pool])
 		d.addJob(c.pool, c.job)
 	}
 	o.recordDemand(d.pools)
+	o.recordBacklog(candidates)
 }
 
 // candidate is a job with waiting tasks and its rank in the order of service.
@@ -33,6 +35,8 @@
 	pool  vocab.PoolID
 	class int
 	score float64
+	// remaining is the work that is left, in core-seconds; 0 for a long-running job.
+	remaining float64
 }
 
 // candidates lists the jobs with waiting tasks in the order of service.
@@ -44,15 +48,18 @@
 		}
 		list = append(list, o.rank(j))
 	}
-	slices.SortStableFunc(list, func(a, b candidate) int {
-		if c := cmp.Compare(a.class, b.class); c != 0 {
-			return c
-		}
-		return cmp.Compare(b.score, a.score)
-	})
+	slices.SortStableFunc(list, candidate.compare)
 	return list
 }
 
+// compare orders candidates in the order of service.
+func (c candidate) compare(other candidate) int {
+	if byClass := cmp.Compare(c.class, other.class); byClass != 0 {
+		return byClass
+	}
+	return cmp.Compare(other.score, c.score)
+}
+
 // hasWaitingTasks reports whether the job has tasks that could be placed now.
 func (j *activeJob) hasWaitingTasks() bool {
 	for _, occ := range j.occurrences {
@@ -90,9 +97,7 @@
 		bucket = &tokenBucket{tokens: team.Weight * rateBurstWindow.Seconds(), refilledAt: j.acceptance.At}
 		o.teamRates[team.Name] = bucket
 	}
-	elapsed := max(0, float64(j.acceptance.At-bucket.refilledAt)/1000)
-	bucket.tokens = min(bucket.tokens+elapsed*team.Weight, team.Weight*rateBurstWindow.Seconds())
-	bucket.refilledAt = max(bucket.refilledAt, j.acceptance.At)
+	bucket.refill(j.acceptance.At, team.Weight)
 	if bucket.tokens < 1 {
 		return false
 	}
@@ -100,12 +105,31 @@
 	return true
 }
 
+// wouldExceedRate reports whether a job that a team submits now would be beyond its rate.
+func (o *owner) wouldExceedRate(name vocab.TeamID) bool {
+	bucket := o.teamRates[name]
+	if bucket == nil {
+		return false
+	}
+	if team := o.s.config.teams[name]; team != nil {
+		bucket.refill(o.s.wall, team.Weight)
+	}
+	return bucket.tokens < 1
+}
+
 // tokenBucket counts the jobs that a team may still submit within its rate.
 type tokenBucket struct {
 	tokens     float64
 	refilledAt Millis
 }
 
+// refill adds the tokens of a team with this weight since the last refill.
+func (b *tokenBucket) refill(now Millis, weight float64) {
+	elapsed := max(0, float64(now-b.refilledAt)/1000)
+	b.tokens = min(b.tokens+elapsed*weight, weight*rateBurstWindow.Seconds())
+	b.refilledAt = max(b.refilledAt, now)
+}
+
 // rateBurstWindow is the time for which unused tokens accumulate.
 const rateBurstWindow = 2 * time.Second
 
@@ -135,7 +159,7 @@
 		return c
 	}
 	total, remaining, remainingPath := o.workAmounts(j)
-	c.class = classOnTime
+	c.class, c.remaining = classOnTime, remaining
 	if t := o.times(j, remainingPath); t.known {
 		switch {
 		case t.slackUntilOverdue() < 0:
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -18,6 +18,9 @@
 	// KeepFinished is the time for which the state of a finished job can be
 	// queried.
 	KeepFinished time.Duration
+	// RefuseWorthless is set if a job is refused when it certainly cannot complete while it
+	// has a value.
+	RefuseWorthless bool
 }
 
 const (
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -45,6 +45,9 @@
 	MinOrderGap spec.Duration `json:"order_gap"`
 	// KeepFinished is the time for which finished jobs can be queried.
 	KeepFinished spec.Duration `json:"keep_ended"`
+	// RefuseWorthless is set if jobs that certainly cannot complete while they have a
+	// value are refused.
+	RefuseWorthless bool `json:"refuse_worthless"`
 	// GracePeriod is the time from the stop signal until the process must have exited.
 	GracePeriod spec.Duration `json:"grace"`
 }
