--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -49,5 +49,6 @@
 		631: "remote node",
 		632: "fleet state",
 		633: "evacuation",
+		634: "job refused for load",
 	}))
 }
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -49,6 +49,9 @@
 	EvacuationLimit spec.Duration `json:"evacuate_within"`
 	// KeepFinished is the time for which finished jobs can be queried.
 	KeepFinished spec.Duration `json:"keep_ended"`
+	// RefuseWorthless is set if jobs that certainly cannot complete while they have a
+	// value are refused.
+	RefuseWorthless bool `json:"refuse_worthless"`
 	// GracePeriod is the time from the stop signal until the process must have exited.
 	GracePeriod spec.Duration `json:"grace"`
 }
