check-config: a configuration is checked before it is sent

Cause: a mistake in a configuration showed only when callers were refused; the platform checks its form only. Ruled out: a second decoder of the format (the node's own type is decoded strictly); rules on labels and task sizes, which a configuration does not hold.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -35,10 +35,11 @@
 	CapacityPage CapacityPage `command:"capacity-page" description:"Measure all cost slopes and write the capacity page"`
 	Send         Send         `command:"send" description:"Send one request"`
 
-	Check   Check   `command:"check" description:"Validate the operators' files and report every problem"`
-	Publish Publish `command:"publish" description:"Publish the operators' files as the configuration in force"`
-	Wave    Wave    `command:"wave" description:"Start, pause and resume the maintenance wave"`
-	Key     Key     `command:"key" description:"Give, withdraw and list keys"`
+	Check       Check       `command:"check" description:"Validate the operators' files and report every problem"`
+	CheckConfig CheckConfig `command:"check-config" description:"Check a configuration in the format of a deployment's own platform before it is sent"`
+	Publish     Publish     `command:"publish" description:"Publish the operators' files as the configuration in force"`
+	Wave        Wave        `command:"wave" description:"Start, pause and resume the maintenance wave"`
+	Key         Key         `command:"key" description:"Give, withdraw and list keys"`
 }
 
 // Main parses the command line, runs the command and returns its exit code.
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -17,6 +17,7 @@
 	"github.com/labstack/echo/v5"
 	"github.com/oklog/run"
 
+	"github.com/sardinehead/sardinehead/internal/configcheck"
 	"github.com/sardinehead/sardinehead/internal/core/job"
 	"github.com/sardinehead/sardinehead/internal/daemon"
 	"github.com/sardinehead/sardinehead/internal/eventlog"
@@ -210,5 +211,12 @@
 		}
 		return c.JSONPretty(http.StatusOK, dump, "  ")
 	})
+	e.GET("/config", func(c *echo.Context) error {
+		var config *job.Config
+		if err := n.Read(func(s *job.State) { config = s.Config() }); err != nil || config == nil {
+			return c.String(http.StatusServiceUnavailable, "no configuration yet\n")
+		}
+		return c.JSONPretty(http.StatusOK, configcheck.WithoutSecrets(config), "  ")
+	})
 	return e
 }
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -164,6 +164,9 @@
 	}
 }
 
+// Config returns the configuration in force, or nil. It must not be modified.
+func (s *State) Config() *Config { return s.config }
+
 func (s *State) tick() {
 	s.tickDirectory()
 	s.followStream()
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -58,6 +58,13 @@
 		}
 	case reflect.Int, reflect.Int64:
 		d.decodeInt(n, v, label)
+	case reflect.Uint64:
+		d.decodeUint(n, v, label)
+	case reflect.Float64:
+		d.decodeFloat(n, v, label)
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		d.decode(n, v.Elem(), label)
 	}
 }
 
@@ -96,6 +103,31 @@
 	v.SetInt(number)
 }
 
+func (d *decoder) decodeUint(n *node, v reflect.Value, label string) {
+	if !d.requireKind(n, kindNumber, label, "a positive integer such as 10") {
+		return
+	}
+	number, err := strconv.ParseUint(n.text, 10, v.Type().Bits())
+	if err != nil {
+		message := fmt.Sprintf("%s is %s, which is not a positive integer or is out of range", label, n.text)
+		d.cursor(n).Report(message, "a positive integer such as 10")
+		return
+	}
+	v.SetUint(number)
+}
+
+func (d *decoder) decodeFloat(n *node, v reflect.Value, label string) {
+	if !d.requireKind(n, kindNumber, label, "a number such as 1.5") {
+		return
+	}
+	number, err := strconv.ParseFloat(n.text, 64)
+	if err != nil {
+		d.cursor(n).Report(fmt.Sprintf("%s is %s, which is out of range", label, n.text), "a number such as 1.5")
+		return
+	}
+	v.SetFloat(number)
+}
+
 func (d *decoder) decodeSlice(n *node, v reflect.Value, label string) {
 	if !d.requireKind(n, kindArray, label, "an array: [ ... ]") {
 		return
--- a/internal/strictjson/problem.go
+++ b/internal/strictjson/problem.go
@@ -41,17 +41,22 @@
 	// Message describes what is wrong.
 	Message string `json:"what"`
 	// Suggestion suggests what to write instead; it completes the sentence "write ...".
-	Suggestion string   `json:"write"`
+	Suggestion string   `json:"write,omitempty"`
 	Severity   Severity `json:"severity"`
 }
 
-// String returns "file:line:column: what is wrong; write ...".
+// String returns "file:line:column: what is wrong; write ...", the latter only with a
+// suggestion.
 func (p Problem) String() string {
 	label := ""
 	if p.Severity == SeverityWarning {
 		label = "warning: "
 	}
-	return fmt.Sprintf("%s:%d:%d: %s%s; write %s", p.File, p.Line, p.Column, label, p.Message, p.Suggestion)
+	text := fmt.Sprintf("%s:%d:%d: %s%s", p.File, p.Line, p.Column, label, p.Message)
+	if p.Suggestion == "" {
+		return text
+	}
+	return text + "; write " + p.Suggestion
 }
 
 // Problems are the problems of one or more files. Its error text has one line
