--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -197,6 +197,7 @@
 	LogFleetState
 	LogEvacuation
 	LogJobRefusedForLoad
+	LogConfigProblem
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -216,6 +217,7 @@
 	LogFleetState:        "fleet state",
 	LogEvacuation:        "evacuation",
 	LogJobRefusedForLoad: "job refused for load",
+	LogConfigProblem:     "configuration problem",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -50,5 +50,6 @@
 		632: "fleet state",
 		633: "evacuation",
 		634: "job refused for load",
+		635: "configuration problem",
 	}))
 }
