--- a/internal/core/job/demand.go
+++ b/internal/core/job/demand.go
@@ -53,7 +53,7 @@
 			if st.waiting() <= 0 || !st.ready() {
 				continue
 			}
-			n := min(st.waiting(), d.allowedByTeamLimit(j.acceptance.Team, st.spec.Need))
+			n := min(d.owner.tasksWantedNow(st), d.allowedByTeamLimit(j.acceptance.Team, st.spec.Need))
 			if perMachine := st.tasksPerMachine(d.machineCapacity); perMachine > 0 && n > 0 {
 				d.addTasks(pool, st, n, perMachine)
 			}
