Distribute the machines by due work, empty them by expected end, preempt for a hand-over

Cause: at the begin of a pool's turn the pool before it held most of the machines. It gave none while a single task waited there, the machines with the fewest tasks were chosen to be emptied whatever ended when, and nothing was ever stopped.

Change: a pure plan (internal/core/poolplan). A pool keeps what its work needs to be on time and gives the rest; if all are short, each gets the same part of its requirement; machines are emptied by the expected end of their last task; tasks that save progress and whose job has slack are stopped for urgent work of another pool, once each. Capacity instead of heads. Log events 633 and 634, a histogram of the shortages, `emptying` and `due` in 624.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -93,6 +93,8 @@
 	// startsSent counts the copies of the start that were sent, startsUnanswered those
 	// without a response.
 	startsSent, startsUnanswered int
+	// preemptions counts the stops in favour of another pool.
+	preemptions int
 	// lostRuns holds the runs that were marked as lost and whose end is not known.
 	lostRuns []Run
 }
--- a/internal/core/job/demand.go
+++ b/internal/core/job/demand.go
@@ -14,7 +14,8 @@
 	// tasks that run to completion, longRunningMachines for long-running tasks.
 	// spreadMachines is the number of machines that the most widely spread step of
 	// long-running tasks requires.
-	finiteMachines, longRunningMachines, spreadMachines float64
+	// urgentMachines is the part of finiteMachines whose jobs can still meet their objective.
+	finiteMachines, longRunningMachines, spreadMachines, urgentMachines float64
 	// waitingSince is the time when the first of an unbroken series of passes found
 	// waiting tasks.
 	waitingSince vocab.Instant
@@ -37,6 +38,8 @@
 	// countedByTeam is the sum of the resources of the waiting tasks counted so far, by team.
 	// Together with the team's running tasks it stays within the team's limit.
 	countedByTeam map[vocab.TeamID]Resources
+	// urgent is set while the tasks of a job are counted that can still meet its objective.
+	urgent bool
 }
 
 func newDemandCollector(o *owner) *demandCollector {
@@ -48,6 +51,9 @@
 // addJob counts the waiting tasks of a job, as far as the team's limit allows them and a
 // machine can hold them at all.
 func (d *demandCollector) addJob(pool vocab.PoolID, j *activeJob) {
+	_, _, remaining := d.owner.workAmounts(j)
+	times := d.owner.times(j, remaining)
+	d.urgent = times.known && times.slack() > 0
 	for _, occ := range j.occurrences {
 		for _, st := range occ.steps {
 			if st.waiting() <= 0 || !st.ready() {
@@ -73,6 +79,9 @@
 		}
 	} else {
 		p.finiteMachines += machines
+		if d.urgent {
+			p.urgentMachines += machines
+		}
 	}
 	d.pools[pool] = p
 	team := st.job.acceptance.Team
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -192,6 +192,8 @@
 	LogInternalError
 	LogRemoteNode
 	LogFleetState
+	LogTasksPreempted
+	LogPoolSupplied
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -209,6 +211,8 @@
 	LogInternalError:    "internal error",
 	LogRemoteNode:       "remote node",
 	LogFleetState:       "fleet state",
+	LogTasksPreempted:   "tasks preempted",
+	LogPoolSupplied:     "pool supplied",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/forecast.go
+++ b/internal/core/job/forecast.go
@@ -72,23 +72,20 @@
 }
 
 // machinesForFiniteTasks is the number of machines of each pool, except the spare pool, that
-// can run finite tasks: the machines that are up and not about to leave, minus the share of
-// them that long-running tasks occupy.
-func (o *owner) machinesForFiniteTasks() map[vocab.PoolID]int {
-	sizes, longRunning := map[vocab.PoolID]int{}, map[vocab.PoolID]float64{}
+// can run finite tasks, in typical machines: those that are up and not about to leave, minus the
+// share of them that long-running tasks occupy.
+func (o *owner) machinesForFiniteTasks() map[vocab.PoolID]float64 {
+	sizes := map[vocab.PoolID]float64{}
 	for _, id := range o.fleet.machineIDs {
 		m := o.fleet.machines[id]
 		if m.info.State != MachineUp || m.orderPending || m.cordonedAt != 0 || o.isSparePool(m.info.Pool) {
 			continue
 		}
-		sizes[m.info.Pool]++
+		sizes[m.info.Pool] += o.fleet.relativeCapacity(m)
 		if w := o.workerOf(m); w != nil && m.info.Capacity.CPU > 0 {
-			longRunning[m.info.Pool] += float64(w.longRunningMilliCPU()) / float64(m.info.Capacity.CPU)
+			sizes[m.info.Pool] -= o.fleet.relativeCapacity(m) * float64(w.longRunningMilliCPU()) / float64(m.info.Capacity.CPU)
 		}
 	}
-	for p, machines := range longRunning {
-		sizes[p] -= int(math.Ceil(machines))
-	}
 	return sizes
 }
 
--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/sardinehead/sardinehead/internal/core/poolplan"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -176,6 +177,14 @@
 	// orderNotBefore is the earliest time of the next order to a machine that an earlier
 	// owner sent an order to.
 	orderNotBefore map[MachineID]vocab.Instant
+	// shortages holds the pools that lack machines.
+	shortages map[vocab.PoolID]shortage
+	// dueWork is the capacity that each pool's work requires, as of the last plan.
+	dueWork map[vocab.PoolID]float64
+	// policy switches the parts of the plan that distributes the machines.
+	policy poolplan.Policy
+	// preemptTokens is the number of machines whose tasks may be stopped at once.
+	preemptTokens float64
 }
 
 // workerOf returns the worker that runs on a machine, or nil. A worker that the platform's
@@ -210,12 +219,15 @@
 	elapsed := min(o.s.now.Sub(f.lastTickAt), time.Second).Seconds()
 	rate := o.s.settings.MaxOrdersPerSecond * orderRateFraction
 	f.orderTokens = min(f.orderTokens+rate*elapsed, max(1, rate*orderBurstWindow.Seconds()))
+	perSecond := maxPreemptFraction * float64(len(f.machineIDs))
+	f.preemptTokens = min(f.preemptTokens+perSecond*elapsed, max(1, perSecond))
 	f.lastTickAt = o.s.now
 	o.updateIdleTimes()
 	if !o.machineOrdersAllowed() || !o.workersKnown || o.s.config == nil {
 		return
 	}
 	f.machinesNeeded = o.machinesNeededByPool()
+	o.noteShortages()
 	f.waveTokens = f.orderTokens
 	if o.anyPoolNeedsMachines() {
 		f.waveTokens *= waveOrderFraction
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -48,5 +48,7 @@
 		630: "internal error",
 		631: "remote node",
 		632: "fleet state",
+		633: "tasks preempted",
+		634: "pool supplied",
 	}))
 }
--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/sardinehead/sardinehead/internal/core/poolplan"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -29,29 +30,112 @@
 	minMoveLimit      = 16
 )
 
-// planMoves moves idle machines to the pools that need machines, since the peak demand shifts
-// from pool to pool. Idle machines that no pool needs go to the spare pool, where they are
-// switched off and cost nothing.
+// planMoves moves machines to the pools that need machines, since the peak demand shifts from
+// pool to pool, and empties machines for them. Idle machines that no pool needs go to the spare
+// pool, where they are switched off and cost nothing.
 func (o *owner) planMoves() {
-	moving := o.pendingMoves()
-	need := o.fleet.machinesNeeded
-	maxMoves := max(minMoveLimit, int(maxMovingFraction*float64(len(o.fleet.machineIDs))))
-	surplus := o.surplusMachines(need)
+	pending := o.pendingMoves()
+	maxMoves := max(minMoveLimit, int(maxMovingFraction*float64(len(o.fleet.machineIDs)))) - pending
+	pools := o.poolStates()
+	urgent := slices.ContainsFunc(pools, func(p poolplan.Pool) bool { return p.Need > 0 && p.Urgent > 0 })
+	machines := o.movableMachines(urgent && o.fleet.preemptTokens >= 1)
 	o.clearReservations()
-	for _, p := range o.poolsByWaitTime(need) {
-		missing := need[p]
-		for missing > 0 && moving < maxMoves && o.fleet.orderTokens >= 1 {
-			m := o.takeSurplus(surplus, p)
-			if m == nil {
-				break
+	limits := poolplan.Limits{Moves: min(maxMoves, int(o.fleet.orderTokens)), Preemptions: int(o.fleet.preemptTokens)}
+	plan := poolplan.Make(o.fleet.policy, pools, machines, limits)
+	for _, a := range plan.Moves {
+		o.scheduleOrder(o.fleet.machines[o.fleet.machineIDs[a.Machine]], OrderMove, a.To, 0)
+		maxMoves--
+	}
+	for _, a := range plan.Empty {
+		m := o.fleet.machines[o.fleet.machineIDs[a.Machine]]
+		m.reserved, o.workerOf(m).cordoned = true, true
+	}
+	for _, a := range plan.Preempt {
+		o.preempt(o.fleet.machines[o.fleet.machineIDs[a.Machine]], a.To)
+	}
+	o.switchOffIdle(o.surplusMachines(o.fleet.machinesNeeded), maxMoves)
+}
+
+// poolStates describes the pools for the plan.
+func (o *owner) poolStates() []poolplan.Pool {
+	sizes, moving := o.machinesForFiniteTasks(), o.movingCapacity()
+	o.fleet.dueWork = o.dueWork()
+	pools := make([]poolplan.Pool, 0, len(o.s.config.Pools))
+	for i := range o.s.config.Pools {
+		id := o.s.config.Pools[i].Name
+		pools = append(pools, poolplan.Pool{
+			ID: id, Spare: o.s.config.Pools[i].Spare, Size: sizes[id] + moving[id], Need: float64(o.fleet.machinesNeeded[id]),
+			Own:    max(o.fleet.dueWork[id]/(1-packingLossFraction), float64(o.forecastMachines(id))),
+			Urgent: o.demand[id].urgentMachines/(1-packingLossFraction) - moving[id],
+		})
+	}
+	return pools
+}
+
+// dueWork is the capacity, in typical machines, with which the jobs of each pool meet their
+// objectives: the remaining work of each job divided by the time left for it.
+func (o *owner) dueWork() map[vocab.PoolID]float64 {
+	capacity := o.fleet.typicalCapacity()
+	sum := map[vocab.PoolID]float64{}
+	for _, j := range o.jobOrder {
+		if j.terminalPhase != 0 || j.hasLongRunningTasks() {
+			continue
+		}
+		_, _, path := o.workAmounts(j)
+		left := max(path, path+o.times(j, path).slack())
+		if left <= 0 {
+			continue
+		}
+		for _, occ := range j.occurrences {
+			for _, st := range occ.steps {
+				if perMachine := st.tasksPerMachine(capacity); perMachine > 0 {
+					runTime := o.estimates.runTime(j.acceptance.Queue, st.spec.EstimateMS)
+					sum[o.poolOf(j)] += float64(len(st.tasks)-st.completed) / float64(perMachine) * runTime.Seconds() / left.Seconds()
+				}
 			}
-			o.scheduleOrder(m, OrderMove, p, 0)
-			missing--
-			moving++
 		}
-		o.reserveMachines(p, missing)
 	}
-	o.switchOffIdle(surplus, maxMoves-moving)
+	return sum
+}
+
+// movableMachines lists the machines that could leave their pools: idle ones, the longest idle
+// of each pool last, and those that run only finite tasks; with preempt, which of these may be
+// stopped.
+func (o *owner) movableMachines(preempt bool) []poolplan.Machine {
+	var list []poolplan.Machine
+	indexes := make(map[*machine]int, len(o.fleet.machineIDs))
+	for i, id := range o.fleet.machineIDs {
+		indexes[o.fleet.machines[id]] = i
+	}
+	idle := o.surplusMachines(nil)
+	for i := range o.s.config.Pools {
+		for _, m := range idle[o.s.config.Pools[i].Name] {
+			list = append(list, poolplan.Machine{Index: indexes[m], Pool: m.info.Pool, Capacity: o.fleet.relativeCapacity(m)})
+		}
+	}
+	for i, id := range o.fleet.machineIDs {
+		m := o.fleet.machines[id]
+		if w := o.workerOf(m); w != nil && o.mayEmpty(m, w) {
+			list = append(list, poolplan.Machine{
+				Index: i, Pool: m.info.Pool, Capacity: o.fleet.relativeCapacity(m), EmptyIn: o.emptyIn(w), Tasks: len(w.tasks), Preemptible: preempt && o.mayPreempt(w),
+				Free: float64(w.free().CPU) / float64(max(w.info.Capacity.CPU, 1)), Emptying: m.reserved,
+			})
+		}
+	}
+	return list
+}
+
+// mayEmpty reports whether a busy machine may be emptied for another pool.
+func (o *owner) mayEmpty(m *machine, w *worker) bool {
+	usable := w.usable(o.s.now)
+	if m.reserved && !m.orderPending && m.cordonedAt == 0 {
+		// Only the plan's own cordon keeps tasks away.
+		w.cordoned = false
+		usable = w.usable(o.s.now)
+		w.cordoned = true
+	}
+	return usable && !m.orderPending && m.cordonedAt == 0 && len(w.tasks) > 0 && w.orphaned == Resources{} &&
+		countFiniteTasks(w) == len(w.tasks)
 }
 
 // pendingMoves counts the moves that are not complete.
@@ -69,47 +153,29 @@
 // and its forecast work, in addition to those that are moving there. It is negative for a
 // pool that has more machines than the forecast requires.
 func (o *owner) machinesNeededByPool() map[vocab.PoolID]int {
-	need, moving := map[vocab.PoolID]int{}, map[vocab.PoolID]int{}
-	for _, id := range o.fleet.machineIDs {
-		if m := o.fleet.machines[id]; m.orderPending && m.order == OrderMove {
-			moving[m.targetPool]++
-		}
-	}
-	sizes := o.machinesForFiniteTasks()
+	need, moving, sizes := map[vocab.PoolID]int{}, o.movingCapacity(), o.machinesForFiniteTasks()
 	for i := range o.s.config.Pools {
 		p := o.s.config.Pools[i].Name
 		if o.s.config.Pools[i].Spare {
 			continue
 		}
-		need[p] = o.forecastMachines(p) - sizes[p] - moving[p]
+		need[p] = o.forecastMachines(p) - int(sizes[p]+moving[p])
 		if d := o.demand[p]; d.needsMachines() && o.s.now.Sub(d.waitingSince) > minWaitBeforeMove {
-			need[p] = max(need[p], d.machinesNeeded()-moving[p])
+			need[p] = max(need[p], d.machinesNeeded()-int(moving[p]))
 		}
 	}
 	return need
 }
 
-// poolsByWaitTime lists the pools that need machines, the one that waits longest first.
-func (o *owner) poolsByWaitTime(need map[vocab.PoolID]int) []vocab.PoolID {
-	var list []vocab.PoolID
-	for p, n := range need {
-		if n > 0 {
-			list = append(list, p)
-		}
-	}
-	since := func(p vocab.PoolID) vocab.Instant {
-		if d := o.demand[p]; d.needsMachines() {
-			return d.waitingSince
+// movingCapacity is the capacity, in typical machines, that is moving to each pool.
+func (o *owner) movingCapacity() map[vocab.PoolID]float64 {
+	moving := map[vocab.PoolID]float64{}
+	for _, id := range o.fleet.machineIDs {
+		if m := o.fleet.machines[id]; m.orderPending && m.order == OrderMove {
+			moving[m.targetPool] += o.fleet.relativeCapacity(m)
 		}
-		return o.s.now
 	}
-	slices.SortFunc(list, func(a, b vocab.PoolID) int {
-		if c := cmp.Compare(since(a), since(b)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a, b)
-	})
-	return list
+	return moving
 }
 
 const (
@@ -131,8 +197,17 @@
 	return Resources{}
 }
 
+// relativeCapacity is the capacity of a machine in typical machines.
+func (f *fleet) relativeCapacity(m *machine) float64 {
+	typical := f.typicalCapacity().CPU
+	if typical <= 0 || m.info.Capacity.CPU <= 0 {
+		return 1
+	}
+	return float64(m.info.Capacity.CPU) / float64(typical)
+}
+
 // surplusMachines lists the idle machines that may leave each pool, the longest idle last. A
-// pool keeps those that the forecast requires.
+// pool keeps a few of them and, if needs are given, those that the forecast requires.
 func (o *owner) surplusMachines(need map[vocab.PoolID]int) map[vocab.PoolID][]*machine {
 	surplus := map[vocab.PoolID][]*machine{}
 	size := map[vocab.PoolID]int{}
@@ -146,7 +221,7 @@
 		if m.idleSince == 0 || m.cordonedAt != 0 || w != nil && w.info.Draining {
 			continue
 		}
-		if !m.reserved && o.s.now.Sub(m.idleSince) < minIdleBeforeMove {
+		if (need != nil || !o.fleet.policy.EmptyByEnd) && !m.reserved && o.s.now.Sub(m.idleSince) < minIdleBeforeMove {
 			continue
 		}
 		surplus[m.info.Pool] = append(surplus[m.info.Pool], m)
@@ -156,34 +231,16 @@
 		if o.isSparePool(p) {
 			continue
 		}
-		keep := max(minIdleMachines, minPoolMachines-(size[p]-len(list)), len(list)+need[p])
+		keep := max(minIdleMachines, minPoolMachines-(size[p]-len(list)))
+		if need != nil {
+			keep = max(keep, len(list)+need[p])
+		}
 		surplus[p] = list[min(keep, len(list)):]
 	}
 	return surplus
 }
 
-// takeSurplus takes a surplus machine for a pool from the pool that has the most.
-func (o *owner) takeSurplus(surplus map[vocab.PoolID][]*machine, to vocab.PoolID) *machine {
-	var from vocab.PoolID
-	largest := 0
-	for p, list := range surplus {
-		if p == to || o.poolNeedsMachines(p) {
-			continue
-		}
-		if len(list) > largest || len(list) == largest && p < from {
-			from, largest = p, len(list)
-		}
-	}
-	if largest == 0 {
-		return nil
-	}
-	list := surplus[from]
-	m := list[len(list)-1]
-	surplus[from] = list[:len(list)-1]
-	return m
-}
-
-// clearReservations returns the reserved machines to their pools. reserveMachines reserves
+// clearReservations returns the machines that are being emptied to their pools. The plan chooses
 // them again if they are still needed.
 func (o *owner) clearReservations() {
 	for _, id := range o.fleet.machineIDs {
@@ -198,42 +255,6 @@
 	}
 }
 
-// reserveMachines cordons machines of other pools so that they become idle for a pool that
-// needs them. When the demand of a pool falls, its remaining tasks are spread over many
-// machines, and without a cordon no machine would stay idle for long. The machines with the
-// fewest tasks are chosen, as far as their pool has enough free capacity without them.
-func (o *owner) reserveMachines(to vocab.PoolID, missing int) {
-	if missing <= 0 {
-		return
-	}
-	free := map[vocab.PoolID]Resources{}
-	var candidates []*machine
-	for _, id := range o.fleet.machineIDs {
-		m := o.fleet.machines[id]
-		w := o.workerOf(m)
-		if w == nil || m.info.Pool == to || o.poolNeedsMachines(m.info.Pool) || !w.usable(o.s.now) {
-			continue
-		}
-		free[m.info.Pool] = free[m.info.Pool].Plus(w.free())
-		if !m.orderPending && m.cordonedAt == 0 && countFiniteTasks(w) == len(w.tasks) {
-			candidates = append(candidates, m)
-		}
-	}
-	slices.SortStableFunc(candidates, func(a, b *machine) int {
-		return cmp.Compare(len(o.workerOf(a).tasks), len(o.workerOf(b).tasks))
-	})
-	for _, m := range candidates {
-		w := o.workerOf(m)
-		remaining := free[m.info.Pool].Minus(w.free())
-		if missing == 0 || remaining.CPU < minIdleMachines*w.info.Capacity.CPU {
-			continue
-		}
-		free[m.info.Pool] = remaining
-		m.reserved, w.cordoned = true, true
-		missing--
-	}
-}
-
 // switchOffIdle moves machines that were idle for a long time to the spare pool.
 func (o *owner) switchOffIdle(surplus map[vocab.PoolID][]*machine, maxMoves int) {
 	spare := o.sparePool()
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core/event"
+	"github.com/sardinehead/sardinehead/internal/core/poolplan"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -110,7 +111,7 @@
 		s: s, fence: fence,
 		jobs: map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, teamUsage: map[vocab.TeamID]Resources{},
 		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), queueWork: newQueueWork(), teamRates: map[vocab.TeamID]*tokenBucket{},
-		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}},
+		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}, policy: poolplan.DefaultPolicy, shortages: map[vocab.PoolID]shortage{}},
 	}
 }
 
--- a/internal/core/job/poollog.go
+++ b/internal/core/job/poollog.go
@@ -14,6 +14,7 @@
 // millicores.
 type poolUsage struct {
 	machines, usable, idle        int
+	emptying                      int
 	capacity, longRunning, finite int64
 }
 
@@ -35,6 +36,9 @@
 			usage[w.info.Pool] = u
 		}
 		u.add(w, w.usable(o.s.now))
+		if m := o.fleet.machines[w.info.Machine]; m != nil && m.reserved {
+			u.emptying++
+		}
 	}
 	pools := make([]vocab.PoolID, 0, len(usage))
 	for p := range usage {
@@ -45,7 +49,7 @@
 		u := usage[p]
 		o.s.logEvent(LogPoolState, "pool", p, "machines", u.machines, "usable", u.usable, "idle", u.idle, "room", u.capacity,
 			"lasting", u.longRunning, "short", u.finite, "waiting", o.demand[p].waiting.CPU, "jobs", len(o.jobs),
-			"needed", o.fleet.machinesNeeded[p])
+			"needed", o.fleet.machinesNeeded[p], "emptying", u.emptying, "due", int(o.fleet.dueWork[p]))
 	}
 	o.logFleet()
 }
