Leave preemption off: it moves machines sooner, but earns nothing yet

The donor's jobs have little slack left there, so a stop makes one pool's job late instead of another's.

Change: Policy.Preempt is off by default.

--- a/internal/core/poolplan/poolplan.go
+++ b/internal/core/poolplan/poolplan.go
@@ -68,8 +68,9 @@
 	Preempt bool
 }
 
-// DefaultPolicy switches every part on.
-var DefaultPolicy = Policy{ShareShortage: true, EmptyByEnd: true, Preempt: true}
+// DefaultPolicy is the policy in use. Without slack in the donor's jobs a preemption only exchanges
+// late jobs of one pool for those of another, so it is off until jobs are started by slack.
+var DefaultPolicy = Policy{ShareShortage: true, EmptyByEnd: true}
 
 const (
 	// minLevelGap is the difference of two pools' levels from which the better served one
