--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -198,6 +198,8 @@
 	LogEvacuation
 	LogJobRefusedForLoad
 	LogConfigProblem
+	LogTasksPreempted
+	LogPoolSupplied
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -218,6 +220,8 @@
 	LogEvacuation:        "evacuation",
 	LogJobRefusedForLoad: "job refused for load",
 	LogConfigProblem:     "configuration problem",
+	LogTasksPreempted:    "tasks preempted",
+	LogPoolSupplied:      "pool supplied",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
