Placement that looks at what waits and what ends soon

Cause: everything is started as early as possible and by value per work alone, small tasks fill the gaps that large ones and gangs wait for, and best fit does not see when a worker becomes empty.

Change: package lookahead (pure): remaining run time by age from the learned spread of log(actual/expected), tasks of a step that have to run now, earliest common date of tasks on workers. In core/job: jobs that could wait for a machine to come are served after those that could not; an overdue job is served first 30 s after it lost its value, one of a pool at a time; tasksWantedNow asks for fewer machines for long slack while other pools wait; best fit adds the time by which a task prolongs a worker's use; up to four reservations of a pool for gangs and for tasks of half a worker, with backfill. Order of service moved to order.go. Each part can be turned off in lookaheadPolicy (tests). Event 633, reservations in the dump.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/sardinehead/sardinehead/internal/vocab"
@@ -26,6 +28,9 @@
 	terminalPhaseWritten bool
 	// firstSeenAt is the time when the owner first saw the job.
 	firstSeenAt vocab.Instant
+	// times is the position relative to the objective as of the time timesAt.
+	times   jobTimes
+	timesAt vocab.Instant
 }
 
 // occurrence is one execution of all steps of a job.
@@ -48,6 +53,9 @@
 	// advice.
 	tickets           map[WorkerID]ticket
 	adviceRequestedAt vocab.Instant
+	// runTime is the learned run time of a task as of the time runTimeAt.
+	runTime   time.Duration
+	runTimeAt vocab.Instant
 }
 
 // runState is the state of the last run of an assigned task.
--- a/internal/core/job/bench_test.go
+++ b/internal/core/job/bench_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -36,3 +37,29 @@
 		o.plan()
 	}
 }
+
+// BenchmarkPlanLargeFleet measures one placement pass over 3,000 workers that are in use,
+// with 600 waiting jobs of which some are too large for the free room.
+func BenchmarkPlanLargeFleet(b *testing.B) {
+	o := fleetOf(3000)
+	busy := newJob(o, "00000000000000ff", Step{Count: 8, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
+	for i, id := range o.workerIDs {
+		for range 8 + i%2 {
+			t := &task{step: busy.occurrences[0].steps[0]}
+			o.bind(t, o.workers[id], 1)
+			t.startedAt = o.s.now.Add(-time.Duration(i) * time.Millisecond)
+		}
+	}
+	for i := range 600 {
+		id := ID(fmt.Sprintf("%016x", i+1))
+		j := newJob(o, id, Step{Count: 8, Need: Resources{CPU: int64(1000 + 10*(i%500)), Memory: 1000}, EstimateMS: int64(300 + i)})
+		o.jobs[id], o.jobOrder = j, append(o.jobOrder, j)
+	}
+	o.plan()
+	b.ResetTimer()
+	b.ReportAllocs()
+	for range b.N {
+		o.s.now++
+		o.plan()
+	}
+}
--- a/internal/core/job/due.go
+++ b/internal/core/job/due.go
@@ -25,6 +25,15 @@
 	return overdueFactor*t.objective - t.age - t.remaining
 }
 
+// timesOf returns the position of a job as of now.
+func (o *owner) timesOf(j *activeJob) jobTimes {
+	if j.timesAt != o.s.now {
+		_, _, remaining := o.workAmounts(j)
+		j.times, j.timesAt = o.times(j, remaining), o.s.now
+	}
+	return j.times
+}
+
 // times returns the position of a job relative to its objective. remaining is the run time of
 // its longest remaining chain, as workAmounts returns it.
 func (o *owner) times(j *activeJob, remaining time.Duration) jobTimes {
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -30,7 +30,9 @@
 	Jobs    map[string]int `json:"jobs"`
 	Workers []WorkerDump   `json:"workers,omitempty"`
 	Waiting []PoolDump     `json:"waiting,omitempty"`
-	Waves   []WaveDump     `json:"waves,omitempty"`
+	// Reservations holds the dates of large tasks on named workers.
+	Reservations []ReservationDump `json:"reservations,omitempty"`
+	Waves        []WaveDump        `json:"waves,omitempty"`
 }
 
 // WorkerDump is the state of a worker as known to the owner.
@@ -94,6 +96,7 @@
 	for _, p := range slices.Sorted(maps.Keys(o.demand)) {
 		d.Waiting = append(d.Waiting, PoolDump{p, o.demand[p].waiting})
 	}
+	d.Reservations = o.dumpReservations()
 }
 
 // LogEvents returns the log events with their texts.
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -192,6 +192,7 @@
 	LogInternalError
 	LogRemoteNode
 	LogFleetState
+	LogRoomReserved
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -209,6 +210,7 @@
 	LogInternalError:    "internal error",
 	LogRemoteNode:       "remote node",
 	LogFleetState:       "fleet state",
+	LogRoomReserved:     "room reserved",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -48,5 +48,6 @@
 		630: "internal error",
 		631: "remote node",
 		632: "fleet state",
+		633: "room reserved",
 	}))
 }
--- /dev/null
+++ b/internal/core/job/order.go
@@ -0,0 +1,218 @@
+package job
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// candidate is a job with waiting tasks and its rank in the order of service.
+type candidate struct {
+	job   *activeJob
+	pool  vocab.PoolID
+	class int
+	score float64
+}
+
+// candidates lists the jobs with waiting tasks in the order of service.
+func (o *owner) candidates() []candidate {
+	var list []candidate
+	for _, j := range o.jobOrder {
+		if j.terminalPhase != 0 || !j.hasWaitingTasks() {
+			continue
+		}
+		list = append(list, o.rank(j))
+	}
+	promoteStarving(list)
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		if c := cmp.Compare(a.class, b.class); c != 0 {
+			return c
+		}
+		return cmp.Compare(b.score, a.score)
+	})
+	return list
+}
+
+// starvationBound is the time after which an overdue job counts as starving: a caller that
+// still waits after a lease and a change of owner has no other way to get its job done. One
+// starving job of each pool at a time, the oldest one, is served before all others.
+const starvationBound = 30 * time.Second
+
+// starves reports whether an overdue job waits for longer than starvationBound.
+func (t jobTimes) starves() bool { return t.known && t.slackUntilOverdue() < -starvationBound }
+
+// promoteStarving moves the oldest starving job of each pool to the front.
+func promoteStarving(list []candidate) {
+	oldest := map[vocab.PoolID]int{}
+	for i, c := range list {
+		if c.class != classOverdue || !c.job.times.starves() {
+			continue
+		}
+		if first, found := oldest[c.pool]; !found || c.job.acceptance.At < list[first].job.acceptance.At {
+			oldest[c.pool] = i
+		}
+	}
+	for _, i := range oldest {
+		list[i].class, list[i].score = classOnTime, math.Inf(1)
+	}
+}
+
+// hasWaitingTasks reports whether the job has tasks that could be placed now.
+func (j *activeJob) hasWaitingTasks() bool {
+	for _, occ := range j.occurrences {
+		for _, st := range occ.steps {
+			if st.waiting() > 0 && st.ready() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Service classes, served in this order. A job that can wait is on time even if it starts
+// only when more machines have come: jobs that cannot go first.
+const (
+	classLongRunning = iota
+	classOnTime
+	classCanWait
+	classOverRate
+	classLate
+	classOverdue
+)
+
+// takeRateToken takes a token for a new job from its team's bucket and reports whether there
+// was one. The bucket is refilled with as many tokens per second as the team's weight, so
+// that a team that submits many times its usual load does not delay the other teams.
+func (o *owner) takeRateToken(j *activeJob) bool {
+	if o.s.config == nil {
+		return true
+	}
+	team := o.s.config.teams[j.acceptance.Team]
+	if team == nil || team.Weight <= 0 {
+		return true
+	}
+	bucket := o.teamRates[team.Name]
+	if bucket == nil {
+		bucket = &tokenBucket{tokens: team.Weight * rateBurstWindow.Seconds(), refilledAt: j.acceptance.At}
+		o.teamRates[team.Name] = bucket
+	}
+	elapsed := max(0, float64(j.acceptance.At-bucket.refilledAt)/1000)
+	bucket.tokens = min(bucket.tokens+elapsed*team.Weight, team.Weight*rateBurstWindow.Seconds())
+	bucket.refilledAt = max(bucket.refilledAt, j.acceptance.At)
+	if bucket.tokens < 1 {
+		return false
+	}
+	bucket.tokens--
+	return true
+}
+
+// tokenBucket counts the jobs that a team may still submit within its rate.
+type tokenBucket struct {
+	tokens     float64
+	refilledAt Millis
+}
+
+// rateBurstWindow is the time for which unused tokens accumulate.
+const rateBurstWindow = 2 * time.Second
+
+// queueOf returns the queue of a job, or nil if it is no longer configured.
+func (o *owner) queueOf(j *activeJob) *Queue {
+	if o.s.config == nil {
+		return nil
+	}
+	return o.s.config.queues[j.acceptance.Queue]
+}
+
+// poolOf returns the pool that runs a job: the pool of its queue, or the pool recorded at
+// acceptance if the queue is no longer configured.
+func (o *owner) poolOf(j *activeJob) vocab.PoolID {
+	if q := o.queueOf(j); q != nil {
+		return q.Pool
+	}
+	return j.acceptance.Pool
+}
+
+// rank determines the position of a job in the order of service.
+func (o *owner) rank(j *activeJob) candidate {
+	c := candidate{job: j, pool: o.poolOf(j)}
+	if j.hasLongRunningTasks() {
+		c.class = classLongRunning
+		c.score = -float64(j.acceptance.At)
+		return c
+	}
+	total, remaining, remainingPath := o.workAmounts(j)
+	c.class = classOnTime
+	j.times, j.timesAt = o.times(j, remainingPath), o.s.now
+	if t := j.times; t.known {
+		switch {
+		case t.slackUntilOverdue() < 0:
+			c.class = classOverdue
+		case t.slack() < 0:
+			c.class = classLate
+		case j.overTeamRate:
+			c.class = classOverRate
+		case o.policy.shortSlackFirst && t.slack() > machineLead:
+			c.class = classCanWait
+		}
+	}
+	c.score = o.queueWork.value(j.acceptance.Queue, total) / max(remaining, minRemainingCoreSeconds)
+	return c
+}
+
+const (
+	// overdueFactor times the latency objective is the age at which a job has no value any
+	// more.
+	overdueFactor = 3
+	// minRemainingCoreSeconds bounds the score of a job that is nearly complete, in core-seconds.
+	minRemainingCoreSeconds = 0.05
+)
+
+// hasLongRunningTasks reports whether the job has long-running tasks.
+func (j *activeJob) hasLongRunningTasks() bool {
+	for i := range j.acceptance.Spec.Steps {
+		if j.acceptance.Spec.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// workAmounts returns the total and the remaining work of the job, in core-seconds, and the
+// run time of its longest remaining chain of dependent steps.
+func (o *owner) workAmounts(j *activeJob) (total, remaining float64, remainingPath time.Duration) {
+	for _, occ := range j.occurrences {
+		finish := make([]time.Duration, len(occ.steps))
+		for i, st := range occ.steps {
+			runTime := o.runTimeOf(st)
+			coreSeconds := float64(max(st.spec.Need.CPU, 1)) / 1000 * runTime.Seconds()
+			total += coreSeconds * float64(len(st.tasks))
+			remaining += coreSeconds * float64(len(st.tasks)-st.completed)
+			for _, before := range st.spec.After {
+				finish[i] = max(finish[i], finish[before])
+			}
+			if st.completed < len(st.tasks) {
+				finish[i] += runTime
+			}
+			remainingPath = max(remainingPath, finish[i])
+		}
+	}
+	return total, remaining, remainingPath
+}
+
+// criticalPath is the run time of the longest chain of dependent steps of one occurrence.
+func (o *owner) criticalPath(j *activeJob) time.Duration {
+	longest := make([]time.Duration, len(j.acceptance.Spec.Steps))
+	var path time.Duration
+	for i := range j.acceptance.Spec.Steps {
+		st := &j.acceptance.Spec.Steps[i]
+		for _, before := range st.After {
+			longest[i] = max(longest[i], longest[before])
+		}
+		longest[i] += o.estimates.runTime(j.acceptance.Queue, st.EstimateMS)
+		path = max(path, longest[i])
+	}
+	return path
+}
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -79,6 +79,8 @@
 	poolsLoggedAt    vocab.Instant
 	estimates        *runTimeModel
 	queueWork        *queueWork
+	policy           lookaheadPolicy
+	reservations     []*reservation
 	advicePending    bool // an advice request has no response yet
 	teamRates        map[vocab.TeamID]*tokenBucket
 	// offeredAt is the time when the ownership was last offered, offers the number of
@@ -107,7 +109,7 @@
 
 func newOwner(s *State, fence Fence) *owner {
 	return &owner{
-		s: s, fence: fence,
+		s: s, fence: fence, policy: defaultLookahead(),
 		jobs: map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, teamUsage: map[vocab.TeamID]Resources{},
 		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), queueWork: newQueueWork(), teamRates: map[vocab.TeamID]*tokenBucket{},
 		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}},
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -1,256 +1,132 @@
 package job
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
+// poolRoom is the room of one pool during a placement pass.
+type poolRoom struct {
+	workers []*worker
+	// tooLarge holds the sizes of tasks without further constraints that fitted on no worker.
+	// Room only shrinks during a pass, so larger tasks need not be tried.
+	tooLarge []Resources
+	// capacity is the largest capacity of a worker, once it is needed.
+	capacity Resources
+	// heldBack is set if a worker that held the current task was kept for a reservation.
+	heldBack bool
+}
+
 // plan places waiting tasks on workers. The demand of a pool may temporarily exceed its
 // capacity: jobs are then served by value per remaining work, and tasks are packed so that
 // large ones fit.
 func (o *owner) plan() {
-	pools := map[vocab.PoolID][]*worker{}
+	pools := map[vocab.PoolID]*poolRoom{}
 	for _, id := range o.workerIDs {
 		w := o.workers[id]
-		if w.usable(o.s.now) {
-			pools[w.info.Pool] = append(pools[w.info.Pool], w)
+		w.hold = nil
+		if !w.usable(o.s.now) {
+			continue
 		}
+		p := pools[w.info.Pool]
+		if p == nil {
+			p = &poolRoom{}
+			pools[w.info.Pool] = p
+		}
+		p.workers = append(p.workers, w)
 	}
+	o.refreshReservations()
 	d := newDemandCollector(o)
 	for _, c := range o.candidates() {
-		o.placeJob(c.job, pools[c.pool])
+		p := pools[c.pool]
+		if p == nil {
+			p = &poolRoom{}
+			pools[c.pool] = p
+		}
+		o.placeJob(c, p)
 		d.addJob(c.pool, c.job)
 	}
 	o.recordDemand(d.pools)
 }
 
-// candidate is a job with waiting tasks and its rank in the order of service.
-type candidate struct {
-	job   *activeJob
-	pool  vocab.PoolID
-	class int
-	score float64
-}
-
-// candidates lists the jobs with waiting tasks in the order of service.
-func (o *owner) candidates() []candidate {
-	var list []candidate
-	for _, j := range o.jobOrder {
-		if j.terminalPhase != 0 || !j.hasWaitingTasks() {
-			continue
-		}
-		list = append(list, o.rank(j))
-	}
-	slices.SortStableFunc(list, func(a, b candidate) int {
-		if c := cmp.Compare(a.class, b.class); c != 0 {
-			return c
-		}
-		return cmp.Compare(b.score, a.score)
-	})
-	return list
-}
-
-// hasWaitingTasks reports whether the job has tasks that could be placed now.
-func (j *activeJob) hasWaitingTasks() bool {
-	for _, occ := range j.occurrences {
+// placeJob places as many of a job's waiting tasks as fit.
+func (o *owner) placeJob(c candidate, p *poolRoom) {
+	for _, occ := range c.job.occurrences {
 		for _, st := range occ.steps {
-			if st.waiting() > 0 && st.ready() {
-				return true
+			if st.waiting() <= 0 || !st.ready() {
+				continue
 			}
-		}
-	}
-	return false
-}
-
-// Service classes, served in this order.
-const (
-	classLongRunning = iota
-	classOnTime
-	classOverRate
-	classLate
-	classOverdue
-)
-
-// takeRateToken takes a token for a new job from its team's bucket and reports whether there
-// was one. The bucket is refilled with as many tokens per second as the team's weight, so
-// that a team that submits many times its usual load does not delay the other teams.
-func (o *owner) takeRateToken(j *activeJob) bool {
-	if o.s.config == nil {
-		return true
-	}
-	team := o.s.config.teams[j.acceptance.Team]
-	if team == nil || team.Weight <= 0 {
-		return true
-	}
-	bucket := o.teamRates[team.Name]
-	if bucket == nil {
-		bucket = &tokenBucket{tokens: team.Weight * rateBurstWindow.Seconds(), refilledAt: j.acceptance.At}
-		o.teamRates[team.Name] = bucket
-	}
-	elapsed := max(0, float64(j.acceptance.At-bucket.refilledAt)/1000)
-	bucket.tokens = min(bucket.tokens+elapsed*team.Weight, team.Weight*rateBurstWindow.Seconds())
-	bucket.refilledAt = max(bucket.refilledAt, j.acceptance.At)
-	if bucket.tokens < 1 {
-		return false
-	}
-	bucket.tokens--
-	return true
-}
-
-// tokenBucket counts the jobs that a team may still submit within its rate.
-type tokenBucket struct {
-	tokens     float64
-	refilledAt Millis
-}
-
-// rateBurstWindow is the time for which unused tokens accumulate.
-const rateBurstWindow = 2 * time.Second
-
-// queueOf returns the queue of a job, or nil if it is no longer configured.
-func (o *owner) queueOf(j *activeJob) *Queue {
-	if o.s.config == nil {
-		return nil
-	}
-	return o.s.config.queues[j.acceptance.Queue]
-}
-
-// poolOf returns the pool that runs a job: the pool of its queue, or the pool recorded at
-// acceptance if the queue is no longer configured.
-func (o *owner) poolOf(j *activeJob) vocab.PoolID {
-	if q := o.queueOf(j); q != nil {
-		return q.Pool
-	}
-	return j.acceptance.Pool
-}
-
-// rank determines the position of a job in the order of service.
-func (o *owner) rank(j *activeJob) candidate {
-	c := candidate{job: j, pool: o.poolOf(j)}
-	if j.hasLongRunningTasks() {
-		c.class = classLongRunning
-		c.score = -float64(j.acceptance.At)
-		return c
-	}
-	total, remaining, remainingPath := o.workAmounts(j)
-	c.class = classOnTime
-	if t := o.times(j, remainingPath); t.known {
-		switch {
-		case t.slackUntilOverdue() < 0:
-			c.class = classOverdue
-		case t.slack() < 0:
-			c.class = classLate
-		case j.overTeamRate:
-			c.class = classOverRate
-		}
-	}
-	c.score = o.queueWork.value(j.acceptance.Queue, total) / max(remaining, minRemainingCoreSeconds)
-	return c
-}
-
-const (
-	// overdueFactor times the latency objective is the age at which a job has no value any
-	// more.
-	overdueFactor = 3
-	// minRemainingCoreSeconds bounds the score of a job that is nearly complete, in core-seconds.
-	minRemainingCoreSeconds = 0.05
-)
-
-// hasLongRunningTasks reports whether the job has long-running tasks.
-func (j *activeJob) hasLongRunningTasks() bool {
-	for i := range j.acceptance.Spec.Steps {
-		if j.acceptance.Spec.Steps[i].LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
-// workAmounts returns the total and the remaining work of the job, in core-seconds, and the
-// run time of its longest remaining chain of dependent steps.
-func (o *owner) workAmounts(j *activeJob) (total, remaining float64, remainingPath time.Duration) {
-	for _, occ := range j.occurrences {
-		finish := make([]time.Duration, len(occ.steps))
-		for i, st := range occ.steps {
-			runTime := o.estimates.runTime(j.acceptance.Queue, st.spec.EstimateMS)
-			coreSeconds := float64(max(st.spec.Need.CPU, 1)) / 1000 * runTime.Seconds()
-			total += coreSeconds * float64(len(st.tasks))
-			remaining += coreSeconds * float64(len(st.tasks)-st.completed)
-			for _, before := range st.spec.After {
-				finish[i] = max(finish[i], finish[before])
+			placed := false
+			if st.spec.Gang {
+				placed = o.placeGang(st, p)
+			} else {
+				placed = o.placeTasks(st, p)
 			}
-			if st.completed < len(st.tasks) {
-				finish[i] += runTime
+			if !placed && c.class <= classOverRate {
+				o.reserve(st, c.pool, p)
 			}
-			remainingPath = max(remainingPath, finish[i])
 		}
 	}
-	return total, remaining, remainingPath
 }
 
-// criticalPath is the run time of the longest chain of dependent steps of one occurrence.
-func (o *owner) criticalPath(j *activeJob) time.Duration {
-	longest := make([]time.Duration, len(j.acceptance.Spec.Steps))
-	var path time.Duration
-	for i := range j.acceptance.Spec.Steps {
-		st := &j.acceptance.Spec.Steps[i]
-		for _, before := range st.After {
-			longest[i] = max(longest[i], longest[before])
+// placeTasks places waiting tasks of a step and reports whether all found a worker.
+func (o *owner) placeTasks(st *step, p *poolRoom) bool {
+	for _, t := range st.tasks {
+		if t.completed || t.worker != nil {
+			continue
+		}
+		best := o.chooseWorker(t, p)
+		if best == nil {
+			o.requestAdvice(st, p.workers)
+			return false
 		}
-		longest[i] += o.estimates.runTime(j.acceptance.Queue, st.EstimateMS)
-		path = max(path, longest[i])
+		o.place(t, best)
 	}
-	return path
+	return true
 }
 
-// placeJob places as many of a job's waiting tasks as fit.
-func (o *owner) placeJob(j *activeJob, workers []*worker) {
-	for _, occ := range j.occurrences {
-		for _, st := range occ.steps {
-			if st.waiting() <= 0 || !st.ready() {
-				continue
-			}
-			if st.spec.Gang {
-				o.placeGang(st, workers)
-				continue
-			}
-			for _, t := range st.tasks {
-				if t.completed || t.worker != nil {
-					continue
-				}
-				best := o.chooseWorker(t, workers)
-				if best == nil {
-					o.requestAdvice(st, workers)
-					break
-				}
-				o.assign(t, best)
-			}
-		}
+// place assigns a task to a worker and counts it in what is known about the worker's end.
+func (o *owner) place(t *task, w *worker) {
+	end := o.endAfterStart(t)
+	if w.hold != nil && w.hold.step != t.step {
+		w.hold.Add(end, sizeOf(t.step.spec.Reserved()))
 	}
+	known := o.endOf(w)
+	o.assign(t, w)
+	w.endsAt, w.endsTasks = max(known, end), len(w.tasks)
 }
 
 // chooseWorker selects the worker for a task by best fit: among the eligible workers with
-// enough free capacity, the one with the least capacity left.
-func (o *owner) chooseWorker(t *task, workers []*worker) *worker {
+// enough free capacity, the one with the least capacity left, and among similar ones one
+// that is in use as long anyway.
+func (o *owner) chooseWorker(t *task, p *poolRoom) *worker {
 	st := t.step
 	if !o.withinTeamLimit(st) {
 		return nil
 	}
 	need := st.spec.Reserved()
+	if p.knownTooLarge(need) {
+		return nil
+	}
 	hasAdvisor := o.advisorOf(st.job) != nil
-	rack := st.commonRack(workers)
+	rack := st.commonRack(p.workers)
+	end, size := o.endAfterStart(t), sizeOf(need)
+	p.heldBack = false
 	var best *worker
 	var bestScore float64
-	for _, w := range workers {
+	for _, w := range p.workers {
 		if !w.free().Holds(need) || !o.isEligible(t, w) {
 			continue
 		}
 		if _, valid := st.ticketFor(w, o.s.now); hasAdvisor && !valid {
 			continue
 		}
-		score := placementScore(st.spec, w)
+		if w.hold != nil && w.hold.step != st && !w.hold.Admits(end, size) {
+			p.heldBack = true
+			continue
+		}
+		score := placementScore(st.spec, w) + o.endScore(end, w)
 		if rack != "" && w.info.Rack != rack {
 			score += wrongRackPenalty
 		}
@@ -258,9 +134,33 @@
 			best, bestScore = w, score
 		}
 	}
+	if best == nil && !p.heldBack && !hasAdvisor && st.spec.Label == "" && t.maxPerWorker(o.s.now) == 0 {
+		p.tooLarge = append(p.tooLarge, need)
+	}
 	return best
 }
 
+// largest is the capacity of the largest worker, by each resource.
+func (p *poolRoom) largest() Resources {
+	if p.capacity == (Resources{}) {
+		for _, w := range p.workers {
+			c := w.info.Capacity
+			p.capacity = Resources{max(p.capacity.CPU, c.CPU), max(p.capacity.Memory, c.Memory), max(p.capacity.GPU, c.GPU)}
+		}
+	}
+	return p.capacity
+}
+
+// knownTooLarge reports whether a task that needs no more found no worker in this pass.
+func (p *poolRoom) knownTooLarge(need Resources) bool {
+	for _, size := range p.tooLarge {
+		if need.Holds(size) {
+			return true
+		}
+	}
+	return false
+}
+
 // withinTeamLimit reports whether the team's limit allows one more running task of the step.
 func (o *owner) withinTeamLimit(st *step) bool {
 	if o.s.config == nil {
@@ -348,11 +248,11 @@
 	return score
 }
 
-// placeGang places all tasks of a gang at once, or none of them. All members have the same
-// run number and checkpoint.
-func (o *owner) placeGang(st *step, workers []*worker) {
+// placeGang places all tasks of a gang at once, or none of them, and reports which. All
+// members have the same run number and checkpoint.
+func (o *owner) placeGang(st *step, p *poolRoom) bool {
 	if st.assigned > 0 || st.completed > 0 {
-		return
+		return true
 	}
 	var run Run
 	checkpoint := ""
@@ -364,21 +264,25 @@
 	}
 	for _, t := range st.tasks {
 		t.lastRun, t.checkpoint = run, checkpoint
-		best := o.chooseWorker(t, workers)
+		best := o.chooseWorker(t, p)
 		if best == nil {
-			o.requestAdvice(st, workers)
+			o.requestAdvice(st, p.workers)
 			o.releasePlanned(st)
-			return
+			p.tooLarge = nil
+			return false
 		}
-		o.assign(t, best)
+		o.place(t, best)
 	}
+	return true
 }
 
 // releasePlanned releases the tasks of a step whose start was not sent yet.
 func (o *owner) releasePlanned(st *step) {
 	for _, t := range st.tasks {
 		if t.worker != nil && t.state == runPlanned {
+			w := t.worker
 			o.release(t)
+			w.endsTasks = -1
 		}
 	}
 	o.planDue = false
--- a/internal/core/job/runtime_model.go
+++ b/internal/core/job/runtime_model.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/sardinehead/sardinehead/internal/core/lookahead"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -18,6 +19,8 @@
 // time, on x, the logarithm of the declared one.
 type regression struct {
 	n, sumX, sumY, sumXX, sumXY float64
+	// spread is what the expected run times leave unexplained.
+	spread lookahead.Spread
 }
 
 const (
@@ -41,6 +44,7 @@
 		r = &regression{}
 		m.queues[q] = r
 	}
+	r.spread.Observe(m.runTime(q, declaredMS), actual)
 	x, y := math.Log(float64(declaredMS)), math.Log(float64(actual.Milliseconds()+1))
 	r.n++
 	r.sumX += x
@@ -66,3 +70,11 @@
 	logEstimate := meanX + shift + slope*(math.Log(float64(max(declaredMS, 1)))-meanX)
 	return time.Duration(math.Exp(logEstimate)) * time.Millisecond
 }
+
+// spread is the standard deviation of the logarithm of actual to expected run time.
+func (m *runTimeModel) spread(q vocab.QueueID) float64 {
+	if r := m.queues[q]; r != nil {
+		return r.spread.Sigma()
+	}
+	return lookahead.Spread{}.Sigma()
+}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -44,6 +44,11 @@
 	cordoned bool
 	// leaving is set while an order takes the machine away.
 	leaving bool
+	// endsAt is the expected end of the last task, as of the time endsKnownAt and with
+	// endsTasks tasks; hold is what the current placement pass keeps free for a reservation.
+	endsAt, endsKnownAt vocab.Instant
+	endsTasks           int
+	hold                *workerHold
 	// resumeAt is the earliest time at which throttled tasks may resume.
 	resumeAt vocab.Instant
 }
