Poll an unreachable idle worker again after the end of its last task is stored

Cause: the action after the write of a run's end set the worker's next poll. If the worker had failed polls meanwhile and was idle, its retry was cancelled and it stayed unusable until it restarted or the owner changed.

Change: the action leaves the poll of a worker with failed polls to its retry.

--- a/internal/core/job/silent_workers_test.go
+++ b/internal/core/job/silent_workers_test.go
@@ -66,3 +66,24 @@
 	g.Expect(host.runs).To(gomega.HaveLen(1))
 	sim.report(t)
 }
+
+// TestUnreachableIdleWorkerIsPolledAgain: the ends of a worker's last tasks were written
+// while the worker was unreachable already. Its retry was cancelled with the write, and an
+// idle worker never became usable again (TestRandomFaults, seed 264: three of five workers).
+func TestUnreachableIdleWorkerIsPolledAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	w := o.workers["w0000"]
+	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 1000}, EstimateMS: 500})
+	o.assign(firstTask(j), w)
+	firstTask(j).state = runRunning
+	o.processEnds(w, []EndReport{{Number: 1, Task: firstTask(j).name(), Run: 1, End: EndCompleted}})
+	o.flush()
+	for range unreachableAfterPolls {
+		w.pollInFlight = true
+		o.handlePolled(Polled{Worker: w.info.ID, Outcome: NotDone})
+	}
+	o.handleAppended(Appended{ID: o.pendingAppend.id, Outcome: OK, SentAt: o.s.now})
+	g.Expect(w.ackedEnd).To(gomega.BeEquivalentTo(1))
+	g.Expect(w.nextPollAt).To(gomega.BeNumerically("<", o.s.now.Add(10*time.Second)))
+}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -324,7 +324,10 @@
 	o.afterWrite(func() {
 		if w.info.Incarnation == incarnation {
 			w.ackedEnd = max(w.ackedEnd, last)
-			o.schedulePoll(w)
+			// A worker that failed polls meanwhile is polled when its retry is due.
+			if w.failedPolls == 0 {
+				o.schedulePoll(w)
+			}
 		}
 	})
 }
