Overdue jobs ask for no machines while jobs with value wait in other pools

Cause: the backlog of a queue whose turn is over keeps asking for machines though its jobs have no value any more, while the next queue waits for them.

That condition counts waiting tasks of the last pass and no longer demand, so that two pools with overdue work do not silence each other in turns (test).

--- a/internal/core/job/lookahead.go
+++ b/internal/core/job/lookahead.go
@@ -108,13 +108,19 @@
 }
 
 // tasksWantedNow is the number of waiting tasks of a step that should start now for its job
-// to meet its objective. Pools whose queues are idle gain nothing from later starts.
+// to meet its objective. While other pools wait for machines, a job that has no value any
+// more gets none for itself, until it starves, and one with slack gets fewer.
 func (o *owner) tasksWantedNow(st *step) int {
-	if !o.policy.pacing || st.spec.LongRunning || st.spec.Gang || !o.otherPoolsWait(o.poolOf(st.job)) {
+	if !o.policy.pacing || st.spec.LongRunning || !o.otherPoolsWait(o.poolOf(st.job)) {
 		return st.waiting()
 	}
 	t := o.timesOf(st.job)
-	if !t.known || t.remaining <= 0 {
+	switch {
+	case !t.known || t.remaining <= 0 || t.starves():
+		return st.waiting()
+	case t.slackUntilOverdue() < 0:
+		return 0
+	case st.spec.Gang:
 		return st.waiting()
 	}
 	runTime := o.runTimeOf(st)
@@ -125,15 +131,10 @@
 	}.TasksWantedNow()
 }
 
-// otherPoolsWait reports whether tasks of another pool waited for machines in the last
+// otherPoolsWait reports whether tasks of another pool that have value waited after the last
 // placement pass.
 func (o *owner) otherPoolsWait(pool vocab.PoolID) bool {
-	for p, d := range o.demand {
-		if p != pool && d.needsMachines() {
-			return true
-		}
-	}
-	return false
+	return len(o.waitingPools) > 1 || len(o.waitingPools) == 1 && !o.waitingPools[pool]
 }
 
 // sizeOf converts resources for package lookahead.
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -37,7 +37,7 @@
 		p.workers = append(p.workers, w)
 	}
 	o.refreshReservations()
-	d := newDemandCollector(o)
+	d, waiting := newDemandCollector(o), map[vocab.PoolID]bool{}
 	for _, c := range o.candidates() {
 		p := pools[c.pool]
 		if p == nil {
@@ -46,7 +46,11 @@
 		}
 		o.placeJob(c, p)
 		d.addJob(c.pool, c.job)
+		if c.class < classOverdue && !waiting[c.pool] && c.job.hasWaitingTasks() {
+			waiting[c.pool] = true
+		}
 	}
+	o.waitingPools = waiting
 	o.recordDemand(d.pools)
 }
 
--- a/internal/core/lookahead/pace.go
+++ b/internal/core/lookahead/pace.go
@@ -12,18 +12,17 @@
 	// RunTime is the expected run time of one task, Sigma the spread of its logarithm.
 	RunTime time.Duration
 	Sigma   float64
-	// Slack is the time by which the step may start later and still be on time.
+	// Slack is the time by which the step may start later and still be on time, less the time
+	// that it takes to get room for the tasks that have to wait.
 	Slack time.Duration
-	// Lead is the time that it takes to get room for the tasks that have to wait.
-	Lead time.Duration
 }
 
 // TasksWantedNow is the number of waiting tasks that should start now. The tasks of a step
 // that starts at once take one run time; with slack, the same work is done on fewer machines
-// in one run time and the slack. What it leaves for later is asked for again while the slack
-// still covers the lead.
+// in one run time and the slack. What it leaves for later is asked for again as the slack
+// shrinks.
 func (p Pace) TasksWantedNow() int {
-	spare := p.Slack - p.Lead - p.lateness()
+	spare := p.Slack - p.lateness()
 	if spare <= 0 || p.RunTime <= 0 || p.Waiting <= 0 {
 		return p.Waiting
 	}
