Why a job waits: service class, slack and reservations in the dump and metrics

The dump lists the jobs that wait for the longest time with the class that decided their position in the last pass, their slack and whether tasks have a date, without changing the state. Gauges for reservations and the age of the oldest one.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -31,6 +31,8 @@
 	// times is the position relative to the objective as of the time timesAt.
 	times   jobTimes
 	timesAt vocab.Instant
+	// class is the service class in the last placement pass.
+	class int
 }
 
 // occurrence is one execution of all steps of a job.
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -32,7 +32,9 @@
 	Waiting []PoolDump     `json:"waiting,omitempty"`
 	// Reservations holds the dates of large tasks on named workers.
 	Reservations []ReservationDump `json:"reservations,omitempty"`
-	Waves        []WaveDump        `json:"waves,omitempty"`
+	// WaitingJobs holds the jobs that wait for the longest time.
+	WaitingJobs []WaitingJobDump `json:"waiting_jobs,omitempty"`
+	Waves       []WaveDump       `json:"waves,omitempty"`
 }
 
 // WorkerDump is the state of a worker as known to the owner.
@@ -96,7 +98,7 @@
 	for _, p := range slices.Sorted(maps.Keys(o.demand)) {
 		d.Waiting = append(d.Waiting, PoolDump{p, o.demand[p].waiting})
 	}
-	d.Reservations = o.dumpReservations()
+	d.Reservations, d.WaitingJobs = o.dumpReservations(), o.dumpWaitingJobs()
 }
 
 // LogEvents returns the log events with their texts.
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -44,6 +44,7 @@
 			p = &poolRoom{}
 			pools[c.pool] = p
 		}
+		c.job.class = c.class
 		o.placeJob(c, p)
 		d.addJob(c.pool, c.job)
 		if c.class < classOverdue && !waiting[c.pool] && c.job.hasWaitingTasks() {
--- a/internal/core/job/reservations.go
+++ b/internal/core/job/reservations.go
@@ -163,29 +163,3 @@
 	}
 	return room
 }
-
-// ReservationDump is a date on named workers for tasks that are too large for the free room.
-type ReservationDump struct {
-	Pool    vocab.PoolID `json:"pool"`
-	Job     ID           `json:"job"`
-	Step    int          `json:"step"`
-	Workers []WorkerID   `json:"workers"`
-	AgeMS   int64        `json:"age_ms"`
-	// InMS is the time until the room is expected to be free.
-	InMS int64 `json:"in_ms"`
-}
-
-func (o *owner) dumpReservations() []ReservationDump {
-	var list []ReservationDump
-	for _, r := range o.reservations {
-		d := ReservationDump{
-			Pool: r.pool, Job: r.step.job.record.ID, Step: r.step.number,
-			AgeMS: o.s.now.Sub(r.madeAt).Milliseconds(), InMS: max(r.at, o.s.now).Sub(o.s.now).Milliseconds(),
-		}
-		for _, w := range r.workers {
-			d.Workers = append(d.Workers, w.info.ID)
-		}
-		list = append(list, d)
-	}
-	return list
-}
--- a/internal/jobnode/metrics.go
+++ b/internal/jobnode/metrics.go
@@ -69,6 +69,8 @@
 		n.metrics.gauge("sardinehead_job_stream_offset", float64(d.Offset))
 		n.metrics.gauge("sardinehead_job_stream_read_age_seconds", float64(d.ReadAgeMS)/1000)
 		n.metrics.gauge("sardinehead_job_workers", float64(len(d.Workers)))
+		n.metrics.gauge("sardinehead_job_reservations", float64(len(d.Reservations)))
+		n.metrics.gauge("sardinehead_job_oldest_reservation_seconds", d.OldestReservation().Seconds())
 	})
 	if err != nil {
 		fmt.Fprintln(w, "#", err)
