--- a/internal/core/job/lookahead_test.go
+++ b/internal/core/job/lookahead_test.go
@@ -58,27 +58,31 @@
 
 func firstTask(j *activeJob) *task { return j.occurrences[0].steps[0].tasks[0] }
 
-// TestShortSlackIsServedFirst replays two kinds on one pool: long steps with three seconds of
-// slack took the whole pool, since their value per work is as high, and short ones with one
-// second of slack were late.
+// TestShortSlackIsServedFirst replays two kinds on one pool: eight small jobs of five seconds
+// with three seconds of slack took the whole pool, since their value per work is higher, and
+// a wide short one with one second of slack was late.
 func TestShortSlackIsServedFirst(t *testing.T) {
 	for _, on := range []bool{true, false} {
 		g := gomega.NewWithT(t)
-		o := fleetOf(2)
+		o := fleetOf(1)
 		o.policy.shortSlackFirst = on
-		long := addTestJob(o, 1, Step{Count: 16, Need: Resources{CPU: 1000, Memory: 100}, EstimateMS: 5000})
-		short := addTestJob(o, 2, Step{Count: 16, Need: Resources{CPU: 1000, Memory: 100}, EstimateMS: 640})
-		o.queueWork.observe("q", 80)
+		var long []*activeJob
+		for i := range 8 {
+			long = append(long, addTestJob(o, i, Step{Count: 1, Need: Resources{CPU: 1000, Memory: 100}, EstimateMS: 5000}))
+		}
+		short := addTestJob(o, 9, Step{Count: 8, Need: Resources{CPU: 1000, Memory: 100}, EstimateMS: 900})
 		o.plan()
-		if on {
-			g.Expect(short.assignedTasks).To(gomega.Equal(16))
-			g.Expect(long.assignedTasks).To(gomega.BeZero())
-			advance(o, 640*time.Millisecond)
-			g.Expect(long.assignedTasks).To(gomega.Equal(16))
-			g.Expect(o.timesOf(long).slack()).To(gomega.BeNumerically(">", 0), "what waited is on time as well")
-		} else {
-			advance(o, time.Millisecond)
-			g.Expect(short.assignedTasks < 16 || long.assignedTasks == 0).To(gomega.BeTrue())
+		advance(o, 900*time.Millisecond)
+		if !on {
+			advance(o, 500*time.Millisecond)
+			g.Expect(short.assignedTasks).To(gomega.BeZero())
+			g.Expect(o.timesOf(short).slack()).To(gomega.BeNumerically("<", 0))
+			continue
+		}
+		g.Expect(short.isComplete()).To(gomega.BeTrue())
+		for _, j := range long {
+			g.Expect(j.assignedTasks).To(gomega.Equal(1))
+			g.Expect(o.timesOf(j).slack()).To(gomega.BeNumerically(">", 0), "what waited is on time as well")
 		}
 	}
 }
