--- a/internal/core/job/door.go
+++ b/internal/core/job/door.go
@@ -159,7 +159,7 @@
 	}
 	j.ensureOccurrence(0)
 	c := o.rank(j)
-	if c.class == classOnTime && o.wouldExceedRate(a.Team) {
+	if c.class <= classCanWait && o.wouldExceedRate(a.Team) {
 		c.class = classOverRate
 	}
 	objective := o.times(j, 0).objective
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -30,7 +30,6 @@
 	Jobs    map[string]int `json:"jobs"`
 	Workers []WorkerDump   `json:"workers,omitempty"`
 	Waiting []PoolDump     `json:"waiting,omitempty"`
-	Waves   []WaveDump     `json:"waves,omitempty"`
 	// Evacuations are the evacuated availability zones. EvacuationsCurrent is false while the node
 	// last read the operators' requests too long ago to start tasks.
 	Evacuations        []EvacuationDump `json:"evacuations,omitempty"`
@@ -38,6 +37,11 @@
 	// RefusedForLoad is the number of jobs of each team that this owner refused because they
 	// could not be served in time.
 	RefusedForLoad map[vocab.TeamID]int `json:"refused_for_load,omitempty"`
+	// Reservations holds the dates of large tasks on named workers.
+	Reservations []ReservationDump `json:"reservations,omitempty"`
+	// WaitingJobs holds the jobs that wait for the longest time.
+	WaitingJobs []WaitingJobDump `json:"waiting_jobs,omitempty"`
+	Waves       []WaveDump       `json:"waves,omitempty"`
 }
 
 // WorkerDump is the state of a worker as known to the owner.
@@ -108,6 +112,7 @@
 	for _, p := range slices.Sorted(maps.Keys(o.demand)) {
 		d.Waiting = append(d.Waiting, o.dumpPool(p))
 	}
+	d.Reservations, d.WaitingJobs = o.dumpReservations(), o.dumpWaitingJobs()
 }
 
 func (o *owner) dumpPool(p vocab.PoolID) PoolDump {
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -200,6 +200,7 @@
 	LogConfigProblem
 	LogTasksPreempted
 	LogPoolSupplied
+	LogRoomReserved
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -222,6 +223,7 @@
 	LogConfigProblem:     "configuration problem",
 	LogTasksPreempted:    "tasks preempted",
 	LogPoolSupplied:      "pool supplied",
+	LogRoomReserved:      "room reserved",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/evacuation_test.go
+++ b/internal/core/job/evacuation_test.go
@@ -77,7 +77,7 @@
 	o.checkWorkers()
 	g.Expect(o.s.effects).To(gomega.ContainElement(gomega.BeAssignableToTypeOf(Stop{})))
 	g.Expect(o.s.effects).NotTo(gomega.ContainElement(gomega.BeAssignableToTypeOf(Start{})))
-	g.Expect(o.chooseWorker(planned, []*worker{o.workers["w2"]}).info.ID).To(gomega.Equal(WorkerID("w2")))
+	g.Expect(o.chooseWorker(planned, &poolRoom{workers: []*worker{o.workers["w2"]}}).info.ID).To(gomega.Equal(WorkerID("w2")))
 	o.plan()
 	g.Expect(planned.worker.info.ID).To(gomega.Equal(WorkerID("w2")))
 }
@@ -185,10 +185,10 @@
 	info.ColdLeft = 3 * time.Second
 	o.updateWorker(info)
 	w1.used = Resources{CPU: 1000, Memory: 1000} // best fit
-	g.Expect(o.chooseWorker(st.tasks[0], []*worker{w1, w2})).To(gomega.BeIdenticalTo(w2))
-	g.Expect(o.chooseWorker(st.tasks[0], []*worker{w1})).To(gomega.BeIdenticalTo(w1))
+	g.Expect(o.chooseWorker(st.tasks[0], &poolRoom{workers: []*worker{w1, w2}})).To(gomega.BeIdenticalTo(w2))
+	g.Expect(o.chooseWorker(st.tasks[0], &poolRoom{workers: []*worker{w1}})).To(gomega.BeIdenticalTo(w1))
 	o.s.now = o.s.now.Add(3 * time.Second)
-	g.Expect(o.chooseWorker(st.tasks[0], []*worker{w1, w2})).To(gomega.BeIdenticalTo(w1))
+	g.Expect(o.chooseWorker(st.tasks[0], &poolRoom{workers: []*worker{w1, w2}})).To(gomega.BeIdenticalTo(w1))
 }
 
 // TestEvacuationsWithFaults evacuates zones at random, also all of them, while owners are killed
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -53,5 +53,6 @@
 		635: "configuration problem",
 		636: "tasks preempted",
 		637: "pool supplied",
+		638: "room reserved",
 	}))
 }
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -80,11 +80,15 @@
 	poolsLoggedAt    vocab.Instant
 	// evacuationsLoggedAt is the time when the state of the evacuations was last logged.
 	evacuationsLoggedAt vocab.Instant
+	door                *door
 	estimates           *runTimeModel
 	queueWork           *queueWork
-	door                *door
-	advicePending       bool // an advice request has no response yet
-	teamRates           map[vocab.TeamID]*tokenBucket
+	policy              lookaheadPolicy
+	reservations        []*reservation
+	// waitingPools holds the pools whose tasks with value wait as of the last placement pass.
+	waitingPools  map[vocab.PoolID]bool
+	advicePending bool // an advice request has no response yet
+	teamRates     map[vocab.TeamID]*tokenBucket
 	// offeredAt is the time when the ownership was last offered, offers the number of
 	// offers.
 	offeredAt vocab.Instant
@@ -111,7 +115,7 @@
 
 func newOwner(s *State, fence Fence) *owner {
 	return &owner{
-		s: s, fence: fence,
+		s: s, fence: fence, policy: defaultLookahead(),
 		jobs: map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, teamUsage: map[vocab.TeamID]Resources{},
 		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), queueWork: newQueueWork(), door: newDoor(), teamRates: map[vocab.TeamID]*tokenBucket{},
 		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}, policy: poolplan.DefaultPolicy, shortages: map[vocab.PoolID]shortage{}},
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -48,6 +48,11 @@
 	coldUntil vocab.Instant
 	// leaving is set while an order takes the machine away.
 	leaving bool
+	// endsAt is the expected end of the last task, as of the time endsKnownAt and with
+	// endsTasks tasks; hold is what the current placement pass keeps free for a reservation.
+	endsAt, endsKnownAt vocab.Instant
+	endsTasks           int
+	hold                *workerHold
 	// resumeAt is the earliest time at which throttled tasks may resume.
 	resumeAt vocab.Instant
 }
@@ -323,7 +328,10 @@
 	o.afterWrite(func() {
 		if w.info.Incarnation == incarnation {
 			w.ackedEnd = max(w.ackedEnd, last)
-			o.schedulePoll(w)
+			// A worker that failed polls meanwhile is polled when its retry is due.
+			if w.failedPolls == 0 {
+				o.schedulePoll(w)
+			}
 		}
 	})
 }
