--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/sardinehead/sardinehead/internal/vocab"
@@ -26,6 +28,11 @@
 	terminalPhaseWritten bool
 	// firstSeenAt is the time when the owner first saw the job.
 	firstSeenAt vocab.Instant
+	// times is the position relative to the objective as of the time timesAt.
+	times   jobTimes
+	timesAt vocab.Instant
+	// class is the service class in the last placement pass.
+	class int
 }
 
 // occurrence is one execution of all steps of a job.
@@ -48,6 +55,9 @@
 	// advice.
 	tickets           map[WorkerID]ticket
 	adviceRequestedAt vocab.Instant
+	// runTime is the learned run time of a task as of the time runTimeAt.
+	runTime   time.Duration
+	runTimeAt vocab.Instant
 }
 
 // runState is the state of the last run of an assigned task.
@@ -93,6 +103,8 @@
 	// startsSent counts the copies of the start that were sent, startsUnanswered those
 	// without a response.
 	startsSent, startsUnanswered int
+	// preemptions counts the stops in favour of another pool.
+	preemptions int
 	// lostRuns holds the runs that were marked as lost and whose end is not known.
 	lostRuns []Run
 }
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -30,7 +30,18 @@
 	Jobs    map[string]int `json:"jobs"`
 	Workers []WorkerDump   `json:"workers,omitempty"`
 	Waiting []PoolDump     `json:"waiting,omitempty"`
-	Waves   []WaveDump     `json:"waves,omitempty"`
+	// Evacuations are the evacuated availability zones. EvacuationsCurrent is false while the node
+	// last read the operators' requests too long ago to start tasks.
+	Evacuations        []EvacuationDump `json:"evacuations,omitempty"`
+	EvacuationsCurrent bool             `json:"evacuations_current"`
+	// RefusedForLoad is the number of jobs of each team that this owner refused because they
+	// could not be served in time.
+	RefusedForLoad map[vocab.TeamID]int `json:"refused_for_load,omitempty"`
+	// Reservations holds the dates of large tasks on named workers.
+	Reservations []ReservationDump `json:"reservations,omitempty"`
+	// WaitingJobs holds the jobs that wait for the longest time.
+	WaitingJobs []WaitingJobDump `json:"waiting_jobs,omitempty"`
+	Waves       []WaveDump       `json:"waves,omitempty"`
 }
 
 // WorkerDump is the state of a worker as known to the owner.
@@ -52,6 +63,11 @@
 type PoolDump struct {
 	Pool    vocab.PoolID `json:"pool"`
 	Waiting Resources    `json:"waiting"`
+	// Jobs and CoreSeconds are the finite jobs that wait and their remaining work, Cores the
+	// capacity that may serve them.
+	Jobs        int `json:"jobs"`
+	CoreSeconds int `json:"core_seconds"`
+	Cores       int `json:"cores"`
 }
 
 // WaveDump is the progress of a maintenance wave.
@@ -77,6 +93,7 @@
 		w := s.waves[number]
 		d.Waves = append(d.Waves, WaveDump{number, len(w.wave.Machines), len(w.done), w.reportedComplete})
 	}
+	d.Evacuations, d.EvacuationsCurrent = s.dumpEvacuations(), s.evacuationsCurrent()
 	if s.owner != nil {
 		s.owner.dump(&d)
 	}
@@ -91,9 +108,22 @@
 			Free: w.free(), Failures: w.failedPolls, Silent: w.silent, LeaseLeftMS: w.leaseUntil.Sub(o.s.now).Milliseconds(),
 		})
 	}
+	d.RefusedForLoad = maps.Clone(o.door.refusals)
 	for _, p := range slices.Sorted(maps.Keys(o.demand)) {
-		d.Waiting = append(d.Waiting, PoolDump{p, o.demand[p].waiting})
+		d.Waiting = append(d.Waiting, o.dumpPool(p))
 	}
+	d.Reservations, d.WaitingJobs = o.dumpReservations(), o.dumpWaitingJobs()
+}
+
+func (o *owner) dumpPool(p vocab.PoolID) PoolDump {
+	dump := PoolDump{Pool: p, Waiting: o.demand[p].waiting}
+	if backlog := o.door.pools[p]; backlog != nil {
+		dump.Jobs, dump.Cores = len(backlog.jobs), int(backlog.cores)
+		for _, c := range backlog.jobs {
+			dump.CoreSeconds += int(c.remaining)
+		}
+	}
+	return dump
 }
 
 // LogEvents returns the log events with their texts.
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -48,5 +48,11 @@
 		630: "internal error",
 		631: "remote node",
 		632: "fleet state",
+		633: "evacuation",
+		634: "job refused for load",
+		635: "configuration problem",
+		636: "tasks preempted",
+		637: "pool supplied",
+		638: "room reserved",
 	}))
 }
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core/event"
+	"github.com/sardinehead/sardinehead/internal/core/poolplan"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -77,10 +78,17 @@
 	demand           map[vocab.PoolID]poolDemand
 	arrivals         map[vocab.PoolID]*arrivalRate
 	poolsLoggedAt    vocab.Instant
-	estimates        *runTimeModel
-	queueWork        *queueWork
-	advicePending    bool // an advice request has no response yet
-	teamRates        map[vocab.TeamID]*tokenBucket
+	// evacuationsLoggedAt is the time when the state of the evacuations was last logged.
+	evacuationsLoggedAt vocab.Instant
+	door                *door
+	estimates           *runTimeModel
+	queueWork           *queueWork
+	policy              lookaheadPolicy
+	reservations        []*reservation
+	// waitingPools holds the pools whose tasks with value wait as of the last placement pass.
+	waitingPools  map[vocab.PoolID]bool
+	advicePending bool // an advice request has no response yet
+	teamRates     map[vocab.TeamID]*tokenBucket
 	// offeredAt is the time when the ownership was last offered, offers the number of
 	// offers.
 	offeredAt vocab.Instant
@@ -107,10 +115,10 @@
 
 func newOwner(s *State, fence Fence) *owner {
 	return &owner{
-		s: s, fence: fence,
+		s: s, fence: fence, policy: defaultLookahead(),
 		jobs: map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, teamUsage: map[vocab.TeamID]Resources{},
-		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), queueWork: newQueueWork(), teamRates: map[vocab.TeamID]*tokenBucket{},
-		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}},
+		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), queueWork: newQueueWork(), door: newDoor(), teamRates: map[vocab.TeamID]*tokenBucket{},
+		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}, policy: poolplan.DefaultPolicy, shortages: map[vocab.PoolID]shortage{}},
 	}
 }
 
@@ -316,6 +324,7 @@
 	o.checkHealth()
 	o.checkWorkers()
 	o.logPools()
+	o.logEvacuations()
 	if o.s.now.Sub(o.claimsRemovedAt) > claimRemovalInterval {
 		o.removeClaims()
 	}
@@ -331,7 +340,7 @@
 	if o.s.owner != o || o.stage != stageActive {
 		return
 	}
-	if o.planDue && o.pendingAppend == nil && o.workersKnown && o.mayOrder() {
+	if o.planDue && o.pendingAppend == nil && o.workersKnown && o.mayStart() {
 		o.planDue, o.plannedAt = false, o.s.now
 		o.plan()
 	}
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -39,9 +39,11 @@
 	now      vocab.Instant
 	wall     Millis
 	config   *Config
-	ledger   *Ledger
-	stream   streamState
-	claim    claim
+	// evacuations are the availability zones in which nothing may start.
+	evacuations evacuations
+	ledger      *Ledger
+	stream      streamState
+	claim       claim
 	// directory is the node's view of the fleet's nodes.
 	directory directoryState
 	owner     *owner
@@ -113,6 +115,8 @@
 		s.tick()
 	case ConfigRead:
 		s.handleConfigRead(e)
+	case EvacuationsRead:
+		s.handleEvacuationsRead(e)
 	case WaveRequested:
 		s.handleWaveRequested(e)
 	case StreamLoaded:
@@ -164,6 +168,9 @@
 	}
 }
 
+// Config returns the configuration in force, or nil. It must not be modified.
+func (s *State) Config() *Config { return s.config }
+
 func (s *State) tick() {
 	s.tickDirectory()
 	s.followStream()
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -42,15 +42,24 @@
 	avoidUntil vocab.Instant
 	// cordoned is set while the worker gets no new tasks so that its machine becomes idle.
 	cordoned bool
+	// evacuated is set while the worker's availability zone is being evacuated.
+	evacuated bool
+	// coldUntil is the time until which the worker is slow after its restart.
+	coldUntil vocab.Instant
 	// leaving is set while an order takes the machine away.
 	leaving bool
+	// endsAt is the expected end of the last task, as of the time endsKnownAt and with
+	// endsTasks tasks; hold is what the current placement pass keeps free for a reservation.
+	endsAt, endsKnownAt vocab.Instant
+	endsTasks           int
+	hold                *workerHold
 	// resumeAt is the earliest time at which throttled tasks may resume.
 	resumeAt vocab.Instant
 }
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(now vocab.Instant) bool {
-	return w.listed && w.fenced && !w.info.Draining && !w.cordoned && !w.silent && w.failedPolls < unreachableAfterPolls && now >= w.avoidUntil
+	return w.listed && w.fenced && !w.info.Draining && !w.cordoned && !w.evacuated && !w.silent && w.failedPolls < unreachableAfterPolls && now >= w.avoidUntil
 }
 
 // free is the capacity that is neither reserved by tasks nor used by orphaned runs.
@@ -101,11 +110,12 @@
 		return
 	}
 	w.info, w.listed = info, true
+	w.evacuated, w.coldUntil = o.s.evacuations.contains(info.Zone), o.s.now.Add(info.ColdLeft)
 	o.workersByMachine[info.Machine] = w
 	if restarted {
 		o.handleRestart(w, info.Incarnation)
 	}
-	if !w.fenced {
+	if !w.fenced || w.failedPolls > 0 && w.nextPollAt == never {
 		w.pollBy(o.s.now)
 	}
 }
@@ -131,14 +141,13 @@
 func (o *owner) checkWorkers() {
 	inFlight := 0
 	var due []*worker
+	canLeaveZones := len(o.s.evacuations.zones) > 0 && o.canLeaveZones()
 	for _, id := range o.workerIDs {
 		w := o.workers[id]
 		o.expireLease(w)
 		o.resendStops(w)
 		o.resendStarts(w)
-		if w.info.Draining {
-			o.evacuate(w)
-		}
+		o.moveTasksOut(w, canLeaveZones)
 		switch {
 		case w.pollInFlight:
 			inFlight++
@@ -319,7 +328,10 @@
 	o.afterWrite(func() {
 		if w.info.Incarnation == incarnation {
 			w.ackedEnd = max(w.ackedEnd, last)
-			o.schedulePoll(w)
+			// A worker that failed polls meanwhile is polled when its retry is due.
+			if w.failedPolls == 0 {
+				o.schedulePoll(w)
+			}
 		}
 	})
 }
--- a/internal/jobnode/metrics.go
+++ b/internal/jobnode/metrics.go
@@ -46,6 +46,9 @@
 
 func (m *nodeMetrics) countLogEvent(e job.LogEvent) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`sardinehead_job_events_total{event=%q}`, e.ID.MetricLabel())).Inc()
+	if after, ok := e.Field("after_ms").(int64); ok && e.ID == job.LogPoolSupplied {
+		m.set.GetOrCreateHistogram("sardinehead_job_pool_shortage_seconds").Update(float64(after) / 1000)
+	}
 }
 
 func (m *nodeMetrics) observeAppend(o job.Outcome, latency time.Duration) {
@@ -68,7 +71,16 @@
 		n.metrics.gauge("sardinehead_job_config_version", float64(d.ConfigVersion))
 		n.metrics.gauge("sardinehead_job_stream_offset", float64(d.Offset))
 		n.metrics.gauge("sardinehead_job_stream_read_age_seconds", float64(d.ReadAgeMS)/1000)
+		n.metrics.gauge("sardinehead_job_evacuated_zones", float64(len(d.Evacuations)))
+		n.metrics.gauge("sardinehead_job_evacuations_current", boolToFloat(d.EvacuationsCurrent))
+		left := 0
+		for _, e := range d.Evacuations {
+			left += e.LongRunningTasks + e.FiniteTasks
+		}
+		n.metrics.gauge("sardinehead_job_evacuated_tasks", float64(left))
 		n.metrics.gauge("sardinehead_job_workers", float64(len(d.Workers)))
+		n.metrics.gauge("sardinehead_job_reservations", float64(len(d.Reservations)))
+		n.metrics.gauge("sardinehead_job_oldest_reservation_seconds", d.OldestReservation().Seconds())
 	})
 	if err != nil {
 		fmt.Fprintln(w, "#", err)
