Acknowledge ends only while no run can have ended on an unseen incarnation

Their acknowledgement was sent at 42.61, once they were on the stream, in a poll that waits for 400 ms for an end with a higher number. Starts of 17 runs reached the new incarnation meanwhile; they completed 250 ms later as its ends 1 to 17. When the wait was over, at 43.015, the worker dropped them as acknowledged, and listed neither the runs nor their ends. The owner learned of the restart, took the runs for lost and started 12 of them again elsewhere.

Change: an acknowledgement is sent, and the poll that has it waits, only within 100 ms of the oldest start that the worker has not listed yet. Otherwise a poll without one reads the incarnation first, and the acknowledgement follows at once. An acknowledgement in flight when the restart is listed no longer counts as confirmed by the new incarnation: its ends had then never been acknowledged.

Tests: the simulation carries out the wait of a poll, where a test asks for it (now also in TestRandomFaults), and gives polls the time at which they were sent. Ruled out: an error of the stand-in, a change of owner, the store.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -93,6 +93,8 @@
 	// startsSent counts the copies of the start that were sent, startsUnanswered those
 	// without a response.
 	startsSent, startsUnanswered int
+	// listed is set once the worker has listed the run.
+	listed bool
 	// lostRuns holds the runs that were marked as lost and whose end is not known.
 	lostRuns []Run
 }
--- a/internal/core/job/simulation_suite_test.go
+++ b/internal/core/job/simulation_suite_test.go
@@ -342,6 +342,7 @@
 	sim := newSimulation(seed, 3+rng.IntN(3), 5, faults{
 		loseAppend: rng.Float64() * 0.1, loseOrder: rng.Float64() * 0.1, lateOrder: rng.Float64() * 0.06, failTask: rng.Float64() * 0.1,
 	})
+	sim.pollsWait = true
 	if *printLines {
 		sim.trace = func(line string) { t.Log(line) }
 	}
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -40,6 +40,8 @@
 	starts     int
 	// advisedWorker is the only worker that the advisor allows, if the queue has an advisor.
 	advisedWorker WorkerID
+	// pollsWait is set if workers carry out the wait of a poll.
+	pollsWait bool
 	// trace, if set, receives the log events of all nodes.
 	trace func(string)
 }
@@ -290,8 +292,11 @@
 			n.listWorkers(incarnation)
 		}
 	case Poll:
-		sim.deliver(n, e.Worker, reply, func() event.Event { return sim.pollWorker(e, sim.now) }, func(o Outcome) event.Event {
-			return Polled{Worker: e.Worker, Outcome: o, SentAt: sim.now, ReceivedAt: sim.now}
+		sent := sim.now
+		sim.waitForEnd(e, e.Wait, func() {
+			sim.deliver(n, e.Worker, reply, func() event.Event { return sim.pollWorker(e, sent) }, func(o Outcome) event.Event {
+				return Polled{Worker: e.Worker, Outcome: o, SentAt: sent, ReceivedAt: sim.now}
+			})
 		})
 	case Start:
 		if sim.now >= e.Until {
@@ -524,6 +529,18 @@
 	})
 }
 
+// waitForEnd carries out a poll once its wait has passed or the worker has an end that the poll
+// doesn't acknowledge. If the worker restarts meanwhile, a later incarnation gets the poll.
+func (sim *simulation) waitForEnd(e Poll, wait time.Duration, carryOut func()) {
+	wk := sim.workers[e.Worker]
+	found := len(wk.ends) > 0 && wk.ends[len(wk.ends)-1].Number > e.Acked
+	if !sim.pollsWait || wait <= 0 || found || !wk.up || wk.unreachable {
+		carryOut()
+		return
+	}
+	sim.after(10*time.Millisecond, func() { sim.waitForEnd(e, wait-10*time.Millisecond, carryOut) })
+}
+
 func (sim *simulation) pollWorker(e Poll, sent vocab.Instant) event.Event {
 	wk, outcome := sim.reach(e.Worker, e.Fence)
 	if wk == nil {
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -25,8 +25,10 @@
 	// processed, ackedEnd of the last one that is on the stream and may be acknowledged, and
 	// confirmedEnd of the last one whose acknowledgement the worker has received.
 	ackedEnd, lastEnd, confirmedEnd int64
-	// ackInFlight is the number that the poll in flight acknowledges.
+	// ackInFlight is the number that the poll in flight acknowledges; ackWithheld is set if it
+	// does not acknowledge an end that is on the stream.
 	ackInFlight int64
+	ackWithheld bool
 	tasks       []*task
 	used        Resources
 	// orphaned is the reservation of orphaned runs: runs on the worker that are not assigned
@@ -123,6 +125,8 @@
 	o.s.logEvent(LogWorkerRestarted, "worker", w.info.ID, "born", incarnation)
 	w.info.Incarnation = incarnation
 	w.fenced, w.ackedEnd, w.lastEnd, w.confirmedEnd, w.orphaned = false, 0, 0, 0, Resources{}
+	// The response to a poll in flight says nothing about the ends of the new incarnation.
+	w.ackInFlight, w.ackWithheld = 0, false
 	w.pollBy(o.s.now)
 }
 
@@ -212,21 +216,14 @@
 	poll := Poll{
 		Worker: w.info.ID, Address: w.info.Address, Incarnation: w.info.Incarnation, Fence: o.fence, Until: o.leasesUntil,
 	}
-	if w.fenced && w.failedPolls == 0 && w.ackedEnd > w.confirmedEnd {
-		// A new incarnation numbers its ends from 1 again. If the restart is not known here
-		// yet, a number meant for the previous incarnation would make the worker drop ends
-		// that no owner has read. So each number is only sent until the worker has received
-		// it, and not after a failed poll.
-		poll.Acked = w.ackedEnd
-	}
-	w.ackInFlight = poll.Acked
+	o.acknowledge(w, &poll)
 	busy := len(w.tasks) > 0
 	if busy && w.fenced && w.failedPolls == 0 && !w.silent && o.s.now < o.leasesUntil {
 		poll.Lease = w.clockAt(o.s.now) + o.s.lease()
 		w.leaseUntil = max(w.leaseUntil, o.s.now.Add(o.s.maxLeaseSpan()))
 	}
 	if busy && w.fenced && w.failedPolls == 0 && w.lastEnd == w.ackedEnd {
-		poll.Wait = pollWait
+		poll.Wait = o.maxPollWait(w)
 	}
 	w.pollInFlight = true
 	o.s.emit(poll)
@@ -350,6 +347,7 @@
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
 	}
+	t.listed = true
 	t.progressPercent, t.tailLatencyMS, t.incarnation = r.ProgressPercent, r.TailLatencyMS, t.worker.info.Incarnation
 	if t.state == runStarting || t.state == runStartUnknown {
 		if t.startSentAt == 0 {
@@ -401,6 +399,8 @@
 // schedulePoll sets the time of the next poll and sends it if that time has come.
 func (o *owner) schedulePoll(w *worker) {
 	switch {
+	case w.ackWithheld:
+		w.nextPollAt = o.s.now
 	case w.lastEnd != w.ackedEnd:
 		// The ends have to be on the stream before the next poll acknowledges them, but the
 		// poll must not be so late that the lease expires.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,7 +32,8 @@
 // regressionSeeds are the seeds that once failed, each with its cause.
 var regressionSeeds = []uint64{
 	// 101: a restarted worker discarded run ends that no owner had read, because a poll
-	// repeated the acknowledged number of the worker's previous incarnation.
+	// repeated the acknowledged number of the worker's previous incarnation, and later because
+	// the first poll of the next incarnation had such a number and waited until runs had ended.
 	101,
 }
 
