standin: the first acknowledged completion of a task counts, not the last

A second acknowledged completion of a task replaced the time of the first one, so that the soak's check missed second runs whose own end was acknowledged as well. The check is stricter now.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -341,7 +341,9 @@
 			runsByTask[r.Task] = append(runsByTask[r.Task], r)
 		}
 		for task, at := range acknowledgedByWorker {
-			acknowledged[task] = at
+			if first, known := acknowledged[task]; !known || at.Before(first) {
+				acknowledged[task] = at
+			}
 		}
 	}
 	for task, runs := range runsByTask {
