A random test of the availability of steps: waves, remote nodes as owners, changes of owner

The simulation now has machines whose maintenance waves take them down, long-running tasks that serve after a warm-up, and stops that take up to 0.9 s in which the worker lists the run as before. The invariant is checked at each order that ends a serving task: fewer of its step are away than may be. 32 nodes, 28 of them remote, lose their owner, all nodes of a high CPU share, the store or workers.

--- /dev/null
+++ b/internal/core/job/simulation_fleet_test.go
@@ -0,0 +1,239 @@
+package job
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/core/event"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+const (
+	// warmUp is the time after its start from which a simulated long-running task is serving.
+	warmUp = 300 * time.Millisecond
+	// maintenanceTime is the time for which the maintenance of a simulated machine lasts.
+	maintenanceTime = 2 * time.Second
+	// awayNotice is the time for which a task that no order ended is not serving before it
+	// counts as away.
+	awayNotice = 4500 * time.Millisecond
+)
+
+// fakeFleet is the simulated machine list. It checks that orders interrupt no serving task while
+// as many others of its step as may be unavailable are away.
+type fakeFleet struct {
+	sim *simulation
+	// downUntil is the time at which the maintenance of a machine ends.
+	downUntil map[MachineID]vocab.Instant
+	// interrupted holds the tasks that an order ended, until they serve again; servedAt is
+	// the time when a task last served.
+	interrupted   map[TaskName]bool
+	servedAt      map[TaskName]vocab.Instant
+	observedFrom  vocab.Instant
+	interruptions int
+}
+
+// progress returns the progress of a run in percent: long-running tasks serve after a warm-up.
+func (sim *simulation) progress(r *fakeRun) int {
+	if sim.fleet == nil || sim.now.Sub(r.startedAt) < warmUp {
+		return 50
+	}
+	return 100
+}
+
+// observe records which tasks serve, every 10 ms.
+func (f *fakeFleet) observe() {
+	for _, wk := range f.sim.workers {
+		for name, r := range wk.runs {
+			if wk.up && !r.stopping && f.sim.progress(r) == 100 {
+				f.servedAt[name] = f.sim.now
+				delete(f.interrupted, name)
+			}
+		}
+	}
+	f.sim.after(10*time.Millisecond, f.observe)
+}
+
+// stopRun stops a run. The worker lists it as before until the stop has completed.
+func (f *fakeFleet) stopRun(wk *fakeWorker, name TaskName, r *fakeRun) {
+	f.interrupt(wk, name)
+	r.stopping = true
+	f.sim.after(time.Duration(f.sim.rng.Int64N(int64(900*time.Millisecond))), func() {
+		if wk.runs[name] == r {
+			f.sim.endRun(wk, name, r, EndStopped)
+		}
+	})
+}
+
+// interrupt checks an order that ends a task.
+func (f *fakeFleet) interrupt(wk *fakeWorker, name TaskName) {
+	sim := f.sim
+	spec := sim.jobs[name.Job].spec.Steps[name.Step]
+	if !spec.LongRunning || sim.progress(wk.runs[name]) < 100 || wk.runs[name].stopping || !wk.up {
+		return
+	}
+	f.interruptions++
+	away := 0
+	for i := range spec.Count {
+		other := TaskName{name.Job, name.Occurrence, name.Step, i}
+		if other != name && (f.interrupted[other] || sim.now.Sub(max(f.observedFrom, f.servedAt[other])) > awayNotice) {
+			away++
+		}
+	}
+	if away >= spec.MaxUnavailable {
+		sim.addViolation("%s is interrupted on %s while %d others of its step are away, and %d may be", name, wk.info.ID, away, spec.MaxUnavailable)
+	}
+	f.interrupted[name] = true
+}
+
+func (f *fakeFleet) execute(effect event.Effect, reply func(event.Event)) {
+	sim := f.sim
+	sent := sim.now
+	switch e := effect.(type) {
+	case ListMachines:
+		sim.after(sim.delay(), func() { reply(MachinesListed{OK: true, Machines: f.list(), SentAt: sent}) })
+	case WriteStatus:
+		reply(StatusWritten{Wave: e.Wave, Complete: e.Complete})
+	case OrderMachine:
+		lost := sim.rng.Float64() < sim.faults.loseOrder
+		sim.after(sim.delay(), func() {
+			if sim.now > e.Until {
+				reply(MachineOrderAnswered{Machine: e.Machine, Order: e.Order, Outcome: NotDone})
+				return
+			}
+			f.maintain(e.Machine)
+			if lost {
+				sim.after(800*time.Millisecond, func() { reply(MachineOrderAnswered{Machine: e.Machine, Order: e.Order, Outcome: Unknown}) })
+				return
+			}
+			reply(MachineOrderAnswered{Machine: e.Machine, Order: e.Order})
+		})
+	}
+}
+
+// list returns the machine list.
+func (f *fakeFleet) list() []MachineInfo {
+	var list []MachineInfo
+	for _, id := range f.sim.workerIDs {
+		wk := f.sim.workers[id]
+		if wk.info.Machine == "" {
+			continue
+		}
+		info := MachineInfo{ID: wk.info.Machine, Pool: "p", Capacity: wk.info.Capacity, Worker: id}
+		if f.downUntil[info.ID] > f.sim.now {
+			info.State, info.Worker = MachineInMaintenance, ""
+		}
+		list = append(list, info)
+	}
+	return list
+}
+
+// maintain takes a machine down; it returns with a new worker.
+func (f *fakeFleet) maintain(id MachineID) {
+	sim := f.sim
+	if f.downUntil[id] > sim.now {
+		return
+	}
+	f.downUntil[id] = sim.now.Add(maintenanceTime)
+	for _, workerID := range sim.workerIDs {
+		wk := sim.workers[workerID]
+		if wk.info.Machine != id {
+			continue
+		}
+		for _, name := range sortedNames(wk.runs) {
+			f.interrupt(wk, name)
+		}
+		wk.up, wk.runs = false, map[TaskName]*fakeRun{}
+		info := wk.info
+		sim.after(maintenanceTime, func() {
+			wk.info.Machine = ""
+			info.ID = WorkerID(fmt.Sprintf("w%03d", len(sim.workerIDs)))
+			info.Address = string(info.ID)
+			next := &fakeWorker{info: info}
+			sim.workerIDs = append(sim.workerIDs, info.ID)
+			sim.workers[info.ID] = next
+			sim.restartWorker(next)
+		})
+		return
+	}
+}
+
+// TestOrdersKeepStepsAvailable takes machines with long-running tasks down in waves, while
+// nodes fail and remote nodes become owners. Its invariant is checked at each order.
+func TestOrdersKeepStepsAvailable(t *testing.T) {
+	steps, interruptions := 0, 0
+	for seed := *firstSeed; seed < *firstSeed+uint64(max(1, *seeds/6)); seed++ {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		sim := newSimulation(seed, 0, 10, faults{loseAppend: rng.Float64() * 0.1, loseOrder: rng.Float64() * 0.1})
+		sim.pollsWait, sim.settings.Directory = true, true
+		sim.settings.MaxOrdersPerSecond, sim.settings.MinOrderGap = 20, 3*time.Second
+		sim.config.Teams[0].Limit = Resources{}
+		sim.fleet = &fakeFleet{sim: sim, downUntil: map[MachineID]vocab.Instant{}, interrupted: map[TaskName]bool{}, servedAt: map[TaskName]vocab.Instant{}}
+		for i := range minRemoteFleet + 2 {
+			n := &node{sim: sim, index: i, cpuShare: 0.2}
+			if i < 4 {
+				n.cpuShare = 0.8
+			}
+			sim.nodes = append(sim.nodes, n)
+			n.start()
+		}
+		sim.run(6 * time.Second)
+		for range 4 {
+			sim.submit(Spec{Steps: []Step{{
+				Count: 4 + rng.IntN(6), Need: Resources{CPU: 500, Memory: 64}, EstimateMS: 600_000, LongRunning: true,
+				MaxUnavailable: 1 + rng.IntN(3), MaxPerWorker: 1 + rng.IntN(2),
+			}}})
+		}
+		sim.fleet.observedFrom = sim.now
+		sim.fleet.observe()
+		sim.run(5 * time.Second)
+		sim.scheduleWaves(rng)
+		for range 10 {
+			at, duration := time.Duration(rng.Int64N(int64(50*time.Second))), time.Second+time.Duration(rng.Int64N(int64(5*time.Second)))
+			nodes := sim.nodes[:4]
+			if rng.IntN(3) == 0 {
+				nodes = sim.nodes
+			}
+			kind, all := []int{0, 1, 2, 3, 4, 5, 7}[rng.IntN(7)], rng.IntN(3) == 0
+			chosen, wk := rng.IntN(len(nodes)), sim.workers[sim.workerIDs[rng.IntN(len(sim.workerIDs))]]
+			sim.after(at, func() {
+				for i, n := range nodes {
+					if i == chosen || all && i < 4 || n.state.Owning() && n.up {
+						sim.injectFault(kind, n, wk, duration)
+					}
+				}
+			})
+		}
+		sim.run(70 * time.Second)
+		for _, v := range sim.violations {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+		steps += sim.seq
+		interruptions += sim.fleet.interruptions
+	}
+	t.Logf("%d calls, %d serving tasks interrupted", steps, interruptions)
+	if interruptions == 0 {
+		t.Error("no serving task was interrupted")
+	}
+}
+
+// scheduleWaves requests a wave of some machines every 12 s. Nodes read it again every second,
+// as one that has restarted does.
+func (sim *simulation) scheduleWaves(rng *rand.Rand) {
+	for number := range int64(5) {
+		wave := Wave{Number: number + 1, TimeLimit: 15 * time.Second, MaxDown: 1 + rng.IntN(3)}
+		for i := range 10 {
+			if rng.IntN(2) == 0 {
+				wave.Machines = append(wave.Machines, MachineID(fmt.Sprintf("w%03d", i)))
+			}
+		}
+		for second := number * 12; second < 70; second++ {
+			sim.after(time.Duration(second)*time.Second, func() {
+				for _, n := range sim.nodes {
+					n.post(n.incarnation, WaveRequested{Wave: wave})
+				}
+			})
+		}
+	}
+}
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -40,6 +40,8 @@
 	starts     int
 	// advisedWorker is the only worker that the advisor allows, if the queue has an advisor.
 	advisedWorker WorkerID
+	// fleet is the state of the machines, if the test has waves.
+	fleet *fakeFleet
 	// pollsWait is set if workers carry out the wait of a poll.
 	pollsWait bool
 	// trace, if set, receives the log events of all nodes.
@@ -116,8 +118,10 @@
 }
 
 type fakeRun struct {
-	run   Run
-	fails bool
+	run       Run
+	fails     bool
+	startedAt vocab.Instant
+	stopping  bool
 }
 
 type timer struct {
@@ -314,6 +318,10 @@
 			}
 		}
 		reply(advice)
+	case ListMachines, OrderMachine, WriteStatus:
+		if sim.fleet != nil {
+			sim.fleet.execute(effect, reply)
+		}
 	case Stop:
 		sim.deliver(n, e.Worker, reply, func() event.Event { return sim.stopRun(e) }, func(o Outcome) event.Event {
 			return StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Outcome: o}
@@ -561,7 +569,7 @@
 		Worker: e.Worker, Incarnation: wk.info.Incarnation, Clock: sim.clock(wk), Ended: slices.Clone(wk.ends), SentAt: sent, ReceivedAt: sim.now,
 	}
 	for _, name := range sortedNames(wk.runs) {
-		answer.Running = append(answer.Running, RunReport{Task: name, Run: wk.runs[name].run, ProgressPercent: 50})
+		answer.Running = append(answer.Running, RunReport{Task: name, Run: wk.runs[name].run, ProgressPercent: sim.progress(wk.runs[name])})
 	}
 	return answer
 }
@@ -605,7 +613,7 @@
 		sim.addViolation("%s started on %s with ticket %q", e.Task, e.Worker, e.Ticket)
 	}
 	sim.extendLease(wk, e.Lease)
-	r := &fakeRun{run: e.Run, fails: sim.rng.Float64() < sim.faults.failTask}
+	r := &fakeRun{run: e.Run, fails: sim.rng.Float64() < sim.faults.failTask, startedAt: sim.now}
 	wk.runs[e.Task] = r
 	sim.starts++
 	j := sim.jobs[e.Task.Job]
@@ -642,7 +650,11 @@
 	}
 	wk.fencedOff[e.Task] = max(wk.fencedOff[e.Task], e.Run)
 	if r := wk.runs[e.Task]; r != nil && r.run <= e.Run {
-		sim.endRun(wk, e.Task, r, EndStopped)
+		if sim.fleet != nil {
+			sim.fleet.stopRun(wk, e.Task, r)
+		} else {
+			sim.endRun(wk, e.Task, r, EndStopped)
+		}
 	}
 	return StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run}
 }
