--- a/internal/core/job/simulation_fleet_test.go
+++ b/internal/core/job/simulation_fleet_test.go
@@ -85,6 +85,19 @@
 		sim.addViolation("%s is interrupted on %s while %d others of its step are away, and %d may be", name, wk.info.ID, away, spec.MaxUnavailable)
 	}
 	f.interrupted[name] = true
+	if sim.rng.IntN(5) == 0 {
+		sim.after(sim.delay(), f.resignOwner)
+	}
+}
+
+// resignOwner makes the owner resign while its last orders are carried out, the moment at which the
+// next one knows least of them.
+func (f *fakeFleet) resignOwner() {
+	for _, n := range f.sim.nodes {
+		if n.up && n.state.Owning() {
+			f.sim.injectFault(7, n, nil, time.Second)
+		}
+	}
 }
 
 func (f *fakeFleet) execute(effect event.Effect, reply func(event.Event)) {
