--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -105,6 +105,8 @@
 	startsSent, startsUnanswered int
 	// preemptions counts the stops in favour of another pool.
 	preemptions int
+	// listed is set once the worker has listed the run.
+	listed bool
 	// lostRuns holds the runs that were marked as lost and whose end is not known.
 	lostRuns []Run
 }
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -40,6 +40,10 @@
 	starts     int
 	// advisedWorker is the only worker that the advisor allows, if the queue has an advisor.
 	advisedWorker WorkerID
+	// fleet is the state of the machines, if the test has waves.
+	fleet *fakeFleet
+	// pollsWait is set if workers carry out the wait of a poll.
+	pollsWait bool
 	// trace, if set, receives the log events of all nodes.
 	trace func(string)
 	// evacuated holds since when each availability zone is evacuated.
@@ -116,8 +120,10 @@
 }
 
 type fakeRun struct {
-	run   Run
-	fails bool
+	run       Run
+	fails     bool
+	startedAt vocab.Instant
+	stopping  bool
 }
 
 type timer struct {
@@ -292,8 +298,11 @@
 			n.listWorkers(incarnation)
 		}
 	case Poll:
-		sim.deliver(n, e.Worker, reply, func() event.Event { return sim.pollWorker(e, sim.now) }, func(o Outcome) event.Event {
-			return Polled{Worker: e.Worker, Outcome: o, SentAt: sim.now, ReceivedAt: sim.now}
+		sent := sim.now
+		sim.waitForEnd(e, e.Wait, func() {
+			sim.deliver(n, e.Worker, reply, func() event.Event { return sim.pollWorker(e, sent) }, func(o Outcome) event.Event {
+				return Polled{Worker: e.Worker, Outcome: o, SentAt: sent, ReceivedAt: sim.now}
+			})
 		})
 	case Start:
 		if sim.now >= e.Until {
@@ -311,6 +320,10 @@
 			}
 		}
 		reply(advice)
+	case ListMachines, OrderMachine, WriteStatus:
+		if sim.fleet != nil {
+			sim.fleet.execute(effect, reply)
+		}
 	case Stop:
 		sim.deliver(n, e.Worker, reply, func() event.Event { return sim.stopRun(e) }, func(o Outcome) event.Event {
 			return StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Outcome: o}
@@ -526,6 +539,18 @@
 	})
 }
 
+// waitForEnd carries out a poll once its wait has passed or the worker has an end that the poll
+// doesn't acknowledge. If the worker restarts meanwhile, a later incarnation gets the poll.
+func (sim *simulation) waitForEnd(e Poll, wait time.Duration, carryOut func()) {
+	wk := sim.workers[e.Worker]
+	found := len(wk.ends) > 0 && wk.ends[len(wk.ends)-1].Number > e.Acked
+	if !sim.pollsWait || wait <= 0 || found || !wk.up || wk.unreachable {
+		carryOut()
+		return
+	}
+	sim.after(10*time.Millisecond, func() { sim.waitForEnd(e, wait-10*time.Millisecond, carryOut) })
+}
+
 func (sim *simulation) pollWorker(e Poll, sent vocab.Instant) event.Event {
 	wk, outcome := sim.reach(e.Worker, e.Fence)
 	if wk == nil {
@@ -546,7 +571,7 @@
 		Worker: e.Worker, Incarnation: wk.info.Incarnation, Clock: sim.clock(wk), Ended: slices.Clone(wk.ends), SentAt: sent, ReceivedAt: sim.now,
 	}
 	for _, name := range sortedNames(wk.runs) {
-		answer.Running = append(answer.Running, RunReport{Task: name, Run: wk.runs[name].run, ProgressPercent: 50})
+		answer.Running = append(answer.Running, RunReport{Task: name, Run: wk.runs[name].run, ProgressPercent: sim.progress(wk.runs[name])})
 	}
 	return answer
 }
@@ -591,7 +616,7 @@
 		sim.addViolation("%s started on %s with ticket %q", e.Task, e.Worker, e.Ticket)
 	}
 	sim.extendLease(wk, e.Lease)
-	r := &fakeRun{run: e.Run, fails: sim.rng.Float64() < sim.faults.failTask}
+	r := &fakeRun{run: e.Run, fails: sim.rng.Float64() < sim.faults.failTask, startedAt: sim.now}
 	wk.runs[e.Task] = r
 	sim.starts++
 	j := sim.jobs[e.Task.Job]
@@ -628,7 +653,11 @@
 	}
 	wk.fencedOff[e.Task] = max(wk.fencedOff[e.Task], e.Run)
 	if r := wk.runs[e.Task]; r != nil && r.run <= e.Run {
-		sim.endRun(wk, e.Task, r, EndStopped)
+		if sim.fleet != nil {
+			sim.fleet.stopRun(wk, e.Task, r)
+		} else {
+			sim.endRun(wk, e.Task, r, EndStopped)
+		}
 	}
 	return StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,7 +32,8 @@
 // regressionSeeds are the seeds that once failed, each with its cause.
 var regressionSeeds = []uint64{
 	// 101: a restarted worker discarded run ends that no owner had read, because a poll
-	// repeated the acknowledged number of the worker's previous incarnation.
+	// repeated the acknowledged number of the worker's previous incarnation, and later because
+	// the first poll of the next incarnation had such a number and waited until runs had ended.
 	101,
 }
 
@@ -340,7 +341,9 @@
 			runsByTask[r.Task] = append(runsByTask[r.Task], r)
 		}
 		for task, at := range acknowledgedByWorker {
-			acknowledged[task] = at
+			if first, known := acknowledged[task]; !known || at.Before(first) {
+				acknowledged[task] = at
+			}
 		}
 	}
 	for task, runs := range runsByTask {
