Write acceptances with the owner's state while the store is slow

A partition takes one append at a time: the acceptances of the owner's callers and its own state took turns, and a first start waited for about four appends. While the owner's appends take over 0.1 s it now takes the callers' records into its next append, with the first intents of the accepted jobs. Nothing starts and no caller is answered before that append has succeeded; calls of an append without an answer in 2 s, or of a lost owner, are answered as unclear.

The simulation gets slow appends in half of the random plays.

--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -170,12 +170,15 @@
 	s.sendBatch()
 }
 
-// sendBatch sends the next batch unless another one is being appended or the pause for
-// a slow store has not passed.
+// sendBatch sends the next batch unless another one is being appended, the pause for a slow
+// store has not passed, or the owner writes the records.
 func (s *State) sendBatch() {
 	if len(s.batches) > 0 || len(s.nextBatch.records) == 0 || s.now < s.nextBatchFrom {
 		return
 	}
+	if s.owner != nil && s.owner.joinsBatches() {
+		return // The owner takes the records into its own next append.
+	}
 	batch := s.nextBatch
 	s.nextBatch = recordBatch{}
 	id := s.newAppendID()
@@ -220,21 +223,7 @@
 		}
 		return
 	}
-	for _, c := range batch.calls {
-		if c.call == 0 {
-			s.announced = false
-			continue
-		}
-		if s.callAppendFailed(c.call, e.Outcome == Unknown) {
-			continue
-		}
-		if e.Outcome == Unknown {
-			s.logEvent(LogJobRefused, "job", c.id, "why", "the append had no answer", "outcome", e.Outcome.String())
-			s.reply(Reply{Call: c.call, Answer: Unclear, Detail: "the job stream gave no answer"})
-			continue
-		}
-		s.refuse(c.call, c.id, "the job stream refused the append")
-	}
+	s.answerFailed(batch.calls, e.Outcome)
 	if e.Outcome == Unknown {
 		// The next batch was not sent, so its calls are certainly not carried out and
 		// can be refused at once.
@@ -249,6 +238,25 @@
 	}
 }
 
+// answerFailed answers calls whose append failed or has an unknown outcome.
+func (s *State) answerFailed(calls []waitingCall, outcome Outcome) {
+	for _, c := range calls {
+		if c.call == 0 {
+			s.announced = false
+			continue
+		}
+		if s.callAppendFailed(c.call, outcome == Unknown) {
+			continue
+		}
+		if outcome == Unknown {
+			s.logEvent(LogJobRefused, "job", c.id, "why", "the append had no answer", "outcome", outcome.String())
+			s.reply(Reply{Call: c.call, Answer: Unclear, Detail: "the job stream gave no answer"})
+			continue
+		}
+		s.refuse(c.call, c.id, "the job stream refused the append")
+	}
+}
+
 // foldBatch folds the records of this node's own append before they are read from the
 // stream, so that its callers can read their own writes.
 func (s *State) foldBatch(batch *recordBatch, e Appended) {
--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -222,6 +222,7 @@
 	}
 	s.logEvent(LogOwnershipLost, "fence", s.owner.fence, "why", reason)
 	s.claim.lostFence = s.owner.fence
+	s.owner.abandonBatch()
 	s.owner = nil
 	s.claim.ownerTimeoutFrom = s.now
 	s.emit(FollowWorkers{On: false})
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -36,6 +36,8 @@
 	// the last successful one.
 	pendingAppend *ownerAppend
 	appendLatency time.Duration
+	// joined holds the records for callers that the next append takes along, or is nil.
+	joined *recordBatch
 	// dirty lists the jobs whose state is not on the stream.
 	dirty []*activeJob
 	// changes is the number of the last change: it counts the jobs added to dirty.
@@ -96,6 +98,8 @@
 	id      uint64
 	records []Record
 	actions []func()
+	// batch holds the records for callers in the append, its first ones, or is nil.
+	batch   *recordBatch
 	retryAt vocab.Instant
 	// unanswered counts the attempts without a response; sentAt is the time when the last one was
 	// sent.
@@ -204,6 +208,9 @@
 		o.activateIfRead()
 		return
 	}
+	if sent.batch != nil {
+		o.s.batchAppended(sent.batch, e)
+	}
 	for _, run := range sent.actions {
 		if o.s.owner != o {
 			return
@@ -304,6 +311,7 @@
 
 func (o *owner) tick() {
 	o.repeatAppend()
+	o.answerOverdueCalls()
 	if o.stage != stageActive {
 		return
 	}
@@ -331,6 +339,9 @@
 	if o.s.owner != o || o.stage != stageActive {
 		return
 	}
+	if o.pendingAppend == nil {
+		o.takeBatch()
+	}
 	if o.planDue && o.pendingAppend == nil && o.workersKnown && o.mayOrder() {
 		o.planDue, o.plannedAt = false, o.s.now
 		o.plan()
--- a/internal/core/job/owner_append.go
+++ b/internal/core/job/owner_append.go
@@ -1,5 +1,7 @@
 package job
 
+import "slices"
+
 // The owner writes its state to the stream in appends of bounded size: the store
 // refuses appends that are too large, and the owner could never continue after one.
 
@@ -25,13 +27,19 @@
 
 // hasPendingWrites reports whether anything waits for the next append.
 func (o *owner) hasPendingWrites() bool {
-	return len(o.dirty) > 0 || len(o.extraRecords) > 0 || len(o.actions) > 0 || len(o.pendingOrders) > 0 || o.resigned
+	return len(o.dirty) > 0 || len(o.extraRecords) > 0 || len(o.actions) > 0 || len(o.pendingOrders) > 0 || o.joined != nil || o.resigned
 }
 
 // flush sends one append with as many of the changed jobs as it may hold. The others
 // wait for the next append.
 func (o *owner) flush() {
-	records := o.extraRecords
+	batch := o.joined
+	o.joined = nil
+	var records []Record
+	if batch != nil {
+		records = slices.Clone(batch.records)
+	}
+	records = append(records, o.extraRecords...)
 	o.extraRecords = nil
 	size := recordBytes(records)
 	count := 0
@@ -72,6 +80,7 @@
 		actions = append(actions, func() { o.s.loseOwnership("resigned") })
 	}
 	o.sendAppend(records, actions)
+	o.pendingAppend.batch = batch
 }
 
 // orderLogRecord returns the record of the orders since the last one.
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -206,6 +206,8 @@
 // Ledger is the state folded from the job stream.
 type Ledger struct {
 	Jobs map[ID]*JobRecord
+	// tentative holds the jobs whose acceptance this node, as the owner, is writing.
+	tentative map[ID]*JobRecord
 	// owner is the newest owner record, ownerFence its fence.
 	owner      ownerRecord
 	ownerFence Fence
@@ -228,7 +230,7 @@
 
 func newLedger() *Ledger {
 	return &Ledger{
-		Jobs: map[ID]*JobRecord{}, claims: map[string]bool{}, members: map[vocab.NodeID]memberRecord{},
+		Jobs: map[ID]*JobRecord{}, tentative: map[ID]*JobRecord{}, claims: map[string]bool{}, members: map[vocab.NodeID]memberRecord{},
 		silentUntil: map[WorkerID]vocab.Instant{}, lastOrders: map[MachineID]lastOrder{}, orderRecords: map[string]vocab.Instant{},
 	}
 }
@@ -236,7 +238,11 @@
 func (l *Ledger) job(id ID) *JobRecord {
 	job := l.Jobs[id]
 	if job == nil {
-		job = &JobRecord{ID: id, Phase: PhaseQueued}
+		job = l.tentative[id]
+		delete(l.tentative, id)
+		if job == nil {
+			job = &JobRecord{ID: id, Phase: PhaseQueued}
+		}
 		l.Jobs[id] = job
 	}
 	return job
--- a/internal/core/job/simulation_suite_test.go
+++ b/internal/core/job/simulation_suite_test.go
@@ -367,6 +367,16 @@
 		kind := sim.rng.IntN(9)
 		sim.after(at, func() { sim.injectFault(kind, n, wk, duration) })
 	}
+	if sim.rng.IntN(2) == 0 {
+		at := time.Duration(sim.rng.Int64N(int64(20 * time.Second)))
+		sim.after(at, func() { sim.slowStream(50*time.Millisecond+time.Duration(sim.rng.Int64N(int64(350*time.Millisecond))), 6*time.Second) })
+	}
+}
+
+// slowStream makes each append take a time for a duration.
+func (sim *simulation) slowStream(appendTime, duration time.Duration) {
+	sim.stream.appendTime = appendTime
+	sim.after(duration, func() { sim.stream.appendTime = 0 })
 }
 
 func (sim *simulation) injectFault(kind int, n *node, wk *fakeWorker, duration time.Duration) {
@@ -412,7 +422,7 @@
 // clearFaults ends all faults and restarts what is down.
 func (sim *simulation) clearFaults() {
 	sim.faults.loseAppend, sim.faults.loseOrder, sim.faults.lateOrder = 0, 0, 0
-	sim.stream.down = false
+	sim.stream.down, sim.stream.appendTime = false, 0
 	for _, n := range sim.nodes {
 		n.streamCut, n.workersCut = false, false
 		if !n.up {
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -410,7 +410,7 @@
 		n.sim.after(700*time.Millisecond, func() { reply(Appended{ID: e.ID, Outcome: Unknown, SentAt: sent}) })
 		return
 	}
-	if s.appendTime > 0 {
+	if s.appendTime > 0 || s.freeAt > n.sim.now {
 		n.slowAppend(e, sent, reply)
 		return
 	}
@@ -451,7 +451,7 @@
 			return Appended{Outcome: Fenced}
 		case e.Fence > s.fence:
 			s.fence, s.seq = e.Fence, e.Seq
-		case e.Seq == s.seq:
+		case e.Seq <= s.seq:
 			return Appended{Outcome: OK, Offset: end, End: end}
 		default:
 			s.seq = e.Seq
@@ -678,10 +678,16 @@
 
 // submit submits a job to a random node.
 func (sim *simulation) submit(spec Spec) ID {
+	id := sim.addJob(spec)
+	sim.trySubmit(id, 5)
+	return id
+}
+
+// addJob adds a job that no node knows yet.
+func (sim *simulation) addJob(spec Spec) ID {
 	id := ID(fmt.Sprintf("%016x", len(sim.jobIDs)+1))
 	sim.jobIDs = append(sim.jobIDs, id)
 	sim.jobs[id] = &fakeJob{spec: spec, completed: map[TaskName]bool{}, acknowledged: map[TaskName]bool{}, failed: map[TaskName]int{}}
-	sim.trySubmit(id, 5)
 	return id
 }
 
