Start later steps under a grant while the store is slow

Each later step of a job waited for an append with its intent: 0.6 s in the middle, 1.2 s for one in ten, at 0.27 s an append. A job's record written while the owner's appends take over 0.1 s now also grants run 1 of all its tasks that were never intended on up to 8 workers; such a start needs no append. A later owner holds these tasks until each worker has answered under its fence or its last possible lease has passed, adopts what a worker lists, counts held tasks towards the team's limit (docs/design/start-grants.md). Workers with ends that are not on the stream yet were polled each 0.4 s; while the store is slow it is 0.1 s.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -26,6 +26,9 @@
 	terminalPhaseWritten bool
 	// firstSeenAt is the time when the owner first saw the job.
 	firstSeenAt vocab.Instant
+	// grants holds the workers on which tasks may start under a grant, inherited those on
+	// which an earlier owner may have started some.
+	grants, inherited []*grant
 }
 
 // occurrence is one execution of all steps of a job.
@@ -195,7 +198,7 @@
 
 // taskRows returns the state to store of all tasks that have ever been placed.
 func (j *activeJob) taskRows() []taskRow {
-	var rows []taskRow
+	rows := j.grantRows()
 	for _, occ := range j.occurrences {
 		for _, st := range occ.steps {
 			if st.completed == len(st.tasks) {
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -31,6 +31,10 @@
 	Workers []WorkerDump   `json:"workers,omitempty"`
 	Waiting []PoolDump     `json:"waiting,omitempty"`
 	Waves   []WaveDump     `json:"waves,omitempty"`
+	// GrantedJobs is the number of jobs whose tasks may start without another append, HeldJobs
+	// of those that wait for workers on which an earlier owner may have started tasks.
+	GrantedJobs int `json:"granted_jobs,omitempty"`
+	HeldJobs    int `json:"held_jobs,omitempty"`
 }
 
 // WorkerDump is the state of a worker as known to the owner.
@@ -91,6 +95,14 @@
 			Free: w.free(), Failures: w.failedPolls, Silent: w.silent, LeaseLeftMS: w.leaseUntil.Sub(o.s.now).Milliseconds(),
 		})
 	}
+	for _, j := range o.jobOrder {
+		if len(j.grants) > 0 {
+			d.GrantedJobs++
+		}
+		if len(j.inherited) > 0 {
+			d.HeldJobs++
+		}
+	}
 	for _, p := range slices.Sorted(maps.Keys(o.demand)) {
 		d.Waiting = append(d.Waiting, PoolDump{p, o.demand[p].waiting})
 	}
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -74,6 +74,8 @@
 	teamUsage        map[vocab.TeamID]Resources // demand of the assigned tasks
 	planDue          bool                       // a placement pass is due
 	plannedAt        vocab.Instant              // when the last placement pass ran
+	grantsUsedAt     vocab.Instant              // when tasks were last started under grants
+	heldUsage        map[vocab.TeamID]Resources // demand of the tasks that an earlier owner may have started
 	finished         []*JobRecord               // kept until their retention has passed
 	fleet            fleet
 	demand           map[vocab.PoolID]poolDemand
@@ -112,7 +114,7 @@
 func newOwner(s *State, fence Fence) *owner {
 	return &owner{
 		s: s, fence: fence,
-		jobs: map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, teamUsage: map[vocab.TeamID]Resources{},
+		jobs: map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
 		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), queueWork: newQueueWork(), teamRates: map[vocab.TeamID]*tokenBucket{},
 		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}},
 	}
@@ -342,6 +344,7 @@
 	if o.pendingAppend == nil {
 		o.takeBatch()
 	}
+	o.startGranted()
 	if o.planDue && o.pendingAppend == nil && o.workersKnown && o.mayOrder() {
 		o.planDue, o.plannedAt = false, o.s.now
 		o.plan()
--- a/internal/core/job/owner_append.go
+++ b/internal/core/job/owner_append.go
@@ -112,6 +112,7 @@
 	if active.terminalPhaseWritten {
 		return nil
 	}
+	o.pruneGrants(active)
 	record, err := encodeProgress(active.record.ID, active.phase(), active.taskRows())
 	if err != nil {
 		o.s.logEvent(LogRecordUnreadable, "job", active.record.ID, "error", err.Error())
--- a/internal/core/job/owner_jobs.go
+++ b/internal/core/job/owner_jobs.go
@@ -35,6 +35,7 @@
 	for _, row := range rows {
 		o.restoreTasks(active, row)
 	}
+	o.inheritGrants(active, rows)
 	o.recordArrival(active)
 	if total, _, _ := o.workAmounts(active); !active.hasLongRunningTasks() {
 		o.queueWork.observe(active.acceptance.Queue, total)
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -20,8 +20,10 @@
 		}
 	}
 	d := newDemandCollector(o)
+	waiting := maxWaitingGranted
 	for _, c := range o.candidates() {
 		o.placeJob(c.job, pools[c.pool])
+		o.extendGrants(c.job, pools[c.pool], &waiting)
 		d.addJob(c.pool, c.job)
 	}
 	o.recordDemand(d.pools)
@@ -217,7 +219,7 @@
 				continue
 			}
 			for _, t := range st.tasks {
-				if t.completed || t.worker != nil {
+				if t.completed || t.worker != nil || t.held() {
 					continue
 				}
 				best := o.chooseWorker(t, workers)
@@ -270,7 +272,7 @@
 	if team == nil {
 		return true
 	}
-	use := o.teamUsage[team.Name].Plus(st.spec.Need)
+	use := o.teamUsage[team.Name].Plus(o.heldUsage[team.Name]).Plus(st.spec.Need)
 	limit := team.Limit
 	return (limit.CPU == 0 || use.CPU <= limit.CPU) && (limit.Memory == 0 || use.Memory <= limit.Memory) &&
 		(limit.GPU == 0 || use.GPU <= limit.GPU)
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -75,6 +75,8 @@
 	Worker        WorkerID `json:"w,omitempty"`
 	Incarnation   Millis   `json:"b,omitempty"`
 	Checkpoint    string   `json:"c,omitempty"`
+	// Grants is set in one row of the job, which describes no task: see grants.go.
+	Grants []grant `json:"g,omitempty"`
 }
 
 // ownerRecord renews the ownership of an owner, or ends it if Resigned is set.
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -201,6 +201,7 @@
 	if t == nil || t.completed {
 		return
 	}
+	o.adoptGranted(t, w, e.Run)
 	if t.worker != w || t.lastRun != e.Run {
 		o.handleLateEnd(t, e)
 		return
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -137,6 +137,9 @@
 	// pollRetryDelay times the number of failures the delay before later ones.
 	firstPollRetryDelay = 50 * time.Millisecond
 	pollRetryDelay      = 250 * time.Millisecond
+	// unackedPollInterval is the time between two polls of a worker with runs and with ends
+	// that are not on the stream yet, while the store is slow: such a worker responds at once.
+	unackedPollInterval = 100 * time.Millisecond
 	// stopRetryDelay is the delay before a stop is repeated.
 	stopRetryDelay = 400 * time.Millisecond
 	// startRepeatDelay is the time without a response after which a start is repeated:
--- a/internal/core/job/silent_workers.go
+++ b/internal/core/job/silent_workers.go
@@ -48,6 +48,7 @@
 		return
 	}
 	w.silent = true
+	o.revokeGrants(w)
 	o.extraRecords = append(o.extraRecords, silentRecord(w.info.ID, w.leaseUntil.Sub(o.s.now)))
 }
 
--- a/internal/core/job/simulation_suite_test.go
+++ b/internal/core/job/simulation_suite_test.go
@@ -369,7 +369,9 @@
 	}
 	if sim.rng.IntN(2) == 0 {
 		at := time.Duration(sim.rng.Int64N(int64(20 * time.Second)))
-		sim.after(at, func() { sim.slowStream(50*time.Millisecond+time.Duration(sim.rng.Int64N(int64(350*time.Millisecond))), 6*time.Second) })
+		sim.after(at, func() {
+			sim.slowStream(50*time.Millisecond+time.Duration(sim.rng.Int64N(int64(350*time.Millisecond))), 6*time.Second)
+		})
 	}
 }
 
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -38,6 +38,9 @@
 	// silent is set while the stream says that the worker's lease is not extended,
 	// silenceEnding while the removal of that record is being written.
 	silent, silenceEnding bool
+	// inheritedBy holds the jobs of which an earlier owner may have started tasks on the worker
+	// under a grant.
+	inheritedBy []*activeJob
 	// avoidUntil is the time before which the worker gets no new tasks after it refused a start.
 	avoidUntil vocab.Instant
 	// cordoned is set while the worker gets no new tasks so that its machine becomes idle.
@@ -173,7 +176,7 @@
 func (o *owner) removeGoneWorkers() {
 	o.workerIDs = slices.DeleteFunc(o.workerIDs, func(id WorkerID) bool {
 		w := o.workers[id]
-		if w.listed || w.pollInFlight || len(w.tasks) > 0 || o.s.now < w.leaseUntil {
+		if w.listed || w.pollInFlight || len(w.tasks) > 0 || len(w.inheritedBy) > 0 || o.s.now < w.leaseUntil {
 			return false
 		}
 		delete(o.workers, id)
@@ -186,6 +189,9 @@
 
 // expireLease marks the tasks of an unreachable worker as lost once its lease has expired.
 func (o *owner) expireLease(w *worker) {
+	if o.s.now >= w.leaseUntil && !w.fenced {
+		o.resolveGrants(w)
+	}
 	if len(w.tasks) == 0 || o.s.now < w.leaseUntil || w.fenced && w.failedPolls == 0 && w.listed {
 		return
 	}
@@ -269,6 +275,7 @@
 	w.clock, w.clockReadAt = e.Clock, e.ReceivedAt
 	o.processEnds(w, e.Ended)
 	o.reconcileRuns(w, e)
+	o.resolveGrants(w)
 	o.schedulePoll(w)
 }
 
@@ -283,6 +290,7 @@
 		for _, t := range slices.Clone(w.tasks) {
 			o.markLost(t, "another worker has the address")
 		}
+		o.resolveGrants(w)
 	}
 	w.failedPolls++
 	if w.failedPolls == unreachableAfterPolls && (w.listed || len(w.tasks) > 0) {
@@ -329,6 +337,9 @@
 	reported := make(map[*task]bool, len(e.Running))
 	w.orphaned = Resources{}
 	for _, r := range e.Running {
+		if j := o.jobs[r.Task.Job]; j != nil && j.terminalPhase == 0 {
+			o.adoptGranted(j.findTask(r.Task), w, r.Run)
+		}
 		t := o.assignedTask(w.info.ID, r.Task, r.Run)
 		if t == nil {
 			o.stopOrphan(w, r)
@@ -405,6 +416,10 @@
 		// The ends have to be on the stream before the next poll acknowledges them, but the
 		// poll must not be so late that the lease expires.
 		w.nextPollAt = o.s.now.Add(pollWait)
+		if len(w.tasks) > 0 && o.storeSlow() {
+			// Tasks that wait for the next end may start under a grant.
+			w.nextPollAt = o.s.now.Add(unackedPollInterval)
+		}
 	case len(w.tasks) > 0:
 		w.nextPollAt = o.s.now.Add(o.busyPollInterval())
 	case w.orphaned != Resources{}:
