Poll a worker again that did not respond while its ends were written

While a worker did not respond, the append of its ends scheduled its next poll as that of an idle one: never. It stayed unusable for good; with an owner cut off from all workers while the store was silent, all of them did. The same held for a worker without tasks that was unlisted for a time.

--- a/internal/core/job/grants_test.go
+++ b/internal/core/job/grants_test.go
@@ -106,6 +106,25 @@
 	g.Expect(sim.unfinished()).To(gomega.BeEmpty())
 }
 
+// TestUnreachableWorkerIsPolledAgain guards against workers that stay unreachable for good:
+// while they did not respond, their ends reached the stream, and no poll was scheduled.
+// Found by the simulation with slow appends, seed 660.
+func TestUnreachableWorkerIsPolledAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o, w := flushOwner()
+	w.lastEnd, w.ackedEnd = 1, 0
+	o.processEnds(w, []EndReport{{Number: 2, Task: TaskName{Job: "0"}, Run: 1, End: EndCompleted}})
+	w.pollInFlight, w.failedPolls = true, unreachableAfterPolls-1
+	o.handlePolled(Polled{Worker: w.info.ID, Outcome: NotDone})
+	o.flush()
+	o.completeAppend()
+	g.Expect(w.nextPollAt).NotTo(gomega.Equal(never))
+
+	w.nextPollAt = never // It was not listed for a time.
+	o.updateWorker(w.info)
+	g.Expect(w.nextPollAt).To(gomega.Equal(o.s.now))
+}
+
 // runsOn returns the worker on which a task runs, or nil.
 func (sim *simulation) runsOn(name TaskName) *fakeWorker {
 	for _, id := range sim.workerIDs {
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -108,7 +108,7 @@
 	if restarted {
 		o.handleRestart(w, info.Incarnation)
 	}
-	if !w.fenced {
+	if !w.fenced || w.failedPolls > 0 && w.nextPollAt == never {
 		w.pollBy(o.s.now)
 	}
 }
@@ -412,6 +412,8 @@
 // schedulePoll sets the time of the next poll and sends it if that time has come.
 func (o *owner) schedulePoll(w *worker) {
 	switch {
+	case w.failedPolls > 0:
+		return // The time of the next attempt is set.
 	case w.lastEnd != w.ackedEnd:
 		// The ends have to be on the stream before the next poll acknowledges them, but the
 		// poll must not be so late that the lease expires.
