--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -209,70 +209,6 @@
 	}
 }
 
-// batchAppended replies to the calls of a batch when its append has completed.
-func (s *State) batchAppended(batch *recordBatch, e Appended) {
-	if e.Outcome == OK {
-		s.foldBatch(batch, e)
-		for _, c := range batch.calls {
-			if c.call == 0 {
-				continue
-			}
-			delete(s.forwards, c.call)
-			s.logEvent(c.event, "job", c.id, "offset", e.Offset)
-			s.reply(Reply{Call: c.call, Answer: Accepted})
-		}
-		return
-	}
-	s.answerFailed(batch.calls, e.Outcome)
-	if e.Outcome == Unknown {
-		// The next batch was not sent, so its calls are certainly not carried out and
-		// can be refused at once.
-		for _, c := range s.nextBatch.calls {
-			if c.call == 0 {
-				s.announced = false
-				continue
-			}
-			s.refuse(c.call, c.id, "the job stream is not available")
-		}
-		s.nextBatch = recordBatch{}
-	}
-}
-
-// answerFailed answers calls whose append failed or has an unknown outcome.
-func (s *State) answerFailed(calls []waitingCall, outcome Outcome) {
-	for _, c := range calls {
-		if c.call == 0 {
-			s.announced = false
-			continue
-		}
-		if s.callAppendFailed(c.call, outcome == Unknown) {
-			continue
-		}
-		if outcome == Unknown {
-			s.logEvent(LogJobRefused, "job", c.id, "why", "the append had no answer", "outcome", outcome.String())
-			s.reply(Reply{Call: c.call, Answer: Unclear, Detail: "the job stream gave no answer"})
-			continue
-		}
-		s.refuse(c.call, c.id, "the job stream refused the append")
-	}
-}
-
-// foldBatch folds the records of this node's own append before they are read from the
-// stream, so that its callers can read their own writes.
-func (s *State) foldBatch(batch *recordBatch, e Appended) {
-	for i, r := range batch.records {
-		r.Offset = e.Offset + int64(i)
-		job, err := s.ledger.fold(s.now, r)
-		if err != nil {
-			s.logEvent(LogRecordUnreadable, "offset", r.Offset, "key", r.Key, "error", err.Error())
-			continue
-		}
-		if s.owner != nil {
-			s.owner.jobChanged(job)
-		}
-	}
-}
-
 func (s *State) handleQuery(e Query) {
 	if s.forwardIfNeeded(e.Call, e.Origin, Request{Kind: RequestQuery, ID: e.ID, Host: e.Host, Path: e.Path, Key: e.Key}) {
 		return
@@ -403,30 +339,3 @@
 	}
 	return n
 }
-
-// validateSpec returns the reason why a job is rejected, or an empty string.
-func validateSpec(spec *Spec) string {
-	if len(spec.Steps) == 0 || len(spec.Steps)*max(1, spec.Occurrences) > maxSteps {
-		return "a job has 1 to 2000 steps, those of all occurrences taken together"
-	}
-	tasks := 0
-	for i := range spec.Steps {
-		step := &spec.Steps[i]
-		tasks += step.Count
-		if step.Count < 1 || tasks > maxTasks {
-			return "a job has 1 to 2000 tasks, and each step at least one"
-		}
-		if step.Need.CPU < 0 || step.Need.Memory < 0 || step.Need.GPU < 0 {
-			return "needs must not be negative"
-		}
-		for _, before := range step.After {
-			if before < 0 || before >= i {
-				return "a step may depend on earlier steps only"
-			}
-		}
-	}
-	if spec.Occurrences < 0 {
-		return "a job repeats 0 times or more"
-	}
-	return ""
-}
--- a/internal/core/job/owner_append.go
+++ b/internal/core/job/owner_append.go
@@ -1,10 +1,31 @@
 package job
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
 
 // The owner writes its state to the stream in appends of bounded size: the store
 // refuses appends that are too large, and the owner could never continue after one.
 
+// ownerAppend is an append of the owner. It is repeated with the same ID and sequence
+// number until its outcome is known.
+type ownerAppend struct {
+	id      uint64
+	records []Record
+	actions []func()
+	// batch holds the records for callers in the append, its first ones, or is nil.
+	batch   *recordBatch
+	retryAt vocab.Instant
+	// unanswered counts the attempts without a response; sentAt is the time when the last one was
+	// sent.
+	unanswered int
+	sentAt     vocab.Instant
+	// firstSentAt is the time when the first attempt was sent.
+	firstSentAt vocab.Instant
+}
+
 // deferredAction is an action to run once the changes up to the change number are on
 // the stream.
 type deferredAction struct {
@@ -133,3 +154,70 @@
 	}
 	return size
 }
+
+// sendAppend sends an append with the owner's fence. The actions run once it has
+// succeeded.
+func (o *owner) sendAppend(records []Record, actions []func()) {
+	o.pendingAppend = &ownerAppend{id: o.s.newAppendID(), records: records, actions: actions, firstSentAt: o.s.now}
+	o.emitAppend()
+}
+
+func (o *owner) emitAppend() {
+	o.pendingAppend.retryAt, o.pendingAppend.sentAt = 0, o.s.now
+	o.pendingAppend.unanswered++
+	o.s.emit(Append{ID: o.pendingAppend.id, Records: o.pendingAppend.records, At: -1, Fence: o.fence, Seq: o.seq})
+}
+
+// handleAppended processes the response to the owner's append.
+func (o *owner) handleAppended(e Appended) {
+	if o.pendingAppend == nil || e.ID != o.pendingAppend.id {
+		return
+	}
+	switch e.Outcome {
+	case OK:
+		o.appendSucceeded(e)
+	case Fenced:
+		o.s.loseOwnership("the stream has seen a later owner")
+	default:
+		o.pendingAppend.unanswered--
+		o.pendingAppend.retryAt = o.s.now.Add(streamRetryDelay)
+	}
+}
+
+// repeatAppend repeats the append in progress after a failure, or if its response is
+// overdue: the owner should not wait for the timeout of the call when a response is
+// lost. The stream applies repeated appends only once, by their sequence number.
+func (o *owner) repeatAppend() {
+	if o.pendingAppend == nil || o.pendingAppend.unanswered >= maxAppendAttempts {
+		return
+	}
+	overdue := o.s.now.Sub(o.pendingAppend.sentAt) > max(appendRepeatDelay, appendRepeatFactor*o.appendLatency)
+	if o.pendingAppend.retryAt != 0 && o.s.now >= o.pendingAppend.retryAt || overdue {
+		o.emitAppend()
+	}
+}
+
+// appendSucceeded extends the owner's authority, continues the takeover after the fencing
+// append, and runs the actions of the append.
+func (o *owner) appendSucceeded(e Appended) {
+	sent := o.pendingAppend
+	o.pendingAppend, o.appendLatency = nil, o.s.now.Sub(e.SentAt)
+	o.seq++
+	o.ordersUntil = max(o.ordersUntil, e.SentAt.Add(orderAuthority))
+	o.leasesUntil = max(o.leasesUntil, e.SentAt.Add(leaseAuthority))
+	if o.stage == stageFencing {
+		o.stage, o.readTo = stageReading, e.End
+		o.s.readNow()
+		o.activateIfRead()
+		return
+	}
+	if sent.batch != nil {
+		o.s.batchAppended(sent.batch, e)
+	}
+	for _, run := range sent.actions {
+		if o.s.owner != o {
+			return
+		}
+		run()
+	}
+}
--- /dev/null
+++ b/internal/core/job/polls.go
@@ -0,0 +1,64 @@
+package job
+
+import "time"
+
+// sendPoll polls a worker. The poll extends the leases of its runs and acknowledges the ends that
+// are on the stream.
+func (o *owner) sendPoll(w *worker) {
+	poll := Poll{
+		Worker: w.info.ID, Address: w.info.Address, Incarnation: w.info.Incarnation, Fence: o.fence, Until: o.leasesUntil,
+	}
+	if w.fenced && w.failedPolls == 0 && w.ackedEnd > w.confirmedEnd {
+		// A new incarnation numbers its ends from 1 again. If the restart is not known here
+		// yet, a number meant for the previous incarnation would make the worker drop ends
+		// that no owner has read. So each number is only sent until the worker has received
+		// it, and not after a failed poll.
+		poll.Acked = w.ackedEnd
+	}
+	w.ackInFlight = poll.Acked
+	busy := len(w.tasks) > 0
+	if busy && w.fenced && w.failedPolls == 0 && !w.silent && o.s.now < o.leasesUntil {
+		poll.Lease = w.clockAt(o.s.now) + o.s.lease()
+		w.leaseUntil = max(w.leaseUntil, o.s.now.Add(o.s.maxLeaseSpan()))
+	}
+	if busy && w.fenced && w.failedPolls == 0 && w.lastEnd == w.ackedEnd {
+		poll.Wait = pollWait
+	}
+	w.pollInFlight = true
+	o.s.emit(poll)
+}
+
+// busyPollInterval is the time until the next poll of a worker that has tasks. A small fleet
+// needs no pause between polls.
+func (o *owner) busyPollInterval() time.Duration {
+	interval := time.Duration(len(o.workerIDs)) * pollPausePerWorker
+	if interval < TickInterval/2 {
+		return 0
+	}
+	return interval
+}
+
+// schedulePoll sets the time of the next poll and sends it if that time has come.
+func (o *owner) schedulePoll(w *worker) {
+	switch {
+	case w.failedPolls > 0:
+		return // The time of the next attempt is set.
+	case w.lastEnd != w.ackedEnd:
+		// The ends have to be on the stream before the next poll acknowledges them, but the
+		// poll must not be so late that the lease expires.
+		w.nextPollAt = o.s.now.Add(pollWait)
+		if len(w.tasks) > 0 && o.storeSlow() {
+			// Tasks that wait for the next end may start under a grant.
+			w.nextPollAt = o.s.now.Add(unackedPollInterval)
+		}
+	case len(w.tasks) > 0:
+		w.nextPollAt = o.s.now.Add(o.busyPollInterval())
+	case w.orphaned != Resources{}:
+		w.nextPollAt = o.s.now.Add(stopRetryDelay)
+	default:
+		w.nextPollAt = never
+	}
+	if !w.pollInFlight && o.s.now >= w.nextPollAt {
+		o.sendPoll(w)
+	}
+}
