--- a/internal/core/job/grants_test.go
+++ b/internal/core/job/grants_test.go
@@ -78,7 +78,11 @@
 		j := next.state.owner.jobs[id]
 		g.Expect(j.findTask(second).held()).To(gomega.Equal(unreachable))
 		if unreachable {
-			g.Expect(next.state.owner.heldUsage["t"].CPU).To(gomega.Equal(int64(100)))
+			team := next.state.config.teams["t"]
+			limit := team.Limit
+			team.Limit = Resources{CPU: next.state.owner.teamUsage["t"].CPU + 199}
+			g.Expect(next.state.owner.withinTeamLimit(j.findTask(second).step)).To(gomega.BeFalse(), "a held task uses 100")
+			team.Limit = limit
 		}
 		host.unreachable = false
 		sim.run(20 * time.Second)
