--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -177,7 +177,7 @@
 			return true
 		}
 	}
-	return false
+	return s.owner != nil && s.owner.isAppending(key)
 }
 
 func (s *State) configVersion() uint64 {
@@ -202,12 +202,15 @@
 	s.sendBatch()
 }
 
-// sendBatch sends the next batch unless another one is being appended or the pause for
-// a slow store has not passed.
+// sendBatch sends the next batch unless another one is being appended, the pause for a slow
+// store has not passed, or the owner writes the records.
 func (s *State) sendBatch() {
 	if len(s.batches) > 0 || len(s.nextBatch.records) == 0 || s.now < s.nextBatchFrom {
 		return
 	}
+	if s.owner != nil && s.owner.joinsBatches() {
+		return // The owner takes the records into its own next append.
+	}
 	batch := s.nextBatch
 	s.nextBatch = recordBatch{}
 	id := s.newAppendID()
@@ -238,65 +241,6 @@
 	}
 }
 
-// batchAppended replies to the calls of a batch when its append has completed.
-func (s *State) batchAppended(batch *recordBatch, e Appended) {
-	if e.Outcome == OK {
-		s.foldBatch(batch, e)
-		for _, c := range batch.calls {
-			if c.call == 0 {
-				continue
-			}
-			delete(s.forwards, c.call)
-			s.logEvent(c.event, "job", c.id, "offset", e.Offset)
-			s.reply(Reply{Call: c.call, Answer: Accepted})
-		}
-		return
-	}
-	for _, c := range batch.calls {
-		if c.call == 0 {
-			s.announced = false
-			continue
-		}
-		if s.callAppendFailed(c.call, e.Outcome == Unknown) {
-			continue
-		}
-		if e.Outcome == Unknown {
-			s.logEvent(LogJobRefused, "job", c.id, "why", "the append had no answer", "outcome", e.Outcome.String())
-			s.reply(Reply{Call: c.call, Answer: Unclear, Detail: "the job stream gave no answer"})
-			continue
-		}
-		s.refuse(c.call, c.id, "the job stream refused the append")
-	}
-	if e.Outcome == Unknown {
-		// The next batch was not sent, so its calls are certainly not carried out and
-		// can be refused at once.
-		for _, c := range s.nextBatch.calls {
-			if c.call == 0 {
-				s.announced = false
-				continue
-			}
-			s.refuse(c.call, c.id, "the job stream is not available")
-		}
-		s.nextBatch = recordBatch{}
-	}
-}
-
-// foldBatch folds the records of this node's own append before they are read from the
-// stream, so that its callers can read their own writes.
-func (s *State) foldBatch(batch *recordBatch, e Appended) {
-	for i, r := range batch.records {
-		r.Offset = e.Offset + int64(i)
-		job, err := s.ledger.fold(s.now, r)
-		if err != nil {
-			s.logEvent(LogRecordUnreadable, "offset", r.Offset, "key", r.Key, "error", err.Error())
-			continue
-		}
-		if s.owner != nil {
-			s.owner.jobChanged(job)
-		}
-	}
-}
-
 func (s *State) handleQuery(e Query) {
 	if s.forwardIfNeeded(e.Call, e.Origin, Request{Kind: RequestQuery, ID: e.ID, Host: e.Host, Path: e.Path, Key: e.Key}) {
 		return
@@ -427,30 +371,3 @@
 	}
 	return n
 }
-
-// validateSpec returns the reason why a job is rejected, or an empty string.
-func validateSpec(spec *Spec) string {
-	if len(spec.Steps) == 0 || len(spec.Steps)*max(1, spec.Occurrences) > maxSteps {
-		return "a job has 1 to 2000 steps, those of all occurrences taken together"
-	}
-	tasks := 0
-	for i := range spec.Steps {
-		step := &spec.Steps[i]
-		tasks += step.Count
-		if step.Count < 1 || tasks > maxTasks {
-			return "a job has 1 to 2000 tasks, and each step at least one"
-		}
-		if step.Need.CPU < 0 || step.Need.Memory < 0 || step.Need.GPU < 0 {
-			return "needs must not be negative"
-		}
-		for _, before := range step.After {
-			if before < 0 || before >= i {
-				return "a step may depend on earlier steps only"
-			}
-		}
-	}
-	if spec.Occurrences < 0 {
-		return "a job repeats 0 times or more"
-	}
-	return ""
-}
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -42,6 +42,10 @@
 	// WaitingJobs holds the jobs that wait for the longest time.
 	WaitingJobs []WaitingJobDump `json:"waiting_jobs,omitempty"`
 	Waves       []WaveDump       `json:"waves,omitempty"`
+	// GrantedJobs is the number of jobs whose tasks may start without another append, HeldJobs
+	// of those that wait for workers on which an earlier owner may have started tasks.
+	GrantedJobs int `json:"granted_jobs,omitempty"`
+	HeldJobs    int `json:"held_jobs,omitempty"`
 }
 
 // WorkerDump is the state of a worker as known to the owner.
@@ -109,6 +113,14 @@
 		})
 	}
 	d.RefusedForLoad = maps.Clone(o.door.refusals)
+	for _, j := range o.jobOrder {
+		if len(j.grants) > 0 {
+			d.GrantedJobs++
+		}
+		if len(j.inherited) > 0 {
+			d.HeldJobs++
+		}
+	}
 	for _, p := range slices.Sorted(maps.Keys(o.demand)) {
 		d.Waiting = append(d.Waiting, o.dumpPool(p))
 	}
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -38,7 +38,7 @@
 	}
 	o.refreshReservations()
 	d, waiting := newDemandCollector(o), map[vocab.PoolID]bool{}
-	candidates := o.candidates()
+	candidates, granted := o.candidates(), maxWaitingGranted
 	for _, c := range candidates {
 		p := pools[c.pool]
 		if p == nil {
@@ -47,6 +47,7 @@
 		}
 		c.job.class = c.class
 		o.placeJob(c, p)
+		o.extendGrants(c.job, p.workers, &granted)
 		d.addJob(c.pool, c.job)
 		if c.class < classOverdue && !waiting[c.pool] && c.job.hasWaitingTasks() {
 			waiting[c.pool] = true
@@ -80,7 +81,7 @@
 // placeTasks places waiting tasks of a step and reports whether all found a worker.
 func (o *owner) placeTasks(st *step, p *poolRoom) bool {
 	for _, t := range st.tasks {
-		if t.completed || t.worker != nil {
+		if t.completed || t.worker != nil || t.held() {
 			continue
 		}
 		best := o.chooseWorker(t, p)
@@ -177,7 +178,7 @@
 	if team == nil {
 		return true
 	}
-	use := o.teamUsage[team.Name].Plus(st.spec.Need)
+	use := o.teamUsage[team.Name].Plus(o.heldUsage[team.Name]).Plus(st.spec.Need)
 	limit := team.Limit
 	return (limit.CPU == 0 || use.CPU <= limit.CPU) && (limit.Memory == 0 || use.Memory <= limit.Memory) &&
 		(limit.GPU == 0 || use.GPU <= limit.GPU)
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -40,6 +40,9 @@
 	// silent is set while the stream says that the worker's lease is not extended,
 	// silenceEnding while the removal of that record is being written.
 	silent, silenceEnding bool
+	// inheritedBy holds the jobs of which an earlier owner may have started tasks on the worker
+	// under a grant.
+	inheritedBy []*activeJob
 	// avoidUntil is the time before which the worker gets no new tasks after it refused a start.
 	avoidUntil vocab.Instant
 	// cordoned is set while the worker gets no new tasks so that its machine becomes idle.
@@ -186,7 +189,7 @@
 func (o *owner) removeGoneWorkers() {
 	o.workerIDs = slices.DeleteFunc(o.workerIDs, func(id WorkerID) bool {
 		w := o.workers[id]
-		if w.listed || w.pollInFlight || len(w.tasks) > 0 || o.s.now < w.leaseUntil {
+		if w.listed || w.pollInFlight || len(w.tasks) > 0 || len(w.inheritedBy) > 0 || o.s.now < w.leaseUntil {
 			return false
 		}
 		delete(o.workers, id)
@@ -199,6 +202,9 @@
 
 // expireLease marks the tasks of an unreachable worker as lost once its lease has expired.
 func (o *owner) expireLease(w *worker) {
+	if o.s.now >= w.leaseUntil && !w.fenced {
+		o.resolveGrants(w)
+	}
 	if len(w.tasks) == 0 || o.s.now < w.leaseUntil || w.fenced && w.failedPolls == 0 && w.listed {
 		return
 	}
@@ -219,25 +225,6 @@
 	}
 }
 
-// sendPoll polls a worker. The poll extends the leases of its runs and acknowledges the ends that
-// are on the stream.
-func (o *owner) sendPoll(w *worker) {
-	poll := Poll{
-		Worker: w.info.ID, Address: w.info.Address, Incarnation: w.info.Incarnation, Fence: o.fence, Until: o.leasesUntil,
-	}
-	o.acknowledge(w, &poll)
-	busy := len(w.tasks) > 0
-	if busy && w.fenced && w.failedPolls == 0 && !w.silent && o.s.now < o.leasesUntil {
-		poll.Lease = w.clockAt(o.s.now) + o.s.lease()
-		w.leaseUntil = max(w.leaseUntil, o.s.now.Add(o.s.maxLeaseSpan()))
-	}
-	if busy && w.fenced && w.failedPolls == 0 && w.lastEnd == w.ackedEnd {
-		poll.Wait = o.maxPollWait(w)
-	}
-	w.pollInFlight = true
-	o.s.emit(poll)
-}
-
 // handlePolled processes the response of a worker to a poll.
 func (o *owner) handlePolled(e Polled) {
 	w := o.workers[e.Worker]
@@ -275,6 +262,7 @@
 	w.clock, w.clockReadAt = e.Clock, e.ReceivedAt
 	o.processEnds(w, e.Ended)
 	o.reconcileRuns(w, e)
+	o.resolveGrants(w)
 	o.schedulePoll(w)
 }
 
@@ -289,6 +277,7 @@
 		for _, t := range slices.Clone(w.tasks) {
 			o.markLost(t, "another worker has the address")
 		}
+		o.resolveGrants(w)
 	}
 	w.failedPolls++
 	if w.failedPolls == unreachableAfterPolls && (w.listed || len(w.tasks) > 0) {
@@ -325,10 +314,7 @@
 	o.afterWrite(func() {
 		if w.info.Incarnation == incarnation {
 			w.ackedEnd = max(w.ackedEnd, last)
-			// A worker that failed polls meanwhile is polled when its retry is due.
-			if w.failedPolls == 0 {
-				o.schedulePoll(w)
-			}
+			o.schedulePoll(w)
 		}
 	})
 }
@@ -338,6 +324,9 @@
 	reported := make(map[*task]bool, len(e.Running))
 	w.orphaned = Resources{}
 	for _, r := range e.Running {
+		if j := o.jobs[r.Task.Job]; j != nil && j.terminalPhase == 0 {
+			o.adoptGranted(j.findTask(r.Task), w, r.Run)
+		}
 		t := o.assignedTask(w.info.ID, r.Task, r.Run)
 		if t == nil {
 			o.stopOrphan(w, r)
@@ -397,34 +386,3 @@
 	o.s.emit(Stop{Worker: w.info.ID, Address: w.info.Address, Fence: o.fence, Task: r.Task, Run: r.Run})
 	w.pollBy(o.s.now.Add(stopRetryDelay))
 }
-
-// busyPollInterval is the time until the next poll of a worker that has tasks. A small fleet
-// needs no pause between polls.
-func (o *owner) busyPollInterval() time.Duration {
-	interval := time.Duration(len(o.workerIDs)) * pollPausePerWorker
-	if interval < TickInterval/2 {
-		return 0
-	}
-	return interval
-}
-
-// schedulePoll sets the time of the next poll and sends it if that time has come.
-func (o *owner) schedulePoll(w *worker) {
-	switch {
-	case w.ackWithheld:
-		w.nextPollAt = o.s.now
-	case w.lastEnd != w.ackedEnd:
-		// The ends have to be on the stream before the next poll acknowledges them, but the
-		// poll must not be so late that the lease expires.
-		w.nextPollAt = o.s.now.Add(pollWait)
-	case len(w.tasks) > 0:
-		w.nextPollAt = o.s.now.Add(o.busyPollInterval())
-	case w.orphaned != Resources{}:
-		w.nextPollAt = o.s.now.Add(stopRetryDelay)
-	default:
-		w.nextPollAt = never
-	}
-	if !w.pollInFlight && o.s.now >= w.nextPollAt {
-		o.sendPoll(w)
-	}
-}
