Tests of the look-ahead package alone

Cause: it was tested through jobs only. A test of the remaining run time showed that its comment promised too much: with narrow spreads the median falls again beyond the expected end.

--- a/internal/core/lookahead/runtime.go
+++ b/internal/core/lookahead/runtime.go
@@ -49,8 +49,8 @@
 const minTail = 1e-6
 
 // Remaining is the median of the remaining run time of a task that has run for age already,
-// where the logarithm of run times is normally distributed around the expected one. The
-// older a run is beyond its expected end, the longer it is likely to go on.
+// where the logarithm of run times is normally distributed around the expected one. A run
+// that is older than expected goes on for some time, the longer the wider run times spread.
 func Remaining(expected, age time.Duration, sigma float64) time.Duration {
 	if age <= 0 || expected <= 0 || sigma <= 0 {
 		return max(0, expected-age)
