--- a/internal/core/admission/work.go
+++ b/internal/core/admission/work.go
@@ -84,7 +84,7 @@
 	return wait
 }
 
-// WorkTimes are the times of new work relative to its submission.
+// WorkTimes are the times of new work relative to its arrival.
 type WorkTimes struct {
 	// MinWait is a lower bound of the time until it starts, Chain the run time of its longest
 	// chain of dependent steps.
