--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/vocab"
@@ -152,8 +153,8 @@
 	Unclear
 	// Malformed means that the request is invalid.
 	Malformed
-	// Overloaded means that the job was not accepted and never will be, because it cannot be
-	// served in time; the caller may retry it later.
+	// Overloaded means that this attempt to submit a job was not accepted and never will be,
+	// because the job cannot be served in time; the caller may retry it later.
 	Overloaded
 )
 
@@ -251,7 +252,12 @@
 }
 
 // String implements fmt.Stringer.
-func (a Answer) String() string { return answerNames[a] }
+func (a Answer) String() string {
+	if name, known := answerNames[a]; known {
+		return name
+	}
+	return fmt.Sprintf("answer_%d", int(a))
+}
 
 // String implements fmt.Stringer.
 func (id LogEventID) String() string { return logEventTexts[id] }
