check-config: empty keys, teams without any key, version 0, clearer output

Passed over before: an empty key (a call without a key then counts as the team's: rule 108, error), queues that need a key where no team has one (rule 212), version 0 (rule 104), a second file on the command line, and a node that shows no configuration (all entries counted as added). The JSON output has an empty list rather than null, and "1 error" has no s. Rule 204 is found as before; its test is unchanged.

--- a/internal/command/checkconfig.go
+++ b/internal/command/checkconfig.go
@@ -41,7 +41,10 @@
 }
 
 // Execute implements flags.Commander.
-func (c *CheckConfig) Execute([]string) error {
+func (c *CheckConfig) Execute(extra []string) error {
+	if len(extra) > 0 {
+		return withExitCode(errors.Newf("one file is checked at a time, not also %q", extra[0]), exitConfigErrors)
+	}
 	content, err := readBounded(c.Args.File)
 	if err != nil {
 		return withExitCode(err, exitConfigErrors)
@@ -74,17 +77,28 @@
 		}
 		return configcheck.WithoutSecrets(checked.Config), nil
 	case c.Node != "":
-		body, err := getFromNode(c.Node, "/config", nil)
-		if err != nil {
-			return nil, err
-		}
-		var config job.Config
-		return &config, errors.Wrapf(json.Unmarshal(body, &config), "configuration of node %s", c.Node)
+		return configOfNode(c.Node)
 	default:
 		return nil, nil
 	}
 }
 
+// configOfNode returns the configuration that a node has in force, with its keys hashed.
+func configOfNode(node string) (*job.Config, error) {
+	body, err := getFromNode(node, "/config", nil)
+	if err != nil {
+		return nil, err
+	}
+	var config job.Config
+	if err := json.Unmarshal(body, &config); err != nil {
+		return nil, errors.Wrapf(err, "configuration of node %s", node)
+	}
+	if config.Version == 0 {
+		return nil, errors.Newf("node %s shows no configuration", node)
+	}
+	return &config, nil
+}
+
 // readBounded reads a file of at most strictjson.MaxBytes and one byte more, which is enough
 // to report that it is too large.
 func readBounded(path string) ([]byte, error) {
@@ -99,7 +113,7 @@
 
 // report prints the problems and returns an error with the exit code.
 func (c *CheckConfig) report(problems strictjson.Problems) error {
-	result := checkConfigResult{Problems: problems}
+	result := checkConfigResult{Problems: append(strictjson.Problems{}, problems...)}
 	var lines []string
 	for _, p := range problems {
 		lines = append(lines, p.String())
@@ -109,16 +123,24 @@
 			result.Warnings++
 		}
 	}
-	lines = append(lines, fmt.Sprintf("%s: %d errors, %d warnings", c.Args.File, result.Errors, result.Warnings))
+	lines = append(lines, fmt.Sprintf("%s: %s, %s", c.Args.File, counted(result.Errors, "error"), counted(result.Warnings, "warning")))
 	if err := c.print(result, lines); err != nil {
 		return err
 	}
 	switch {
 	case result.Errors > 0:
-		return withExitCode(errors.Newf("%d errors in the configuration", result.Errors), exitConfigErrors)
+		return withExitCode(errors.Newf("%s in the configuration", counted(result.Errors, "error")), exitConfigErrors)
 	case result.Warnings > 0 && c.Strict:
-		return withExitCode(errors.Newf("%d warnings in the configuration", result.Warnings), exitConfigWarnings)
+		return withExitCode(errors.Newf("%s in the configuration", counted(result.Warnings, "warning")), exitConfigWarnings)
 	default:
 		return nil
 	}
 }
+
+// counted returns a number with a noun in the form that fits it.
+func counted(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
--- a/internal/configcheck/check.go
+++ b/internal/configcheck/check.go
@@ -1,6 +1,7 @@
 package configcheck
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/sardinehead/sardinehead/internal/core/job"
@@ -20,6 +21,9 @@
 // Check returns the breaches of the rules on one configuration, in the order of its entries.
 func Check(c *job.Config) []Finding {
 	var list findings
+	if c.Version == 0 {
+		list.add(RuleOutOfRange, Ref{Field: FieldVersion}, "the version 0 is lower than that of any configuration in force")
+	}
 	pools := checkPools(&list, c)
 	checkQueues(&list, c, pools)
 	checkTeams(&list, c)
@@ -145,10 +149,7 @@
 
 func checkTeams(list *findings, c *job.Config) {
 	seen, owners := map[string]bool{}, map[string]vocab.TeamID{}
-	keys, closed := 0, len(c.Queues) == 0
-	for i := range c.Queues {
-		closed = closed || !c.Queues[i].Open
-	}
+	keys := 0
 	for i := range c.Teams {
 		t := &c.Teams[i]
 		checkName(list, seen, KindTeam, i, "{team}", string(t.Name))
@@ -157,6 +158,10 @@
 		}
 		for _, key := range t.Keys {
 			keys++
+			if key == "" {
+				list.add(RuleKeyEmpty, Ref{KindTeam, i, FieldKeys}, "{team} %q has an empty key", t.Name)
+				continue
+			}
 			if other, taken := owners[key]; taken && other != t.Name {
 				// Keys are secret, so that the message names the teams only.
 				list.add(RuleKeyShared, Ref{KindTeam, i, FieldKeys}, "{team} %q has the same key", other)
@@ -165,7 +170,16 @@
 		}
 		checkLimits(list, i, t)
 	}
-	if keys > 0 && !closed {
+	checkKeysNeeded(list, c, keys)
+}
+
+// checkKeysNeeded compares the number of keys with what the queues ask for.
+func checkKeysNeeded(list *findings, c *job.Config, keys int) {
+	closed := slices.IndexFunc(c.Queues, func(q job.Queue) bool { return !q.Open })
+	switch {
+	case closed >= 0 && keys == 0:
+		list.add(RuleNoKeys, Ref{KindQueue, closed, FieldName}, "{queue} %q needs a key, and no {team} has one", c.Queues[closed].Name)
+	case closed < 0 && keys > 0 && len(c.Queues) > 0:
 		list.add(RuleKeysUnused, Ref{}, "all {queue}s are open to all, so that none of the %d keys is needed", keys)
 	}
 }
--- a/internal/configcheck/check_test.go
+++ b/internal/configcheck/check_test.go
@@ -41,6 +41,8 @@
 		RuleKeyShared:         func(c *job.Config) { c.Teams = append(c.Teams, job.Team{Name: "b", Keys: []string{"k2"}, Weight: 1}) },
 		RuleSameAddress:       func(c *job.Config) { q := c.Queues[0]; q.Name = "b"; c.Queues = append(c.Queues, q) },
 		RuleNoSparePool:       func(c *job.Config) { c.Pools = c.Pools[:1] },
+		RuleKeyEmpty:          func(c *job.Config) { c.Teams[0].Keys = []string{"k1", ""} },
+		RuleNoKeys:            func(c *job.Config) { c.Teams = nil },
 		RuleHostUnreachable:   func(c *job.Config) { c.Queues[0].Host = "Orders.example:80" },
 		RulePrefixUnreachable: func(c *job.Config) { c.Queues[0].Prefix = "orders/" },
 		RulePrefixNotSegment:  func(c *job.Config) { c.Queues[0].Prefix = "/orders" },
@@ -100,6 +102,13 @@
 	g.Expect(Compare(soundConfig(), next)).To(gomega.BeEmpty())
 }
 
+// TestVersionZeroIsOutOfRange: nodes never take it in place of another one.
+func TestVersionZeroIsOutOfRange(t *testing.T) {
+	c := soundConfig()
+	c.Version = 0
+	gomega.NewWithT(t).Expect(rulesOf(Check(c))).To(gomega.Equal([]RuleID{RuleOutOfRange}))
+}
+
 // TestPageListsAllRules: the operators' page has each rule with its number, severity, summary and
 // example.
 func TestPageListsAllRules(t *testing.T) {
--- a/internal/configcheck/rules.go
+++ b/internal/configcheck/rules.go
@@ -28,6 +28,7 @@
 	RuleKeyShared
 	RuleSameAddress
 	RuleNoSparePool
+	RuleKeyEmpty
 )
 
 // Rules about entries that can never match, and limits that contradict each other.
@@ -44,6 +45,7 @@
 	RuleTicketsExpire
 	RuleBodyTooSmall
 	RuleLimitsContradict
+	RuleNoKeys
 )
 
 // Rules about a new version compared with the one in force.
@@ -74,10 +76,11 @@
 	{RuleNameTaken, errorRule, "two queues, pools or teams have the same name", `two teams named "kijiji"`},
 	{RuleUnknownPool, errorRule, "a queue names a pool that does not exist", `pool "dispach" where the pools are "dispatch" and "admin"`},
 	{RuleQueueOnSparePool, errorRule, "a queue's pool is the spare pool, whose machines are off", `a queue on the pool marked as spare`},
-	{RuleOutOfRange, errorRule, "a number is outside its range", `0 attempts, a stretch of 0, a negative limit`},
+	{RuleOutOfRange, errorRule, "a number is outside its range", `version 0, 0 attempts, a stretch of 0, a negative limit`},
 	{RuleKeyShared, errorRule, "two teams have the same key, so that the key's team depends on their order", `one key under two teams`},
 	{RuleSameAddress, errorRule, "two queues have the same host and prefix: the second one gets no call", `two queues at "orders.example" and "/orders/"`},
 	{RuleNoSparePool, warning, "there is no spare pool, or more than one: idle machines are never switched off, or only into the first", `two pools marked as spare`},
+	{RuleKeyEmpty, errorRule, "a key is empty: calls without a key count as the team's", `a team with the key ""`},
 	{RuleHostUnreachable, warning, "no caller can send this host: it has capitals, blanks, a port or a path", `host "Orders.example:80"`},
 	{RulePrefixUnreachable, warning, `no path begins so: a prefix begins with "/" and has no blank, "?" or "#"`, `prefix "orders/"`},
 	{RulePrefixNotSegment, warning, `the prefix does not end with "/": the rest of its last segment is read as part of the job's ID, which is then not valid`, `prefix "/orders"`},
@@ -90,6 +93,7 @@
 	{RuleTicketsExpire, warning, "the advisor's tickets expire before its answer for one worker can be used", `300 ms to decide, valid for 200 ms`},
 	{RuleBodyTooSmall, warning, "the maximum body is smaller than a job with the longest payload", `a maximum of 2,000 bytes`},
 	{RuleLimitsContradict, warning, "a team's limits contradict each other: memory for none of the tasks that its CPU limit allows", `8 cores and 1 MiB`},
+	{RuleNoKeys, warning, "a queue needs a key and no team has one: all its calls are refused", `no teams, and a queue that is not open to all`},
 	{RuleVersionNotHigher, errorRule, "the version is not higher than the one in force: nodes ignore it", `version 7 while 7 is in force`},
 	{RuleCallersRefused, warning, "callers are refused from now on", `a queue was removed`},
 	{RuleKeysEnd, warning, "keys stop working", `a team's key was removed`},
