Held jobs are not ahead of new ones; the dump names the workers they wait for

Cause: a job held for a worker on which an earlier owner may have started tasks counted as work before every new job, though it takes no other worker. In the dump it looked like a job that waits for room ("on time if started now"). Change: held tasks are left out of the wait; waiting_jobs has held_by. Test: TestHeldJobsAreNotAhead fails without the exclusion.

--- a/internal/core/job/door.go
+++ b/internal/core/job/door.go
@@ -98,8 +98,8 @@
 	work := 0.0
 	for _, occ := range j.occurrences {
 		for _, st := range occ.steps {
-			if st.waiting() > 0 && st.ready() {
-				work += float64(st.waiting()) * float64(st.spec.Need.CPU) / 1000 * o.runTimeOf(st).Seconds()
+			if waiting := st.waiting() - st.heldTasks(); waiting > 0 && st.ready() {
+				work += float64(waiting) * float64(st.spec.Need.CPU) / 1000 * o.runTimeOf(st).Seconds()
 			}
 		}
 	}
--- a/internal/core/job/door_test.go
+++ b/internal/core/job/door_test.go
@@ -173,6 +173,22 @@
 	g.Expect(refused()).To(gomega.BeFalse())
 }
 
+// TestHeldJobsAreNotAhead: a job that waits for a worker on which an earlier owner may have
+// started its tasks takes no other worker. The dump names the worker.
+func TestHeldJobsAreNotAhead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o, host, refused := doorOwner(Step{Count: 10, Need: Resources{CPU: 4000, Memory: 64}, EstimateMS: 10_000})
+	host.used = Resources{CPU: 3000}
+	o.recordJobs()
+	g.Expect(refused()).To(gomega.BeTrue())
+	for _, j := range o.jobOrder {
+		o.inheritGrants(j, []taskRow{{Grants: []grant{{Worker: "i-silent"}}}})
+	}
+	o.recordJobs()
+	g.Expect(refused()).To(gomega.BeFalse())
+	g.Expect(o.dumpWaitingJobs()[0].HeldBy).To(gomega.Equal([]WorkerID{"i-silent"}))
+}
+
 // TestAppendWithoutAnswerMayStillAccept: the store may carry out an append without an answer
 // seconds later, so that a later attempt is not told that the job never runs.
 func TestAppendWithoutAnswerMayStillAccept(t *testing.T) {
--- a/internal/core/job/grants.go
+++ b/internal/core/job/grants.go
@@ -269,6 +269,17 @@
 	return len(t.step.job.inherited) > 0 && t.lastRun == 0 && !t.completed
 }
 
+// heldTasks is the number of the step's held tasks that are not assigned.
+func (st *step) heldTasks() int {
+	n := 0
+	for _, t := range st.tasks {
+		if t.held() && t.worker == nil {
+			n++
+		}
+	}
+	return n
+}
+
 func (j *activeJob) heldTasks() []*task {
 	var held []*task
 	for _, occ := range j.occurrences {
--- a/internal/core/job/lookahead_dump.go
+++ b/internal/core/job/lookahead_dump.go
@@ -52,6 +52,9 @@
 	SlackMS int64 `json:"slack_ms"`
 	// Reserved is set if tasks of the job have a date on named workers.
 	Reserved bool `json:"reserved,omitempty"`
+	// HeldBy holds the workers on which an earlier owner may have started tasks of the job: it
+	// waits for their answer or the end of their leases, whatever its class.
+	HeldBy []WorkerID `json:"held_by,omitempty"`
 }
 
 // maxWaitingDumped bounds the waiting jobs in a dump.
@@ -73,7 +76,14 @@
 			continue
 		}
 		reserved := slices.ContainsFunc(o.reservations, func(r *reservation) bool { return r.step.job == j })
-		list = append(list, WaitingJobDump{j.record.ID, o.poolOf(j), classNames[j.class], (j.times.slack() - o.s.now.Sub(j.timesAt)).Milliseconds(), reserved})
+		waiting := WaitingJobDump{
+			Job: j.record.ID, Pool: o.poolOf(j), Class: classNames[j.class], Reserved: reserved,
+			SlackMS: (j.times.slack() - o.s.now.Sub(j.timesAt)).Milliseconds(),
+		}
+		for _, g := range j.inherited {
+			waiting.HeldBy = append(waiting.HeldBy, g.Worker)
+		}
+		list = append(list, waiting)
 	}
 	return list
 }
