Remote nodes wait longer for a reply while the store is slow

Change: a slow reply to a call that needs an append tells a remote node that the store is slow; for 1.5 s it then waits as long as a node that forwards to the owner for that reason (2.4 s). Ruled out: the longer wait always: a follower that is lost would hold its callers.

--- a/internal/core/job/directory.go
+++ b/internal/core/job/directory.go
@@ -102,6 +102,8 @@
 	failingSince vocab.Instant
 	// unreachable holds the nodes that did not respond, until they get calls again.
 	unreachable map[vocab.NodeID]vocab.Instant
+	// slowUntil is the time until which a remote node takes the store to be slow.
+	slowUntil vocab.Instant
 }
 
 // tickDirectory follows the directory while the node needs it, and writes the node's record
@@ -306,6 +308,15 @@
 	return "", ""
 }
 
+// noteAppendLatency notes that the store is slow if another node's reply to a call that needs an
+// append was slow. A remote node has no append of its own to tell, and would give up on each
+// follower in turn while the owner still writes the call's record.
+func (s *State) noteAppendLatency(fwd *forwardedCall, e ForwardAnswered) {
+	if s.directory.remote && e.Outcome == OK && e.Reply.Answer == Accepted && fwd.request.appends() && s.now.Sub(fwd.sentAt) > slowAppendLatency {
+		s.directory.slowUntil = s.now.Add(minForwardPeriod)
+	}
+}
+
 // noteForwarded records whether a node that a call was forwarded to responded.
 func (s *State) noteForwarded(node vocab.NodeID, responded bool) {
 	d := &s.directory
--- a/internal/core/job/directory_test.go
+++ b/internal/core/job/directory_test.go
@@ -110,12 +110,10 @@
 	g.Expect(reply.Answer).To(gomega.Equal(Accepted))
 }
 
-// TestRemoteNodeCutFromItsPeersServesItself: a node that reaches the store but no other node.
-func TestRemoteNodeCutFromItsPeersServesItself(t *testing.T) {
-	g := gomega.NewWithT(t)
+// remoteNode returns the state of a remote node in a fleet of 71 nodes.
+func remoteNode(g *gomega.WithT, now vocab.Instant) *State {
 	s := New(Identity{Node: "n", Incarnation: 1, CPUShare: 0.2}, Settings{MaxLease: time.Second, Directory: true})
-	now := vocab.Instant(time.Minute)
-	step := func(ev event.Event) []event.Effect { return s.Step(Clock{Now: now}, ev) }
+	step := func(ev event.Event) { s.Step(Clock{Now: now}, ev) }
 	step(ConfigRead{Config: &Config{Version: 1, Queues: []Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Open: true}}}})
 	step(Tick{})
 	s.claim.ownerTimeoutFrom = 1
@@ -133,6 +131,39 @@
 	}
 	step(DirectoryRead{Full: true, Records: members})
 	g.Expect(s.directory.remote).To(gomega.BeTrue())
+	return s
+}
+
+// TestRemoteNodeWaitsLongerWhileTheStoreIsSlow: a remote node gave up on each follower after
+// 0.9 s while the owner's append took longer, and its callers got no answer (incident inc-6e7a).
+func TestRemoteNodeWaitsLongerWhileTheStoreIsSlow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := vocab.Instant(time.Minute)
+	s := remoteNode(g, now)
+	submit := func(call CallID) (timeout time.Duration) {
+		for _, e := range s.Step(Clock{Now: now}, Submit{Call: call, ID: "00000000000000aa", Host: "h", Path: "/q/00000000000000aa", Spec: Spec{Steps: []Step{{Count: 1}}}}) {
+			if forward, ok := e.(Forward); ok {
+				timeout = forward.Timeout
+			}
+		}
+		return timeout
+	}
+	g.Expect(submit(1)).To(gomega.Equal(forwardTimeout))
+	now = now.Add(400 * time.Millisecond)
+	s.Step(Clock{Now: now}, ForwardAnswered{Call: 1, Outcome: OK, Reply: Reply{Answer: Accepted}})
+	g.Expect(submit(2)).To(gomega.Equal(slowForwardTimeout))
+	now = now.Add(20 * time.Millisecond)
+	s.Step(Clock{Now: now}, ForwardAnswered{Call: 2, Outcome: OK, Reply: Reply{Answer: Accepted}})
+	now = now.Add(minForwardPeriod)
+	g.Expect(submit(3)).To(gomega.Equal(forwardTimeout), "the store is fast again")
+}
+
+// TestRemoteNodeCutFromItsPeersServesItself: a node that reaches the store but no other node.
+func TestRemoteNodeCutFromItsPeersServesItself(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := vocab.Instant(time.Minute)
+	s := remoteNode(g, now)
+	step := func(ev event.Event) []event.Effect { return s.Step(Clock{Now: now}, ev) }
 	for call := range 200 {
 		now = now.Add(100 * time.Millisecond)
 		step(DirectoryRead{Records: []Record{{Key: directoryOwnerKey, Value: []byte("A")}}})
--- a/internal/core/job/forward.go
+++ b/internal/core/job/forward.go
@@ -121,6 +121,8 @@
 	ownerOnly bool
 	// retryAfter is the longest delay that another node named in a refusal.
 	retryAfter time.Duration
+	// sentAt is the time when the call was last forwarded.
+	sentAt vocab.Instant
 	// inFlight counts the attempts without a response: a call is forwarded again when the
 	// owner changes.
 	inFlight int
@@ -168,7 +170,7 @@
 // each node that follows the stream would delay the owner's by seconds, before any of
 // them has noticed.
 func (s *State) appendsThroughOwner(r Request) bool {
-	return s.owner == nil && s.directory.large && (r.Kind == RequestSubmit || r.Kind == RequestCancel) &&
+	return s.owner == nil && s.directory.large && r.appends() &&
 		!s.ledger.owner.Resigned && s.now.Sub(s.claim.ownerTimeoutFrom) < ownerTimeout+ownerTimeoutReads*s.stream.readLatency
 }
 
@@ -206,9 +208,10 @@
 	fwd.request.ConfigAtLeast = max(s.configVersion(), s.shownConfigVersion)
 	fwd.request.FromRemote = s.directory.remote
 	fwd.inFlight++
+	fwd.sentAt = s.now
 	s.forwards[call] = fwd
 	timeout := forwardTimeout
-	if fwd.ownerOnly {
+	if fwd.ownerOnly || fwd.request.appends() && s.now < s.directory.slowUntil {
 		timeout = slowForwardTimeout
 	}
 	s.emit(Forward{Call: call, Address: address, Request: fwd.request, Timeout: timeout})
@@ -240,6 +243,9 @@
 	return "", ""
 }
 
+// appends reports whether a call that succeeds has waited for an append.
+func (r Request) appends() bool { return r.Kind == RequestSubmit || r.Kind == RequestCancel }
+
 // routingKey is equal for all calls about a job, and for all calls about a queue.
 func (r Request) routingKey() string {
 	if r.ID != "" {
@@ -268,6 +274,7 @@
 	}
 	s.noteForwarded(fwd.tried[len(fwd.tried)-1], e.Outcome == OK)
 	fwd.inFlight--
+	s.noteAppendLatency(fwd, e)
 	if e.Outcome == OK && fwd.isFinalAnswer(e.Reply.Answer) {
 		delete(s.forwards, e.Call)
 		e.Reply.Call = e.Call
@@ -295,8 +302,7 @@
 		return false
 	}
 	mayBeDone := f.outcomeUnknown || f.inFlight > 0 || f.ownAppend
-	changes := f.request.Kind == RequestSubmit || f.request.Kind == RequestCancel
-	return a == Accepted || !mayBeDone || !changes
+	return a == Accepted || !mayBeDone || !f.request.appends()
 }
 
 // forwardToNewOwner forwards the calls that wait for an earlier owner to the new one. The
