--- a/internal/core/job/grants_test.go
+++ b/internal/core/job/grants_test.go
@@ -138,3 +138,81 @@
 	}
 	return nil
 }
+
+// fastSimulation returns a simulation whose store has been fast so far, and its owner.
+func fastSimulation(seed uint64) (*simulation, *node) {
+	sim := newSimulation(seed, 3, 6, faults{})
+	sim.run(3 * time.Second)
+	return sim, sim.owner()
+}
+
+// TestLaterStepsStartOnASuddenlyFailingStore replays a store that was fast until it falls
+// silent or refuses each call at once: later steps of accepted jobs waited for its return.
+func TestLaterStepsStartOnASuddenlyFailingStore(t *testing.T) {
+	for _, refuses := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		sim, owner := fastSimulation(24)
+		sim.pollsWait = true
+		spec := chain(2)
+		spec.Steps[0].EstimateMS = 800
+		sim.submitTo(owner, spec)
+		id := sim.jobIDs[0]
+		sim.jobs[id].accepted = true
+		sim.run(400 * time.Millisecond)
+		g.Expect(sim.starts).To(gomega.Equal(1))
+		sim.stream.down, sim.stream.refuses = true, refuses
+		for !sim.jobs[id].completed[TaskName{id, 0, 0, 0}] {
+			sim.run(10 * time.Millisecond)
+		}
+		sim.run(pollWait)
+		g.Expect(sim.starts).To(gomega.Equal(2), "refuses: %v", refuses)
+		sim.run(3 * time.Second)
+		sim.stream.down = false
+		sim.run(20 * time.Second)
+		sim.report(t)
+		g.Expect(sim.starts).To(gomega.Equal(2))
+		g.Expect(sim.unfinished()).To(gomega.BeEmpty())
+	}
+}
+
+// TestTakeoverOfSpareGrantsIsShort checks that after a takeover on a fast store tasks that an
+// earlier owner might have started are held until the first polls only, and that with silent
+// workers only the jobs that name them wait.
+func TestTakeoverOfSpareGrantsIsShort(t *testing.T) {
+	for _, dark := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		sim, owner := fastSimulation(25)
+		for range 20 {
+			spec := chain(2)
+			spec.Steps[0].EstimateMS = 4000
+			sim.submitTo(owner, spec)
+			sim.jobs[sim.jobIDs[len(sim.jobIDs)-1]].accepted = true
+		}
+		sim.run(700 * time.Millisecond)
+		granted := owner.state.owner.jobOrder
+		g.Expect(granted).To(gomega.HaveLen(20))
+		silent := granted[0].grants[0].Worker
+		named := map[ID]bool{}
+		for _, j := range granted {
+			g.Expect(len(j.grants)).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<=", maxSpareGrants)))
+			for _, gr := range j.grants {
+				named[j.record.ID] = named[j.record.ID] || gr.Worker == silent
+			}
+		}
+		sim.workers[silent].unreachable = dark
+		owner.kill()
+		var next *node
+		for next == nil || next.state.owner == nil || next.state.owner.stage != stageActive {
+			sim.run(10 * time.Millisecond)
+			next = sim.owner()
+		}
+		sim.run(200 * time.Millisecond)
+		for _, j := range next.state.owner.jobOrder {
+			g.Expect(len(j.inherited) > 0).To(gomega.Equal(dark && named[j.record.ID]))
+		}
+		sim.workers[silent].unreachable = false
+		sim.run(30 * time.Second)
+		sim.report(t)
+		g.Expect(sim.unfinished()).To(gomega.BeEmpty())
+	}
+}
