--- a/internal/core/job/grants.go
+++ b/internal/core/job/grants.go
@@ -7,12 +7,10 @@
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
-// While the store is slow or fails, the intent of each later step of a job would wait for an
-// append. Hence the record that a job's first intents are written in also grants the start of
-// all its tasks that were never intended: run 1 of each may start on any of the workers that
-// the record names, in their present incarnation, without another append. A store can fall
-// silent without being slow first, so that records name a few workers at any time. The grants
-// are only used while an append is overdue.
+// While the store is slow, the intent of each later step of a job would wait for an append.
+// Hence the record that a job's first intents are written in also grants the start of all
+// its tasks that were never intended: run 1 of each may start on any of the workers that the
+// record names, in their present incarnation, without another append.
 //
 // A later owner holds such tasks back until each of these workers has answered under its
 // fence, after which it refuses starts of earlier owners, or until its last possible lease
@@ -23,10 +21,6 @@
 	// maxGrants bounds the workers that a job's grant names: a later owner waits for all of
 	// them, and each takes about 60 bytes of the job's record.
 	maxGrants = 8
-	// maxSpareGrants bounds the workers that a record names while the store is fast: a later
-	// owner waits for all of them although their grant was most likely not used. It leaves
-	// room for the workers of a job's few tasks and another one.
-	maxSpareGrants = 3
 	// maxWaitingGranted bounds the jobs that are granted workers in one placement pass
 	// although none of their tasks fits: about 40 KiB of an append.
 	maxWaitingGranted = 64
@@ -75,21 +69,10 @@
 	return nil
 }
 
-// grantLimit is the number of workers that a job's record may name at present.
-func (o *owner) grantLimit() int {
-	if o.storeSlow() {
-		return maxGrants
-	}
-	return maxSpareGrants
-}
-
-// extendGrants grants a job workers if its record is about to be written or, while the store is
-// slow, if it is one of the first that wait for room.
+// extendGrants grants a job workers while the store is slow, if its record is about to be
+// written or it is one of the first that wait for room.
 func (o *owner) extendGrants(j *activeJob, workers []*worker, waiting *int) {
-	if len(j.grants) >= o.grantLimit() || !o.grantable(j) {
-		return
-	}
-	if !j.dirty && (!o.storeSlow() || *waiting <= 0 || len(j.grants) > 0) {
+	if !o.storeSlow() || len(j.grants) >= maxGrants || !j.dirty && (*waiting <= 0 || len(j.grants) > 0) || !o.grantable(j) {
 		return
 	}
 	t := j.neverIntended()
@@ -112,15 +95,14 @@
 }
 
 // grantWorkers adds grants for the workers of the job's tasks, then for those with room for
-// a task, then for others that could hold it. While the store is fast, it takes busy workers
-// only: the owner polls these all the time, and knows that they respond.
+// a task, then for others that could hold it.
 func (o *owner) grantWorkers(j *activeJob, t *task, workers []*worker) []*grant {
 	o.pruneGrants(j)
-	before, limit, slow := len(j.grants), o.grantLimit(), o.storeSlow()
+	before := len(j.grants)
 	for _, occ := range j.occurrences {
 		for _, st := range occ.steps {
 			for _, other := range st.tasks {
-				if other.worker != nil && len(j.grants) < limit {
+				if other.worker != nil {
 					j.addGrant(other.worker, o.s.now)
 				}
 			}
@@ -135,15 +117,12 @@
 	first := int(h.Sum32() % uint32(len(workers)))
 	for _, withRoom := range []bool{true, false} {
 		for i := range workers {
-			if len(j.grants) >= limit {
-				break
-			}
 			w := workers[(first+i)%len(workers)]
 			room := w.info.Capacity
 			if withRoom {
 				room = w.free()
 			}
-			if (slow || len(w.tasks) > 0) && room.Holds(need) && o.isEligible(t, w) {
+			if len(j.grants) < maxGrants && room.Holds(need) && o.isEligible(t, w) {
 				j.addGrant(w, o.s.now)
 			}
 		}
@@ -152,7 +131,7 @@
 }
 
 func (j *activeJob) addGrant(w *worker, now vocab.Instant) {
-	if w.usable(now) && j.grantOn(w) == nil {
+	if len(j.grants) < maxGrants && w.usable(now) && j.grantOn(w) == nil {
 		j.grants = append(j.grants, &grant{Worker: w.info.ID, Incarnation: w.info.Incarnation})
 	}
 }
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -94,8 +94,6 @@
 	fence   Fence
 	seq     uint64
 	down    bool
-	// refuses is set if the stream refuses calls at once while it is down.
-	refuses bool
 	// appendTime, if set, is the duration of one append; freeAt is the time when the
 	// stream accepts the next one.
 	appendTime time.Duration
@@ -423,10 +421,6 @@
 
 func (n *node) appendStream(e Append, sent vocab.Instant, reply func(event.Event)) {
 	s := n.sim.stream
-	if s.down && s.refuses {
-		reply(Appended{ID: e.ID, Outcome: NotDone, SentAt: sent})
-		return
-	}
 	if n.streamCut || s.down {
 		n.sim.after(700*time.Millisecond, func() { reply(Appended{ID: e.ID, Outcome: Unknown, SentAt: sent}) })
 		return
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -159,7 +159,7 @@
 		case w.pollInFlight:
 			inFlight++
 		case w.info.Address == "" || o.s.now < w.nextPollAt:
-		case len(w.tasks) > 0 || len(w.inheritedBy) > 0:
+		case len(w.tasks) > 0:
 			inFlight++
 			o.sendPoll(w)
 		default:
