Revoke the grants of idle workers that do not respond

Cause: grants were revoked only for a silent worker with tasks. A takeover then held the jobs that name an idle one until its last possible lease, although the earlier owner knew that it does not respond.

TestSilentIdleWorkerLosesItsGrants fails before. TestStoreThatRefusesAppendsCountsAsSlow passes before: it pins that an append refused at once counts as slow from its first attempt on. Not covered: an idle worker that the owner has no reason to poll.

--- a/internal/core/job/grants_test.go
+++ b/internal/core/job/grants_test.go
@@ -129,6 +129,33 @@
 	g.Expect(w.nextPollAt).To(gomega.Equal(o.s.now))
 }
 
+// TestSilentIdleWorkerLosesItsGrants guards against a takeover that waits for a worker without
+// tasks although the earlier owner knew that it does not respond.
+func TestSilentIdleWorkerLosesItsGrants(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o, w := flushOwner()
+	j := &activeJob{record: &JobRecord{}, grants: []*grant{{Worker: w.info.ID, Incarnation: w.info.Incarnation}}}
+	o.jobOrder = append(o.jobOrder, j)
+	w.pollInFlight, w.failedPolls = true, unreachableAfterPolls-1
+	o.handlePolled(Polled{Worker: w.info.ID, Outcome: NotDone})
+	g.Expect(j.grants).To(gomega.BeEmpty())
+	g.Expect(o.dirty).To(gomega.ConsistOf(j))
+}
+
+// TestStoreThatRefusesAppendsCountsAsSlow checks that an append that is refused at once, again
+// and again, counts as one in progress since its first attempt.
+func TestStoreThatRefusesAppendsCountsAsSlow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o, _ := flushOwner()
+	o.renew()
+	for range 3 {
+		o.handleAppended(Appended{ID: o.pendingAppend.id, Outcome: NotDone, SentAt: o.s.now})
+		o.s.now = o.s.now.Add(streamRetryDelay)
+		o.repeatAppend()
+		g.Expect(o.storeSlow()).To(gomega.BeTrue())
+	}
+}
+
 // runsOn returns the worker on which a task runs, or nil.
 func (sim *simulation) runsOn(name TaskName) *fakeWorker {
 	for _, id := range sim.workerIDs {
--- a/internal/core/job/silent_workers.go
+++ b/internal/core/job/silent_workers.go
@@ -42,13 +42,17 @@
 // maxSilentMS bounds the time in a record, in milliseconds. It is longer than any lease.
 const maxSilentMS = 600_000
 
-// noteSilent records that the lease of a worker with tasks is not extended any more.
+// noteSilent records that the lease of a worker with tasks is not extended any more, and that
+// nothing starts on the worker under a grant.
 func (o *owner) noteSilent(w *worker) {
-	if w.silent || len(w.tasks) == 0 {
+	if w.silent {
 		return
 	}
-	w.silent = true
 	o.revokeGrants(w)
+	if len(w.tasks) == 0 {
+		return
+	}
+	w.silent = true
 	o.extraRecords = append(o.extraRecords, silentRecord(w.info.ID, w.leaseUntil.Sub(o.s.now)))
 }
 
