--- a/internal/core/job/machines_test.go
+++ b/internal/core/job/machines_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
 // TestMachineOfUnlistedWorkerIsNotIdle replays deploy/days/rare-3.toml, seed 1021824841228:
@@ -111,6 +113,39 @@
 	g.Expect(orders[OrderMove]).To(gomega.BeNumerically(">", 20))
 }
 
+// TestMachinesOnTheWayHoldNoneBack replays the begin of a turn at vatuloa-runs-grown: 139 of
+// 349 machines were on the way, and 87 idle ones of the pool whose turn had ended stayed where
+// they were for a second while the next pool lacked 372. Only what is switched off waits.
+func TestMachinesOnTheWayHoldNoneBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := machinesOwner(Settings{MaxLease: 6 * time.Second, MaxOrdersPerSecond: 310})
+	o.s.config = &Config{Version: 1, Pools: []Pool{{Name: "next"}, {Name: "last"}, {Name: "off", Spare: true}}}
+	o.s.config.Index()
+	o.fleet.machineIDs, o.fleet.orderTokens = nil, 99
+	for i := range 349 {
+		id := MachineID(fmt.Sprintf("m-%04d", i))
+		m := &machine{info: MachineInfo{ID: id, Pool: "last", Capacity: Resources{CPU: 8000}}, idleSince: 1}
+		if i < 139 {
+			m.orderPending, m.order, m.targetPool = true, OrderMove, "next"
+		} else if i >= 139+87 {
+			m.info.Pool, m.idleSince = "next", 0
+		}
+		o.fleet.machineIDs = append(o.fleet.machineIDs, id)
+		o.fleet.machines[id] = m
+	}
+	o.s.now = 10 * vocab.Instant(time.Second)
+	o.fleet.machinesNeeded = map[vocab.PoolID]int{"next": 372}
+	o.planMoves()
+	g.Expect(len(o.pendingOrders)).To(gomega.Equal(87 - minIdleMachines))
+	for _, m := range o.pendingOrders {
+		m.orderPending = false
+	}
+	o.pendingOrders, o.fleet.orderTokens = nil, 99
+	o.fleet.machinesNeeded = map[vocab.PoolID]int{}
+	o.planMoves()
+	g.Expect(o.pendingOrders).To(gomega.BeEmpty(), "too many are on the way to switch others off")
+}
+
 // TestNewOwnerInterruptsNothingAtFirst guards against a step that loses more tasks than may be
 // missed around a change of owner: the tasks that the last owner had just told their workers
 // to stop were still listed as serving, and the next owner stopped another one (mta-lima-grown,
--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -24,23 +24,23 @@
 	minIdleMachines = 2
 	// minPoolMachines is the minimum number of machines of a pool.
 	minPoolMachines = 2
-	// maxMovingFraction is the maximum fraction of all machines that may be moving at the
-	// same time; minMoveLimit is the number that may always be moving.
-	maxMovingFraction = 0.4
-	minMoveLimit      = 16
+	// maxSwitchingOffFraction is the maximum fraction of all machines that may be moving while
+	// more are switched off; minMoveLimit is the number that may always be moving. A machine
+	// that a pool lacks waits for none of them: the platform's order rate is the only bound.
+	maxSwitchingOffFraction = 0.4
+	minMoveLimit            = 16
 )
 
 // planMoves moves machines to the pools that need machines, since the peak demand shifts from
 // pool to pool, and empties machines for them. Idle machines that no pool needs go to the spare
 // pool, where they are switched off and cost nothing.
 func (o *owner) planMoves() {
-	pending := o.pendingMoves()
-	maxMoves := max(minMoveLimit, int(maxMovingFraction*float64(len(o.fleet.machineIDs)))) - pending
+	maxMoves := max(minMoveLimit, int(maxSwitchingOffFraction*float64(len(o.fleet.machineIDs)))) - o.pendingMoves()
 	pools := o.poolStates()
 	urgent := slices.ContainsFunc(pools, func(p poolplan.Pool) bool { return p.Need > 0 && p.Urgent > 0 })
 	machines := o.movableMachines(urgent && o.fleet.preemptTokens >= 1)
 	o.clearReservations()
-	limits := poolplan.Limits{Moves: min(maxMoves, int(o.fleet.orderTokens)), Preemptions: int(o.fleet.preemptTokens)}
+	limits := poolplan.Limits{Moves: int(o.fleet.orderTokens), Preemptions: int(o.fleet.preemptTokens)}
 	plan := poolplan.Make(o.fleet.policy, pools, machines, limits)
 	for _, a := range plan.Moves {
 		o.scheduleOrder(o.fleet.machines[o.fleet.machineIDs[a.Machine]], OrderMove, a.To, 0)
