--- a/internal/core/job/lookahead.go
+++ b/internal/core/job/lookahead.go
@@ -39,10 +39,6 @@
 	// endWeight is the weight of aligned ends beside the free part of the worker: less than
 	// the part of a worker that a typical task takes, so that packing decides first.
 	endWeight = 0.1
-	// lastingWeight is the score of a worker without long-running tasks for such a task: more
-	// than that of any free part, since its machine then stays on for one task after all
-	// others have ended.
-	lastingWeight = 2.0
 	// learnedValidity is the time for which a step keeps its learned run time.
 	learnedValidity = time.Second
 )
@@ -101,15 +97,9 @@
 // endScore rates a worker by the time for which a task keeps it in use beyond its other
 // tasks, relative to the time for which the task runs.
 func (o *owner) endScore(end vocab.Instant, w *worker) float64 {
-	if !o.policy.alignedEnds {
+	if !o.policy.alignedEnds || end == never {
 		return 0
 	}
-	if end == never {
-		if o.endOf(w) == never {
-			return 0
-		}
-		return lastingWeight
-	}
 	extension := end.Sub(o.endOf(w))
 	if extension <= 0 {
 		return 0
--- a/internal/core/job/lookahead_test.go
+++ b/internal/core/job/lookahead_test.go
@@ -164,24 +164,6 @@
 	}
 }
 
-// TestLongRunningTasksShareWorkers: a long-running task that lost its worker during a pool's
-// turn joined the fullest one, whose other tasks were short, and kept that machine on alone
-// after the turn. At vatuloa-runs-grown such tasks, enough for 15 machines, held 32.
-func TestLongRunningTasksShareWorkers(t *testing.T) {
-	lasting := Step{Count: 3, Need: Resources{CPU: 500, Memory: 100}, LongRunning: true, MaxPerWorker: 2}
-	for on, want := range map[bool][]WorkerID{true: {"w0001", "w0000"}, false: {"w0000", "w0000"}} {
-		g := gomega.NewWithT(t)
-		o := fleetOf(2)
-		o.policy.alignedEnds = on
-		short := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 2500, Memory: 100}, EstimateMS: 400})
-		o.bind(firstTask(short), o.workers["w0000"], 1)
-		tasks := addTestJob(o, 2, lasting).occurrences[0].steps[0].tasks
-		o.bind(tasks[0], o.workers["w0001"], 1)
-		o.plan()
-		g.Expect([]WorkerID{tasks[1].worker.info.ID, tasks[2].worker.info.ID}).To(gomega.Equal(want), "within the limit of the step")
-	}
-}
-
 // TestOlderRunsAreExpectedToLastLonger: a run beyond its expected end is not about to end: in
 // a queue whose run times differ much, it is likely to take long.
 func TestOlderRunsAreExpectedToLastLonger(t *testing.T) {
