--- a/internal/core/job/door.go
+++ b/internal/core/job/door.go
@@ -16,8 +16,8 @@
 //
 // The estimate is a lower bound of the wait, so that no job is refused that could be served:
 // it counts only work that could start now and comes before the job in the order of service,
-// and all machines that no other pool waits for. A job that fits on a free worker is admitted. Nodes that are not the owner, and an owner that has not
-// planned recently, admit every job.
+// and all machines that no other pool waits for. A job that fits on a free worker is admitted.
+// Nodes that are not the owner, and an owner that has not planned recently, admit every job.
 
 const (
 	// maxBacklogPlanAge is the age of the last placement pass up to which its backlog is
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -271,6 +271,16 @@
 	return id.String()
 }
 
+// Field returns the value of a field of the event, or nil.
+func (e LogEvent) Field(name string) any {
+	for i := 0; i+1 < len(e.Fields); i += 2 {
+		if e.Fields[i] == name {
+			return e.Fields[i+1]
+		}
+	}
+	return nil
+}
+
 // effectMarker marks a type that embeds it as an effect.
 type effectMarker struct{}
 
--- a/internal/core/job/pool_room.go
+++ b/internal/core/job/pool_room.go
@@ -37,13 +37,3 @@
 		}
 	}
 }
-
-// Field returns the value of a field of the event, or nil.
-func (e LogEvent) Field(name string) any {
-	for i := 0; i+1 < len(e.Fields); i += 2 {
-		if e.Fields[i] == name {
-			return e.Fields[i+1]
-		}
-	}
-	return nil
-}
