Answer the requests in progress when the process ends

The node's loop had ended and the call had its answer (unclear), but the server closed all connections at once. Change: the servers shut down for up to 0.5 s, in which the answers are written. Ruled out: a longer drain: there is always a last request. Refusing late in the drain: the load balancer's connections stay open, and most of these requests are served.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -118,6 +118,10 @@
 // hostPort returns the host and port of a base URL.
 func hostPort(u settings.URL) string { return strings.TrimPrefix(string(u), "http://") }
 
+// shutdownTimeout is the time for which a server waits at the end of the process until the
+// requests in progress are answered: the node has ended then, and answers them at once.
+const shutdownTimeout = 500 * time.Millisecond
+
 // addHTTPServer listens on the address at once and adds a plain HTTP server to
 // the group.
 func addHTTPServer(group *run.Group, address settings.Address, handler http.Handler) error {
@@ -128,7 +132,13 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout}
 	group.Add(func() error {
 		return errors.Wrapf(server.Serve(listener), "serve on %s", address)
-	}, func(error) { _ = server.Close() })
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	})
 	return nil
 }
 
