Tasks avoid workers that fail what they start

Change: a task prefers workers on which it has not failed, and all tasks those that did not fail most of their runs in the last 10 s; a factor, not a ban. Forgotten with a new incarnation. Ruled out: refusing starts there for a time: where all workers fail nothing would start.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -110,6 +110,8 @@
 	preemptions int
 	// listed is set once the worker has listed the run.
 	listed bool
+	// failedOn is the worker on which a run of the task last failed.
+	failedOn WorkerID
 	// lostRuns holds the runs that were marked as lost and whose end is not known.
 	lostRuns []Run
 }
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -61,6 +61,8 @@
 	// Silent is set if the stream says that the worker's lease is not extended.
 	Silent      bool  `json:"silent,omitempty"`
 	LeaseLeftMS int64 `json:"lease_left_ms"`
+	// Failing is set if most of the worker's recent runs failed: tasks go to others first.
+	Failing bool `json:"failing,omitempty"`
 }
 
 // PoolDump is the demand of the tasks of a pool that wait for free capacity.
@@ -110,6 +112,7 @@
 		d.Workers = append(d.Workers, WorkerDump{
 			ID: id, Machine: w.info.Machine, Pool: w.info.Pool, Usable: w.usable(o.s.now), Tasks: len(w.tasks),
 			Free: w.free(), Failures: w.failedPolls, Silent: w.silent, LeaseLeftMS: w.leaseUntil.Sub(o.s.now).Milliseconds(),
+			Failing: w.outcomes.failing(o.s.now),
 		})
 	}
 	d.RefusedForLoad = maps.Clone(o.door.refusals)
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -134,7 +134,7 @@
 			p.heldBack = true
 			continue
 		}
-		score := placementScore(st.spec, w) + w.coldPenalty(o.s.now) + o.endScore(end, w)
+		score := placementScore(st.spec, w) + w.coldPenalty(o.s.now) + o.outcomePenalty(t, w) + o.endScore(end, w)
 		if rack != "" && w.info.Rack != rack {
 			score += wrongRackPenalty
 		}
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -220,8 +220,10 @@
 		if t.lastRun == 1 && t.startedAt != 0 {
 			o.estimates.observe(j.acceptance.Queue, t.step.spec.EstimateMS, o.s.now.Sub(t.startedAt))
 		}
+		o.noteOutcome(t, w, false)
 		o.completeTask(t)
 	case EndFailed:
+		o.noteOutcome(t, w, true)
 		o.release(t)
 		o.failTask(t)
 	default:
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -58,6 +58,8 @@
 	endsAt, endsKnownAt vocab.Instant
 	endsTasks           int
 	hold                *workerHold
+	// outcomes counts the ends of runs.
+	outcomes runOutcomes
 	// resumeAt is the earliest time at which throttled tasks may resume.
 	resumeAt vocab.Instant
 }
@@ -137,6 +139,7 @@
 func (o *owner) handleRestart(w *worker, incarnation Millis) {
 	o.s.logEvent(LogWorkerRestarted, "worker", w.info.ID, "born", incarnation)
 	w.info.Incarnation = incarnation
+	w.outcomes = runOutcomes{}
 	w.fenced, w.ackedEnd, w.lastEnd, w.confirmedEnd, w.orphaned = false, 0, 0, 0, Resources{}
 	// The response to a poll in flight says nothing about the ends of the new incarnation.
 	w.ackInFlight, w.ackWithheld = 0, false
