Compute the position of a job once for each instant

timesOf keeps it, but the count of demand, due work, preemption and refusals each walked all steps of a job again, the first two for every job in each pass. They call timesOf now. The remaining chain is set without an objective too, because due work needs it then.

--- a/internal/core/job/demand.go
+++ b/internal/core/job/demand.go
@@ -51,8 +51,7 @@
 // addJob counts the waiting tasks of a job, as far as the team's limit allows them and a
 // machine can hold them at all.
 func (d *demandCollector) addJob(pool vocab.PoolID, j *activeJob) {
-	_, _, remaining := d.owner.workAmounts(j)
-	times := d.owner.times(j, remaining)
+	times := d.owner.timesOf(j)
 	d.urgent = times.known && times.slack() > 0
 	for _, occ := range j.occurrences {
 		for _, st := range occ.steps {
--- a/internal/core/job/door.go
+++ b/internal/core/job/door.go
@@ -199,11 +199,10 @@
 	if c.class <= classCanWait && o.wouldExceedRate(a.Team) {
 		c.class = classOverRate
 	}
-	own := o.times(j, 0)
-	if !own.known {
+	if !j.times.known {
 		return 0, false
 	}
-	times := admission.WorkTimes{MinWait: o.minWait(c), Chain: o.criticalPath(j), WorthlessAfter: overdueFactor * own.objective}
+	times := admission.WorkTimes{MinWait: o.minWait(c), Chain: j.times.remaining, WorthlessAfter: overdueFactor * j.times.objective}
 	if times.Excess() <= 0 || o.hasRoom(j, q.Pool) {
 		return 0, false
 	}
--- a/internal/core/job/due.go
+++ b/internal/core/job/due.go
@@ -11,7 +11,8 @@
 	age time.Duration
 	// objective is the time after its acceptance within which the job should complete.
 	objective time.Duration
-	// remaining is the run time of the longest remaining chain of dependent steps.
+	// remaining is the run time of the longest remaining chain of dependent steps, also of a
+	// job without an objective.
 	remaining time.Duration
 }
 
@@ -39,7 +40,7 @@
 func (o *owner) times(j *activeJob, remaining time.Duration) jobTimes {
 	q := o.queueOf(j)
 	if q == nil || j.hasLongRunningTasks() {
-		return jobTimes{}
+		return jobTimes{remaining: remaining}
 	}
 	return jobTimes{
 		known:     true,
--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -81,8 +81,8 @@
 		if j.terminalPhase != 0 || j.hasLongRunningTasks() {
 			continue
 		}
-		_, _, path := o.workAmounts(j)
-		left := max(path, path+o.times(j, path).slack())
+		times := o.timesOf(j)
+		left := times.remaining + max(0, times.slack())
 		if left <= 0 {
 			continue
 		}
--- a/internal/core/job/preempt.go
+++ b/internal/core/job/preempt.go
@@ -38,8 +38,7 @@
 	if !spec.Checkpoints || spec.Gang || spec.LongRunning || t.state != runRunning || t.preemptions >= maxPreemptions || j.terminalPhase != 0 {
 		return false
 	}
-	_, _, remaining := o.workAmounts(j)
-	times := o.times(j, remaining)
+	times := o.timesOf(j)
 	if !times.known {
 		return false
 	}
