--- a/internal/core/job/directory_test.go
+++ b/internal/core/job/directory_test.go
@@ -10,19 +10,25 @@
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
-// largeFleet starts a simulation of 64 nodes, of which the first four have a high CPU share.
-func largeFleet(seed uint64) *simulation {
-	sim := newSimulation(seed, 0, 6, faults{})
+// startFleet starts nodes of which the first ones have a high CPU share, and waits until they
+// know each other.
+func (sim *simulation) startFleet(nodes, highShare int) {
 	sim.settings.Directory = true
-	for i := range 64 {
+	for i := range nodes {
 		n := &node{sim: sim, index: i, cpuShare: 0.2}
-		if i < 4 {
+		if i < highShare {
 			n.cpuShare = 0.8
 		}
 		sim.nodes = append(sim.nodes, n)
 		n.start()
 	}
 	sim.run(6 * time.Second)
+}
+
+// largeFleet starts a simulation of 64 nodes, of which the first four have a high CPU share.
+func largeFleet(seed uint64) *simulation {
+	sim := newSimulation(seed, 0, 6, faults{})
+	sim.startFleet(64, 4)
 	return sim
 }
 
@@ -217,16 +223,7 @@
 func TestSlowStoreIsLeftToTheOwner(t *testing.T) {
 	g := gomega.NewWithT(t)
 	sim := newSimulation(53, 0, 40, faults{})
-	sim.settings.Directory = true
-	for i := range 64 {
-		n := &node{sim: sim, index: i, cpuShare: 0.2}
-		if i < 15 {
-			n.cpuShare = 0.8
-		}
-		sim.nodes = append(sim.nodes, n)
-		n.start()
-	}
-	sim.run(6 * time.Second)
+	sim.startFleet(64, 15)
 	sim.after(0, func() { sim.load(25*time.Millisecond, 6*time.Second) })
 	sim.run(time.Second)
 	sim.stream.appendTime = 237 * time.Millisecond
--- a/internal/core/job/simulation_fleet_test.go
+++ b/internal/core/job/simulation_fleet_test.go
@@ -179,19 +179,11 @@
 	for seed := *firstSeed; seed < *firstSeed+uint64(max(1, *seeds/6)); seed++ {
 		rng := rand.New(rand.NewPCG(seed, 5))
 		sim := newSimulation(seed, 0, 10, faults{loseAppend: rng.Float64() * 0.1, loseOrder: rng.Float64() * 0.1})
-		sim.pollsWait, sim.settings.Directory = true, true
+		sim.pollsWait = true
 		sim.settings.MaxOrdersPerSecond, sim.settings.MinOrderGap = 20, 3*time.Second
 		sim.config.Teams[0].Limit = Resources{}
 		sim.fleet = &fakeFleet{sim: sim, downUntil: map[MachineID]vocab.Instant{}, interrupted: map[TaskName]bool{}, servedAt: map[TaskName]vocab.Instant{}}
-		for i := range minRemoteFleet + 2 {
-			n := &node{sim: sim, index: i, cpuShare: 0.2}
-			if i < 4 {
-				n.cpuShare = 0.8
-			}
-			sim.nodes = append(sim.nodes, n)
-			n.start()
-		}
-		sim.run(6 * time.Second)
+		sim.startFleet(minRemoteFleet+2, 4)
 		for range 4 {
 			sim.submit(Spec{Steps: []Step{{
 				Count: 4 + rng.IntN(6), Need: Resources{CPU: 500, Memory: 64}, EstimateMS: 600_000, LongRunning: true,
