Log and count how runs are lost with their worker

The log could not tell a worker that crashed from one that an order of ours, a drain or a reused address took away, nor a run that was new from one that had long been there. 612 gains cause, planned and since_start_ms, 639 has one line for each lost worker, and sardinehead_job_runs_lost_total counts by cause.

--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -202,6 +202,7 @@
 	LogTasksPreempted
 	LogPoolSupplied
 	LogRoomReserved
+	LogWorkerLost
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -225,6 +226,7 @@
 	LogTasksPreempted:    "tasks preempted",
 	LogPoolSupplied:      "pool supplied",
 	LogRoomReserved:      "room reserved",
+	LogWorkerLost:        "worker lost",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- /dev/null
+++ b/internal/core/job/losses.go
@@ -0,0 +1,93 @@
+package job
+
+import (
+	"slices"
+	"time"
+)
+
+// A run whose worker goes has no end that the worker reports. The owner gives it up once it
+// cannot be running any more.
+
+// lossCause is the reason why a run is given up without an end reported by its worker.
+type lossCause int
+
+const (
+	// lossLeaseExpired: the worker has not responded until its lease expired. It may have crashed
+	// or be cut off.
+	lossLeaseExpired lossCause = iota
+	// lossWorkerReplaced: another worker responds at the worker's address.
+	lossWorkerReplaced
+	// lossWorkerRestarted: a later incarnation of the worker does not list the run.
+	lossWorkerRestarted
+	// lossUnlisted: the same incarnation does not list the run.
+	lossUnlisted
+	// lossMachineOrdered: an order of this owner took the machine away.
+	lossMachineOrdered
+)
+
+var lossTexts = map[lossCause]string{
+	lossLeaseExpired: "the lease passed without an answer from the worker", lossWorkerReplaced: "another worker has the address",
+	lossWorkerRestarted: "the worker has restarted", lossUnlisted: "the worker does not list the run",
+	lossMachineOrdered: "an order took the machine away",
+}
+
+var lossLabels = map[lossCause]string{
+	lossLeaseExpired: "lease_expired", lossWorkerReplaced: "worker_replaced", lossWorkerRestarted: "worker_restarted",
+	lossUnlisted: "unlisted", lossMachineOrdered: "machine_ordered",
+}
+
+// String implements fmt.Stringer.
+func (c lossCause) String() string { return lossTexts[c] }
+
+// label returns the value of the cause label of sardinehead_job_runs_lost_total.
+func (c lossCause) label() string { return lossLabels[c] }
+
+// settleTime is the time after its start for which a run counts as new on its worker: an owner
+// hears from a worker with runs at least once within it.
+const settleTime = pollWait + 100*time.Millisecond
+
+// settled reports whether the worker was still responding settleTime after the start of the run.
+func (t *task) settled() bool {
+	return t.startSentAt != 0 && t.worker.lastHeardAt.Sub(t.startSentAt) >= settleTime
+}
+
+// lossPlanned reports whether the end of a worker was planned: it was draining, or an owner has
+// ordered its machine since the worker was last known to be in use.
+func (o *owner) lossPlanned(w *worker) bool {
+	if w.info.Draining || w.leaving {
+		return true
+	}
+	order, ordered := o.s.ledger.lastOrders[w.info.Machine]
+	switch {
+	case !ordered:
+		return false
+	case w.lastStartAt != 0:
+		return order.readAt >= w.lastStartAt
+	default:
+		// An order from before the worker's own start has brought the machine here.
+		return o.s.wall-Millis(o.s.now.Sub(order.readAt).Milliseconds()) >= w.info.Incarnation
+	}
+}
+
+// loseRuns gives up runs of a worker.
+func (o *owner) loseRuns(w *worker, tasks []*task, cause lossCause) {
+	if len(tasks) == 0 {
+		return
+	}
+	tasks = slices.Clone(tasks)
+	unsettled := 0
+	for _, t := range tasks {
+		if !t.settled() {
+			unsettled++
+		}
+	}
+	heardMS := int64(-1)
+	if w.lastHeardAt != 0 {
+		heardMS = o.s.now.Sub(w.lastHeardAt).Milliseconds()
+	}
+	o.s.logEvent(LogWorkerLost, "worker", w.info.ID, "machine", w.info.Machine, "cause", cause.label(), "planned", o.lossPlanned(w),
+		"runs", len(tasks), "unsettled", unsettled, "heard_ms_ago", heardMS)
+	for _, t := range tasks {
+		o.markLost(t, cause)
+	}
+}
--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -371,8 +371,6 @@
 	if w == nil || m.info.State == MachineUp && m.info.Worker == m.orderedWorker {
 		return
 	}
-	for _, t := range slices.Clone(w.tasks) {
-		o.markLost(t, "an order took the machine away")
-	}
+	o.loseRuns(w, w.tasks, lossMachineOrdered)
 	w.listed, w.cordoned, w.leaving = false, false, false
 }
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -54,5 +54,6 @@
 		636: "tasks preempted",
 		637: "pool supplied",
 		638: "room reserved",
+		639: "worker lost",
 	}))
 }
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -85,6 +85,7 @@
 	t.startsUnanswered++
 	ticket, _ := t.step.ticketFor(w, o.s.now)
 	w.leaseUntil = max(w.leaseUntil, o.s.now.Add(o.s.maxLeaseSpan()))
+	w.lastStartAt = o.s.now
 	o.s.emit(Start{
 		Worker: w.info.ID, Address: w.info.Address, Fence: o.fence, Task: t.name(), Run: t.lastRun,
 		Payload: t.step.job.acceptance.Spec.Payload, Checkpoint: t.checkpoint, Ticket: ticket,
@@ -112,6 +113,9 @@
 	}
 	w := t.worker
 	t.startsUnanswered--
+	if e.Outcome == OK || e.Refusal != RefusalNone {
+		w.lastHeardAt = max(w.lastHeardAt, o.s.now)
+	}
 	switch e.Outcome {
 	case OK:
 		o.health.noteStart(o.s.now.Sub(e.SentAt))
@@ -323,8 +327,13 @@
 }
 
 // markLost releases a run that its worker cannot be running any more.
-func (o *owner) markLost(t *task, reason string) {
-	o.s.logEvent(LogRunLost, "task", t.name(), "run", t.lastRun, "worker", t.worker.info.ID, "why", reason)
+func (o *owner) markLost(t *task, cause lossCause) {
+	ranMS := int64(-1)
+	if t.startSentAt != 0 {
+		ranMS = o.s.now.Sub(t.startSentAt).Milliseconds()
+	}
+	o.s.logEvent(LogRunLost, "task", t.name(), "run", t.lastRun, "worker", t.worker.info.ID, "why", cause.String(),
+		"cause", cause.label(), "planned", o.lossPlanned(t.worker), "since_start_ms", ranMS)
 	if t.state != runPlanned {
 		t.lostRuns = append(t.lostRuns, t.lastRun)
 	}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -58,6 +58,10 @@
 	endsAt, endsKnownAt vocab.Instant
 	endsTasks           int
 	hold                *workerHold
+	// lastHeardAt is the time of the worker's last response to a poll or an order.
+	lastHeardAt vocab.Instant
+	// lastStartAt is the time when this owner last sent a start to the worker.
+	lastStartAt vocab.Instant
 	// outcomes counts the ends of runs.
 	outcomes runOutcomes
 	// resumeAt is the earliest time at which throttled tasks may resume.
@@ -211,9 +215,7 @@
 	if len(w.tasks) == 0 || o.s.now < w.leaseUntil || w.fenced && w.failedPolls == 0 && w.listed {
 		return
 	}
-	for _, t := range slices.Clone(w.tasks) {
-		o.markLost(t, "the lease passed without an answer from the worker")
-	}
+	o.loseRuns(w, w.tasks, lossLeaseExpired)
 }
 
 // resendStops repeats stops without a response and stops runs whose start outcome remains unknown.
@@ -242,6 +244,7 @@
 		o.handlePollFailure(w, e)
 		return
 	}
+	w.lastHeardAt = max(w.lastHeardAt, e.ReceivedAt)
 	if w.failedPolls >= unreachableAfterPolls {
 		o.s.logEvent(LogWorkerReachable, "worker", w.info.ID)
 		o.planDue = true
@@ -277,9 +280,7 @@
 	}
 	if e.Outcome == Gone {
 		// A different worker responds at the address, so this one no longer exists.
-		for _, t := range slices.Clone(w.tasks) {
-			o.markLost(t, "another worker has the address")
-		}
+		o.loseRuns(w, w.tasks, lossWorkerReplaced)
 		o.resolveGrants(w)
 	}
 	w.failedPolls++
@@ -338,11 +339,18 @@
 		reported[t] = true
 		o.updateRun(t, r)
 	}
-	for _, t := range slices.Clone(w.tasks) {
-		if !reported[t] && t.lostIfUnlisted(e.SentAt) {
-			o.markLost(t, "the worker does not list the run")
+	var restarted, unlisted []*task
+	for _, t := range w.tasks {
+		switch {
+		case reported[t] || !t.lostIfUnlisted(e.SentAt):
+		case t.incarnation < w.info.Incarnation:
+			restarted = append(restarted, t)
+		default:
+			unlisted = append(unlisted, t)
 		}
 	}
+	o.loseRuns(w, restarted, lossWorkerRestarted)
+	o.loseRuns(w, unlisted, lossUnlisted)
 	o.throttleBestEffort(w)
 }
 
--- a/internal/jobnode/metrics.go
+++ b/internal/jobnode/metrics.go
@@ -46,6 +46,9 @@
 
 func (m *nodeMetrics) countLogEvent(e job.LogEvent) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`sardinehead_job_events_total{event=%q}`, e.ID.MetricLabel())).Inc()
+	if cause, ok := e.Field("cause").(string); ok && e.ID == job.LogRunLost {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`sardinehead_job_runs_lost_total{cause=%q}`, cause)).Inc()
+	}
 	if after, ok := e.Field("after_ms").(int64); ok && e.ID == job.LogPoolSupplied {
 		m.set.GetOrCreateHistogram("sardinehead_job_pool_shortage_seconds").Update(float64(after) / 1000)
 	}
