Tests of tasks that crash their workers, which fail

The simulated workers now crash under certain tasks and come back as a new incarnation or as another worker at their address.

--- /dev/null
+++ b/internal/core/job/crash_test.go
@@ -0,0 +1,205 @@
+package job
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// crashingTasks makes the workers crash that start certain tasks, and checks how often these are
+// started.
+type crashingTasks struct {
+	// crashAfter is the time from the start of a run to the crash, by task.
+	crashAfter map[TaskName]time.Duration
+	// downFor is the time for which a crashed worker is down. If replaced is set, another worker
+	// then has its machine and address, otherwise a new incarnation.
+	downFor  time.Duration
+	replaced bool
+	// crashes counts the crashes under each task, startsAfter the starts after the third one.
+	crashes, startsAfter map[TaskName]int
+	replacements         int
+}
+
+const (
+	crashesUntilBudget = 3
+	startsBeyondBudget = 3
+)
+
+// addCrashingTask lets a task crash the workers that start it.
+func (sim *simulation) addCrashingTask(name TaskName, after time.Duration) {
+	if sim.crashing == nil {
+		sim.crashing = &crashingTasks{
+			crashAfter: map[TaskName]time.Duration{}, downFor: 3300 * time.Millisecond,
+			crashes: map[TaskName]int{}, startsAfter: map[TaskName]int{},
+		}
+	}
+	sim.crashing.crashAfter[name] = after
+}
+
+// noteCrashingStart counts the start of a run, and crashes the worker if the task is a crashing one.
+func (sim *simulation) noteCrashingStart(wk *fakeWorker, name TaskName, r *fakeRun) {
+	c := sim.crashing
+	if c == nil {
+		return
+	}
+	after, crashes := c.crashAfter[name]
+	if !crashes {
+		return
+	}
+	if c.crashes[name] >= crashesUntilBudget {
+		c.startsAfter[name]++
+		if c.startsAfter[name] == startsBeyondBudget {
+			sim.addViolation("%s run %d: started %d times more after %d workers had crashed under it", name, r.run, startsBeyondBudget, c.crashes[name])
+		}
+	}
+	sim.after(after, func() {
+		if wk.runs[name] == r && wk.up {
+			c.crashes[name]++
+			sim.crashWorker(wk, c.downFor, c.replaced)
+		}
+	})
+}
+
+// crashWorker ends a worker and everything on it. It is back after a time.
+func (sim *simulation) crashWorker(wk *fakeWorker, downFor time.Duration, replaced bool) {
+	wk.up, wk.runs = false, map[TaskName]*fakeRun{}
+	sim.after(downFor, func() {
+		if wk.up || wk.gone {
+			return
+		}
+		if replaced {
+			sim.replaceWorker(wk)
+			return
+		}
+		sim.restartWorker(wk)
+	})
+}
+
+// replaceWorker starts another worker on the machine and at the address of one that is down.
+func (sim *simulation) replaceWorker(old *fakeWorker) {
+	old.gone = true
+	sim.crashing.replacements++
+	info := old.info
+	info.ID = WorkerID(fmt.Sprintf("x%03d", sim.crashing.replacements))
+	next := &fakeWorker{info: info}
+	sim.workerIDs = append(sim.workerIDs, info.ID)
+	sim.workers[info.ID] = next
+	sim.restartWorker(next)
+}
+
+// failedJobs returns the accepted jobs that a node shows as failed.
+func (sim *simulation) failedJobs() []ID {
+	var failed []ID
+	for _, id := range sim.jobIDs {
+		if job := sim.nodes[0].state.ledger.Jobs[id]; job != nil && job.Phase == PhaseFailed {
+			failed = append(failed, id)
+		}
+	}
+	return failed
+}
+
+// TestTaskThatCrashesWorkersIsGivenUp guards against issue 34: lost runs did not count, and one
+// task crashed worker after worker.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		for _, after := range []time.Duration{10 * time.Millisecond, 1200 * time.Millisecond} {
+			t.Run(fmt.Sprintf("replaced %v, after %v", replaced, after), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				sim := newSimulation(1, 3, 6, faults{})
+				sim.pollsWait = true
+				sim.run(3 * time.Second)
+				spec := Spec{Payload: "x", Steps: []Step{{Count: 6, Need: Resources{CPU: 900, Memory: 256}, EstimateMS: 1500}}}
+				id := sim.submit(spec)
+				name := TaskName{Job: id, Index: 2}
+				sim.addCrashingTask(name, after)
+				sim.crashing.replaced = replaced
+				sim.after(0, func() { sim.load(100*time.Millisecond, 20*time.Second) })
+				sim.run(60 * time.Second)
+				sim.report(t)
+				g.Expect(sim.crashing.crashes[name]).To(gomega.BeNumerically(">=", 2))
+				g.Expect(sim.failedJobs()).To(gomega.Equal([]ID{id}), "the other jobs can be done")
+				g.Expect(sim.unfinished()).To(gomega.BeEmpty())
+			})
+		}
+	}
+}
+
+// TestNextOwnerKnowsTheCrashes: the owner is killed after each crash, so that a count in its memory
+// alone would start anew (second hypothesis of issue 34).
+func TestNextOwnerKnowsTheCrashes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sim := newSimulation(2, 4, 6, faults{})
+	sim.run(3 * time.Second)
+	id := sim.submit(Spec{Payload: "x", Steps: []Step{{Count: 4, Need: Resources{CPU: 900, Memory: 256}, EstimateMS: 800}}})
+	name := TaskName{Job: id, Index: 1}
+	sim.addCrashingTask(name, 10*time.Millisecond)
+	sim.crashing.replaced = true
+	for range 12 {
+		before := sim.crashing.crashes[name]
+		for waited := 0; sim.crashing.crashes[name] == before && waited < 100; waited++ {
+			sim.run(100 * time.Millisecond)
+		}
+		for _, n := range sim.nodes {
+			if n.up && n.state.Owning() {
+				n.kill()
+				sim.after(2*time.Second, n.start)
+			}
+		}
+	}
+	sim.run(30 * time.Second)
+	sim.report(t)
+	g.Expect(sim.crashing.crashes[name]).To(gomega.BeNumerically(">=", 2))
+	g.Expect(sim.failedJobs()).To(gomega.Equal([]ID{id}))
+	g.Expect(sim.unfinished()).To(gomega.BeEmpty())
+}
+
+// TestRandomCrashes simulates random fault schedules with tasks that crash the workers that start
+// them, while workers also crash for other reasons, and owners change.
+func TestRandomCrashes(t *testing.T) {
+	for i := range uint64(*seeds) {
+		seed := *firstSeed + i
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			simulateCrashes(t, seed)
+		})
+	}
+}
+
+func simulateCrashes(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	sim := newSimulation(seed, 3+rng.IntN(3), 6, faults{
+		loseAppend: rng.Float64() * 0.05, loseOrder: rng.Float64() * 0.05, lateOrder: rng.Float64() * 0.03, failTask: rng.Float64() * 0.05,
+	})
+	sim.pollsWait = true
+	if *printLines {
+		sim.trace = func(line string) { t.Log(line) }
+	}
+	sim.run(3 * time.Second)
+	sim.after(0, func() { sim.load(200*time.Millisecond, 25*time.Second) })
+	for range 1 + rng.IntN(5) {
+		sim.after(time.Duration(rng.Int64N(int64(15*time.Second))), func() {
+			spec := randomSpec(sim)
+			name := TaskName{Job: sim.submit(spec), Index: rng.IntN(spec.Steps[0].Count)}
+			sim.addCrashingTask(name, time.Duration(rng.Int64N(int64(spec.Steps[0].EstimateMS)))*time.Millisecond)
+			sim.crashing.replaced = rng.IntN(2) == 0
+		})
+	}
+	sim.scheduleFaults(rng.IntN(6))
+	sim.run(30 * time.Second)
+	sim.clearFaults()
+	sim.run(120 * time.Second)
+	sim.report(t)
+	for name := range sim.crashing.crashAfter {
+		if j := sim.jobs[name.Job]; j.accepted && j.cancelled == 0 && !slices.Contains(sim.failedJobs(), name.Job) {
+			t.Errorf("job %s crashed %d workers and is not shown as failed", name.Job, sim.crashing.crashes[name])
+		}
+	}
+	if unfinished := sim.unfinished(); len(unfinished) > 0 {
+		t.Errorf("%d jobs did not finish: %s", len(unfinished), unfinished[0])
+	}
+}
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -46,6 +46,8 @@
 	pollsWait bool
 	// trace, if set, receives the log events of all nodes.
 	trace func(string)
+	// crashing holds the tasks that crash their workers, or is nil.
+	crashing *crashingTasks
 	// evacuated holds since when each availability zone is evacuated.
 	evacuated map[vocab.ZoneID]vocab.Instant
 }
@@ -104,6 +106,8 @@
 	info        WorkerInfo
 	up          bool
 	unreachable bool
+	// gone is set once another worker has the address.
+	gone bool
 	fence       Fence
 	leaseUntil  vocab.Instant
 	runs        map[TaskName]*fakeRun
@@ -507,6 +511,9 @@
 // reach returns the worker if the order reaches it and the worker accepts the fence.
 func (sim *simulation) reach(id WorkerID, fence Fence) (*fakeWorker, Outcome) {
 	wk := sim.workers[id]
+	if wk.gone {
+		return nil, Gone
+	}
 	if !wk.up || wk.unreachable {
 		return nil, NotDone
 	}
@@ -619,6 +626,7 @@
 	r := &fakeRun{run: e.Run, fails: sim.rng.Float64() < sim.faults.failTask, startedAt: sim.now}
 	wk.runs[e.Task] = r
 	sim.starts++
+	sim.noteCrashingStart(wk, e.Task, r)
 	j := sim.jobs[e.Task.Job]
 	duration := time.Duration(j.spec.Steps[e.Task.Step].EstimateMS) * time.Millisecond
 	sim.after(duration, func() {
