Give up jobs with a task that crashes its workers

Cause: attempts are limited by ends that workers report as failed. A worker that crashes reports nothing, its runs are given up as lost, and a lost run cost the task nothing. Class: a limit counts only what the one that fails reports itself, and only in the memory of one owner.

Now the owner counts crashes, in the record that releases the lost run and so precedes the next start; internal/core/crash decides whom a crash is attributed to. Suspects are the runs that started last and have not settled. A suspect starts again on trial, alone among the new runs of its worker, so that the second crash shows whether it was; then its job fails. Tasks that crash long after their start are isolated for whole runs after three crashes. Losses that are planned (drain, an order of any owner) or unexplained (cut network) do not count; a lease that passed is confirmed by a later incarnation on the machine. The next owner reads the counts, when each run was planned, and where the workers were: whoever responds there shows that a worker has ended, which it would otherwise wait a lease for.

--- /dev/null
+++ b/internal/core/crash/crash.go
@@ -0,0 +1,165 @@
+// Package crash attributes the crash of a worker to the runs that were on it, and decides when
+// a task that crashes its workers is given up.
+//
+// A worker that crashes reports nothing about its runs, and most of them had no part in it. The
+// usual culprit is what has started last. A task that may be the culprit is started again on
+// trial: alone among the new runs of its worker, so that a second crash shows whether it was.
+package crash
+
+import (
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// Record is what is known of the crashes of workers that had a run of a task.
+type Record struct {
+	// Crashes is the number of workers that have crashed with a run of the task on them. Possible
+	// is the number of those that have crashed with a start of the task of unknown outcome.
+	Crashes, Possible int
+	// Suspected is the number of crashes that the task may have caused.
+	Suspected int
+}
+
+// Trial is the condition under which a task may start.
+type Trial int
+
+const (
+	// NoTrial: the task may start beside others.
+	NoTrial Trial = iota
+	// StartTrial: nothing else may start on the worker until the run has settled.
+	StartTrial
+	// RunTrial: nothing else may start on the worker until the run has ended.
+	RunTrial
+)
+
+const (
+	// runTrialCrashes is the number of crashes after which a task is on trial for whole runs: it
+	// may crash its workers long after its starts.
+	runTrialCrashes = 3
+	// guiltyCrashes is the least number of crashes under a task that is given up, guiltyWithPossible
+	// the least number if possible ones count.
+	guiltyCrashes      = 2
+	guiltyWithPossible = 3
+	// guiltySuspicions is the number of suspicions with which a crash on trial shows that the
+	// task causes them; guiltySuspicionsUnisolated is the number without a trial.
+	guiltySuspicions           = 2
+	guiltySuspicionsUnisolated = 3
+	// startSpread is the time within which starts on one worker cannot be told apart: an order
+	// and the report of a broken connection take as long between nodes and workers.
+	startSpread = 100 * time.Millisecond
+)
+
+// Trial returns the condition under which the task may start again.
+func (r Record) Trial() Trial {
+	switch {
+	case r.Crashes+r.Possible >= runTrialCrashes:
+		return RunTrial
+	case r.Suspected > 0:
+		return StartTrial
+	default:
+		return NoTrial
+	}
+}
+
+// Count counts the crash of a worker that is known to have had a run of the task, or that may have
+// had one.
+func (r *Record) Count(known bool) {
+	if known {
+		r.Crashes++
+	} else {
+		r.Possible++
+	}
+}
+
+// Guilty reports whether a task is given up after a crash. isolated is set if no other task could
+// have caused that crash, onRunTrial if the task was on trial for its whole run.
+func (r Record) Guilty(isolated, onRunTrial bool) bool {
+	if r.Crashes < guiltyCrashes && r.Crashes+r.Possible < guiltyWithPossible {
+		return false
+	}
+	if isolated {
+		return r.Suspected >= guiltySuspicions || onRunTrial
+	}
+	return r.Suspected >= guiltySuspicionsUnisolated
+}
+
+// Run is a run on a worker that has crashed.
+type Run struct {
+	// StartedAt is the time when the run was started.
+	StartedAt vocab.Instant
+	// Unanswered is set if the start was sent and the worker has not responded to it.
+	Unanswered bool
+	// Settled is set if the worker still responded a while after the start.
+	Settled bool
+	// Trial is the condition under which the run was started.
+	Trial Trial
+	// Unit is equal for runs that are started and judged together.
+	Unit any
+}
+
+// Suspects returns the indexes of the runs that may have caused the crash, and whether they
+// belong to one unit.
+func Suspects(runs []Run) (suspects []int, isolated bool) {
+	suspects = newest(runs)
+	if len(suspects) == 0 {
+		suspects = indexes(runs, func(r Run) bool { return r.Trial == RunTrial })
+	}
+	if len(suspects) == 0 && oneUnit(runs, indexes(runs, func(Run) bool { return true })) {
+		suspects = indexes(runs, func(Run) bool { return true })
+	}
+	return suspects, oneUnit(runs, suspects)
+}
+
+// newest returns the runs that have not settled and started last. A start that the worker has
+// not responded to may have been sent after the crash, so that the last one with a response
+// counts, or the first one without.
+func newest(runs []Run) []int {
+	var reference vocab.Instant
+	answered := false
+	for _, r := range runs {
+		if r.Settled {
+			continue
+		}
+		switch {
+		case !r.Unanswered:
+			if !answered || r.StartedAt > reference {
+				reference = r.StartedAt
+			}
+			answered = true
+		case !answered && (reference == 0 || r.StartedAt < reference):
+			reference = r.StartedAt
+		}
+	}
+	if reference == 0 {
+		return nil
+	}
+	return indexes(runs, func(r Run) bool {
+		apart := r.StartedAt.Sub(reference)
+		return !r.Settled && apart <= startSpread && apart >= -startSpread
+	})
+}
+
+// Distinguishable reports whether a run that starts now is told apart from one that was started at
+// an earlier time.
+func Distinguishable(now, earlier vocab.Instant) bool { return now.Sub(earlier) > startSpread }
+
+func indexes(runs []Run, match func(Run) bool) []int {
+	var list []int
+	for i, r := range runs {
+		if match(r) {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// oneUnit reports whether the runs with the given indexes belong to one unit.
+func oneUnit(runs []Run, list []int) bool {
+	for _, i := range list {
+		if runs[i].Unit != runs[list[0]].Unit {
+			return false
+		}
+	}
+	return len(list) > 0
+}
--- /dev/null
+++ b/internal/core/crash/crash_test.go
@@ -0,0 +1,85 @@
+package crash
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+const second = vocab.Instant(time.Second)
+
+func TestSuspects(t *testing.T) {
+	late := 10 * second
+	tests := map[string]struct {
+		runs     []Run
+		suspects []int
+		isolated bool
+	}{
+		"no runs":                     {nil, nil, false},
+		"the only run":                {[]Run{{StartedAt: late, Unit: 1}}, []int{0}, true},
+		"the only run, long there":    {[]Run{{StartedAt: second, Settled: true, Unit: 1}}, []int{0}, true},
+		"the newest of several":       {[]Run{{StartedAt: late, Unit: 1}, {StartedAt: late - second/2, Unit: 2}}, []int{0}, true},
+		"two at once":                 {[]Run{{StartedAt: late, Unit: 1}, {StartedAt: late - second/100, Unanswered: true, Unit: 2}}, []int{0, 1}, false},
+		"two of one gang":             {[]Run{{StartedAt: late, Unit: 1}, {StartedAt: late, Unit: 1}}, []int{0, 1}, true},
+		"starts after the crash":      {[]Run{{StartedAt: late, Unit: 1}, {StartedAt: late + second, Unanswered: true, Unit: 2}}, []int{0}, true},
+		"no start has a response":     {[]Run{{StartedAt: late + second, Unanswered: true, Unit: 1}, {StartedAt: late, Unanswered: true, Unit: 2}}, []int{1}, true},
+		"all have settled":            {[]Run{{StartedAt: 1, Settled: true, Unit: 1}, {StartedAt: 2, Settled: true, Unit: 2}}, nil, false},
+		"all have settled, one trial": {[]Run{{StartedAt: 1, Settled: true, Unit: 1}, {StartedAt: 2, Settled: true, Trial: RunTrial, Unit: 2}}, []int{1}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			suspects, isolated := Suspects(test.runs)
+			g.Expect(suspects).To(gomega.Equal(test.suspects))
+			g.Expect(isolated).To(gomega.Equal(test.isolated))
+		})
+	}
+}
+
+// TestEveryCrashingTaskIsGivenUpInTime draws tasks that crash their workers at any time after
+// their starts, among other runs. Each is given up before its third start after its third crash,
+// as long as its trials keep new runs of other tasks away, and never before its second crash.
+func TestEveryCrashingTaskIsGivenUpInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const settleTime = second / 2
+		var record Record
+		for crashes := 1; ; crashes++ {
+			if crashes > 5 {
+				t.Fatalf("the task is started a third time after its third crash: %+v", record)
+			}
+			crashAfter := vocab.Instant(rapid.Int64Range(0, int64(3*second)).Draw(t, "crash after"))
+			startedAt, crashAt := 10*second, 10*second+crashAfter
+			runs := []Run{{
+				StartedAt: startedAt, Unanswered: rapid.Bool().Draw(t, "unanswered"), Settled: crashAfter >= settleTime,
+				Trial: record.Trial(), Unit: 0,
+			}}
+			for i := range rapid.IntRange(0, 6).Draw(t, "others") {
+				other := Run{StartedAt: vocab.Instant(rapid.Int64Range(int64(second), int64(crashAt)).Draw(t, "started")), Unit: i + 1}
+				switch {
+				case record.Trial() == RunTrial && other.StartedAt >= startedAt-vocab.Instant(startSpread):
+					continue
+				case record.Trial() == StartTrial && other.StartedAt >= startedAt-vocab.Instant(startSpread) && other.StartedAt < startedAt+settleTime:
+					continue
+				}
+				other.Settled = crashAt-other.StartedAt >= settleTime
+				runs = append(runs, other)
+			}
+			suspects, isolated := Suspects(runs)
+			record.Count(!runs[0].Unanswered)
+			suspected := len(suspects) > 0 && suspects[0] == 0
+			if suspected {
+				record.Suspected++
+			}
+			if suspected && record.Guilty(isolated, runs[0].Trial == RunTrial) {
+				if crashes < 2 {
+					t.Fatalf("given up after %d crash", crashes)
+				}
+				return
+			}
+		}
+	})
+}
--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/sardinehead/sardinehead/internal/core/crash"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -112,6 +113,14 @@
 	listed bool
 	// failedOn is the worker on which a run of the task last failed.
 	failedOn WorkerID
+	// crash is what is known of the crashes of the task's workers, trial the condition under which
+	// its run was started.
+	crash crash.Record
+	trial crash.Trial
+	// plannedAt is the time when the run was intended, by whichever owner.
+	plannedAt vocab.Instant
+	// plannedWall is plannedAt as a time of day, for the record.
+	plannedWall Millis
 	// lostRuns holds the runs that were marked as lost and whose end is not known.
 	lostRuns []Run
 }
@@ -214,7 +223,7 @@
 
 // taskRows returns the state to store of all tasks that have ever been placed.
 func (j *activeJob) taskRows() []taskRow {
-	rows := j.grantRows()
+	rows := append(j.grantRows(), j.hostRows()...)
 	for _, occ := range j.occurrences {
 		for _, st := range occ.steps {
 			if st.completed == len(st.tasks) {
@@ -242,8 +251,9 @@
 		return row, false
 	}
 	row.Run, row.Failed, row.Checkpoint = t.lastRun, t.failures, t.checkpoint
+	row.Crashes, row.Possible, row.Suspected = t.crash.Crashes, t.crash.Possible, t.crash.Suspected
 	if t.worker != nil {
-		row.Worker, row.Incarnation = t.worker.info.ID, t.incarnation
+		row.Worker, row.Incarnation, row.PlannedMS = t.worker.info.ID, t.incarnation, t.plannedWall-t.step.job.acceptance.At
 	}
 	return row, true
 }
--- a/internal/core/job/crash_test.go
+++ b/internal/core/job/crash_test.go
@@ -22,7 +22,9 @@
 	replaced bool
 	// crashes counts the crashes under each task, startsAfter the starts after the third one.
 	crashes, startsAfter map[TaskName]int
-	replacements         int
+	// crashedUnder counts the workers that crashed, for whatever reason, with a run of each task.
+	crashedUnder map[TaskName]int
+	replacements int
 }
 
 const (
@@ -35,7 +37,7 @@
 	if sim.crashing == nil {
 		sim.crashing = &crashingTasks{
 			crashAfter: map[TaskName]time.Duration{}, downFor: 3300 * time.Millisecond,
-			crashes: map[TaskName]int{}, startsAfter: map[TaskName]int{},
+			crashes: map[TaskName]int{}, startsAfter: map[TaskName]int{}, crashedUnder: map[TaskName]int{},
 		}
 	}
 	sim.crashing.crashAfter[name] = after
@@ -67,6 +69,11 @@
 
 // crashWorker ends a worker and everything on it. It is back after a time.
 func (sim *simulation) crashWorker(wk *fakeWorker, downFor time.Duration, replaced bool) {
+	if sim.crashing != nil {
+		for name := range wk.runs {
+			sim.crashing.crashedUnder[name]++
+		}
+	}
 	wk.up, wk.runs = false, map[TaskName]*fakeRun{}
 	sim.after(downFor, func() {
 		if wk.up || wk.gone {
@@ -103,6 +110,23 @@
 	return failed
 }
 
+// checkFailedJobs reports the jobs that are shown as failed although none of their tasks failed too
+// often or had two workers crash under it.
+func (sim *simulation) checkFailedJobs() {
+	for _, id := range sim.failedJobs() {
+		cause := false
+		for name, failures := range sim.jobs[id].failedRuns {
+			cause = cause || name.Job == id && failures >= sim.config.Queues[0].MaxAttempts
+		}
+		for name, crashes := range sim.crashing.crashedUnder {
+			cause = cause || name.Job == id && crashes >= 2
+		}
+		if !cause {
+			sim.addViolation("job %s is shown as failed without cause", id)
+		}
+	}
+}
+
 // TestTaskThatCrashesWorkersIsGivenUp guards against issue 34: lost runs did not count, and one
 // task crashed worker after worker.
 func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
@@ -118,7 +142,7 @@
 				name := TaskName{Job: id, Index: 2}
 				sim.addCrashingTask(name, after)
 				sim.crashing.replaced = replaced
-				sim.after(0, func() { sim.load(100*time.Millisecond, 20*time.Second) })
+				sim.after(0, func() { sim.load(250*time.Millisecond, 20*time.Second) })
 				sim.run(60 * time.Second)
 				sim.report(t)
 				g.Expect(sim.crashing.crashes[name]).To(gomega.BeNumerically(">=", 2))
@@ -193,6 +217,7 @@
 	sim.run(30 * time.Second)
 	sim.clearFaults()
 	sim.run(120 * time.Second)
+	sim.checkFailedJobs()
 	sim.report(t)
 	for name := range sim.crashing.crashAfter {
 		if j := sim.jobs[name.Job]; j.accepted && j.cancelled == 0 && !slices.Contains(sim.failedJobs(), name.Job) {
--- /dev/null
+++ b/internal/core/job/crashes.go
@@ -0,0 +1,229 @@
+package job
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/core/crash"
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// A task may crash every worker that starts it. Its runs have no end that counts as a failed
+// attempt, so that the crashes are counted instead: on the stream, in the record that releases
+// the lost run, which precedes the record of the next start.
+
+const (
+	// settleTime is the time after its start for which a run counts as new on its worker: an owner
+	// hears from a worker with runs at least once within it.
+	settleTime = pollWait + 100*time.Millisecond
+	// maxTrial bounds a trial for a whole run.
+	maxTrial = 5 * time.Second
+	// trialFraction is the fraction of a pool's workers on which tasks may be on trial: a task that
+	// does crash its worker takes the worker out for seconds.
+	trialFraction = 0.34
+	// clearedAfter is the time after which a long-running task is no longer suspected.
+	clearedAfter = 30 * time.Second
+	// presumedRetention is the time for which a crash that is presumed may still be confirmed.
+	presumedRetention = time.Minute
+	// trialLoadPenalty is added to the score of a worker for each run that a crash would end.
+	trialLoadPenalty = 100
+)
+
+// presumedCrash is the loss of a worker that did not respond until its lease expired. A later
+// incarnation on its machine shows that it has crashed.
+type presumedCrash struct {
+	at          vocab.Instant
+	incarnation Millis
+	tasks       []*task
+	// known[i] is set if the worker is known to have had the run of tasks[i].
+	known []bool
+	// suspects are the tasks that may have caused the crash; isolated is set if they are one unit,
+	// onRunTrial if they were on trial for the whole run.
+	suspects             []*task
+	isolated, onRunTrial bool
+}
+
+// unit is what is started and judged together with the task: its gang, or the task alone.
+func (t *task) unit() any {
+	if t.step.spec.Gang {
+		return t.step
+	}
+	return t
+}
+
+// settled reports whether the worker was still responding settleTime after the start of the run.
+func (t *task) settled() bool {
+	return t.startSentAt != 0 && t.worker.lastHeardAt.Sub(t.startSentAt) >= settleTime
+}
+
+// recordCrash attributes the loss of a worker to the runs that may have been on it.
+func (o *owner) recordCrash(w *worker, tasks []*task, cause lossCause) {
+	proven := cause == lossWorkerReplaced || cause == lossWorkerRestarted
+	if !proven && cause != lossLeaseExpired || o.lossPlanned(w) {
+		return
+	}
+	var present []*task
+	var known []bool
+	var runs []crash.Run
+	for _, t := range tasks {
+		if t.state == runPlanned {
+			continue
+		}
+		present, known = append(present, t), append(known, t.startedAt != 0)
+		runs = append(runs, crash.Run{
+			StartedAt: t.plannedAt, Unanswered: t.startedAt == 0 && t.startSentAt != 0, Settled: t.settled(), Trial: t.trial, Unit: t.unit(),
+		})
+	}
+	indexes, isolated := crash.Suspects(runs)
+	c := presumedCrash{at: o.s.now, incarnation: w.info.Incarnation, tasks: present, known: known, isolated: isolated}
+	for _, i := range indexes {
+		c.suspects = append(c.suspects, present[i])
+		c.onRunTrial = present[i].trial == crash.RunTrial
+		o.suspect(present[i])
+	}
+	if proven {
+		o.confirmCrash(c)
+		return
+	}
+	if w.info.Machine != "" && len(present) > 0 {
+		o.presumedCrashes[w.info.Machine] = c
+	}
+}
+
+// suspect counts a crash that the task may have caused.
+func (o *owner) suspect(t *task) {
+	t.crash.Suspected++
+	o.markChanged(t.step.job)
+}
+
+// confirmCrash counts a crash that is known, and gives up a task that has caused it.
+func (o *owner) confirmCrash(c presumedCrash) {
+	for i, t := range c.tasks {
+		if t.completed {
+			continue
+		}
+		t.crash.Count(c.known[i])
+		o.markChanged(t.step.job)
+	}
+	for _, t := range c.suspects {
+		if t.completed || !t.crash.Guilty(c.isolated, c.onRunTrial) {
+			continue
+		}
+		o.giveUp(t)
+	}
+}
+
+// giveUp fails the job of a task that crashes its workers.
+func (o *owner) giveUp(t *task) {
+	j := t.step.job
+	if j.terminalPhase != 0 {
+		return
+	}
+	o.s.logEvent(LogTaskGivenUp, "task", t.name(), "queue", j.acceptance.Queue, "crashes", t.crash.Crashes,
+		"possible", t.crash.Possible, "suspected", t.crash.Suspected, "runs", t.lastRun)
+	o.finishJob(j, PhaseFailed)
+}
+
+// noteLaterIncarnation confirms the presumed crash of a worker when the list of workers has a
+// later incarnation on its machine.
+func (o *owner) noteLaterIncarnation(info WorkerInfo) {
+	c, presumed := o.presumedCrashes[info.Machine]
+	if !presumed {
+		return
+	}
+	if info.Incarnation > c.incarnation || o.s.now.Sub(c.at) > presumedRetention {
+		delete(o.presumedCrashes, info.Machine)
+	}
+	if info.Incarnation > c.incarnation {
+		o.confirmCrash(c)
+	}
+}
+
+// beginTrial starts the trial of an assigned task, if it needs one.
+func (o *owner) beginTrial(t *task) {
+	t.trial = t.crash.Trial()
+	if t.trial != crash.NoTrial {
+		t.worker.trial = t
+	}
+}
+
+// trialTask returns the task that is on trial on the worker, or nil.
+func (o *owner) trialTask(w *worker) *task {
+	t := w.trial
+	if t == nil {
+		return nil
+	}
+	over := t.worker != w || t.completed
+	if !over && t.startSentAt != 0 {
+		over = t.trial == crash.StartTrial && t.settled() || w.lastHeardAt.Sub(t.startSentAt) >= maxTrial
+	}
+	if over {
+		w.trial = nil
+		return nil
+	}
+	return t
+}
+
+// allowsTrials reports whether a worker may start the task as far as trials are concerned: nothing
+// starts beside a task on trial, and a trial begins only where no other run is as new.
+func (o *owner) allowsTrials(t *task, w *worker) bool {
+	if other := o.trialTask(w); other != nil && other.unit() != t.unit() {
+		return false
+	}
+	if t.crash.Trial() == crash.NoTrial {
+		return true
+	}
+	for _, other := range w.tasks {
+		if other.unit() == t.unit() {
+			continue
+		}
+		if other.state == runPlanned || other.state == runStarting || !crash.Distinguishable(o.s.now, other.startSentAt) {
+			return false
+		}
+	}
+	return true
+}
+
+// trialsExhausted reports whether a task that needs a trial has to wait for the trials of others in
+// its pool.
+func (o *owner) trialsExhausted(t *task, p *poolRoom) bool {
+	if t.crash.Trial() == crash.NoTrial {
+		return false
+	}
+	trials := 0
+	for _, w := range p.workers {
+		if other := o.trialTask(w); other != nil && other.unit() != t.unit() {
+			trials++
+		}
+	}
+	return trials >= max(1, int(trialFraction*float64(len(p.workers))))
+}
+
+// trialPenalty returns the addition to a worker's score for a task that may crash it.
+func trialPenalty(t *task, w *worker) float64 {
+	if t.crash.Trial() == crash.NoTrial {
+		return 0
+	}
+	return trialLoadPenalty * float64(len(w.tasks))
+}
+
+// clearIfHealthy ends the suspicion of a long-running task that has been running for long.
+func (o *owner) clearIfHealthy(t *task) {
+	if t.step.spec.LongRunning && t.crash != (crash.Record{}) && t.startedAt != 0 && o.s.now.Sub(t.startedAt) > clearedAfter {
+		t.crash, t.trial = crash.Record{}, crash.NoTrial
+		o.markChanged(t.step.job)
+	}
+}
+
+// suspectedTasks counts the tasks that may have crashed a worker.
+func (o *owner) suspectedTasks() int {
+	n := 0
+	for _, j := range o.jobOrder {
+		for _, occ := range j.occurrences {
+			for _, st := range occ.steps {
+				n += len(slices.DeleteFunc(slices.Clone(st.tasks), func(t *task) bool { return t.completed || t.crash.Suspected == 0 }))
+			}
+		}
+	}
+	return n
+}
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -46,6 +46,8 @@
 	// of those that wait for workers on which an earlier owner may have started tasks.
 	GrantedJobs int `json:"granted_jobs,omitempty"`
 	HeldJobs    int `json:"held_jobs,omitempty"`
+	// SuspectedTasks is the number of tasks that may have crashed a worker and start on trial.
+	SuspectedTasks int `json:"suspected_tasks,omitempty"`
 }
 
 // WorkerDump is the state of a worker as known to the owner.
@@ -127,6 +129,7 @@
 	for _, p := range slices.Sorted(maps.Keys(o.demand)) {
 		d.Waiting = append(d.Waiting, o.dumpPool(p))
 	}
+	d.SuspectedTasks = o.suspectedTasks()
 	d.Reservations, d.WaitingJobs = o.dumpReservations(), o.dumpWaitingJobs()
 }
 
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -203,6 +203,7 @@
 	LogPoolSupplied
 	LogRoomReserved
 	LogWorkerLost
+	LogTaskGivenUp
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -227,6 +228,7 @@
 	LogPoolSupplied:      "pool supplied",
 	LogRoomReserved:      "room reserved",
 	LogWorkerLost:        "worker lost",
+	LogTaskGivenUp:       "task given up",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/grants.go
+++ b/internal/core/job/grants.go
@@ -222,6 +222,7 @@
 func (o *owner) assignGranted(t *task, w *worker) {
 	o.bind(t, w, w.info.Incarnation)
 	t.lastRun, t.state, t.startSentAt = 1, runStarting, o.s.now
+	t.plannedAt, t.plannedWall = o.s.now, o.s.wall
 	o.markChanged(t.step.job)
 	o.emitStart(t)
 }
--- /dev/null
+++ b/internal/core/job/hosts.go
@@ -0,0 +1,65 @@
+package job
+
+import (
+	"cmp"
+	"slices"
+)
+
+// A worker may end while its owner is being replaced, and is then in no list that the next owner
+// reads. The job's record therefore says where the workers of its tasks can be reached: whoever
+// responds there shows that the worker has ended.
+
+const (
+	// hostsOccurrence marks the row with the hosts. No job has so many occurrences.
+	hostsOccurrence = grantsOccurrence + 1
+	// maxHosts bounds the workers in a job's record: each takes about 80 bytes.
+	maxHosts = 64
+)
+
+// host is a worker with tasks of a job.
+type host struct {
+	Worker      WorkerID  `json:"w"`
+	Incarnation Millis    `json:"b,omitempty"`
+	Machine     MachineID `json:"m,omitempty"`
+	Address     string    `json:"a,omitempty"`
+}
+
+// hostRows returns the row with the workers of the job's tasks, if any.
+func (j *activeJob) hostRows() []taskRow {
+	if j.assignedTasks == 0 {
+		return nil
+	}
+	var hosts []host
+	for _, occ := range j.occurrences {
+		for _, st := range occ.steps {
+			for _, t := range st.tasks {
+				if t.worker == nil || t.worker.info.Address == "" || len(hosts) == maxHosts {
+					continue
+				}
+				info := &t.worker.info
+				at, found := slices.BinarySearchFunc(hosts, info.ID, func(h host, id WorkerID) int { return cmp.Compare(h.Worker, id) })
+				if !found {
+					hosts = slices.Insert(hosts, at, host{info.ID, info.Incarnation, info.Machine, info.Address})
+				}
+			}
+		}
+	}
+	if len(hosts) == 0 {
+		return nil
+	}
+	return []taskRow{{Occurrence: hostsOccurrence, Hosts: hosts}}
+}
+
+// inheritHosts makes the workers of a job's tasks known that the platform does not list.
+func (o *owner) inheritHosts(rows []taskRow) {
+	for _, row := range rows {
+		for _, h := range row.Hosts {
+			w := o.workers[h.Worker]
+			if w == nil || w.info.Address != "" {
+				continue
+			}
+			w.info.Incarnation, w.info.Machine, w.info.Address = h.Incarnation, h.Machine, h.Address
+			w.pollBy(o.s.now)
+		}
+	}
+}
--- a/internal/core/job/losses.go
+++ b/internal/core/job/losses.go
@@ -1,9 +1,6 @@
 package job
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // A run whose worker goes has no end that the worker reports. The owner gives it up once it
 // cannot be running any more.
@@ -42,15 +39,6 @@
 // label returns the value of the cause label of sardinehead_job_runs_lost_total.
 func (c lossCause) label() string { return lossLabels[c] }
 
-// settleTime is the time after its start for which a run counts as new on its worker: an owner
-// hears from a worker with runs at least once within it.
-const settleTime = pollWait + 100*time.Millisecond
-
-// settled reports whether the worker was still responding settleTime after the start of the run.
-func (t *task) settled() bool {
-	return t.startSentAt != 0 && t.worker.lastHeardAt.Sub(t.startSentAt) >= settleTime
-}
-
 // lossPlanned reports whether the end of a worker was planned: it was draining, or an owner has
 // ordered its machine since the worker was last known to be in use.
 func (o *owner) lossPlanned(w *worker) bool {
@@ -87,7 +75,10 @@
 	}
 	o.s.logEvent(LogWorkerLost, "worker", w.info.ID, "machine", w.info.Machine, "cause", cause.label(), "planned", o.lossPlanned(w),
 		"runs", len(tasks), "unsettled", unsettled, "heard_ms_ago", heardMS)
+	o.recordCrash(w, tasks, cause)
 	for _, t := range tasks {
-		o.markLost(t, cause)
+		if t.worker == w {
+			o.markLost(t, cause)
+		}
 	}
 }
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -55,5 +55,6 @@
 		637: "pool supplied",
 		638: "room reserved",
 		639: "worker lost",
+		640: "task given up",
 	}))
 }
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -71,17 +71,19 @@
 	workerIDs []WorkerID // keys of workers, sorted
 	// workersByMachine holds the worker last listed on each machine.
 	workersByMachine map[MachineID]*worker
-	workersKnown     bool                       // a full list of workers was received
-	teamUsage        map[vocab.TeamID]Resources // demand of the assigned tasks
-	planDue          bool                       // a placement pass is due
-	plannedAt        vocab.Instant              // when the last placement pass ran
-	grantsUsedAt     vocab.Instant              // when tasks were last started under grants
-	heldUsage        map[vocab.TeamID]Resources // demand of the tasks that an earlier owner may have started
-	finished         []*JobRecord               // kept until their retention has passed
-	fleet            fleet
-	demand           map[vocab.PoolID]poolDemand
-	arrivals         map[vocab.PoolID]*arrivalRate
-	poolsLoggedAt    vocab.Instant
+	// presumedCrashes holds the last presumed crash of a worker on each machine.
+	presumedCrashes map[MachineID]presumedCrash
+	workersKnown    bool                       // a full list of workers was received
+	teamUsage       map[vocab.TeamID]Resources // demand of the assigned tasks
+	planDue         bool                       // a placement pass is due
+	plannedAt       vocab.Instant              // when the last placement pass ran
+	grantsUsedAt    vocab.Instant              // when tasks were last started under grants
+	heldUsage       map[vocab.TeamID]Resources // demand of the tasks that an earlier owner may have started
+	finished        []*JobRecord               // kept until their retention has passed
+	fleet           fleet
+	demand          map[vocab.PoolID]poolDemand
+	arrivals        map[vocab.PoolID]*arrivalRate
+	poolsLoggedAt   vocab.Instant
 	// evacuationsLoggedAt is the time when the state of the evacuations was last logged.
 	evacuationsLoggedAt vocab.Instant
 	door                *door
@@ -105,7 +107,7 @@
 func newOwner(s *State, fence Fence) *owner {
 	return &owner{
 		s: s, fence: fence, policy: defaultLookahead(),
-		jobs: map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
+		jobs: map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, presumedCrashes: map[MachineID]presumedCrash{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
 		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), queueWork: newQueueWork(), door: newDoor(), teamRates: map[vocab.TeamID]*tokenBucket{},
 		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}, policy: poolplan.DefaultPolicy, shortages: map[vocab.PoolID]shortage{}},
 	}
--- a/internal/core/job/owner_jobs.go
+++ b/internal/core/job/owner_jobs.go
@@ -1,6 +1,11 @@
 package job
 
-import "slices"
+import (
+	"slices"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/core/crash"
+)
 
 // jobChanged starts to schedule a job that was accepted, and finishes one that was
 // cancelled.
@@ -35,6 +40,7 @@
 	for _, row := range rows {
 		o.restoreTasks(active, row)
 	}
+	o.inheritHosts(rows)
 	o.inheritGrants(active, rows)
 	o.recordArrival(active)
 	if total, _, _ := o.workAmounts(active); !active.hasLongRunningTasks() {
@@ -64,6 +70,7 @@
 	}
 	t := st.tasks[row.Index]
 	t.lastRun, t.failures, t.checkpoint = row.Run, row.Failed, row.Checkpoint
+	t.crash = crash.Record{Crashes: row.Crashes, Possible: row.Possible, Suspected: row.Suspected}
 	switch {
 	case row.Completed:
 		t.completed = true
@@ -75,6 +82,9 @@
 		host := o.worker(row.Worker)
 		o.bind(t, host, row.Incarnation)
 		t.state = runStartUnknown
+		t.plannedWall = active.acceptance.At + row.PlannedMS
+		t.plannedAt = o.s.now.Add(-time.Duration(o.s.wall-t.plannedWall) * time.Millisecond)
+		o.beginTrial(t)
 	}
 }
 
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sardinehead/sardinehead/internal/core/crash"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -14,7 +15,8 @@
 	tooLarge []Resources
 	// capacity is the largest capacity of a worker, once it is needed.
 	capacity Resources
-	// heldBack is set if a worker that held the current task was kept for a reservation.
+	// heldBack is set if a worker that held the current task was kept for a reservation or because
+	// of a trial.
 	heldBack bool
 }
 
@@ -80,18 +82,24 @@
 
 // placeTasks places waiting tasks of a step and reports whether all found a worker.
 func (o *owner) placeTasks(st *step, p *poolRoom) bool {
+	placed := true
 	for _, t := range st.tasks {
 		if t.completed || t.worker != nil || t.held() {
 			continue
 		}
 		best := o.chooseWorker(t, p)
-		if best == nil {
+		switch {
+		case best != nil:
+			o.place(t, best)
+		case t.crash.Trial() != crash.NoTrial:
+			// The other tasks of the step need no trial.
+			placed = false
+		default:
 			o.requestAdvice(st, p.workers)
 			return false
 		}
-		o.place(t, best)
 	}
-	return true
+	return placed
 }
 
 // place assigns a task to a worker and counts it in what is known about the worker's end.
@@ -114,7 +122,7 @@
 		return nil
 	}
 	need := st.spec.Reserved()
-	if p.knownTooLarge(need) {
+	if p.knownTooLarge(need) || o.trialsExhausted(t, p) {
 		return nil
 	}
 	hasAdvisor := o.advisorOf(st.job) != nil
@@ -130,11 +138,11 @@
 		if _, valid := st.ticketFor(w, o.s.now); hasAdvisor && !valid {
 			continue
 		}
-		if w.hold != nil && w.hold.step != st && !w.hold.Admits(end, size) {
+		if !o.allowsTrials(t, w) || w.hold != nil && w.hold.step != st && !w.hold.Admits(end, size) {
 			p.heldBack = true
 			continue
 		}
-		score := placementScore(st.spec, w) + w.coldPenalty(o.s.now) + o.outcomePenalty(t, w) + o.endScore(end, w)
+		score := placementScore(st.spec, w) + w.coldPenalty(o.s.now) + o.outcomePenalty(t, w) + trialPenalty(t, w) + o.endScore(end, w)
 		if rack != "" && w.info.Rack != rack {
 			score += wrongRackPenalty
 		}
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -75,6 +75,14 @@
 	Worker        WorkerID `json:"w,omitempty"`
 	Incarnation   Millis   `json:"b,omitempty"`
 	Checkpoint    string   `json:"c,omitempty"`
+	// Crashes, Possible and Suspected are the fields of crash.Record.
+	Crashes   int `json:"x,omitempty"`
+	Possible  int `json:"z,omitempty"`
+	Suspected int `json:"y,omitempty"`
+	// PlannedMS is the time from the job's acceptance to the intent of the run, in milliseconds. Hosts is
+	// set in one row of the job, which describes no task: the workers of its tasks.
+	PlannedMS Millis `json:"m,omitempty"`
+	Hosts     []host `json:"h,omitempty"`
 	// Grants is set in one row of the job, which describes no task: see grants.go.
 	Grants []grant `json:"g,omitempty"`
 }
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -47,6 +47,8 @@
 	t.lastRun++
 	t.state = runPlanned
 	run := t.lastRun
+	t.plannedAt, t.plannedWall = o.s.now, o.s.wall
+	o.beginTrial(t)
 	o.markChanged(t.step.job)
 	o.afterWrite(func() { o.sendStart(t, run) })
 }
--- a/internal/core/job/simulation_suite_test.go
+++ b/internal/core/job/simulation_suite_test.go
@@ -404,9 +404,7 @@
 		wk.unreachable = true
 		sim.after(duration, func() { wk.unreachable = false })
 	case 6:
-		wk.up = false
-		wk.runs = map[TaskName]*fakeRun{}
-		sim.after(duration, func() { sim.restartWorker(wk) })
+		sim.crashWorker(wk, duration, false)
 	case 7:
 		n.post(n.incarnation, Stopping{})
 		sim.after(2*time.Second, func() {
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -86,6 +86,8 @@
 	completed, acknowledged map[TaskName]bool
 	// failed counts the acknowledged failed runs of each task.
 	failed map[TaskName]int
+	// failedRuns counts the failed runs of each task as the workers have seen them.
+	failedRuns map[TaskName]int
 	// rejected is set if the first attempt to submit the job was refused.
 	rejected bool
 }
@@ -107,13 +109,13 @@
 	up          bool
 	unreachable bool
 	// gone is set once another worker has the address.
-	gone bool
-	fence       Fence
-	leaseUntil  vocab.Instant
-	runs        map[TaskName]*fakeRun
-	ends        []EndReport
-	lastEnd     int64
-	acked       int64
+	gone       bool
+	fence      Fence
+	leaseUntil vocab.Instant
+	runs       map[TaskName]*fakeRun
+	ends       []EndReport
+	lastEnd    int64
+	acked      int64
 	// fencedOff is the highest run of each task that was stopped or has ended; only later
 	// runs may start.
 	fencedOff map[TaskName]Run
@@ -645,8 +647,11 @@
 // endRun ends a run and adds its end to the worker's list.
 func (sim *simulation) endRun(wk *fakeWorker, name TaskName, r *fakeRun, how End) {
 	delete(wk.runs, name)
-	if how == EndCompleted {
+	switch how {
+	case EndCompleted:
 		sim.jobs[name.Job].completed[name] = true
+	case EndFailed:
+		sim.jobs[name.Job].failedRuns[name]++
 	}
 	wk.fencedOff[name] = max(wk.fencedOff[name], r.run)
 	wk.lastEnd++
@@ -727,7 +732,7 @@
 func (sim *simulation) addJob(spec Spec) ID {
 	id := ID(fmt.Sprintf("%016x", len(sim.jobIDs)+1))
 	sim.jobIDs = append(sim.jobIDs, id)
-	sim.jobs[id] = &fakeJob{spec: spec, completed: map[TaskName]bool{}, acknowledged: map[TaskName]bool{}, failed: map[TaskName]int{}}
+	sim.jobs[id] = &fakeJob{spec: spec, completed: map[TaskName]bool{}, acknowledged: map[TaskName]bool{}, failed: map[TaskName]int{}, failedRuns: map[TaskName]int{}}
 	return id
 }
 
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -62,6 +62,8 @@
 	lastHeardAt vocab.Instant
 	// lastStartAt is the time when this owner last sent a start to the worker.
 	lastStartAt vocab.Instant
+	// trial is the task that is on trial on the worker, or nil: see crashes.go.
+	trial *task
 	// outcomes counts the ends of runs.
 	outcomes runOutcomes
 	// resumeAt is the earliest time at which throttled tasks may resume.
@@ -120,6 +122,7 @@
 	if w.info.Incarnation > info.Incarnation && w.listed {
 		return
 	}
+	o.noteLaterIncarnation(info)
 	w.info, w.listed = info, true
 	w.evacuated, w.coldUntil = o.s.evacuations.contains(info.Zone), o.s.now.Add(info.ColdLeft)
 	o.workersByMachine[info.Machine] = w
@@ -360,6 +363,7 @@
 		t.checkpoint = r.Checkpoint
 	}
 	t.listed = true
+	o.clearIfHealthy(t)
 	t.progressPercent, t.tailLatencyMS, t.incarnation = r.ProgressPercent, r.TailLatencyMS, t.worker.info.Incarnation
 	if t.state == runStarting || t.state == runStartUnknown {
 		if t.startSentAt == 0 {
--- a/internal/jobnode/metrics.go
+++ b/internal/jobnode/metrics.go
@@ -82,6 +82,7 @@
 		}
 		n.metrics.gauge("sardinehead_job_evacuated_tasks", float64(left))
 		n.metrics.gauge("sardinehead_job_workers", float64(len(d.Workers)))
+		n.metrics.gauge("sardinehead_job_suspected_tasks", float64(d.SuspectedTasks))
 		n.metrics.gauge("sardinehead_job_reservations", float64(len(d.Reservations)))
 		n.metrics.gauge("sardinehead_job_oldest_reservation_seconds", d.OldestReservation().Seconds())
 	})
