Park tasks that crash their workers

Now the reason on the stream says that the worker crashed, and whether this attempt may have caused it: it was the last one to start. Three suspected crashes, or ten crashes in all, park the task. A suspected task waits for a delay of its own before its next attempt, because tasks that are lost together would be placed together again and stay under the same suspicion.

--- a/internal/core/task/attempt.go
+++ b/internal/core/task/attempt.go
@@ -81,6 +81,8 @@
 	// suspectUntil is the time when the worker may get new tasks again; zero if it is not
 	// suspect.
 	suspectUntil vocab.Instant
+	// crashSuspects holds the tasks that may have ended the incarnation, once it has ended.
+	crashSuspects map[vocab.TaskID]bool
 	// renewPending and queryPending mean that a Renew or Query order was not
 	// answered yet.
 	renewPending bool
@@ -140,6 +142,9 @@
 		c.queueOwnerRecord(record.TaskParked{Epoch: own.epoch, Task: t.Task, LastChange: t.Changed, Reason: reasonPoison})
 		return
 	}
+	if c.delayAfterCrash(t) {
+		return
+	}
 	own.waiting.Add(waitingItem(c.now, t))
 	own.needsPlacement = true
 }
@@ -164,8 +169,8 @@
 	}
 }
 
-// isPoison reports whether a task failed on poisonWorkerThreshold workers that are
-// not quarantined, or poisonFailureThreshold times in all.
+// isPoison reports whether a task failed on poisonWorkerThreshold workers that are not
+// quarantined, or poisonFailureThreshold times in all, or may have crashed as many workers.
 func (c *Controller) isPoison(t *Task) bool {
 	healthy := 0
 	for _, name := range t.FailedOn {
@@ -173,7 +178,7 @@
 			healthy++
 		}
 	}
-	return healthy >= poisonWorkerThreshold || t.Failures >= poisonFailureThreshold
+	return max(healthy, t.SuspectedCrashes) >= poisonWorkerThreshold || max(t.Failures, t.Crashes) >= poisonFailureThreshold
 }
 
 func (c *Controller) syncStarted(t *Task) {
@@ -247,6 +252,7 @@
 func (c *Controller) cancelPlacement(t *Task) {
 	own := c.ownership
 	own.waiting.Remove(t.Task)
+	delete(own.delayed, t.Task)
 	if res, ok := own.reservations[t.Task]; ok {
 		delete(own.reservations, t.Task)
 		c.releaseCapacity(res.worker, t.Task)
--- a/internal/core/task/controller.go
+++ b/internal/core/task/controller.go
@@ -133,6 +133,7 @@
 	c.checkCandidates()
 	c.placeWaiting()
 	c.unparkTasks()
+	c.endCrashDelays()
 	c.forgetExpired()
 	c.snapshotIfDue()
 }
--- a/internal/core/task/fold.go
+++ b/internal/core/task/fold.go
@@ -123,6 +123,11 @@
 		}
 	case record.LossOutOfMemory:
 		t.OutOfMemory++
+	case record.LossWorkerCrashed:
+		t.Crashes++
+	case record.LossWorkerCrashSuspected:
+		t.Crashes++
+		t.SuspectedCrashes++
 	}
 }
 
--- a/internal/core/task/leases.go
+++ b/internal/core/task/leases.go
@@ -56,13 +56,18 @@
 	if a.orderPending || c.now.Sub(a.latestLeaseStart) <= leaseDuration+leaseGuard {
 		return
 	}
+	info, listed := c.fleet.Worker(a.worker.id)
+	ended := listed && info.Incarnation != a.worker.incarnation
 	if a.task.Idempotent || a.task.Cancelled {
-		c.loseAttempt(a, record.LossLeaseExpired, "")
+		reason := record.LossLeaseExpired
+		if ended {
+			reason = a.crashReason()
+		}
+		c.loseAttempt(a, reason, "")
 		return
 	}
-	info, listed := c.fleet.Worker(a.worker.id)
 	switch {
-	case !listed || info.Incarnation != a.worker.incarnation:
+	case !listed || ended:
 		c.requireOperator(a, "the worker is gone and the task may have run")
 	case c.now.Sub(a.unknownSince) > queryTimeout:
 		c.requireOperator(a, "the worker does not answer and the task may have run")
--- a/internal/core/task/orders.go
+++ b/internal/core/task/orders.go
@@ -201,7 +201,7 @@
 		// The only start of the attempt was refused.
 		c.loseAttempt(a, record.LossNotStarted, "")
 	case a.task.Idempotent || a.task.Cancelled:
-		c.loseAttempt(a, record.LossLeaseExpired, "")
+		c.loseAttempt(a, a.crashReason(), "")
 	default:
 		c.requireOperator(a, "the worker was replaced while the task may have run")
 	}
--- a/internal/core/task/ownership.go
+++ b/internal/core/task/ownership.go
@@ -29,6 +29,9 @@
 	candidateOrder  []vocab.TaskID
 	parked          map[vocab.TaskID]bool
 	nextUnparkCheck vocab.Instant
+	// delayed holds the tasks that may have crashed a worker and wait before they are placed, and
+	// until when.
+	delayed map[vocab.TaskID]vocab.Instant
 	// ended lists the ended tasks whose results are kept, in the order in which
 	// they expire.
 	ended []endedTask
@@ -77,6 +80,7 @@
 		reservations:     map[vocab.TaskID]reservation{},
 		candidates:       map[vocab.TaskID]*preemptionCandidate{},
 		parked:           map[vocab.TaskID]bool{},
+		delayed:          map[vocab.TaskID]vocab.Instant{},
 		lastRecordQueued: c.now,
 		lastSnapshot:     c.now,
 	}
--- a/internal/core/task/settings.go
+++ b/internal/core/task/settings.go
@@ -57,6 +57,9 @@
 	// poisonFailureThreshold is the number of failed attempts on any workers after
 	// which a task is parked.
 	poisonFailureThreshold = 10
+	// maxCrashDelay bounds the delay of a task's next attempt after the first crash of a worker that
+	// the task may have caused.
+	maxCrashDelay = 4 * time.Second
 	// checkpointTimeout is the time after which idempotent victims of a preemption
 	// are stopped without a checkpoint, and preemptTimeout the time after which
 	// the urgent task is placed anew.
--- a/internal/core/task/task.go
+++ b/internal/core/task/task.go
@@ -62,6 +62,10 @@
 	// Failures counts the attempts that failed, and those that were stopped
 	// because they hung.
 	Failures int `json:"failures,omitempty"`
+	// Crashes counts the worker incarnations that ended with an attempt of the task on them,
+	// SuspectedCrashes those that the task may have ended.
+	Crashes          int `json:"crashes,omitempty"`
+	SuspectedCrashes int `json:"suspected_crashes,omitempty"`
 	// OutOfMemory counts the attempts that failed because they needed more
 	// memory than was reserved.
 	OutOfMemory int               `json:"out_of_memory,omitempty"`
--- a/internal/record/task.go
+++ b/internal/record/task.go
@@ -124,6 +124,10 @@
 	LossStopped LossReason = "stopped"
 	// LossHung: the owner stopped the attempt because it ran far too long.
 	LossHung LossReason = "hung"
+	// LossWorkerCrashed: the worker's incarnation ended while the attempt may have been running on
+	// it. LossWorkerCrashSuspected: the attempt may have caused that.
+	LossWorkerCrashed        LossReason = "worker-crashed"
+	LossWorkerCrashSuspected LossReason = "worker-crash-suspected"
 )
 
 // TaskAttemptLost ends an attempt without a result. An idempotent task then waits
