Bound the wait of suspected tasks for their trial

Cause: at most a third of a pool's workers had a task on trial, and every trial lasts until the worker has been heard of half a second after the start, so that dozens of suspects queued up. A suspect now waits two seconds at most for the conditions of its trial; after that only the worker on which another trial is under way is closed to it. Tasks that crash long after their start keep waiting, long-running ones excepted.

--- a/internal/core/job/crashes.go
+++ b/internal/core/job/crashes.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -21,6 +22,9 @@
 	// trialFraction is the fraction of a pool's workers on which tasks may be on trial: a task that
 	// does crash its worker takes the worker out for seconds.
 	trialFraction = 0.34
+	// trialPatience is the time for which a task waits for the conditions of its trial: a caller
+	// would rather have it run, and the worker's next crash is attributed all the same.
+	trialPatience = 2 * time.Second
 	// clearedAfter is the time after which a long-running task is no longer suspected.
 	clearedAfter = 30 * time.Second
 	// presumedRetention is the time for which a crash that is presumed may still be confirmed.
@@ -170,7 +174,7 @@
 	if other := o.trialTask(w); other != nil && other.unit() != t.unit() {
 		return false
 	}
-	if t.crash.Trial() == crash.NoTrial {
+	if !o.waitsForTrial(t) {
 		return true
 	}
 	for _, other := range w.tasks {
@@ -184,10 +188,23 @@
 	return true
 }
 
+// waitsForTrial reports whether the task starts only under the conditions of its trial.
+func (o *owner) waitsForTrial(t *task) bool {
+	switch t.crash.Trial() {
+	case crash.NoTrial:
+		return false
+	case crash.RunTrial:
+		if !t.step.spec.LongRunning {
+			return true
+		}
+	}
+	return o.s.now.Sub(max(t.releasedAt, t.step.job.firstSeenAt)) < trialPatience
+}
+
 // trialsExhausted reports whether a task that needs a trial has to wait for the trials of others in
 // its pool.
 func (o *owner) trialsExhausted(t *task, p *poolRoom) bool {
-	if t.crash.Trial() == crash.NoTrial {
+	if !o.waitsForTrial(t) {
 		return false
 	}
 	trials := 0
@@ -196,7 +213,7 @@
 			trials++
 		}
 	}
-	return trials >= max(1, int(trialFraction*float64(len(p.workers))))
+	return trials >= int(math.Ceil(trialFraction*float64(len(p.workers))))
 }
 
 // trialPenalty returns the addition to a worker's score for a task that may crash it.
