Trials wait for longer in a busy pool, and long-running jobs need more evidence

A long-running job was given up after three crashes under one of its tasks, which had been started again often beside tasks that do crash workers; its tasks were all stopped at once. Such a task is now given up only after four known crashes, each under suspicion and the last one without another suspect. The bound of a third now holds while more than 40% of the pool is in use, for ten seconds; an idle pool has no reason to wait.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -45,6 +45,10 @@
 	// task causes them; guiltySuspicionsUnisolated is the number without a trial.
 	guiltySuspicions           = 2
 	guiltySuspicionsUnisolated = 3
+	// guiltyLongRunning is the least number of crashes and of suspicions of a long-running task that
+	// is given up, the last one without another suspect. It is started more often than others, and
+	// its job serves users.
+	guiltyLongRunning = 4
 	// startSpread is the time within which starts on one worker cannot be told apart: an order
 	// and the report of a broken connection take as long between nodes and workers.
 	startSpread = 100 * time.Millisecond
@@ -72,14 +76,24 @@
 	}
 }
 
-// Guilty reports whether a task is given up after a crash. isolated is set if no other task could
-// have caused that crash, onRunTrial if the task was on trial for its whole run.
-func (r Record) Guilty(isolated, onRunTrial bool) bool {
+// Evidence is what is known of the last crash that a task may have caused.
+type Evidence struct {
+	// Isolated is set if no other task could have caused it.
+	Isolated bool
+	// RunTrial is set if the task was on trial for its whole run.
+	RunTrial bool
+}
+
+// Guilty reports whether a task is given up after a crash.
+func (r Record) Guilty(e Evidence, longRunning bool) bool {
+	if longRunning {
+		return e.Isolated && r.Crashes >= guiltyLongRunning && r.Suspected >= guiltyLongRunning
+	}
 	if r.Crashes < guiltyCrashes && r.Crashes+r.Possible < guiltyWithPossible {
 		return false
 	}
-	if isolated {
-		return r.Suspected >= guiltySuspicions || onRunTrial
+	if e.Isolated {
+		return r.Suspected >= guiltySuspicions || e.RunTrial
 	}
 	return r.Suspected >= guiltySuspicionsUnisolated
 }
--- a/internal/core/job/crashes.go
+++ b/internal/core/job/crashes.go
@@ -19,12 +19,16 @@
 	settleTime = pollWait + 100*time.Millisecond
 	// maxTrial bounds a trial for a whole run.
 	maxTrial = 5 * time.Second
-	// trialFraction is the fraction of a pool's workers on which tasks may be on trial: a task that
-	// does crash its worker takes the worker out for seconds.
+	// trialFraction is the fraction of a busy pool's workers on which tasks may be on trial: a task
+	// that does crash its worker takes the worker out for seconds. A pool is busy while more than
+	// busyFraction of its processors is in use.
 	trialFraction = 0.34
+	busyFraction  = 0.4
 	// trialPatience is the time for which a task waits for the conditions of its trial: a caller
-	// would rather have it run, and the worker's next crash is attributed all the same.
-	trialPatience = 2 * time.Second
+	// would rather have it run, and the worker's next crash is attributed all the same. It is
+	// shorter for long-running tasks, whose users notice.
+	trialPatience            = 10 * time.Second
+	trialPatienceLongRunning = 2 * time.Second
 	// clearedAfter is the time after which a long-running task is no longer suspected.
 	clearedAfter = 30 * time.Second
 	// presumedRetention is the time for which a crash that is presumed may still be confirmed.
@@ -41,10 +45,9 @@
 	tasks       []*task
 	// known[i] is set if the worker is known to have had the run of tasks[i].
 	known []bool
-	// suspects are the tasks that may have caused the crash; isolated is set if they are one unit,
-	// onRunTrial if they were on trial for the whole run.
-	suspects             []*task
-	isolated, onRunTrial bool
+	// suspects are the tasks that may have caused the crash.
+	suspects []*task
+	evidence crash.Evidence
 }
 
 // unit is what is started and judged together with the task: its gang, or the task alone.
@@ -79,10 +82,10 @@
 		})
 	}
 	indexes, isolated := crash.Suspects(runs)
-	c := presumedCrash{at: o.s.now, incarnation: w.info.Incarnation, tasks: present, known: known, isolated: isolated}
+	c := presumedCrash{at: o.s.now, incarnation: w.info.Incarnation, tasks: present, known: known, evidence: crash.Evidence{Isolated: isolated}}
 	for _, i := range indexes {
 		c.suspects = append(c.suspects, present[i])
-		c.onRunTrial = present[i].trial == crash.RunTrial
+		c.evidence.RunTrial = present[i].trial == crash.RunTrial
 		o.suspect(present[i])
 	}
 	if proven {
@@ -110,7 +113,7 @@
 		o.markChanged(t.step.job)
 	}
 	for _, t := range c.suspects {
-		if t.completed || !t.crash.Guilty(c.isolated, c.onRunTrial) {
+		if t.completed || !t.crash.Guilty(c.evidence, t.step.spec.LongRunning) {
 			continue
 		}
 		o.giveUp(t)
@@ -190,15 +193,15 @@
 
 // waitsForTrial reports whether the task starts only under the conditions of its trial.
 func (o *owner) waitsForTrial(t *task) bool {
-	switch t.crash.Trial() {
-	case crash.NoTrial:
+	waited := o.s.now.Sub(max(t.releasedAt, t.step.job.firstSeenAt))
+	switch {
+	case t.crash.Trial() == crash.NoTrial:
 		return false
-	case crash.RunTrial:
-		if !t.step.spec.LongRunning {
-			return true
-		}
+	case t.step.spec.LongRunning:
+		return waited < trialPatienceLongRunning
+	default:
+		return t.crash.Trial() == crash.RunTrial || waited < trialPatience
 	}
-	return o.s.now.Sub(max(t.releasedAt, t.step.job.firstSeenAt)) < trialPatience
 }
 
 // trialsExhausted reports whether a task that needs a trial has to wait for the trials of others in
@@ -208,12 +211,14 @@
 		return false
 	}
 	trials := 0
+	var used, capacity int64
 	for _, w := range p.workers {
 		if other := o.trialTask(w); other != nil && other.unit() != t.unit() {
 			trials++
 		}
+		used, capacity = used+w.used.CPU, capacity+w.info.Capacity.CPU
 	}
-	return trials >= int(math.Ceil(trialFraction*float64(len(p.workers))))
+	return float64(used) > busyFraction*float64(capacity) && trials >= int(math.Ceil(trialFraction*float64(len(p.workers))))
 }
 
 // trialPenalty returns the addition to a worker's score for a task that may crash it.
