Runs of failed jobs count until they have been stopped

What callers would see: a worker that does not refuse what does not fit is given more than it holds, and a team more than its limit, for as long as a stop takes, when the owner changes right after a job has failed.

Cause: the record of a failed job is written while its other runs are being stopped, and had no rows, so that the next owner saw runs of an unknown job and counted nothing for them. Now the record lists these runs until the last one has ended; the next owner counts and stops them. A run of a job that is not known at all counts as large as its worker.

Evidence: TestStoppedRunsOfFailedJobKeepTheirRoom failed before (a task that does not fit at 3.676 s) and passes.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -27,6 +27,8 @@
 	// terminalPhaseWritten is set once the terminal phase was added to an append, which may still be
 	// in progress.
 	terminalPhaseWritten bool
+	// stoppingWritten is set if the record of the terminal phase lists runs that are being stopped.
+	stoppingWritten bool
 	// firstSeenAt is the time when the owner first saw the job.
 	firstSeenAt vocab.Instant
 	// times is the position relative to the objective as of the time timesAt.
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -170,6 +170,7 @@
 	for _, job := range jobs {
 		if job.Phase.Finished() {
 			o.finished = append(o.finished, job)
+			o.resumeStopping(job)
 			continue
 		}
 		o.jobChanged(job)
--- a/internal/core/job/owner_append.go
+++ b/internal/core/job/owner_append.go
@@ -134,7 +134,11 @@
 		return nil
 	}
 	o.pruneGrants(active)
-	record, err := encodeProgress(active.record.ID, active.phase(), active.taskRows())
+	rows := active.taskRows()
+	if active.terminalPhase != 0 {
+		rows = active.stoppingRows()
+	}
+	record, err := encodeProgress(active.record.ID, active.phase(), rows)
 	if err != nil {
 		o.s.logEvent(LogRecordUnreadable, "job", active.record.ID, "error", err.Error())
 		return nil
@@ -142,7 +146,10 @@
 	if active.terminalPhase == 0 {
 		return []Record{record}
 	}
-	active.terminalPhaseWritten = true
+	active.terminalPhaseWritten, active.stoppingWritten = true, len(rows) > 0
+	if active.stoppingWritten {
+		return []Record{record}
+	}
 	return append([]Record{record}, o.compactAcceptance(active)...)
 }
 
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -134,7 +134,8 @@
 	Acceptance *Acceptance
 	Cancelled  bool
 	Phase      Phase
-	// progress is the encoded list of taskRow; only an owner decodes it.
+	// progress is the encoded list of taskRow; only an owner decodes it. A finished job has rows
+	// for its runs that are still being stopped.
 	progress []byte
 	// finishedAt is the time when this node read the terminal phase or, as the owner,
 	// wrote it.
@@ -168,7 +169,7 @@
 }
 
 func encodeProgress(id ID, phase Phase, rows []taskRow) (Record, error) {
-	if phase.Finished() {
+	if phase.Finished() && len(rows) == 0 {
 		return Record{Key: progressPrefix + string(id), Value: []byte{byte(phase)}}, nil
 	}
 	encoded, err := json.Marshal(rows)
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -38,6 +38,7 @@
 	if j.terminalPhase == 0 || j.assignedTasks == 0 && !j.terminalPhaseWritten {
 		o.markChanged(j)
 	}
+	o.compactStopped(j)
 	o.removeIfIdle(j)
 }
 
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -392,11 +392,14 @@
 
 // stopOrphan stops a run that is not assigned to the worker.
 func (o *owner) stopOrphan(w *worker, r RunReport) {
+	// A run of a job that is not known any more may be of any size.
+	size := w.info.Capacity
 	if j := o.jobs[r.Task.Job]; j != nil {
 		if t := j.findTask(r.Task); t != nil {
-			w.orphaned = w.orphaned.Plus(t.step.spec.Reserved())
+			size = t.step.spec.Reserved()
 		}
 	}
+	w.orphaned = w.orphaned.Plus(size)
 	o.s.logEvent(LogOrphanedRunStopped, "task", r.Task, "run", r.Run, "worker", w.info.ID)
 	o.s.emit(Stop{Worker: w.info.ID, Address: w.info.Address, Fence: o.fence, Task: r.Task, Run: r.Run})
 	w.pollBy(o.s.now.Add(stopRetryDelay))
