Check the room again before a planned start is sent

What callers would see: a worker that has shrunk, and does not refuse what does not fit, is started over its capacity. The room was checked when a task was placed; its start is sent after an append, which takes up to seconds on a slow store, and a start without a response is sent once more. Now neither is sent to a worker whose reservations exceed its capacity; the task is placed again.

--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -60,7 +60,7 @@
 		return
 	}
 	w := t.worker
-	if t.step.job.terminalPhase != 0 || !o.mayStart() || w.info.Draining || !w.usable(o.s.now) || t.incarnation != w.info.Incarnation {
+	if t.step.job.terminalPhase != 0 || !o.mayStart() || w.info.Draining || !w.usable(o.s.now) || w.overcommitted() || t.incarnation != w.info.Incarnation {
 		o.release(t)
 		return
 	}
@@ -75,7 +75,7 @@
 			o.fenceStart(t)
 		}
 		if t.state == runStarting && t.startsSent == 1 && o.s.now.Sub(t.startSentAt) > startRepeatDelay && o.mayStart() &&
-			t.step.job.terminalPhase == 0 && !w.info.Draining && t.incarnation == w.info.Incarnation {
+			t.step.job.terminalPhase == 0 && !w.info.Draining && !w.overcommitted() && t.incarnation == w.info.Incarnation {
 			o.emitStart(t)
 		}
 	}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -78,6 +78,9 @@
 // free is the capacity that is neither reserved by tasks nor used by orphaned runs.
 func (w *worker) free() Resources { return w.info.Capacity.Minus(w.used).Minus(w.orphaned) }
 
+// overcommitted reports whether the worker has become too small for what is reserved on it.
+func (w *worker) overcommitted() bool { return !w.free().Holds(Resources{}) }
+
 // clockAt estimates the worker's clock at a time of this node's clock.
 func (w *worker) clockAt(now vocab.Instant) time.Duration {
 	return w.clock + now.Sub(w.clockReadAt)
