Stand-ins and soak: tasks that crash workers, workers that shrink

The stand-in of a worker crashes under the tasks of certain jobs, is down for a second, and its capacity changes; the soak sends such jobs (one in thirty), shrinks workers for 1 to 6 s, and checks that such a task is started five times at most, that its job is shown as failed by every node and no other job is unless two workers ended under one of its tasks, and that no start brings a worker over the capacity that counts.

Unit tests for what mutations of the code showed to be untested: losses that are planned, the confirmation of a crash after the lease, runs of unknown size, a start to a worker that has shrunk, and the runs of a failed job under the next owner.

--- a/internal/core/job/capacity_test.go
+++ b/internal/core/job/capacity_test.go
@@ -115,3 +115,54 @@
 		})
 	}
 }
+
+// TestOrphanOfUnknownSizeFillsItsWorker guards against starts beside a run of which nothing is known.
+func TestOrphanOfUnknownSizeFillsItsWorker(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	w := o.workers["w0000"]
+	o.stopOrphan(w, RunReport{Task: TaskName{Job: "00000000000000aa"}, Run: 1})
+	g.Expect(w.free()).To(gomega.BeZero())
+}
+
+// TestStartIsNotSentToShrunkenWorker guards against a start that was planned before its worker shrank.
+func TestStartIsNotSentToShrunkenWorker(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
+	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	o.assign(task, w)
+	w.info.Capacity.CPU = 800
+	o.sendStart(task, 1)
+	g.Expect(o.s.effects).NotTo(gomega.ContainElement(gomega.BeAssignableToTypeOf(Start{})))
+	g.Expect(task.worker).To(gomega.BeNil())
+}
+
+// TestNextOwnerCountsRunsOfFailedJob: the runs of a failed job that are still being stopped count
+// towards their team's limit under the next owner too.
+func TestNextOwnerCountsRunsOfFailedJob(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	j := addTestJob(o, 1, Step{Count: 2, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
+	tasks, w := j.occurrences[0].steps[0].tasks, o.workers["w0000"]
+	for _, task := range tasks {
+		o.assign(task, w)
+		o.sendStart(task, 1)
+	}
+	o.release(tasks[0])
+	o.finishJob(j, PhaseFailed)
+	record := o.encodeJob(j)[0]
+
+	next := fleetOf(1)
+	next.s.ledger.job(j.record.ID).Acceptance = j.acceptance
+	_, err := next.s.ledger.fold(next.s.now, record)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	next.resumeStopping(next.s.ledger.Jobs[j.record.ID])
+	g.Expect(next.teamUsage["t"]).To(gomega.Equal(Resources{CPU: 900, Memory: 900}))
+	g.Expect(next.workers["w0000"].used).To(gomega.Equal(Resources{CPU: 900, Memory: 900}))
+	g.Expect(next.s.effects).To(gomega.ContainElement(gomega.BeAssignableToTypeOf(Stop{})))
+	stopped := next.jobs[j.record.ID].findTask(tasks[1].name())
+	next.release(stopped)
+	g.Expect(next.jobs).To(gomega.BeEmpty())
+	g.Expect(next.extraRecords).To(gomega.ContainElement(Record{Key: record.Key, Value: []byte{byte(PhaseFailed)}}))
+}
--- a/internal/core/job/crash_test.go
+++ b/internal/core/job/crash_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/sardinehead/sardinehead/internal/core/crash"
 )
 
 // crashingTasks makes the workers crash that start certain tasks, and checks how often these are
@@ -228,3 +230,56 @@
 		t.Errorf("%d jobs did not finish: %s", len(unfinished), unfinished[0])
 	}
 }
+
+// TestOnlyUnplannedLossesCount: a run that is lost to a drain, an order to the machine or a cut
+// network is no sign against its task.
+func TestOnlyUnplannedLossesCount(t *testing.T) {
+	lose := func(cause lossCause, change func(*owner, *worker)) crash.Record {
+		o := fleetOf(2)
+		o.s.now = o.s.now.Add(time.Minute)
+		j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
+		task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+		o.assign(task, w)
+		o.sendStart(task, 1)
+		o.handleStartAnswered(StartAnswered{Worker: w.info.ID, Task: task.name(), Run: 1, Outcome: OK})
+		change(o, w)
+		o.loseRuns(w, w.tasks, cause)
+		return task.crash
+	}
+	nothing := func(*owner, *worker) {}
+	order := func(age time.Duration) func(*owner, *worker) {
+		return func(o *owner, w *worker) {
+			o.s.ledger.lastOrders[w.info.Machine] = lastOrder{readAt: o.s.now.Add(-age)}
+		}
+	}
+	g := gomega.NewWithT(t)
+	g.Expect(lose(lossWorkerReplaced, nothing)).To(gomega.Equal(crash.Record{Crashes: 1, Suspected: 1}))
+	g.Expect(lose(lossWorkerRestarted, nothing)).To(gomega.Equal(crash.Record{Crashes: 1, Suspected: 1}))
+	g.Expect(lose(lossLeaseExpired, nothing)).To(gomega.Equal(crash.Record{Suspected: 1}))
+	g.Expect(lose(lossUnlisted, nothing)).To(gomega.BeZero())
+	g.Expect(lose(lossMachineOrdered, nothing)).To(gomega.BeZero())
+	g.Expect(lose(lossWorkerReplaced, func(_ *owner, w *worker) { w.info.Draining = true })).To(gomega.BeZero())
+	g.Expect(lose(lossWorkerReplaced, order(0))).To(gomega.BeZero(), "the machine was ordered after the start")
+	g.Expect(lose(lossWorkerReplaced, order(time.Second))).To(gomega.Equal(crash.Record{Crashes: 1, Suspected: 1}), "the order had brought the machine")
+}
+
+// TestLaterIncarnationConfirmsCrash: a worker that is silent until its lease has expired may be cut
+// off; another worker on its machine shows that it has crashed.
+func TestLaterIncarnationConfirmsCrash(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(2)
+	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
+	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	o.assign(task, w)
+	o.sendStart(task, 1)
+	o.handleStartAnswered(StartAnswered{Worker: w.info.ID, Task: task.name(), Run: 1, Outcome: OK})
+	o.loseRuns(w, w.tasks, lossLeaseExpired)
+	o.updateWorker(w.info)
+	g.Expect(task.crash).To(gomega.Equal(crash.Record{Suspected: 1}), "the same incarnation is back")
+	next := w.info
+	next.ID, next.Incarnation = "w0009", w.info.Incarnation+1
+	o.updateWorker(next)
+	g.Expect(task.crash).To(gomega.Equal(crash.Record{Crashes: 1, Suspected: 1}))
+	o.updateWorker(next)
+	g.Expect(task.crash.Crashes).To(gomega.Equal(1))
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -65,6 +65,8 @@
 	// every attempt to submit them was refused.
 	accepted map[string]time.Time
 	refused  map[string]bool
+	// crashing holds the jobs with a task that crashes its workers.
+	crashing map[string]bool
 	faults   []string // injected so far
 }
 
@@ -77,7 +79,7 @@
 	t.Cleanup(site.Stop)
 	s := &series{
 		t: t, dir: dir, rng: rand.New(rand.NewPCG(seed, 3)), site: site,
-		accepted: map[string]time.Time{}, refused: map[string]bool{},
+		accepted: map[string]time.Time{}, refused: map[string]bool{}, crashing: map[string]bool{},
 	}
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -99,10 +101,11 @@
 	var submitter sync.WaitGroup
 	end := time.Now().Add(*seriesDuration)
 	submitter.Go(func() { s.submitUntil(end) })
+	submitter.Go(func() { s.shrinkWorkersUntil(end, rand.New(rand.NewPCG(seed, 11))) })
 	s.injectFaultsUntil(end)
 	submitter.Wait()
 	s.clearFaults()
-	s.waitFor("every node reports every accepted job as completed", 60*time.Second, s.allCompleted)
+	s.waitFor("every node reports every accepted job as finished", 60*time.Second, s.allFinished)
 	s.checkRuns()
 	t.Logf("seed %d: %d jobs accepted, faults: %s", seed, len(s.accepted), strings.Join(s.faults, ", "))
 }
@@ -162,9 +165,13 @@
 	return n
 }
 
-// jobBody is a job of two steps; the second depends on the first.
-const jobBody = `{"spec":"x","steps":[{"count":3,"cpu":500,"mem_mb":64,"estimate_ms":250},` +
-	`{"count":2,"cpu":500,"mem_mb":64,"estimate_ms":250,"depends_on":[0]}]}`
+// jobBody is a job of two steps with a payload; the second depends on the first. Each task needs
+// taskCPU thousandths of a core.
+const (
+	taskCPU = 500
+	jobBody = `{"spec":"%s","steps":[{"count":3,"cpu":500,"mem_mb":64,"estimate_ms":250},` +
+		`{"count":2,"cpu":500,"mem_mb":64,"estimate_ms":250,"depends_on":[0]}]}`
+)
 
 // submitUntil submits jobs until the time end, and waits until each one is accepted or its
 // attempts are used up.
@@ -173,6 +180,11 @@
 	var submitters sync.WaitGroup
 	for i := 0; time.Now().Before(end); i++ {
 		id := fmt.Sprintf("%016x", i+1)
+		if rng.IntN(30) == 0 {
+			s.mu.Lock()
+			s.crashing[id] = true
+			s.mu.Unlock()
+		}
 		first := rng.IntN(len(s.processes))
 		submitters.Go(func() { s.submit(id, first) })
 		time.Sleep(60 * time.Millisecond)
@@ -209,7 +221,13 @@
 func (s *series) call(p *process, method, id string, result any) int {
 	var content *strings.Reader
 	if method == http.MethodPost {
-		content = strings.NewReader(jobBody)
+		spec := "x"
+		s.mu.Lock()
+		if s.crashing[id] {
+			spec = standin.CrashSpec
+		}
+		s.mu.Unlock()
+		content = strings.NewReader(fmt.Sprintf(jobBody, spec))
 	} else {
 		content = strings.NewReader("")
 	}
@@ -291,6 +309,16 @@
 	s.faults = append(s.faults, name)
 }
 
+// shrinkWorkersUntil lets workers have room for a few tasks only, for 1 s to 6 s each.
+func (s *series) shrinkWorkersUntil(end time.Time, rng *rand.Rand) {
+	for time.Now().Before(end) {
+		w := s.site.Workers[rng.IntN(len(s.site.Workers))]
+		w.SetCPU(taskCPU * (1 + rng.IntN(3)))
+		time.AfterFunc(time.Second+time.Duration(rng.IntN(5000))*time.Millisecond, func() { w.SetCPU(0) })
+		time.Sleep(time.Duration(500+rng.IntN(2000)) * time.Millisecond)
+	}
+}
+
 // restart ends a process by a signal and starts it again.
 func (s *series) restart(p *process, sig syscall.Signal) {
 	p.Signal(syscall.SIGCONT)
@@ -307,6 +335,7 @@
 	s.site.Store.DropResponses(0)
 	for _, w := range s.site.Workers {
 		w.SetSilent(false)
+		w.SetCPU(0)
 	}
 	for _, p := range s.processes {
 		p.Signal(syscall.SIGCONT)
@@ -314,14 +343,17 @@
 	}
 }
 
-// allCompleted reports whether every node reports every accepted job as completed.
-func (s *series) allCompleted() bool {
+// allFinished reports whether every node reports every accepted job as completed, or as failed if
+// one of its tasks may be given up.
+func (s *series) allFinished() bool {
+	mayFail := s.mayFail()
 	for id := range s.accepted {
 		for _, p := range s.processes {
 			var job struct {
 				State string `json:"state"`
 			}
-			if s.call(p, http.MethodGet, id, &job) != http.StatusOK || job.State != "completed" {
+			if s.call(p, http.MethodGet, id, &job) != http.StatusOK || job.State != "completed" && (job.State != "failed" || !mayFail[id]) ||
+				job.State == "completed" && s.crashing[id] {
 				return false
 			}
 		}
@@ -329,6 +361,55 @@
 	return true
 }
 
+const (
+	// maxCrashStarts is the number of starts of a task that crashes its workers: it is not to be
+	// started three times more after three crashes.
+	maxCrashStarts = 5
+	// shrinkNotice is the time after which a worker's smaller capacity counts.
+	shrinkNotice = 3300 * time.Millisecond
+)
+
+// mayFail returns the jobs with a task under which two workers have crashed or been restarted.
+func (s *series) mayFail() map[string]bool {
+	ended := map[string]int{}
+	mayFail := map[string]bool{}
+	for _, w := range s.site.Workers {
+		runs, _ := w.History()
+		for _, r := range runs {
+			if r.End != "" || r.EndedAt.IsZero() {
+				continue
+			}
+			if ended[r.Task]++; ended[r.Task] >= 2 {
+				id, _, _ := strings.Cut(r.Task, ".")
+				mayFail[id] = true
+			}
+		}
+	}
+	return mayFail
+}
+
+// checkCapacity checks that no start brought a worker over its capacity.
+func (s *series) checkCapacity(w *standin.Worker, runs []standin.Run) {
+	changes := w.CPUHistory()
+	for _, r := range runs {
+		largest := 0
+		for i, c := range changes {
+			if !c.At.After(r.StartedAt) && (i+1 == len(changes) || changes[i+1].At.After(r.StartedAt.Add(-shrinkNotice))) {
+				largest = max(largest, c.CPU)
+			}
+		}
+		used := 0
+		for _, other := range runs {
+			if !other.StartedAt.After(r.StartedAt) && (other.EndedAt.IsZero() || other.EndedAt.After(r.StartedAt)) {
+				used += taskCPU
+			}
+		}
+		if largest > 0 && changes[0].At.Before(r.StartedAt.Add(-shrinkNotice)) && used > largest {
+			s.errorf("task %s: its start brings %s to %d of %d thousandths of a core", r.Task, w.ID, used, largest)
+		}
+	}
+}
+
 // checkRuns checks the runs that the workers recorded: runs of a task don't overlap, none
 // starts after an owner acknowledged the task's completion, steps run in order, and no task of
 // a refused job ran.
@@ -337,6 +418,7 @@
 	acknowledged := map[string]time.Time{}
 	for _, w := range s.site.Workers {
 		runs, acknowledgedByWorker := w.History()
+		s.checkCapacity(w, runs)
 		for _, r := range runs {
 			runsByTask[r.Task] = append(runsByTask[r.Task], r)
 		}
@@ -351,6 +433,9 @@
 		if s.refused[id] {
 			s.errorf("task %s ran, but every attempt to submit its job was refused", task)
 		}
+		if s.crashing[id] && strings.HasSuffix(task, ".0.0.0") && len(runs) > maxCrashStarts {
+			s.errorf("task %s crashes its workers and was started %d times", task, len(runs))
+		}
 		slices.SortFunc(runs, func(a, b standin.Run) int { return a.StartedAt.Compare(b.StartedAt) })
 		for i, r := range runs {
 			if at, known := acknowledged[task]; known && r.StartedAt.After(at) {
