Attribute a restart in place by the earlier incarnation's responses

A worker that crashes and comes back under its ID answers the next poll; that response counted as a sign of life half a second after the start of its new runs, so that these had settled and nothing was suspected (found on reading the change again; crashes were then attributed only by trials for whole runs, after three of them). The time of the last response now moves forward after the lost runs have been dealt with.

TestRestartInPlaceIsAttributedToTheNewestRun failed before.

--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -250,7 +250,6 @@
 		o.handlePollFailure(w, e)
 		return
 	}
-	w.lastHeardAt = max(w.lastHeardAt, e.ReceivedAt)
 	if w.failedPolls >= unreachableAfterPolls {
 		o.s.logEvent(LogWorkerReachable, "worker", w.info.ID)
 		o.planDue = true
@@ -274,6 +273,8 @@
 	w.clock, w.clockReadAt = e.Clock, e.ReceivedAt
 	o.processEnds(w, e.Ended)
 	o.reconcileRuns(w, e)
+	// A later incarnation says nothing about the runs of the earlier one, which are lost by now.
+	w.lastHeardAt = max(w.lastHeardAt, e.ReceivedAt)
 	o.resolveGrants(w)
 	o.schedulePoll(w)
 }
