A run that may have ended before its worker crashed counts as possible

A run completed on a worker that had gone silent; the worker crashed before it could report the end, and the crash counted as one under the run. Now a crash counts as known only if the worker went silent before half of the run's expected time; otherwise it is possible, and three are needed.

Simulated workers that cannot be reached no longer refuse calls at once, which only a worker that is down does: calls time out after 0.8 s, as those of a node that is cut off.

--- a/internal/core/job/crash_test.go
+++ b/internal/core/job/crash_test.go
@@ -306,6 +306,8 @@
 	o.s.now = o.s.now.Add(2 * time.Second)
 	poll(1, RunReport{Task: tasks[0].name(), Run: 1})
 	start(tasks[1])
+	w.pollInFlight = true
+	o.handlePolled(Polled{Worker: w.info.ID, Outcome: Unknown})
 	o.s.now = o.s.now.Add(3 * time.Second)
 	poll(2)
 	g.Expect(tasks[0].crash).To(gomega.Equal(crash.Record{Crashes: 1}))
--- a/internal/core/job/crashes.go
+++ b/internal/core/job/crashes.go
@@ -76,7 +76,7 @@
 		if t.state == runPlanned {
 			continue
 		}
-		present, known = append(present, t), append(known, t.startedAt != 0)
+		present, known = append(present, t), append(known, o.ranUntilSilence(t))
 		runs = append(runs, crash.Run{
 			StartedAt: t.plannedAt, Unanswered: t.startedAt == 0 && t.startSentAt != 0, Settled: t.settled(), Trial: t.trial, Unit: t.unit(),
 		})
@@ -97,6 +97,20 @@
 	}
 }
 
+// ranUntilSilence reports whether the run was certainly on its worker when the worker stopped
+// responding: it was confirmed, and cannot have ended in between without a report. Run times are
+// estimates, so that half of one counts.
+func (o *owner) ranUntilSilence(t *task) bool {
+	if t.startedAt == 0 || t.step.spec.LongRunning {
+		return t.startedAt != 0
+	}
+	since := t.worker.silentSince
+	if since == 0 {
+		since = o.s.now
+	}
+	return since.Sub(t.startedAt) < o.runTimeOf(t.step)/2
+}
+
 // suspect counts a crash that the task may have caused.
 func (o *owner) suspect(t *task) {
 	t.crash.Suspected++
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -502,7 +502,7 @@
 		}
 	}
 	switch {
-	case n.workersCut:
+	case n.workersCut || wk.unreachable:
 		sim.after(800*time.Millisecond, func() { reply(lostReply(NotDone)) })
 	case sim.rng.Float64() < sim.faults.lateOrder:
 		sim.after(800*time.Millisecond, func() { reply(lostReply(Unknown)) })
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -60,6 +60,9 @@
 	hold                *workerHold
 	// lastHeardAt is the time of the worker's last response to a poll or an order.
 	lastHeardAt vocab.Instant
+	// silentSince is the time when the first poll without a response after the last one with a
+	// response failed, or 0.
+	silentSince vocab.Instant
 	// lastStartAt is the time when this owner last sent a start to the worker.
 	lastStartAt vocab.Instant
 	// trial is the task that is on trial on the worker, or nil: see crashes.go.
@@ -274,7 +277,7 @@
 	o.processEnds(w, e.Ended)
 	o.reconcileRuns(w, e)
 	// A later incarnation says nothing about the runs of the earlier one, which are lost by now.
-	w.lastHeardAt = max(w.lastHeardAt, e.ReceivedAt)
+	w.lastHeardAt, w.silentSince = max(w.lastHeardAt, e.ReceivedAt), 0
 	o.resolveGrants(w)
 	o.schedulePoll(w)
 }
@@ -285,6 +288,9 @@
 		o.s.loseOwnership("a worker has seen a later owner")
 		return
 	}
+	if w.silentSince == 0 {
+		w.silentSince = o.s.now
+	}
 	if e.Outcome == Gone {
 		// A different worker responds at the address, so this one no longer exists.
 		o.loseRuns(w, w.tasks, lossWorkerReplaced)
