--- a/internal/core/job/crashes.go
+++ b/internal/core/job/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/core/crash"
@@ -37,9 +36,10 @@
 	trialLoadPenalty = 100
 )
 
-// presumedCrash is the loss of a worker that did not respond until its lease expired. A later
-// incarnation on its machine shows that it has crashed.
-type presumedCrash struct {
+// attributedCrash is the loss of a worker with the runs that were on it. The loss of one that did
+// not respond until its lease expired is a presumed crash: a later incarnation on its machine shows
+// that it has crashed.
+type attributedCrash struct {
 	at          vocab.Instant
 	incarnation Millis
 	tasks       []*task
@@ -78,11 +78,15 @@
 		}
 		present, known = append(present, t), append(known, o.ranUntilSilence(t))
 		runs = append(runs, crash.Run{
-			StartedAt: t.plannedAt, Unanswered: t.startedAt == 0 && t.startSentAt != 0, Settled: t.settled(), Trial: t.trial, Unit: t.unit(),
+			StartedAt: t.plannedAt, Unanswered: t.startedAt == 0 && t.startSentAt != 0, Settled: t.settled(),
+			Trial: t.trial, Unit: t.unit(),
 		})
 	}
 	indexes, isolated := crash.Suspects(runs)
-	c := presumedCrash{at: o.s.now, incarnation: w.info.Incarnation, tasks: present, known: known, evidence: crash.Evidence{Isolated: isolated}}
+	c := attributedCrash{
+		at: o.s.now, incarnation: w.info.Incarnation, tasks: present, known: known,
+		evidence: crash.Evidence{Isolated: isolated},
+	}
 	for _, i := range indexes {
 		c.suspects = append(c.suspects, present[i])
 		c.evidence.RunTrial = present[i].trial == crash.RunTrial
@@ -118,7 +122,7 @@
 }
 
 // confirmCrash counts a crash that is known, and gives up a task that has caused it.
-func (o *owner) confirmCrash(c presumedCrash) {
+func (o *owner) confirmCrash(c attributedCrash) {
 	for i, t := range c.tasks {
 		if t.completed {
 			continue
@@ -232,7 +236,8 @@
 		}
 		used, capacity = used+w.used.CPU, capacity+w.info.Capacity.CPU
 	}
-	return float64(used) > busyFraction*float64(capacity) && trials >= int(math.Ceil(trialFraction*float64(len(p.workers))))
+	busy := float64(used) > busyFraction*float64(capacity)
+	return busy && trials >= int(math.Ceil(trialFraction*float64(len(p.workers))))
 }
 
 // trialPenalty returns the addition to a worker's score for a task that may crash it.
@@ -257,7 +262,11 @@
 	for _, j := range o.jobOrder {
 		for _, occ := range j.occurrences {
 			for _, st := range occ.steps {
-				n += len(slices.DeleteFunc(slices.Clone(st.tasks), func(t *task) bool { return t.completed || t.crash.Suspected == 0 }))
+				for _, t := range st.tasks {
+					if !t.completed && t.crash.Suspected > 0 {
+						n++
+					}
+				}
 			}
 		}
 	}
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -72,7 +72,7 @@
 	// workersByMachine holds the worker last listed on each machine.
 	workersByMachine map[MachineID]*worker
 	// presumedCrashes holds the last presumed crash of a worker on each machine.
-	presumedCrashes map[MachineID]presumedCrash
+	presumedCrashes map[MachineID]attributedCrash
 	workersKnown    bool                       // a full list of workers was received
 	teamUsage       map[vocab.TeamID]Resources // demand of the assigned tasks
 	planDue         bool                       // a placement pass is due
@@ -107,7 +107,7 @@
 func newOwner(s *State, fence Fence) *owner {
 	return &owner{
 		s: s, fence: fence, policy: defaultLookahead(),
-		jobs: map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, presumedCrashes: map[MachineID]presumedCrash{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
+		jobs: map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, presumedCrashes: map[MachineID]attributedCrash{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
 		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), queueWork: newQueueWork(), door: newDoor(), teamRates: map[vocab.TeamID]*tokenBucket{},
 		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}, policy: poolplan.DefaultPolicy, shortages: map[vocab.PoolID]shortage{}},
 	}
