The largest record is checked with crashes, planned times and hosts

TestLargestJobFitsOneRecord built the largest record without the fields that came with the crashes of workers; it now has all of them, each task on a worker of its own, and still fits.

--- a/internal/core/job/owner_append_test.go
+++ b/internal/core/job/owner_append_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/sardinehead/sardinehead/internal/core/crash"
 )
 
 // maxRecordBytes is the largest record that a store must accept.
@@ -87,13 +89,17 @@
 // within the store's limit, whatever the state of its tasks.
 func TestLargestJobFitsOneRecord(t *testing.T) {
 	g := gomega.NewWithT(t)
-	o, host := flushOwner()
+	o, _ := flushOwner()
 	spec := Spec{Steps: []Step{{Count: maxTasks, Need: Resources{CPU: 1}}}}
 	g.Expect(validateSpec(&spec)).To(gomega.BeEmpty())
 	active := newJob(o, "00000000000000aa", spec.Steps...)
-	for _, task := range active.occurrences[0].steps[0].tasks {
-		o.bind(task, host, host.info.Incarnation)
+	for i, task := range active.occurrences[0].steps[0].tasks {
+		w := o.worker(WorkerID(fmt.Sprintf("i-%010x", i)))
+		w.info.Incarnation, w.info.Machine, w.info.Address = 1_783_300_000_000, MachineID(fmt.Sprintf("m-%010x", i)), "10.100.100.100:18583"
+		o.bind(task, w, w.info.Incarnation)
 		task.lastRun, task.failures, task.checkpoint = 12, 2, "00000bb87a21d94b"
+		task.plannedWall = active.acceptance.At + 100_000
+		task.crash = crash.Record{Crashes: 1, Possible: 1, Suspected: 2}
 	}
 	g.Expect(recordBytes(o.encodeJob(active))).To(gomega.BeNumerically("<", maxRecordBytes))
 	repeated := Spec{Steps: make([]Step, 2), Occurrences: maxSteps}
