An order explains the loss of a worker only if it was for that worker

The owner's own order moved the machine after the crash, when it had come back as an idle worker, while the lost worker's lease still ran. And a node that begins to follow the stream reads orders late, so that orders that had brought a machine to its pool looked newer than the worker on it.

An order now explains a loss only if it was read before the worker went silent, and records of orders have the time of day at which they were written, to compare with the start of the worker.

TestOnlyUnplannedLossesCount has both cases, which failed before.

--- a/internal/core/job/crash_test.go
+++ b/internal/core/job/crash_test.go
@@ -261,6 +261,14 @@
 	g.Expect(lose(lossMachineOrdered, nothing)).To(gomega.BeZero())
 	g.Expect(lose(lossWorkerReplaced, func(_ *owner, w *worker) { w.info.Draining = true })).To(gomega.BeZero())
 	g.Expect(lose(lossWorkerReplaced, order(0))).To(gomega.BeZero(), "the machine was ordered after the start")
+	g.Expect(lose(lossWorkerReplaced, func(o *owner, w *worker) {
+		order(0)(o, w)
+		w.silentSince = o.s.now.Add(-3 * time.Second)
+	})).To(gomega.Equal(crash.Record{Crashes: 1, Suspected: 1}), "the order was for the machine's next worker")
+	g.Expect(lose(lossWorkerReplaced, func(o *owner, w *worker) {
+		w.info.Incarnation, w.lastStartAt = o.s.wall-1000, 0
+		o.s.ledger.lastOrders[w.info.Machine] = lastOrder{readAt: o.s.now, writtenAt: o.s.wall - 5000}
+	})).To(gomega.Equal(crash.Record{Crashes: 1, Suspected: 1}), "read late, the order had brought the machine")
 	g.Expect(lose(lossWorkerReplaced, order(time.Second))).To(gomega.Equal(crash.Record{Crashes: 1, Suspected: 1}), "the order had brought the machine")
 }
 
--- a/internal/core/job/losses.go
+++ b/internal/core/job/losses.go
@@ -1,6 +1,9 @@
 package job
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // A run whose worker goes has no end that the worker reports. The owner gives it up once it
 // cannot be running any more.
@@ -39,20 +42,27 @@
 // label returns the value of the cause label of sardinehead_job_runs_lost_total.
 func (c lossCause) label() string { return lossLabels[c] }
 
+// orderReadDelay is the time after which an order of an earlier owner has been read, even if the
+// store is slow.
+const orderReadDelay = time.Second
+
 // lossPlanned reports whether the end of a worker was planned: it was draining, or an owner has
-// ordered its machine since the worker was last known to be in use.
+// ordered its machine since the worker was last known to be in use and before it went silent.
 func (o *owner) lossPlanned(w *worker) bool {
 	if w.info.Draining || w.leaving {
 		return true
 	}
 	order, ordered := o.s.ledger.lastOrders[w.info.Machine]
 	switch {
-	case !ordered:
+	case !ordered || order.readAt < w.lastStartAt:
 		return false
-	case w.lastStartAt != 0:
-		return order.readAt >= w.lastStartAt
-	default:
+	case w.silentSince != 0 && order.readAt > w.silentSince.Add(orderReadDelay):
+		// The order was for the machine's next worker.
+		return false
+	case order.writtenAt != 0:
 		// An order from before the worker's own start has brought the machine here.
+		return order.writtenAt >= w.info.Incarnation
+	default:
 		return o.s.wall-Millis(o.s.now.Sub(order.readAt).Milliseconds()) >= w.info.Incarnation
 	}
 }
--- a/internal/core/job/order_log.go
+++ b/internal/core/job/order_log.go
@@ -36,6 +36,8 @@
 type orderRecord struct {
 	Open     []MachineID `json:"open,omitempty"`
 	Answered []MachineID `json:"done,omitempty"`
+	// At is the time of day when the record was written.
+	At Millis `json:"at,omitempty"`
 }
 
 // lastOrder is the last order to a machine that this node has read of. readAt is the time
@@ -43,6 +45,8 @@
 type lastOrder struct {
 	readAt vocab.Instant
 	open   bool
+	// writtenAt is the time of day in the record; 0 in one of an earlier version.
+	writtenAt Millis
 }
 
 // orderLog builds the records of an owner.
@@ -69,9 +73,9 @@
 }
 
 // record returns the record of the current period for the owner with a fence.
-func (l *orderLog) record(fence Fence) (Record, error) {
+func (l *orderLog) record(fence Fence, wall Millis) (Record, error) {
 	l.changed = false
-	var r orderRecord
+	r := orderRecord{At: wall}
 	for _, id := range l.machines {
 		if l.state[id] {
 			r.Open = append(r.Open, id)
@@ -96,10 +100,10 @@
 	}
 	l.orderRecords[r.Key] = now
 	for _, id := range record.Open {
-		l.lastOrders[id] = lastOrder{now, true}
+		l.lastOrders[id] = lastOrder{now, true, record.At}
 	}
 	for _, id := range record.Answered {
-		l.lastOrders[id] = lastOrder{now, false}
+		l.lastOrders[id] = lastOrder{now, false, record.At}
 	}
 	return nil
 }
@@ -109,7 +113,7 @@
 func (l *Ledger) foldEarlierFormat(now vocab.Instant, list []recentOrder) {
 	for _, order := range list {
 		readAt := now.Add(-time.Duration(order.AgeMS) * time.Millisecond)
-		l.lastOrders[order.Machine] = lastOrder{readAt, order.Open}
+		l.lastOrders[order.Machine] = lastOrder{readAt: readAt, open: order.Open}
 	}
 }
 
--- a/internal/core/job/owner_append.go
+++ b/internal/core/job/owner_append.go
@@ -106,7 +106,7 @@
 
 // orderLogRecord returns the record of the orders since the last one.
 func (o *owner) orderLogRecord() []Record {
-	record, err := o.orderLog.record(o.fence)
+	record, err := o.orderLog.record(o.fence, o.s.wall)
 	if err != nil {
 		o.s.logEvent(LogRecordUnreadable, "key", record.Key, "error", err.Error())
 		return nil
