--- a/internal/core/task/crashes.go
+++ b/internal/core/task/crashes.go
@@ -1,6 +1,7 @@
 package task
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -51,12 +52,11 @@
 // crashDelay returns the delay of a task's next attempt after a crash. It differs between tasks
 // and crashes, and grows with the crashes.
 func crashDelay(t *Task) time.Duration {
-	hash := xxhash.Sum64String(string(t.Task)) + uint64(t.Attempt)*crashDelaySteps/3
-	return time.Duration(t.SuspectedCrashes) * maxCrashDelay * time.Duration(hash%crashDelaySteps) / crashDelaySteps
+	const steps = 64
+	hash := xxhash.Sum64String(fmt.Sprintf("%s/%d", t.Task, t.Attempt))
+	return time.Duration(t.SuspectedCrashes) * maxCrashDelay * time.Duration(hash%steps) / steps
 }
 
-const crashDelaySteps = 64
-
 // endCrashDelays lets the tasks be placed whose delay has passed.
 func (c *Controller) endCrashDelays() {
 	var due []vocab.TaskID
