Only the workers of suspected tasks stand in a job's record

Each record of a job named the workers of all its tasks, and each state of a job is written several times. A task without a crash before needs no host: if its worker ends during a change of owner, its lease passes, and it is suspected from then on.

That the hosts were the cause is likely from this, not shown beyond it. TestNextOwnerKnowsTheCrashes (owner killed after each crash) and 200 seeds of the random series pass.

--- a/internal/core/job/hosts.go
+++ b/internal/core/job/hosts.go
@@ -6,8 +6,9 @@
 )
 
 // A worker may end while its owner is being replaced, and is then in no list that the next owner
-// reads. The job's record therefore says where the workers of its tasks can be reached: whoever
-// responds there shows that the worker has ended.
+// reads. The job's record therefore says where the workers of suspected tasks can be reached:
+// whoever responds there shows that the worker has ended. Other tasks become suspected once the
+// lease has passed; records without hosts are cheaper to write.
 
 const (
 	// hostsOccurrence marks the row with the hosts. No job has so many occurrences.
@@ -24,7 +25,7 @@
 	Address     string    `json:"a,omitempty"`
 }
 
-// hostRows returns the row with the workers of the job's tasks, if any.
+// hostRows returns the row with the workers of the job's suspected tasks, if any.
 func (j *activeJob) hostRows() []taskRow {
 	if j.assignedTasks == 0 {
 		return nil
@@ -33,7 +34,7 @@
 	for _, occ := range j.occurrences {
 		for _, st := range occ.steps {
 			for _, t := range st.tasks {
-				if t.worker == nil || t.worker.info.Address == "" || len(hosts) == maxHosts {
+				if t.crash.Suspected == 0 || t.worker == nil || t.worker.info.Address == "" || len(hosts) == maxHosts {
 					continue
 				}
 				info := &t.worker.info
