--- a/internal/core/job/crashes.go
+++ b/internal/core/job/crashes.go
@@ -27,7 +27,7 @@
 	// would rather have it run, and the worker's next crash is attributed all the same. It is
 	// shorter for long-running tasks, whose users notice.
 	trialPatience            = 10 * time.Second
-	trialPatienceLongRunning = 2 * time.Second
+	trialPatienceLongRunning = 300 * time.Millisecond
 	// clearedAfter is the time after which a long-running task is no longer suspected.
 	clearedAfter = 30 * time.Second
 	// presumedRetention is the time for which a crash that is presumed may still be confirmed.
