Whether a loss was planned is found out once; tests share their seeds and starts

Found on reading the whole change again; no decision changes. loseRuns looked up whether a worker's end was planned for its own line, for the attribution and again for each run that it gave up. Three random series repeated the loop over the seeds, and three tests the start of a run: forEachSeed and startOn serve them; draws, checks and bounds are as before.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -15,7 +15,8 @@
 // Record is what is known of the crashes of workers that had a run of a task.
 type Record struct {
 	// Crashes is the number of workers that have crashed with a run of the task on them. Possible
-	// is the number of those that have crashed with a start of the task of unknown outcome.
+	// is the number of those that may have had one: the outcome of a start is unknown, or the run may
+	// have ended before.
 	Crashes, Possible int
 	// Suspected is the number of crashes that the task may have caused.
 	Suspected int
--- a/internal/core/job/capacity_test.go
+++ b/internal/core/job/capacity_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
 	"testing"
 	"time"
 
@@ -84,35 +83,33 @@
 // TestRandomCapacity simulates random fault schedules while workers that do not refuse what does
 // not fit shrink and grow, stop their runs slowly, and jobs fail.
 func TestRandomCapacity(t *testing.T) {
-	for i := range uint64(*seeds) {
-		seed := *firstSeed + i
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			t.Parallel()
-			rng := rand.New(rand.NewPCG(seed, 7))
-			sim := newSimulation(seed, 3+rng.IntN(3), 5, faults{
-				loseAppend: rng.Float64() * 0.05, loseOrder: rng.Float64() * 0.05, failTask: 0.1 + rng.Float64()*0.2,
-			})
-			sim.pollsWait = true
-			sim.stopTime = time.Duration(100+rng.IntN(800)) * time.Millisecond
-			if *printLines {
-				sim.trace = func(line string) { t.Log(line) }
-			}
-			sim.run(3 * time.Second)
-			sim.after(0, func() { sim.load(150*time.Millisecond, 25*time.Second) })
-			for range 1 + rng.IntN(6) {
-				wk := sim.workers[sim.workerIDs[rng.IntN(len(sim.workerIDs))]]
-				percent, duration := int64(10+rng.IntN(80)), 2*time.Second+time.Duration(rng.Int64N(int64(12*time.Second)))
-				sim.after(time.Duration(rng.Int64N(int64(20*time.Second))), func() { sim.shrink(wk, percent, duration) })
-			}
-			sim.scheduleFaults(rng.IntN(6))
-			sim.run(30 * time.Second)
-			sim.clearFaults()
-			sim.run(120 * time.Second)
-			sim.report(t)
-			if unfinished := sim.unfinished(); len(unfinished) > 0 {
-				t.Errorf("%d jobs did not finish: %s", len(unfinished), unfinished[0])
-			}
-		})
+	forEachSeed(t, simulateCapacity)
+}
+
+func simulateCapacity(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	sim := newSimulation(seed, 3+rng.IntN(3), 5, faults{
+		loseAppend: rng.Float64() * 0.05, loseOrder: rng.Float64() * 0.05, failTask: 0.1 + rng.Float64()*0.2,
+	})
+	sim.pollsWait = true
+	sim.stopTime = time.Duration(100+rng.IntN(800)) * time.Millisecond
+	if *printLines {
+		sim.trace = func(line string) { t.Log(line) }
+	}
+	sim.run(3 * time.Second)
+	sim.after(0, func() { sim.load(150*time.Millisecond, 25*time.Second) })
+	for range 1 + rng.IntN(6) {
+		wk := sim.workers[sim.workerIDs[rng.IntN(len(sim.workerIDs))]]
+		percent, duration := int64(10+rng.IntN(80)), 2*time.Second+time.Duration(rng.Int64N(int64(12*time.Second)))
+		sim.after(time.Duration(rng.Int64N(int64(20*time.Second))), func() { sim.shrink(wk, percent, duration) })
+	}
+	sim.scheduleFaults(rng.IntN(6))
+	sim.run(30 * time.Second)
+	sim.clearFaults()
+	sim.run(120 * time.Second)
+	sim.report(t)
+	if unfinished := sim.unfinished(); len(unfinished) > 0 {
+		t.Errorf("%d jobs did not finish: %s", len(unfinished), unfinished[0])
 	}
 }
 
--- a/internal/core/job/crash_test.go
+++ b/internal/core/job/crash_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
@@ -187,13 +186,7 @@
 // TestRandomCrashes simulates random fault schedules with tasks that crash the workers that start
 // them, while workers also crash for other reasons, and owners change.
 func TestRandomCrashes(t *testing.T) {
-	for i := range uint64(*seeds) {
-		seed := *firstSeed + i
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			t.Parallel()
-			simulateCrashes(t, seed)
-		})
-	}
+	forEachSeed(t, simulateCrashes)
 }
 
 func simulateCrashes(t *testing.T, seed uint64) {
@@ -232,6 +225,13 @@
 	}
 }
 
+// startOn starts run 1 of a task on a worker, which confirms it.
+func startOn(o *owner, t *task, w *worker) {
+	o.assign(t, w)
+	o.sendStart(t, 1)
+	o.handleStartAnswered(StartAnswered{Worker: w.info.ID, Task: t.name(), Run: 1, Outcome: OK})
+}
+
 // TestOnlyUnplannedLossesCount: a run that is lost to a drain, an order to the machine or a cut
 // network is no sign against its task.
 func TestOnlyUnplannedLossesCount(t *testing.T) {
@@ -240,9 +240,7 @@
 		o.s.now = o.s.now.Add(time.Minute)
 		j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
 		task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
-		o.assign(task, w)
-		o.sendStart(task, 1)
-		o.handleStartAnswered(StartAnswered{Worker: w.info.ID, Task: task.name(), Run: 1, Outcome: OK})
+		startOn(o, task, w)
 		change(o, w)
 		o.loseRuns(w, w.tasks, cause)
 		return task.crash
@@ -279,9 +277,7 @@
 	o := fleetOf(2)
 	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
 	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
-	o.assign(task, w)
-	o.sendStart(task, 1)
-	o.handleStartAnswered(StartAnswered{Worker: w.info.ID, Task: task.name(), Run: 1, Outcome: OK})
+	startOn(o, task, w)
 	o.loseRuns(w, w.tasks, lossLeaseExpired)
 	o.updateWorker(w.info)
 	g.Expect(task.crash).To(gomega.Equal(crash.Record{Suspected: 1}), "the same incarnation is back")
@@ -305,9 +301,7 @@
 		o.handlePolled(Polled{Worker: w.info.ID, Outcome: OK, Incarnation: incarnation, Running: running, SentAt: o.s.now, ReceivedAt: o.s.now})
 	}
 	start := func(task *task) {
-		o.assign(task, w)
-		o.sendStart(task, 1)
-		o.handleStartAnswered(StartAnswered{Worker: w.info.ID, Task: task.name(), Run: 1, Outcome: OK})
+		startOn(o, task, w)
 		o.s.now = o.s.now.Add(time.Millisecond)
 	}
 	start(tasks[0])
--- a/internal/core/job/crashes.go
+++ b/internal/core/job/crashes.go
@@ -63,10 +63,10 @@
 	return t.startSentAt != 0 && t.worker.lastHeardAt.Sub(t.startSentAt) >= settleTime
 }
 
-// recordCrash attributes the loss of a worker to the runs that may have been on it.
+// recordCrash attributes the unplanned loss of a worker to the runs that may have been on it.
 func (o *owner) recordCrash(w *worker, tasks []*task, cause lossCause) {
 	proven := cause == lossWorkerReplaced || cause == lossWorkerRestarted
-	if !proven && cause != lossLeaseExpired || o.lossPlanned(w) {
+	if !proven && cause != lossLeaseExpired {
 		return
 	}
 	var present []*task
--- a/internal/core/job/losses.go
+++ b/internal/core/job/losses.go
@@ -73,7 +73,7 @@
 		return
 	}
 	tasks = slices.Clone(tasks)
-	unsettled := 0
+	planned, unsettled := o.lossPlanned(w), 0
 	for _, t := range tasks {
 		if !t.settled() {
 			unsettled++
@@ -83,12 +83,14 @@
 	if w.lastHeardAt != 0 {
 		heardMS = o.s.now.Sub(w.lastHeardAt).Milliseconds()
 	}
-	o.s.logEvent(LogWorkerLost, "worker", w.info.ID, "machine", w.info.Machine, "cause", cause.label(), "planned", o.lossPlanned(w),
+	o.s.logEvent(LogWorkerLost, "worker", w.info.ID, "machine", w.info.Machine, "cause", cause.label(), "planned", planned,
 		"runs", len(tasks), "unsettled", unsettled, "heard_ms_ago", heardMS)
-	o.recordCrash(w, tasks, cause)
+	if !planned {
+		o.recordCrash(w, tasks, cause)
+	}
 	for _, t := range tasks {
 		if t.worker == w {
-			o.markLost(t, cause)
+			o.markLost(t, cause, planned)
 		}
 	}
 }
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -330,13 +330,13 @@
 }
 
 // markLost releases a run that its worker cannot be running any more.
-func (o *owner) markLost(t *task, cause lossCause) {
+func (o *owner) markLost(t *task, cause lossCause, planned bool) {
 	ranMS := int64(-1)
 	if t.startSentAt != 0 {
 		ranMS = o.s.now.Sub(t.startSentAt).Milliseconds()
 	}
 	o.s.logEvent(LogRunLost, "task", t.name(), "run", t.lastRun, "worker", t.worker.info.ID, "why", cause.String(),
-		"cause", cause.label(), "planned", o.lossPlanned(t.worker), "since_start_ms", ranMS)
+		"cause", cause.label(), "planned", planned, "since_start_ms", ranMS)
 	if t.state != runPlanned {
 		t.lostRuns = append(t.lostRuns, t.lastRun)
 	}
--- a/internal/core/job/simulation_suite_test.go
+++ b/internal/core/job/simulation_suite_test.go
@@ -328,11 +328,17 @@
 // task runs twice at a time, before the steps that it depends on, too often, beyond a
 // limit or without a job.
 func TestRandomFaults(t *testing.T) {
+	forEachSeed(t, simulateFaults)
+}
+
+// forEachSeed runs a simulation in parallel with each of the seeds that the flags select.
+func forEachSeed(t *testing.T, simulate func(*testing.T, uint64)) {
+	t.Helper()
 	for i := range uint64(*seeds) {
 		seed := *firstSeed + i
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
-			simulateFaults(t, seed)
+			simulate(t, seed)
 		})
 	}
 }
