The record of a silent worker says where it was

Callers saw a job that crashes its workers go on for seven starts. Cause: a worker that crashed and left the list of workers before a change of owner had no machine for the next owner, so that no later incarnation confirmed the crash. TestCrashBeforeTheTakeoverIsAttributed fails without the mend.

--- a/internal/core/job/hosts.go
+++ b/internal/core/job/hosts.go
@@ -7,8 +7,8 @@
 
 // A worker may end while its owner is being replaced, and is then in no list that the next owner
 // reads. The job's record therefore says where the workers of suspected tasks can be reached:
-// whoever responds there shows that the worker has ended. Other tasks become suspected once the
-// lease has passed; records without hosts are cheaper to write.
+// whoever responds there shows that the worker has ended. Records of other jobs have no hosts,
+// which are cheaper to write; the record of a silent worker says where it can be reached.
 
 const (
 	// hostsOccurrence marks the row with the hosts. No job has so many occurrences.
@@ -25,6 +25,8 @@
 	Address     string    `json:"a,omitempty"`
 }
 
+func (w *WorkerInfo) host() host { return host{w.ID, w.Incarnation, w.Machine, w.Address} }
+
 // hostRows returns the row with the workers of the job's suspected tasks, if any.
 func (j *activeJob) hostRows() []taskRow {
 	if j.assignedTasks == 0 {
@@ -40,7 +42,7 @@
 				info := &t.worker.info
 				at, found := slices.BinarySearchFunc(hosts, info.ID, func(h host, id WorkerID) int { return cmp.Compare(h.Worker, id) })
 				if !found {
-					hosts = slices.Insert(hosts, at, host{info.ID, info.Incarnation, info.Machine, info.Address})
+					hosts = slices.Insert(hosts, at, info.host())
 				}
 			}
 		}
@@ -55,12 +57,18 @@
 func (o *owner) inheritHosts(rows []taskRow) {
 	for _, row := range rows {
 		for _, h := range row.Hosts {
-			w := o.workers[h.Worker]
-			if w == nil || w.info.Address != "" {
-				continue
+			if w := o.workers[h.Worker]; w != nil {
+				o.adoptHost(w, h)
 			}
-			w.info.Incarnation, w.info.Machine, w.info.Address = h.Incarnation, h.Machine, h.Address
-			w.pollBy(o.s.now)
 		}
 	}
 }
+
+// adoptHost makes known where a worker can be reached that the platform does not list.
+func (o *owner) adoptHost(w *worker, h host) {
+	if w.info.Address != "" {
+		return
+	}
+	w.info.Incarnation, w.info.Machine, w.info.Address = h.Incarnation, h.Machine, h.Address
+	w.pollBy(o.s.now)
+}
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -222,8 +222,8 @@
 	// owner is the newest owner record, ownerFence its fence.
 	owner      ownerRecord
 	ownerFence Fence
-	// silentUntil holds the workers whose lease is not extended, and when it has ended.
-	silentUntil map[WorkerID]vocab.Instant
+	// silent holds the workers whose lease is not extended.
+	silent map[WorkerID]silentLease
 	// handedOverAt is the time when the last owner record with Overloaded was read.
 	handedOverAt vocab.Instant
 	// lastOrders holds the last order to each machine, whichever owner sent it. The next
@@ -242,7 +242,7 @@
 func newLedger() *Ledger {
 	return &Ledger{
 		Jobs: map[ID]*JobRecord{}, tentative: map[ID]*JobRecord{}, claims: map[string]bool{}, members: map[vocab.NodeID]memberRecord{},
-		silentUntil: map[WorkerID]vocab.Instant{}, lastOrders: map[MachineID]lastOrder{}, orderRecords: map[string]vocab.Instant{},
+		silent: map[WorkerID]silentLease{}, lastOrders: map[MachineID]lastOrder{}, orderRecords: map[string]vocab.Instant{},
 	}
 }
 
--- a/internal/core/job/silent_workers.go
+++ b/internal/core/job/silent_workers.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"encoding/json"
 	"slices"
 	"strconv"
 	"time"
@@ -18,24 +19,40 @@
 
 const silentPrefix = "u/"
 
+// silentLease is the content of the record of a silent worker. It says where the worker can be
+// reached: if it ends before the next owner takes over, the platform lists it no more.
+type silentLease struct {
+	// LeaseMS is the time from the record until the end of the lease, in milliseconds.
+	LeaseMS int64 `json:"ms"`
+	Host    host  `json:"at"`
+	// endsAt is the end of the lease for the node that has read the record.
+	endsAt vocab.Instant
+}
+
 // silentRecord returns the record that the lease of a worker ends within a time.
-func silentRecord(id WorkerID, leaseLeft time.Duration) Record {
-	ms := max(0, leaseLeft.Milliseconds()+1)
-	return Record{Key: silentPrefix + string(id), Value: []byte(strconv.FormatInt(ms, 10))}
+func silentRecord(w *WorkerInfo, leaseLeft time.Duration) (Record, error) {
+	value, err := json.Marshal(silentLease{LeaseMS: max(0, leaseLeft.Milliseconds()+1), Host: w.host()})
+	return Record{Key: silentPrefix + string(w.ID), Value: value}, errors.Wrap(err, "encoding the record of a silent worker")
 }
 
 // foldSilent applies a record of a silent worker. The time counts from the append, and so
 // from the reading at the latest.
 func (l *Ledger) foldSilent(now vocab.Instant, id WorkerID, value []byte) error {
 	if len(value) == 0 {
-		delete(l.silentUntil, id)
+		delete(l.silent, id)
 		return nil
 	}
+	var lease silentLease
+	// Records of earlier versions hold the time alone.
 	ms, err := strconv.ParseInt(string(value), 10, 64)
-	if err != nil || ms < 0 || ms > maxSilentMS {
+	if lease.LeaseMS = ms; err != nil {
+		err = json.Unmarshal(value, &lease)
+	}
+	if err != nil || lease.LeaseMS < 0 || lease.LeaseMS > maxSilentMS {
 		return errors.Wrapf(ErrBadRecord, "lease of worker %s", id)
 	}
-	l.silentUntil[id] = now.Add(time.Duration(ms) * time.Millisecond)
+	lease.endsAt = now.Add(time.Duration(lease.LeaseMS) * time.Millisecond)
+	l.silent[id] = lease
 	return nil
 }
 
@@ -52,8 +69,13 @@
 	if len(w.tasks) == 0 {
 		return
 	}
+	record, err := silentRecord(&w.info, w.leaseUntil.Sub(o.s.now))
+	if err != nil {
+		o.s.logEvent(LogRecordUnreadable, "key", record.Key, "error", err.Error())
+		return
+	}
 	w.silent = true
-	o.extraRecords = append(o.extraRecords, silentRecord(w.info.ID, w.leaseUntil.Sub(o.s.now)))
+	o.extraRecords = append(o.extraRecords, record)
 }
 
 // endSilence lets a worker that responds again have its lease extended, once the stream says
@@ -73,16 +95,17 @@
 
 // inheritSilence applies what an earlier owner wrote about a worker.
 func (o *owner) inheritSilence(w *worker) {
-	if until, found := o.s.ledger.silentUntil[w.info.ID]; found {
+	if lease, found := o.s.ledger.silent[w.info.ID]; found {
 		w.silent = true
-		w.leaseUntil = min(w.leaseUntil, until)
+		w.leaseUntil = min(w.leaseUntil, lease.endsAt)
+		o.adoptHost(w, lease.Host)
 	}
 }
 
 // removeStaleSilence removes the records of workers that the owner does not know.
 func (o *owner) removeStaleSilence() {
 	var stale []string
-	for id := range o.s.ledger.silentUntil {
+	for id := range o.s.ledger.silent {
 		if o.workers[id] == nil {
 			stale = append(stale, silentPrefix+string(id))
 		}
--- a/internal/core/job/silent_workers_test.go
+++ b/internal/core/job/silent_workers_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
 // silentWorkerSim runs a job of one long-running task, silences its worker, and returns the
@@ -56,7 +58,7 @@
 	g.Expect(sim.starts).To(gomega.Equal(1))
 	g.Expect(host.runs).To(gomega.HaveLen(1))
 	for _, n := range sim.nodes {
-		g.Expect(n.state.ledger.silentUntil).To(gomega.BeEmpty())
+		g.Expect(n.state.ledger.silent).To(gomega.BeEmpty())
 		if n.state.Owning() {
 			n.kill()
 		}
@@ -87,3 +89,47 @@
 	g.Expect(w.ackedEnd).To(gomega.BeEquivalentTo(1))
 	g.Expect(w.nextPollAt).To(gomega.BeNumerically("<", o.s.now.Add(10*time.Second)))
 }
+
+// TestCrashBeforeTheTakeoverIsAttributed guards against crashes that no owner counted: a worker
+// crashes and leaves the list of workers, its owner is replaced, and the next one does not know on
+// which machine the worker was, so that no later incarnation confirms the crash. A task that crashes
+// its workers was started six times and more. Found in TestRandomCrashes, seeds 3937 and 4301.
+func TestCrashBeforeTheTakeoverIsAttributed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sim, host := silentWorkerSim(t, 3300*time.Millisecond)
+	host.up = false
+	for _, n := range sim.nodes {
+		if n.state.Owning() {
+			n.kill()
+		}
+	}
+	sim.run(1500 * time.Millisecond)
+	var next *owner
+	for _, n := range sim.nodes {
+		if n.up && n.state.Owning() {
+			next = n.state.owner
+		}
+	}
+	g.Expect(next).NotTo(gomega.BeNil())
+	w := next.workers[host.info.ID]
+	g.Expect(w).NotTo(gomega.BeNil())
+	g.Expect(w.listed).To(gomega.BeFalse())
+	g.Expect(w.info.host()).To(gomega.Equal(host.info.host()))
+	task := w.tasks[0]
+	sim.run(5 * time.Second)
+	later := host.info
+	later.ID, later.Incarnation = "w999", later.Incarnation+1
+	next.updateWorker(later)
+	g.Expect(task.crash.Crashes + task.crash.Possible).To(gomega.Equal(1))
+}
+
+// TestSilentRecordsOfEarlierVersions: they hold the time alone.
+func TestSilentRecordsOfEarlierVersions(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLedger()
+	g.Expect(l.foldSilent(5, "w", []byte("4712"))).To(gomega.Succeed())
+	g.Expect(l.silent["w"].endsAt).To(gomega.Equal(vocab.Instant(5).Add(4712 * time.Millisecond)))
+	for _, bad := range []string{"-1", `{"ms":-1}`, `{"ms":9999999}`, "{", "x"} {
+		g.Expect(l.foldSilent(5, "w", []byte(bad))).To(gomega.MatchError(ErrBadRecord), bad)
+	}
+}
