An owner that stops appoints the next one in its last record

Now the owner asks nodes to prepare, goes on meanwhile, and its last record makes one of them the owner; intended runs that a worker does not list are started by the new owner. Nodes take the age of a read in progress for the latency of the store, so that a store that turns slow keeps its owner.

Ruled out: a claim by the successor while the old owner goes on (two owners append).

--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -142,7 +142,7 @@
 		return
 	}
 	c := waitingCall{call: e.Call, id: e.ID, event: LogJobAccepted}
-	if !e.Origin.isFinal() {
+	if s.mayForward(e.Origin) {
 		c.request = &request
 	}
 	s.addToBatch(record, c)
@@ -195,8 +195,8 @@
 	if len(s.batches) > 0 || len(s.nextBatch.records) == 0 || s.now < s.nextBatchFrom {
 		return
 	}
-	if s.owner != nil && s.owner.joinsBatches() {
-		return // The owner takes the records into its own next append.
+	if s.owner != nil && s.owner.joinsBatches() || s.handoverOverSlowStore() {
+		return // The records join an append of this or the next owner.
 	}
 	batch := s.nextBatch
 	s.nextBatch = recordBatch{}
--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -28,6 +28,8 @@
 	// handedOverAt is the time when this node last handed the ownership over because of its
 	// health.
 	handedOverAt vocab.Instant
+	// transferredAt is the time when this node last appointed another one as the owner.
+	transferredAt vocab.Instant
 	// previousOwner is the owner that the claim replaces.
 	previousOwner ownerRecord
 	// appendID is the ID of the append of the claim while it is in progress, else 0.
@@ -44,12 +46,15 @@
 	if s.offerValid() {
 		return 0
 	}
-	delay := ownerTimeout + ownerTimeoutReads*s.stream.readLatency
+	latency := s.currentReadLatency()
+	delay := ownerTimeout + ownerTimeoutReads*latency
 	switch {
+	case s.ledger.owner.unconfirmed && s.ledger.owner.Node != s.self.Node:
+		delay = appointedTimeout + ownerTimeoutReads*latency
 	case s.ledger.owner.Resigned && s.ledger.owner.Successor == s.self.Node:
 		return 0
 	case s.ledger.owner.Resigned && s.ledger.owner.Successor != "":
-		delay = successorHeadStart + successorReads*s.stream.readLatency
+		delay = successorHeadStart + successorReads*latency
 	case s.ledger.ownerFence == 0:
 		delay = firstClaimDelay
 	case s.ledger.owner.Resigned, s.ledger.owner.Node == s.self.Node:
@@ -61,10 +66,19 @@
 	}
 	if s.ledger.maxCPUShare > s.self.CPUShare {
 		missingShare := 1 - s.self.CPUShare/s.ledger.maxCPUShare
-		delay += time.Duration(missingShare * float64(lowShareClaimDelay+lowShareClaimReads*s.stream.readLatency))
+		delay += time.Duration(missingShare * float64(lowShareClaimDelay+lowShareClaimReads*latency))
 	}
 	// The jitter lets the other nodes read the first claim before they send their own.
-	return delay + s.jitter(claimJitter+claimJitterReads*s.stream.readLatency)
+	return delay + s.jitter(claimJitter+claimJitterReads*latency)
+}
+
+// currentReadLatency is the latency of the reads, or the age of the read in progress if that is
+// higher: when the store turns slow, the first slow read has no response yet.
+func (s *State) currentReadLatency() time.Duration {
+	if !s.stream.reading || s.stream.longPoll {
+		return s.stream.readLatency
+	}
+	return max(s.stream.readLatency, s.now.Sub(s.stream.readSentAt))
 }
 
 // offerValid reports whether the current owner offered the ownership to this node and
@@ -119,7 +133,7 @@
 		return
 	}
 	s.announced, s.announcedAt = true, s.now
-	record, err := encodeMember(s.self.Node, memberRecord{CPUShare: s.self.CPUShare, Address: s.self.PeerAddress})
+	record, err := encodeMember(s.self.Node, s.memberRecord())
 	if err != nil {
 		s.logEvent(LogRecordUnreadable, "key", memberPrefix, "error", err.Error())
 		return
@@ -127,6 +141,11 @@
 	s.addToBatch(record, waitingCall{})
 }
 
+// memberRecord describes this node.
+func (s *State) memberRecord() memberRecord {
+	return memberRecord{CPUShare: s.self.CPUShare, Address: s.self.PeerAddress, Incarnation: s.self.Incarnation}
+}
+
 // ownershipRequestDue reports whether to request the ownership from an owner with a
 // much lower CPU share.
 func (s *State) ownershipRequestDue() bool {
@@ -202,17 +221,28 @@
 	if s.owner != nil && s.ledger.ownerFence > s.owner.fence {
 		s.loseOwnership("another node claimed")
 	}
-	claimed := s.ledger.owner.Incarnation == s.self.Incarnation && !s.ledger.owner.Resigned
-	if claimed && s.owner == nil && s.ledger.ownerFence > s.claim.lostFence {
-		s.startTakeover(s.ledger.ownerFence)
+	owns := s.ledger.owner.Incarnation == s.self.Incarnation && !s.ledger.owner.Resigned
+	if owns && s.owner == nil && s.ledger.ownerFence > s.claim.lostFence {
+		s.startTakeover(s.ledger.ownerFence, before > 0)
 	}
 }
 
-func (s *State) startTakeover(fence Fence) {
+// startTakeover makes this node the owner. following is set if the record that makes it the
+// owner was read while the node followed the stream.
+func (s *State) startTakeover(fence Fence, following bool) {
 	if s.owner != nil && s.owner.fence >= fence || s.stopping {
 		return
 	}
+	from := s.ledger.owner.appointedBy
+	if from != "" {
+		s.claim.heartbeatBeforeClaim = s.now
+		s.claim.previousOwner = ownerRecord{Node: from, Resigned: true}
+	}
 	s.owner = newOwner(s, fence)
+	if from != "" && following {
+		s.owner.takeOver()
+		return
+	}
 	s.owner.beginTakeover()
 }
 
@@ -223,6 +253,8 @@
 	s.logEvent(LogOwnershipLost, "fence", s.owner.fence, "why", reason)
 	s.claim.lostFence = s.owner.fence
 	s.owner.abandonBatch()
+	// An owner does not measure its reads, since they wait for records.
+	s.stream.readLatency = max(s.stream.readLatency, s.owner.appendLatency)
 	s.owner = nil
 	s.claim.ownerTimeoutFrom = s.now
 	s.emit(FollowWorkers{On: false})
--- a/internal/core/job/directory.go
+++ b/internal/core/job/directory.go
@@ -133,7 +133,7 @@
 	}
 	var records []Record
 	if !d.announced {
-		record, err := encodeMember(s.self.Node, memberRecord{CPUShare: s.self.CPUShare, Address: s.self.PeerAddress})
+		record, err := encodeMember(s.self.Node, s.memberRecord())
 		if err != nil {
 			s.logEvent(LogRecordUnreadable, "key", memberPrefix, "error", err.Error())
 			return
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -204,6 +204,7 @@
 	LogRoomReserved
 	LogWorkerLost
 	LogTaskGivenUp
+	LogOwnershipTransferred
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -229,6 +230,8 @@
 	LogRoomReserved:      "room reserved",
 	LogWorkerLost:        "worker lost",
 	LogTaskGivenUp:       "task given up",
+
+	LogOwnershipTransferred: "ownership transferred",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/forward.go
+++ b/internal/core/job/forward.go
@@ -43,8 +43,12 @@
 	FromRemote bool
 }
 
-// isFinal reports whether this node must not forward the call.
-func (o Origin) isFinal() bool { return o.Forwarded && !o.FromRemote }
+// mayForward reports whether this node may forward the call. Other nodes forward calls to an
+// owner for some time after it has handed over; the new owner does not forward them again.
+func (s *State) mayForward(o Origin) bool {
+	handedOver := s.owner != nil && s.owner.handover != nil || s.claim.transferredAt != 0 && s.now.Sub(s.claim.transferredAt) < minForwardPeriod
+	return !o.Forwarded || o.FromRemote || handedOver
+}
 
 // RequestKind is the kind of a Request.
 type RequestKind int
@@ -141,7 +145,7 @@
 	if origin.Forwarded && s.refuseIfConfigBehind(call, r.ID, origin.ConfigAtLeast) {
 		return true
 	}
-	if origin.isFinal() {
+	if !s.mayForward(origin) {
 		return false
 	}
 	throughOwner := s.isSlow() || s.appendsThroughOwner(r)
--- a/internal/core/job/fuzz_test.go
+++ b/internal/core/job/fuzz_test.go
@@ -14,6 +14,8 @@
 	f.Add("a/0000000000000001", []byte(`{"spec":{"s":[{"n":-1,"a":[5]}],"times":-3}}`), []byte(`r[{"k":99,"s":-1,"i":-7}]`))
 	f.Add("a/0000000000000001", []byte(`{"spec":{"s":[{"n":1}],"times":99999999}}`), []byte(`r[{"k":9999999}]`))
 	f.Add("owner", []byte(`{"node":"x","fence":18446744073709551615,"ordered":[{"m":"m","ms":-9223372036854775808}]}`), []byte(`d`))
+	f.Add("owner", []byte(`{"node":"x","fence":0,"resigned":true,"next":"a","appointed":1}`), []byte(`r[]`))
+	f.Add("u/w1", []byte(`{"ms":100,"at":{"w":"w1","b":1,"m":"m","a":"h:1"}}`), []byte(`r[{"i":1,"r":2,"w":"w1","b":1}]`))
 	f.Add("k/1", []byte(`{"node":"b","replaces":0}`), []byte(``))
 	f.Add("n/b", []byte(`{"strength":1e308}`), []byte(`x`))
 	f.Add("w/1", []byte(`{"done":["m"],"complete":true}`), []byte(`q`))
--- /dev/null
+++ b/internal/core/job/handover.go
@@ -0,0 +1,318 @@
+package job
+
+import (
+	"bytes"
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// An owner that is about to stop, or that is in no state to go on, hands the ownership over
+// in one append. It asks other nodes to prepare for it, goes on meanwhile, and names one that
+// is ready in its last record. This record makes the named process the owner: it needs neither
+// a claim nor an append that fences the stream, because no append of the earlier owner follows
+// this one, and it has the list of workers already. Over a slow store every append saved is a
+// third of a second without starts.
+//
+// If no node is ready the last record names a successor, which claims first.
+
+const (
+	// maxPreparing bounds the nodes that are asked to prepare.
+	maxPreparing = 3
+	// prepareTimeout is the time for which an owner waits for a node that is ready. Its own
+	// appends over a slow store take longer.
+	prepareTimeout = 150 * time.Millisecond
+	// preparedFor is the time for which a node stays prepared: the last appends of the owner
+	// and the read of its record over a slow store. Its callers wait meanwhile.
+	preparedFor = 1500 * time.Millisecond
+	// appointedTimeout is the time without a record of an appointed owner after which other
+	// nodes claim: it renews its ownership at once, so that only the reads take time.
+	appointedTimeout = ownerTimeout - 2*ownerRenewInterval
+	// awaitWorkersFor is the time after a takeover for which the first append waits for the
+	// workers' responses, so that it holds the first intents as well.
+	awaitWorkersFor = 100 * time.Millisecond
+)
+
+// Events and effects of a handover.
+type (
+	// PrepareHandover asks a node to prepare for the ownership. The response is
+	// HandoverPrepared.
+	PrepareHandover struct {
+		effectMarker
+		Node    vocab.NodeID
+		Address string
+		Fence   Fence
+	}
+
+	// HandoverRequested is a request of the owner with the fence to prepare for the ownership.
+	// The reply is Accepted if the node is ready.
+	HandoverRequested struct {
+		eventMarker
+		Call  CallID
+		Fence Fence
+	}
+
+	// HandoverPrepared is the response to a PrepareHandover.
+	HandoverPrepared struct {
+		eventMarker
+		Node  vocab.NodeID
+		Ready bool
+	}
+)
+
+// handover is the state of an owner that hands the ownership over.
+type handover struct {
+	startedAt vocab.Instant
+	// candidates are the nodes that were asked, the preferred one first.
+	candidates []vocab.NodeID
+	// prepared holds the responses.
+	prepared map[vocab.NodeID]bool
+}
+
+// resign hands the ownership over once a node is ready for it. Without one that could be
+// asked, the last record follows at once.
+func (o *owner) resign() {
+	if o.resigned || o.handover != nil {
+		return
+	}
+	o.s.logEvent(LogOwnershipResigned, "fence", o.fence)
+	o.beginHandover()
+}
+
+func (o *owner) beginHandover() {
+	h := &handover{startedAt: o.s.now, prepared: map[vocab.NodeID]bool{}}
+	o.handover = h
+	for _, node := range o.successors() {
+		m := o.s.ledger.members[node]
+		if m.Incarnation == 0 || m.Address == "" || len(h.candidates) >= maxPreparing {
+			continue
+		}
+		h.candidates = append(h.candidates, node)
+		o.s.emit(PrepareHandover{Node: node, Address: m.Address, Fence: o.fence})
+	}
+	o.resigned = len(h.candidates) == 0
+}
+
+// successors lists the nodes that may take over: those with a CPU share that is not much lower
+// than the highest, the last one started first. When nodes are restarted in turn, that one
+// stays for the longest time.
+func (o *owner) successors() []vocab.NodeID {
+	members := o.s.ledger.members
+	var nodes []vocab.NodeID
+	for _, node := range o.s.otherNodes() {
+		if members[node].CPUShare >= lowShareRatio*o.s.ledger.maxCPUShare {
+			nodes = append(nodes, node)
+		}
+	}
+	slices.SortStableFunc(nodes, func(a, b vocab.NodeID) int { return cmp.Compare(members[b].since, members[a].since) })
+	return nodes
+}
+
+func (o *owner) handleHandoverPrepared(e HandoverPrepared) {
+	if o.handover != nil {
+		o.handover.prepared[e.Node] = e.Ready
+	}
+}
+
+// appointee returns the preferred node of those that are ready, or "".
+func (h *handover) appointee() vocab.NodeID {
+	for _, node := range h.candidates {
+		if h.prepared[node] {
+			return node
+		}
+	}
+	return ""
+}
+
+// handoverDue reports whether the last record is to be written: a node is ready, or none will
+// be.
+func (o *owner) handoverDue() bool {
+	h := o.handover
+	return h != nil && (h.appointee() != "" || len(h.prepared) == len(h.candidates) || o.s.now.Sub(h.startedAt) > prepareTimeout)
+}
+
+// lastRecord returns the owner's last record. It appoints the node that is ready, or names
+// the one that claims first.
+func (o *owner) lastRecord() Record {
+	record := o.ownerRecord()
+	record.Resigned, record.Overloaded = true, o.overloaded
+	if record.Successor = o.handover.appointee(); record.Successor != "" {
+		record.Appointed = o.s.ledger.members[record.Successor].Incarnation
+		o.s.logEvent(LogOwnershipTransferred, "fence", o.fence, "to", record.Successor,
+			"after_ms", o.s.now.Sub(o.handover.startedAt).Milliseconds())
+	} else if nodes := o.successors(); len(nodes) > 0 {
+		record.Successor = nodes[0]
+	}
+	return encodeOwner(record)
+}
+
+// completeHandover ends the ownership after the last append. Runs that this append intends are
+// started by the next owner.
+func (o *owner) completeHandover(sent *ownerAppend, e Appended) {
+	last := sent.records[len(sent.records)-1]
+	last.Offset = e.Offset + int64(len(sent.records)) - 1
+	if err := o.s.ledger.foldOwner(o.s.now, last); err != nil {
+		o.s.logEvent(LogRecordUnreadable, "key", last.Key, "offset", last.Offset, "error", err.Error())
+	}
+	slow := o.appendLatency > slowAppendLatency
+	o.s.loseOwnership("resigned")
+	if o.s.ledger.owner.Node == o.s.self.Node {
+		return // No node was ready; the one named in the record claims.
+	}
+	o.s.claim.transferredAt = o.s.now
+	if slow {
+		o.s.appendSlow()
+		o.s.forwardBatch()
+	}
+}
+
+// handoverOverSlowStore reports whether the store is slow while this node is about to become the
+// owner, or to lose the ownership. The partition takes one append at a time, so that an append for
+// callers would delay the handover.
+func (s *State) handoverOverSlowStore() bool {
+	if s.owner != nil {
+		return s.owner.resigned && s.owner.pendingAppend != nil && s.owner.pendingAppend.last && s.owner.storeSlow()
+	}
+	return s.preparation != nil && s.stream.readLatency > slowAppendLatency
+}
+
+// forwardBatch forwards the calls that wait for the next append to the new owner, which writes
+// their records along with its own.
+func (s *State) forwardBatch() {
+	waiting := s.nextBatch
+	s.nextBatch = recordBatch{}
+	records := make(map[string]Record, len(waiting.records))
+	for _, r := range waiting.records {
+		records[r.Key] = r
+	}
+	for _, c := range waiting.calls {
+		if c.request != nil && s.forwardNext(c.call, &forwardedCall{request: *c.request, ownerOnly: true}) {
+			continue
+		}
+		for _, prefix := range []string{acceptedPrefix, cancelledPrefix} {
+			if r, found := records[prefix+string(c.id)]; found {
+				s.addToBatch(r, c)
+			}
+		}
+	}
+}
+
+// wroteLast reports whether a record that was read is the last one of this owner, whose append
+// has no response yet.
+func (o *owner) wroteLast(r Record) bool {
+	p := o.pendingAppend
+	return p != nil && p.last && r.Key == ownerKey && bytes.Equal(r.Value, p.records[len(p.records)-1].Value)
+}
+
+// preparation is the state of a node that is ready to be appointed.
+type preparation struct {
+	until vocab.Instant
+	// workers holds the list of workers, listed is set once it is complete.
+	workers map[WorkerID]WorkerInfo
+	listed  bool
+}
+
+// handleHandoverRequested prepares this node for the ownership: it follows the stream without
+// pauses and the list of workers.
+func (s *State) handleHandoverRequested(e HandoverRequested) {
+	ready := s.owner == nil && !s.stopping && !s.directory.remote && e.Fence == s.ledger.ownerFence &&
+		s.caughtUp() && s.config != nil && s.evacuationsKnown()
+	if !ready {
+		s.reply(Reply{Call: e.Call, Answer: Refused})
+		return
+	}
+	if s.preparation == nil {
+		s.preparation = &preparation{workers: map[WorkerID]WorkerInfo{}}
+		s.emit(FollowWorkers{On: true})
+	}
+	s.preparation.until = s.now.Add(preparedFor)
+	s.reply(Reply{Call: e.Call, Answer: Accepted})
+	s.readNow()
+}
+
+// endPreparation ends a preparation that was of no use.
+func (s *State) endPreparation() {
+	if s.preparation == nil || s.now < s.preparation.until {
+		return
+	}
+	s.preparation = nil
+	if s.owner == nil {
+		s.emit(FollowWorkers{On: false})
+	}
+}
+
+// handleWorkersListed keeps the list of workers for a takeover.
+func (p *preparation) handleWorkersListed(e WorkersListed) {
+	if e.Full {
+		clear(p.workers)
+		p.listed = true
+	}
+	for _, info := range e.Workers {
+		p.workers[info.ID] = info
+	}
+	for _, id := range e.Removed {
+		delete(p.workers, id)
+	}
+}
+
+// list returns the workers in the order of their IDs.
+func (p *preparation) list() []WorkerInfo {
+	list := make([]WorkerInfo, 0, len(p.workers))
+	for _, id := range slices.Sorted(maps.Keys(p.workers)) {
+		list = append(list, p.workers[id])
+	}
+	return list
+}
+
+// takeOver makes an appointed node the owner. The record that appoints it was appended after
+// the last read that had reached the end of the stream, so that its authority counts from
+// there until its own first append.
+func (o *owner) takeOver() {
+	o.ordersUntil = o.s.stream.caughtUpAt.Add(orderAuthority)
+	o.leasesUntil = o.s.stream.caughtUpAt.Add(leaseAuthority)
+	o.stage = stageReading
+	o.activateIfRead()
+}
+
+// followWorkers starts to follow the workers, or takes over the list of a preparation.
+func (o *owner) followWorkers() {
+	p := o.s.preparation
+	o.s.preparation = nil
+	if p == nil || !p.listed {
+		o.s.emit(FollowWorkers{On: true})
+		return
+	}
+	o.awaitWorkersUntil = o.s.now.Add(awaitWorkersFor)
+	o.handleWorkersListed(WorkersListed{Full: true, Workers: p.list()})
+}
+
+// awaitsWorkers reports whether the first append still waits for workers to respond.
+func (o *owner) awaitsWorkers() bool {
+	if o.s.now >= o.awaitWorkersUntil {
+		return false
+	}
+	for _, w := range o.workers {
+		if w.listed && !w.fenced && w.failedPolls == 0 {
+			return true
+		}
+	}
+	o.awaitWorkersUntil = 0
+	return false
+}
+
+// resumeStart starts a run that an earlier owner intended and that its worker does not list, and
+// reports whether it could. The worker refuses the earlier owner's start by now, and starts a run
+// once at most.
+func (o *owner) resumeStart(t *task) bool {
+	w := t.worker
+	if t.state != runStartUnknown || t.startSentAt != 0 || t.step.spec.Gang || t.incarnation != w.info.Incarnation ||
+		t.step.job.terminalPhase != 0 || !o.mayStart() || w.info.Draining || !w.usable(o.s.now) || w.overcommitted() {
+		return false
+	}
+	t.state, t.startSentAt = runStarting, o.s.now
+	o.emitStart(t)
+	return true
+}
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -56,5 +56,6 @@
 		638: "room reserved",
 		639: "worker lost",
 		640: "task given up",
+		641: "ownership transferred",
 	}))
 }
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -59,7 +59,11 @@
 	// resigned is set once the owner resigns: from then on it gives no orders. overloaded is
 	// set as well if it does so because of its own health.
 	resigned, overloaded bool
-	health               ownerHealth
+	// handover is set once the owner hands the ownership over.
+	handover *handover
+	health   ownerHealth
+	// awaitWorkersUntil is the time until which the first append may wait for the workers.
+	awaitWorkersUntil vocab.Instant
 	// pendingOrders holds the machines whose orders are sent once a record that lists them
 	// is on the stream; orderLog builds these records.
 	pendingOrders []*machine
@@ -107,17 +111,17 @@
 func newOwner(s *State, fence Fence) *owner {
 	return &owner{
 		s: s, fence: fence, policy: defaultLookahead(),
-		jobs: map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, presumedCrashes: map[MachineID]attributedCrash{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
+		earlierLeasesUntil: s.claim.heartbeatBeforeClaim.Add(leaseAuthority + s.maxLeaseSpan()),
+		// A read takes about as long as an append where the store is slow.
+		appendLatency: s.stream.readLatency,
+		jobs:          map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, presumedCrashes: map[MachineID]attributedCrash{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
 		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), queueWork: newQueueWork(), door: newDoor(), teamRates: map[vocab.TeamID]*tokenBucket{},
 		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}, policy: poolplan.DefaultPolicy, shortages: map[vocab.PoolID]shortage{}},
 	}
 }
 
 // beginTakeover fences the stream against earlier owners.
-func (o *owner) beginTakeover() {
-	o.earlierLeasesUntil = o.s.claim.heartbeatBeforeClaim.Add(leaseAuthority + o.s.maxLeaseSpan())
-	o.sendAppend(nil, nil)
-}
+func (o *owner) beginTakeover() { o.sendAppend(nil, nil) }
 
 // delayOrdersAfterTakeover blocks machines with a recent order of an earlier owner,
 // because a minimum time must pass between the orders of two owners to one machine. An
@@ -177,8 +181,8 @@
 	}
 	o.removeClaims()
 	o.s.logEvent(LogOwnershipTakenOver, "fence", o.fence, "jobs", len(o.jobs), "offset", o.s.stream.nextOffset)
-	o.s.emit(FollowWorkers{On: true})
 	o.planDue = true
+	o.followWorkers()
 }
 
 // removeClaims removes all claims and expired records of orders that this node has read from
@@ -196,7 +200,7 @@
 		return
 	}
 	slices.Sort(keys)
-	o.extraRecords = append(o.extraRecords, o.newOwnerRecord(false))
+	o.extraRecords = append(o.extraRecords, encodeOwner(o.ownerRecord()))
 	for _, key := range keys {
 		o.extraRecords = append(o.extraRecords, Record{Key: key})
 	}
@@ -204,7 +208,7 @@
 
 // wrote reports whether a record that was read was written by this owner.
 func (o *owner) wrote(r Record) bool {
-	return o.stage == stageActive && strings.HasPrefix(r.Key, progressPrefix)
+	return o.stage == stageActive && (strings.HasPrefix(r.Key, progressPrefix) || o.wroteLast(r))
 }
 
 // worker returns the worker with an ID, and adds it if it is unknown.
@@ -233,6 +237,8 @@
 		o.handleStartAnswered(e)
 	case StopAnswered:
 		o.handleStopAnswered(e)
+	case HandoverPrepared:
+		o.handleHandoverPrepared(e)
 	default:
 		o.handleFleet(ev)
 	}
@@ -266,7 +272,7 @@
 // finishStep completes a step: it runs a placement pass if one is due, and sends an
 // append if there are pending writes or the ownership must be renewed.
 func (o *owner) finishStep() {
-	if o.s.owner != o || o.stage != stageActive {
+	if o.s.owner != o || o.stage != stageActive || o.awaitsWorkers() {
 		return
 	}
 	if o.pendingAppend == nil {
@@ -280,6 +286,9 @@
 	if o.pendingAppend != nil {
 		return
 	}
+	if o.handoverDue() {
+		o.resigned = true
+	}
 	if o.hasPendingWrites() {
 		o.flush()
 		return
@@ -292,15 +301,11 @@
 // mayOrder reports whether the owner may give orders.
 func (o *owner) mayOrder() bool { return o.s.now < o.ordersUntil && !o.resigned }
 
-func (o *owner) renew() { o.sendAppend([]Record{o.newOwnerRecord(false)}, nil) }
+func (o *owner) renew() { o.sendAppend([]Record{encodeOwner(o.ownerRecord())}, nil) }
 
-// newOwnerRecord returns the owner record for the present state.
-func (o *owner) newOwnerRecord(resigned bool) Record {
-	record := ownerRecord{Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence, Resigned: resigned}
-	if resigned {
-		record.Overloaded, record.Successor = o.overloaded, o.successor()
-	}
-	return encodeOwner(record)
+// ownerRecord returns the record that renews the ownership.
+func (o *owner) ownerRecord() ownerRecord {
+	return ownerRecord{Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence}
 }
 
 // handleStopping prepares for the end of the process; an owner resigns.
@@ -310,29 +315,3 @@
 		s.owner.resign()
 	}
 }
-
-// successor names the node that should claim first after a resignation: one with a CPU share
-// that is not much lower than the highest, another one each time. It is empty if there is
-// none.
-func (o *owner) successor() vocab.NodeID {
-	var nodes []vocab.NodeID
-	for _, node := range o.s.otherNodes() {
-		if o.s.ledger.members[node].CPUShare >= lowShareRatio*o.s.ledger.maxCPUShare {
-			nodes = append(nodes, node)
-		}
-	}
-	if len(nodes) == 0 {
-		return ""
-	}
-	return nodes[uint64(o.fence)%uint64(len(nodes))]
-}
-
-// resign ends the ownership with a resignation record, which follows once all changes
-// are on the stream.
-func (o *owner) resign() {
-	if o.resigned {
-		return
-	}
-	o.resigned = true
-	o.s.logEvent(LogOwnershipResigned, "fence", o.fence)
-}
--- a/internal/core/job/owner_append.go
+++ b/internal/core/job/owner_append.go
@@ -24,6 +24,8 @@
 	sentAt     vocab.Instant
 	// firstSentAt is the time when the first attempt was sent.
 	firstSentAt vocab.Instant
+	// last is set if its last record ends the ownership.
+	last bool
 }
 
 // deferredAction is an action to run once the changes up to the change number are on
@@ -89,19 +91,18 @@
 		records = append(records, o.orderLogRecord()...)
 	}
 	resigning := o.resigned && len(o.dirty) == 0
-	if len(records) == 0 || resigning {
-		records = append(records, o.newOwnerRecord(resigning))
+	switch {
+	case resigning:
+		records = append(records, o.lastRecord())
+	case len(records) == 0:
+		records = append(records, encodeOwner(o.ownerRecord()))
 	}
 	if orders := o.pendingOrders; len(orders) > 0 {
 		o.pendingOrders = nil
 		actions = append(actions, func() { o.sendOrders(orders) })
 	}
-	if resigning {
-		// The resignation is the owner's last record: the ownership ends here.
-		actions = append(actions, func() { o.s.loseOwnership("resigned") })
-	}
 	o.sendAppend(records, actions)
-	o.pendingAppend.batch = batch
+	o.pendingAppend.batch, o.pendingAppend.last = batch, resigning
 }
 
 // orderLogRecord returns the record of the orders since the last one.
@@ -221,6 +222,10 @@
 	if sent.batch != nil {
 		o.s.batchAppended(sent.batch, e)
 	}
+	if sent.last {
+		o.completeHandover(sent, e)
+		return
+	}
 	for _, run := range sent.actions {
 		if o.s.owner != o {
 			return
--- a/internal/core/job/owner_health.go
+++ b/internal/core/job/owner_health.go
@@ -87,14 +87,14 @@
 		return
 	}
 	h.badWindows, h.lastBadAt = ended.badWindows+1, o.s.now
-	if h.badWindows < maxBadWindows || o.resigned || o.s.now.Sub(o.activeAt) < minOwnership ||
+	if h.badWindows < maxBadWindows || o.resigned || o.handover != nil || o.s.now.Sub(o.activeAt) < minOwnership ||
 		o.s.ledger.handedOverAt != 0 && o.s.now.Sub(o.s.ledger.handedOverAt) < minHandoverInterval || !o.s.hasPeerOfLikeShare() {
 		return
 	}
 	o.overloaded, o.s.claim.handedOverAt = true, o.s.now
 	o.s.logEvent(LogOwnershipResigned, "fence", o.fence, "why", "most calls to workers are slow or fail",
 		"starts", ended.starts, "slow", ended.slowStarts, "polls", ended.polls, "failed", ended.failPolls)
-	o.resigned = true
+	o.beginHandover()
 }
 
 // hasPeerOfLikeShare reports whether another node has a CPU share that is not much lower.
--- a/internal/core/job/owner_health_test.go
+++ b/internal/core/job/owner_health_test.go
@@ -69,7 +69,7 @@
 	g.Expect(o.resigned).To(gomega.BeFalse(), "bad windows in a row")
 	o.window(100, 90)
 	g.Expect(o.resigned).To(gomega.BeTrue())
-	g.Expect(string(o.newOwnerRecord(true).Value)).To(gomega.ContainSubstring(`"overloaded":true`))
+	g.Expect(string(o.lastRecord().Value)).To(gomega.ContainSubstring(`"overloaded":true`))
 }
 
 // TestOwnerKeepsOwnershipWhereAHandoverIsOfNoUse: few calls say nothing, without a peer there
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -93,13 +93,19 @@
 	Incarnation vocab.Incarnation `json:"inc"`
 	Fence       Fence             `json:"fence"`
 	Resigned    bool              `json:"resigned,omitempty"`
-	// Successor is set if Resigned is: the node that should claim first.
-	Successor vocab.NodeID `json:"next,omitempty"`
+	// Successor is set if Resigned is: the node that should claim first, or, if Appointed is
+	// set, whose process of this incarnation is the owner from this record on.
+	Successor vocab.NodeID      `json:"next,omitempty"`
+	Appointed vocab.Incarnation `json:"appointed,omitempty"`
 	// Overloaded is set if the owner resigned because most of its calls to workers were slow
 	// or failed.
 	Overloaded bool `json:"overloaded,omitempty"`
 	// RecentOrders is written by processes of earlier versions, instead of orderRecord.
 	RecentOrders []recentOrder `json:"ordered,omitempty"`
+	// appointedBy is the owner that appointed this one, or empty; unconfirmed is set until the
+	// first record of an appointed owner.
+	appointedBy vocab.NodeID
+	unconfirmed bool
 }
 
 // recentOrder is the last order to a machine in an owner record of an earlier version.
@@ -126,6 +132,10 @@
 	CPUShare float64 `json:"strength"`
 	// Address is the address at which other nodes reach this one.
 	Address string `json:"address,omitempty"`
+	// Incarnation is 0 in the records of earlier versions, which cannot be appointed.
+	Incarnation vocab.Incarnation `json:"inc,omitempty"`
+	// since is the offset of the first record of the incarnation.
+	since int64
 }
 
 // JobRecord is the state of a job in the ledger of every node.
@@ -188,6 +198,21 @@
 	return Record{Key: ownerKey, Value: value}
 }
 
+// beforeAllRecords is an offset below those of all records.
+const beforeAllRecords = -1
+
+// earlierOwner returns the record that an owner renewed its ownership with before it appointed
+// another one in the record r, and whether r appoints one.
+func (r Record) earlierOwner() (Record, bool) {
+	var o ownerRecord
+	if err := json.Unmarshal(r.Value, &o); err != nil || !o.Resigned || o.Appointed == 0 {
+		return Record{}, false
+	}
+	earlier := encodeOwner(ownerRecord{Node: o.Node, Incarnation: o.Incarnation, Fence: o.Fence})
+	earlier.Offset = beforeAllRecords
+	return earlier, true
+}
+
 func encodeClaim(key string, c claimRecord) (Record, error) {
 	value, err := json.Marshal(c)
 	return Record{Key: key, Value: value}, errors.Wrap(err, "encoding a claim")
@@ -312,7 +337,12 @@
 	if err := json.Unmarshal(r.Value, &m); err != nil {
 		return errors.Mark(errors.Wrap(err, "decoding a member record"), ErrBadRecord)
 	}
-	l.members[vocab.NodeID(strings.TrimPrefix(r.Key, memberPrefix))] = m
+	node := vocab.NodeID(strings.TrimPrefix(r.Key, memberPrefix))
+	m.since = r.Offset
+	if before := l.members[node]; before.Incarnation == m.Incarnation && before.since != 0 {
+		m.since = before.since
+	}
+	l.members[node] = m
 	l.maxCPUShare = max(l.maxCPUShare, m.CPUShare)
 	return nil
 }
@@ -326,7 +356,14 @@
 	if o.Overloaded {
 		l.handedOverAt = now
 	}
-	if o.Fence >= l.ownerFence {
+	switch {
+	case o.Fence < l.ownerFence:
+	case o.Resigned && o.Appointed != 0:
+		l.ownerFence = Fence(r.Offset + 1)
+		l.owner = ownerRecord{
+			Node: o.Successor, Incarnation: o.Appointed, Fence: l.ownerFence, appointedBy: o.Node, unconfirmed: true,
+		}
+	default:
 		l.owner, l.ownerFence = o, o.Fence
 	}
 	return nil
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -56,8 +56,8 @@
 
 // sendStart sends the start of an intended run, unless the run is no longer wanted.
 func (o *owner) sendStart(t *task, run Run) {
-	if t.worker == nil || t.lastRun != run || t.state != runPlanned {
-		return
+	if t.worker == nil || t.lastRun != run || t.state != runPlanned || o.resigned {
+		return // The next owner starts the runs that an owner which has resigned did not.
 	}
 	w := t.worker
 	if t.step.job.terminalPhase != 0 || !o.mayStart() || w.info.Draining || !w.usable(o.s.now) || w.overcommitted() || t.incarnation != w.info.Incarnation {
--- a/internal/core/job/scheduling_test.go
+++ b/internal/core/job/scheduling_test.go
@@ -213,7 +213,7 @@
 	next := readerOf(t, set, records, false)
 	next.s.ledger.orderRecords[records[0].Key] = next.s.now
 	g.Expect(next.s.ledger.expiredOrderRecords(next.s.now.Add(minOrderRetention), next.s.orderRetention())).To(gomega.BeEmpty(), "the record stays on the stream")
-	after := readerOf(t, set, append(records, next.newOwnerRecord(false)), false)
+	after := readerOf(t, set, append(records, encodeOwner(next.ownerRecord())), false)
 	g.Expect(after.acceptsOrder(m1)).To(gomega.BeFalse())
 	g.Expect(next.s.ledger.expiredOrderRecords(next.s.now.Add(minOrderRetention+1), next.s.orderRetention())).To(gomega.HaveLen(1))
 }
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -99,7 +99,9 @@
 	newest  map[string]int
 	fence   Fence
 	seq     uint64
-	down    bool
+	// answer is the response to the last append with a fence.
+	answer Appended
+	down   bool
 	// appendTime, if set, is the duration of one append; freeAt is the time when the
 	// stream accepts the next one.
 	appendTime time.Duration
@@ -283,6 +285,8 @@
 				}
 			}
 		})
+	case PrepareHandover:
+		sim.after(sim.delay(), func() { n.prepareHandover(e, reply) })
 	case Forward:
 		sim.after(sim.delay(), func() { n.forward(e, reply) })
 	case FollowDirectory:
@@ -364,6 +368,20 @@
 	}
 }
 
+// prepareHandover asks another node to prepare for the ownership. The response may be lost, and
+// a node that is down sends none.
+func (n *node) prepareHandover(e PrepareHandover, reply func(event.Event)) {
+	sim := n.sim
+	for _, to := range sim.nodes {
+		if fmt.Sprint("n", to.index) != e.Address || !to.up || sim.rng.Float64() < sim.faults.loseOrder {
+			continue
+		}
+		sim.calls++
+		sim.forwarded[sim.calls] = func(r Reply) { reply(HandoverPrepared{Node: e.Node, Ready: r.Answer == Accepted}) }
+		to.post(to.incarnation, HandoverRequested{Call: sim.calls, Fence: e.Fence})
+	}
+}
+
 // listWorkers sends the list of workers to the node, and again every second.
 func (n *node) listWorkers(incarnation int) {
 	if !n.followsWorkers || n.incarnation != incarnation {
@@ -478,7 +496,7 @@
 		case e.Fence > s.fence:
 			s.fence, s.seq = e.Fence, e.Seq
 		case e.Seq <= s.seq:
-			return Appended{Outcome: OK, Offset: end, End: end}
+			return s.answer
 		default:
 			s.seq = e.Seq
 		}
@@ -488,7 +506,11 @@
 		s.newest[r.Key] = len(s.records)
 		s.records = append(s.records, r)
 	}
-	return Appended{Outcome: OK, Offset: end, End: int64(len(s.records))}
+	answer := Appended{Outcome: OK, Offset: end, End: int64(len(s.records))}
+	if e.Fence != 0 {
+		s.answer = answer
+	}
+	return answer
 }
 
 // deliver sends an order to a worker, and may lose the order or its reply. An order that is
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -65,6 +65,8 @@
 	announced   bool
 	announcedAt vocab.Instant
 	stopping    bool
+	// preparation is set while this node may be appointed as the owner.
+	preparation *preparation
 	effects     []event.Effect
 }
 
@@ -77,6 +79,9 @@
 	reading     bool
 	nextOffset  int64
 	lastReadAt  vocab.Instant // when the last successful read was sent
+	caughtUpAt  vocab.Instant // when the last read that reached the end was sent
+	longPoll    bool          // the read in progress waits for records
+	readSentAt  vocab.Instant // when the read in progress was sent
 	nextReadAt  vocab.Instant
 	foldingLoad bool          // the records of a load are being folded
 	readLatency time.Duration // decaying maximum of the latency of reads without a long poll
@@ -143,12 +148,23 @@
 		s.handleDirectoryWritten(e)
 	case OwnershipOffered:
 		s.handleOwnershipOffered(e)
+	case HandoverRequested:
+		s.handleHandoverRequested(e)
 	case Stopping:
 		s.handleStopping()
 	default:
-		if s.owner != nil {
-			s.owner.handle(ev)
-		}
+		s.handleForOwner(ev)
+	}
+}
+
+// handleForOwner passes an event on to the owner, or keeps the list of workers of a node that
+// may be appointed.
+func (s *State) handleForOwner(ev event.Event) {
+	if listed, ok := ev.(WorkersListed); ok && s.preparation != nil {
+		s.preparation.handleWorkersListed(listed)
+	}
+	if s.owner != nil {
+		s.owner.handle(ev)
 	}
 }
 
@@ -178,6 +194,7 @@
 	s.sendBatch()
 	s.forwardOverdue()
 	s.claimIfOwnerTimedOut()
+	s.endPreparation()
 	if s.owner != nil {
 		s.owner.tick()
 	}
@@ -212,12 +229,13 @@
 		s.emit(LoadStream{})
 		return
 	}
-	s.stream.reading = true
+	s.stream.reading, s.stream.readSentAt = true, s.now
 	if s.stream.readBytes == 0 {
 		s.stream.readBytes = maxReadBytes
 	}
 	read := ReadStream{From: s.stream.nextOffset, MaxBytes: s.stream.readBytes}
-	if s.owner != nil {
+	s.stream.longPoll = s.owner != nil || s.preparation != nil
+	if s.stream.longPoll {
 		read.Wait = ownerReadWait
 	}
 	s.emit(read)
@@ -258,18 +276,23 @@
 }
 
 // sortedForFold sorts loaded records by offset, but puts the owner record first, so
-// that claims already decided before that record don't take effect again.
+// that claims already decided before that record don't take effect again. A record that
+// appoints another owner keeps its place, since a claim before it makes it void; what it says
+// of the earlier owner comes first.
 func sortedForFold(records []Record) []Record {
 	sorted := slices.Clone(records)
-	slices.SortFunc(sorted, func(a, b Record) int {
-		if (a.Key == ownerKey) != (b.Key == ownerKey) {
-			if a.Key == ownerKey {
-				return -1
-			}
-			return 1
+	for i, r := range sorted {
+		if r.Key != ownerKey {
+			continue
 		}
-		return cmp.Compare(a.Offset, b.Offset)
-	})
+		if earlier, appoints := r.earlierOwner(); appoints {
+			sorted = append(sorted, earlier)
+		} else {
+			sorted[i].Offset = beforeAllRecords
+		}
+		break
+	}
+	slices.SortStableFunc(sorted, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	return sorted
 }
 
@@ -286,7 +309,7 @@
 	}
 	s.stream.nextOffset, s.stream.lastReadAt = e.Next, e.SentAt
 	s.stream.failures, s.stream.readBytes = 0, min(2*s.stream.readBytes, maxReadBytes)
-	if s.owner == nil {
+	if s.owner == nil && !s.stream.longPoll {
 		// The latency decays slowly: when a slow store recovers, appends that the
 		// owner sent before are still in flight.
 		s.stream.readLatency = max(s.now.Sub(e.SentAt), time.Duration(latencyDecay*float64(s.stream.readLatency)))
@@ -297,6 +320,7 @@
 		s.stream.nextReadAt = s.now
 	}
 	if e.Next >= e.End {
+		s.stream.caughtUpAt = e.SentAt
 		// A read truncated at its maximum size may lack the record of a queried job.
 		s.answerQueries(e.SentAt)
 	}
@@ -307,7 +331,7 @@
 }
 
 func (s *State) readInterval() time.Duration {
-	if s.owner != nil {
+	if s.owner != nil || s.preparation != nil {
 		return ownerReadInterval
 	}
 	if s.self.CPUShare < lowShareRatio*s.ledger.maxCPUShare {
@@ -362,6 +386,7 @@
 		}
 		if r.Key == ownerKey || strings.HasPrefix(r.Key, progressPrefix) || isOrderRecord(r.Key) {
 			s.claim.ownerTimeoutFrom, s.claim.lastHeartbeat = s.now, s.now
+			s.ledger.owner.unconfirmed = s.ledger.owner.unconfirmed && r.Key == ownerKey
 		}
 		if !s.stream.foldingLoad {
 			s.ownerChanged(before)
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -355,7 +355,7 @@
 	var restarted, unlisted []*task
 	for _, t := range w.tasks {
 		switch {
-		case reported[t] || !t.lostIfUnlisted(e.SentAt):
+		case reported[t] || !t.lostIfUnlisted(e.SentAt) || o.resumeStart(t):
 		case t.incarnation < w.info.Incarnation:
 			restarted = append(restarted, t)
 		default:
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -57,6 +57,8 @@
 		n.background(job.ForwardAnswered{Call: e.Call, Outcome: job.Unknown, Err: errPanicked}, func() event.Event { return n.forward(ctx, e) })
 	case job.OfferOwnership:
 		n.background(nil, func() event.Event { n.offerOwnership(ctx, e); return nil })
+	case job.PrepareHandover:
+		n.background(job.HandoverPrepared{Node: e.Node}, func() event.Event { return n.prepareHandover(ctx, e) })
 	case job.Throttle:
 		n.background(nil, func() event.Event { n.throttle(ctx, e); return nil })
 	default:
@@ -197,6 +199,23 @@
 	}
 }
 
+// prepareTimeout bounds a request to prepare for the ownership. The reducer does not wait for a
+// response that takes longer.
+const prepareTimeout = 300 * time.Millisecond
+
+func (n *Node) prepareHandover(ctx context.Context, e job.PrepareHandover) event.Event {
+	if n.platform.Peers == nil {
+		return job.HandoverPrepared{Node: e.Node}
+	}
+	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
+	defer cancel()
+	ready, err := n.platform.Peers.PrepareHandover(ctx, e.Address, e.Fence)
+	if err != nil {
+		n.log.Write(job.LogEvent{ID: job.LogOwnershipOffered, Fields: []any{"fence", e.Fence, "to", e.Node, "error", err.Error()}})
+	}
+	return job.HandoverPrepared{Node: e.Node, Ready: ready}
+}
+
 func (n *Node) throttle(ctx context.Context, e job.Throttle) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/internal/jobnode/node.go
+++ b/internal/jobnode/node.go
@@ -137,6 +137,13 @@
 // ownership.
 func (n *Node) ReceiveOwnershipOffer(fence job.Fence) { n.post(job.OwnershipOffered{Fence: fence}) }
 
+// PrepareForOwnership lets the reducer prepare for the ownership of the owner with this fencing
+// token, and reports whether it may be appointed.
+func (n *Node) PrepareForOwnership(ctx context.Context, fence job.Fence) (bool, error) {
+	reply, err := n.call(ctx, func(id job.CallID) event.Event { return job.HandoverRequested{Call: id, Fence: fence} })
+	return reply.Answer == job.Accepted && err == nil, err
+}
+
 // Call posts the event that request returns for the ID of the call to the reducer, and waits for
 // the reply. about is the job that the call concerns; it is empty for a call about a queue. A call
 // without a reply is logged with the reason.
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -77,6 +77,17 @@
 	return nil
 }
 
+// PrepareHandover implements jobnode.Peers.
+func (c *Client) PrepareHandover(ctx context.Context, address string, fence job.Fence) (bool, error) {
+	conn := c.connection(address)
+	prepared, err := conn.rpc.Prepare(ctx, &jobpeerpb.HandoverRequest{Fence: uint64(fence)})
+	if err != nil {
+		conn.handleFailure(err)
+		return false, err
+	}
+	return prepared.Ready, nil
+}
+
 func encodeCall(r job.Request) (*jobpeerpb.Call, error) {
 	call := &jobpeerpb.Call{
 		Job: string(r.ID), Host: r.Host, Path: r.Path, Key: r.Key, ConfigAtLeast: r.ConfigAtLeast, FromRemote: r.FromRemote,
--- a/internal/jobpeer/jobpeer_test.go
+++ b/internal/jobpeer/jobpeer_test.go
@@ -25,6 +25,11 @@
 
 func (b *backend) ReceiveOwnershipOffer(fence job.Fence) { b.fence = fence }
 
+func (b *backend) PrepareForOwnership(_ context.Context, fence job.Fence) (bool, error) {
+	b.fence = fence
+	return !b.hang, nil
+}
+
 func (b *backend) Call(ctx context.Context, _ job.ID, request func(job.CallID) event.Event) (job.Reply, error) {
 	b.event = request(7)
 	if b.hang {
@@ -95,3 +100,18 @@
 	server.Close()
 	g.Expect(jobpeer.NewClient().OfferOwnership(withTimeout(t, 5*time.Second), addressOf(server), 8)).NotTo(gomega.Succeed())
 }
+
+// TestPrepareHandoverRoundTrip checks that the fence of a request to prepare for the ownership
+// and the response arrive.
+func TestPrepareHandoverRoundTrip(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, ready := range []bool{true, false} {
+		b := &backend{hang: !ready}
+		server := httptest.NewServer(jobpeer.Handler(b))
+		defer server.Close()
+		got, err := jobpeer.NewClient().PrepareHandover(withTimeout(t, 5*time.Second), addressOf(server), 41)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(got).To(gomega.Equal(ready))
+		g.Expect(b.fence).To(gomega.Equal(job.Fence(41)))
+	}
+}
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -25,6 +25,9 @@
 	Call(ctx context.Context, about job.ID, request func(job.CallID) event.Event) (job.Reply, error)
 	// ReceiveOwnershipOffer receives the offer of the ownership from the owner with this fencing token.
 	ReceiveOwnershipOffer(fence job.Fence)
+	// PrepareForOwnership prepares the node for the ownership of the owner with this fencing
+	// token, and reports whether it is ready for it.
+	PrepareForOwnership(ctx context.Context, fence job.Fence) (bool, error)
 }
 
 // Handler returns the HTTP handler for calls from other entry nodes.
@@ -65,6 +68,15 @@
 	return &jobpeerpb.Taken{}, nil
 }
 
+// Prepare implements jobpeerpb.Jobs.
+func (s service) Prepare(ctx context.Context, in *jobpeerpb.HandoverRequest) (*jobpeerpb.Prepared, error) {
+	ready, err := s.backend.PrepareForOwnership(ctx, job.Fence(in.Fence))
+	if err != nil {
+		return nil, twirp.DeadlineExceeded.Error(err.Error())
+	}
+	return &jobpeerpb.Prepared{Ready: ready}, nil
+}
+
 // requestKinds maps the kinds of calls on the wire to those of package job.
 var requestKinds = map[jobpeerpb.Call_Kind]job.RequestKind{
 	jobpeerpb.Call_SUBMIT: job.RequestSubmit, jobpeerpb.Call_QUERY: job.RequestQuery,
