Idle machines of a pool in its lull go where machines are lacking

They are kept only from being switched off now. TestIdleMachinesOfALullGoWhereMachinesAreLacking fails on the code before.

--- a/internal/core/job/machines_test.go
+++ b/internal/core/job/machines_test.go
@@ -146,6 +146,38 @@
 	g.Expect(o.pendingOrders).To(gomega.BeEmpty(), "too many are on the way to switch others off")
 }
 
+// TestIdleMachinesOfALullGoWhereMachinesAreLacking replays a day of overload on mta-lima: three
+// pools in their lull kept two idle machines each while the fourth had four and lacked two hundred.
+// Nothing is switched off below two either way.
+func TestIdleMachinesOfALullGoWhereMachinesAreLacking(t *testing.T) {
+	for needed, moves := range map[int]int{200: 2, 0: 0} {
+		g := gomega.NewWithT(t)
+		o := machinesOwner(Settings{MaxLease: 6 * time.Second, MaxOrdersPerSecond: 310})
+		o.s.config = &Config{Version: 1, Pools: []Pool{{Name: "turn"}, {Name: "lull"}, {Name: "off", Spare: true}}}
+		o.s.config.Index()
+		o.fleet.machineIDs, o.fleet.orderTokens = nil, 99
+		for i := range 13 {
+			id := MachineID(fmt.Sprintf("m-%04d", i))
+			m := &machine{info: MachineInfo{ID: id, Pool: "lull", Capacity: Resources{CPU: 8000}}}
+			switch {
+			case i < 4:
+				m.info.Pool = "turn"
+			case i < 6:
+				m.idleSince = 1
+			}
+			o.fleet.machineIDs = append(o.fleet.machineIDs, id)
+			o.fleet.machines[id] = m
+		}
+		o.s.now = 10 * vocab.Instant(time.Second)
+		o.fleet.machinesNeeded = map[vocab.PoolID]int{"turn": needed, "lull": -7}
+		o.planMoves()
+		g.Expect(o.pendingOrders).To(gomega.HaveLen(moves))
+		for _, m := range o.pendingOrders {
+			g.Expect(m.targetPool).To(gomega.Equal(vocab.PoolID("turn")))
+		}
+	}
+}
+
 // TestNewOwnerInterruptsNothingAtFirst guards against a step that loses more tasks than may be
 // missed around a change of owner: the tasks that the last owner had just told their workers
 // to stop were still listed as serving, and the next owner stopped another one (mta-lima-grown,
--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -20,7 +20,8 @@
 	// switched off. Switching it off and on again costs about as much as running it for
 	// this time.
 	minIdleBeforeSwitchOff = 2500 * time.Millisecond
-	// minIdleMachines is the number of idle machines that a pool keeps.
+	// minIdleMachines is the number of idle machines that a pool keeps unless another one lacks
+	// machines.
 	minIdleMachines = 2
 	// minPoolMachines is the minimum number of machines of a pool.
 	minPoolMachines = 2
@@ -206,8 +207,8 @@
 	return float64(m.info.Capacity.CPU) / float64(typical)
 }
 
-// surplusMachines lists the idle machines that may leave each pool, the longest idle last. A
-// pool keeps a few of them and, if needs are given, those that the forecast requires.
+// surplusMachines lists the idle machines that may leave each pool, the longest idle last. If
+// needs are given, a pool keeps a few of them and those that the forecast requires.
 func (o *owner) surplusMachines(need map[vocab.PoolID]int) map[vocab.PoolID][]*machine {
 	surplus := map[vocab.PoolID][]*machine{}
 	size := map[vocab.PoolID]int{}
@@ -231,9 +232,9 @@
 		if o.isSparePool(p) {
 			continue
 		}
-		keep := max(minIdleMachines, minPoolMachines-(size[p]-len(list)))
+		keep := max(0, minPoolMachines-(size[p]-len(list)))
 		if need != nil {
-			keep = max(keep, len(list)+need[p])
+			keep = max(keep, minIdleMachines, len(list)+need[p])
 		}
 		surplus[p] = list[min(keep, len(list)):]
 	}
