An owner that lacks workers which another node reaches hands over to it

Now the nodes that are asked to prepare try to reach some of the workers that do not respond, and the one that reaches the most is appointed; an owner to which a fifth of its workers do not respond asks for that reason alone. The price is known: a change of owner without an append of its own; a cut that all nodes share, or crashed workers, changes nothing.

Orders through another node were weighed, not built: a second path for each order, while a handover now costs under a second.

--- a/internal/core/job/handover.go
+++ b/internal/core/job/handover.go
@@ -31,6 +31,13 @@
 	// appointedTimeout is the time without a record of an appointed owner after which other
 	// nodes claim: it renews its ownership at once, so that only the reads take time.
 	appointedTimeout = ownerTimeout - 2*ownerRenewInterval
+	// MaxProbes bounds the workers that a node tries to reach, probeTimeout the time for which an
+	// owner waits for the result.
+	MaxProbes    = 16
+	probeTimeout = 500 * time.Millisecond
+	// minReachFraction is the fraction of the probed workers, which do not respond to the owner, that
+	// a node has to reach to take over for that reason.
+	minReachFraction = 0.6
 	// awaitWorkersFor is the time after a takeover for which the first append waits for the
 	// workers' responses, so that it holds the first intents as well.
 	awaitWorkersFor = 100 * time.Millisecond
@@ -38,13 +45,21 @@
 
 // Events and effects of a handover.
 type (
-	// PrepareHandover asks a node to prepare for the ownership. The response is
-	// HandoverPrepared.
+	// PrepareHandover asks a node to prepare for the ownership and to try to reach some workers.
+	// The response is HandoverPrepared.
 	PrepareHandover struct {
 		effectMarker
 		Node    vocab.NodeID
 		Address string
 		Fence   Fence
+		Probes  []Probe
+	}
+
+	// Probe names a worker to reach.
+	Probe struct {
+		Worker      WorkerID
+		Address     string
+		Incarnation Millis
 	}
 
 	// HandoverRequested is a request of the owner with the fence to prepare for the ownership.
@@ -60,6 +75,8 @@
 		eventMarker
 		Node  vocab.NodeID
 		Ready bool
+		// Reached is the number of the probed workers that have responded to the node.
+		Reached int
 	}
 )
 
@@ -69,21 +86,32 @@
 	// candidates are the nodes that were asked, the preferred one first.
 	candidates []vocab.NodeID
 	// prepared holds the responses.
-	prepared map[vocab.NodeID]bool
+	prepared map[vocab.NodeID]HandoverPrepared
+	// probes are workers that do not respond to the owner. If reachOnly is set, the owner keeps the
+	// ownership unless another node reaches most of them.
+	probes    []Probe
+	reachOnly bool
 }
 
 // resign hands the ownership over once a node is ready for it. Without one that could be
 // asked, the last record follows at once.
 func (o *owner) resign() {
+	if h := o.handover; h != nil {
+		h.reachOnly = false
+	}
 	if o.resigned || o.handover != nil {
 		return
 	}
 	o.s.logEvent(LogOwnershipResigned, "fence", o.fence)
-	o.beginHandover()
+	o.beginHandover(false)
 }
 
-func (o *owner) beginHandover() {
-	h := &handover{startedAt: o.s.now, prepared: map[vocab.NodeID]bool{}}
+// beginHandover asks other nodes to prepare. With reachOnly the ownership is handed over only to a
+// node that reaches workers which this one does not.
+func (o *owner) beginHandover(reachOnly bool) {
+	h := &handover{
+		startedAt: o.s.now, prepared: map[vocab.NodeID]HandoverPrepared{}, probes: o.unreachableSample(), reachOnly: reachOnly,
+	}
 	o.handover = h
 	for _, node := range o.successors() {
 		m := o.s.ledger.members[node]
@@ -91,9 +119,15 @@
 			continue
 		}
 		h.candidates = append(h.candidates, node)
-		o.s.emit(PrepareHandover{Node: node, Address: m.Address, Fence: o.fence})
+		o.s.emit(PrepareHandover{Node: node, Address: m.Address, Fence: o.fence, Probes: h.probes})
+	}
+	switch {
+	case len(h.candidates) > 0:
+	case reachOnly:
+		o.handover = nil
+	default:
+		o.resigned = true
 	}
-	o.resigned = len(h.candidates) == 0
 }
 
 // successors lists the nodes that may take over: those with a CPU share that is not much lower
@@ -113,36 +147,85 @@
 
 func (o *owner) handleHandoverPrepared(e HandoverPrepared) {
 	if o.handover != nil {
-		o.handover.prepared[e.Node] = e.Ready
+		o.handover.prepared[e.Node] = e
 	}
 }
 
-// appointee returns the preferred node of those that are ready, or "".
+// appointee returns the node that reaches the most workers of those that are ready, the preferred
+// one among equals, or "". Without enough reach there is none where the reach is the reason.
 func (h *handover) appointee() vocab.NodeID {
+	var best vocab.NodeID
+	reached := -1
+	if h.reachOnly {
+		reached = int(minReachFraction * float64(len(h.probes)))
+	}
 	for _, node := range h.candidates {
-		if h.prepared[node] {
-			return node
+		if p := h.prepared[node]; p.Ready && p.Reached > reached {
+			best, reached = node, p.Reached
 		}
 	}
-	return ""
+	return best
 }
 
-// handoverDue reports whether the last record is to be written: a node is ready, or none will
-// be.
+// complete reports whether no further response can change the appointee, or none is waited for.
+func (h *handover) complete(now vocab.Instant) bool {
+	all := len(h.prepared) == len(h.candidates)
+	if len(h.probes) == 0 {
+		return all || h.appointee() != "" || now.Sub(h.startedAt) > prepareTimeout
+	}
+	return all || now.Sub(h.startedAt) > probeTimeout
+}
+
+// handoverDue reports whether the last record is to be written. A handover for reach ends without
+// it if no node reaches more.
 func (o *owner) handoverDue() bool {
 	h := o.handover
-	return h != nil && (h.appointee() != "" || len(h.prepared) == len(h.candidates) || o.s.now.Sub(h.startedAt) > prepareTimeout)
+	if h == nil || !h.complete(o.s.now) {
+		return false
+	}
+	if h.reachOnly && h.appointee() == "" {
+		o.handover = nil
+		return false
+	}
+	return true
+}
+
+// unreachableSample lists some of the workers with tasks that do not respond.
+func (o *owner) unreachableSample() []Probe {
+	var all []Probe
+	for _, id := range o.workerIDs {
+		if w := o.workers[id]; w.unreachable() {
+			all = append(all, Probe{Worker: id, Address: w.info.Address, Incarnation: w.info.Incarnation})
+		}
+	}
+	if len(all) <= MaxProbes {
+		return all
+	}
+	sample := make([]Probe, MaxProbes)
+	for i := range sample {
+		sample[i] = all[i*len(all)/MaxProbes]
+	}
+	return sample
+}
+
+// unreachable reports whether the worker has tasks, is listed and has not responded twice.
+func (w *worker) unreachable() bool {
+	return len(w.tasks) > 0 && w.listed && w.info.Address != "" && w.failedPolls > 1
 }
 
 // lastRecord returns the owner's last record. It appoints the node that is ready, or names
 // the one that claims first.
 func (o *owner) lastRecord() Record {
 	record := o.ownerRecord()
-	record.Resigned, record.Overloaded = true, o.overloaded
+	record.Resigned, record.Overloaded = true, o.overloaded || o.handover.reachOnly
+	if o.handover.reachOnly {
+		o.s.logEvent(LogOwnershipResigned, "fence", o.fence, "why", "another node reaches workers that this one does not")
+	}
 	if record.Successor = o.handover.appointee(); record.Successor != "" {
 		record.Appointed = o.s.ledger.members[record.Successor].Incarnation
 		o.s.logEvent(LogOwnershipTransferred, "fence", o.fence, "to", record.Successor,
-			"after_ms", o.s.now.Sub(o.handover.startedAt).Milliseconds())
+			"after_ms", o.s.now.Sub(o.handover.startedAt).Milliseconds(),
+			"probed", len(o.handover.probes), "reached", o.handover.prepared[record.Successor].Reached)
 	} else if nodes := o.successors(); len(nodes) > 0 {
 		record.Successor = nodes[0]
 	}
@@ -157,6 +240,9 @@
 	if err := o.s.ledger.foldOwner(o.s.now, last); err != nil {
 		o.s.logEvent(LogRecordUnreadable, "key", last.Key, "offset", last.Offset, "error", err.Error())
 	}
+	if o.handover.reachOnly {
+		o.s.claim.handedOverAt = o.s.now
+	}
 	slow := o.appendLatency > slowAppendLatency
 	o.s.loseOwnership("resigned")
 	if o.s.ledger.owner.Node == o.s.self.Node {
--- a/internal/core/job/owner_health.go
+++ b/internal/core/job/owner_health.go
@@ -17,6 +17,9 @@
 	healthWindow  = time.Second
 	maxBadWindows = 2
 	maxBadGap     = 3 * time.Second
+	// minUnreachable is the least number of workers that do not respond for which the owner asks
+	// other nodes.
+	minUnreachable = 4
 	// minHealthSamples is the number of calls without which a window is not judged.
 	minHealthSamples = 10
 	// slowStartLatency is the latency from which on a start counts as slow. Workers respond
@@ -27,6 +30,12 @@
 	// are within them.
 	maxSlowFraction   = 0.5
 	maxFailedFraction = 0.6
+	// maxUnreachableFraction bounds the workers with tasks that do not respond to an owner before
+	// it asks other nodes whether they reach them, reachCheckInterval is the time between two such
+	// questions. A rack that has crashed is within the bound in most pools; if not, no node
+	// reaches it.
+	maxUnreachableFraction = 0.2
+	reachCheckInterval     = 3 * time.Second
 	// minHandoverInterval is the time between two handovers of this kind in the fleet: where
 	// the load is too high for every node, a handover is of no use.
 	minHandoverInterval = 15 * time.Second
@@ -44,6 +53,8 @@
 	// count as neither, up to maxBadGap after the last bad one.
 	badWindows int
 	lastBadAt  vocab.Instant
+	// reachCheckedAt is the time when other nodes were last asked for their reach.
+	reachCheckedAt vocab.Instant
 }
 
 // noteStart counts a start that a worker confirmed.
@@ -78,7 +89,8 @@
 		return
 	}
 	ended := *h
-	*h = ownerHealth{windowAt: o.s.now}
+	*h = ownerHealth{windowAt: o.s.now, reachCheckedAt: ended.reachCheckedAt}
+	o.checkReach()
 	judged, bad := ended.judge()
 	if !judged && o.s.now.Sub(ended.lastBadAt) < maxBadGap {
 		h.badWindows, h.lastBadAt = ended.badWindows, ended.lastBadAt
@@ -87,14 +99,40 @@
 		return
 	}
 	h.badWindows, h.lastBadAt = ended.badWindows+1, o.s.now
-	if h.badWindows < maxBadWindows || o.resigned || o.handover != nil || o.s.now.Sub(o.activeAt) < minOwnership ||
-		o.s.ledger.handedOverAt != 0 && o.s.now.Sub(o.s.ledger.handedOverAt) < minHandoverInterval || !o.s.hasPeerOfLikeShare() {
+	if h.badWindows < maxBadWindows || !o.mayHandOver() {
 		return
 	}
 	o.overloaded, o.s.claim.handedOverAt = true, o.s.now
 	o.s.logEvent(LogOwnershipResigned, "fence", o.fence, "why", "most calls to workers are slow or fail",
 		"starts", ended.starts, "slow", ended.slowStarts, "polls", ended.polls, "failed", ended.failPolls)
-	o.beginHandover()
+	o.beginHandover(false)
+}
+
+// mayHandOver reports whether the owner may hand the ownership over for a reason of its own.
+func (o *owner) mayHandOver() bool {
+	recent := o.s.ledger.handedOverAt != 0 && o.s.now.Sub(o.s.ledger.handedOverAt) < minHandoverInterval
+	return !o.resigned && o.handover == nil && o.s.now.Sub(o.activeAt) >= minOwnership && !recent && o.s.hasPeerOfLikeShare()
+}
+
+// checkReach asks other nodes whether they reach the workers that do not respond to this one, if
+// these are many. A cut that all nodes share, or workers that have crashed, change nothing.
+func (o *owner) checkReach() {
+	h := &o.health
+	busy, unreachable := 0, 0
+	for _, w := range o.workers {
+		if len(w.tasks) > 0 {
+			busy++
+		}
+		if w.unreachable() {
+			unreachable++
+		}
+	}
+	many := unreachable >= minUnreachable && float64(unreachable) > maxUnreachableFraction*float64(busy)
+	if !many || !o.mayHandOver() || h.reachCheckedAt != 0 && o.s.now.Sub(h.reachCheckedAt) < reachCheckInterval {
+		return
+	}
+	h.reachCheckedAt = o.s.now
+	o.beginHandover(true)
 }
 
 // hasPeerOfLikeShare reports whether another node has a CPU share that is not much lower.
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -66,9 +66,10 @@
 	index          int
 	incarnation    int
 	up             bool
-	streamCut      bool          // cannot reach the stream
-	workersCut     bool          // cannot reach the workers
-	frozenUntil    vocab.Instant // the process is suspended until then
+	streamCut      bool              // cannot reach the stream
+	workersCut     bool              // cannot reach the workers
+	cutWorkers     map[WorkerID]bool // workers that it cannot reach
+	frozenUntil    vocab.Instant     // the process is suspended until then
 	state          *State
 	followsWorkers bool
 	// followsDirectory is set while the process reads the directory, streamReads counts its
@@ -238,6 +239,9 @@
 
 func (n *node) kill() { n.up = false }
 
+// cutFrom reports whether the node cannot reach a worker.
+func (n *node) cutFrom(wk *fakeWorker) bool { return n.workersCut || n.cutWorkers[wk.info.ID] }
+
 func (n *node) tick(incarnation int) {
 	if n.incarnation != incarnation || !n.up {
 		return
@@ -377,7 +381,15 @@
 			continue
 		}
 		sim.calls++
-		sim.forwarded[sim.calls] = func(r Reply) { reply(HandoverPrepared{Node: e.Node, Ready: r.Answer == Accepted}) }
+		reached := 0
+		for _, p := range e.Probes {
+			if wk := sim.workers[p.Worker]; !to.cutFrom(wk) && wk.up && !wk.unreachable {
+				reached++
+			}
+		}
+		sim.forwarded[sim.calls] = func(r Reply) {
+			reply(HandoverPrepared{Node: e.Node, Ready: r.Answer == Accepted, Reached: reached})
+		}
 		to.post(to.incarnation, HandoverRequested{Call: sim.calls, Fence: e.Fence})
 	}
 }
@@ -524,7 +536,7 @@
 		}
 	}
 	switch {
-	case n.workersCut || wk.unreachable:
+	case n.cutFrom(wk) || wk.unreachable:
 		sim.after(800*time.Millisecond, func() { reply(lostReply(NotDone)) })
 	case sim.rng.Float64() < sim.faults.lateOrder:
 		sim.after(800*time.Millisecond, func() { reply(lostReply(Unknown)) })
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -201,7 +201,7 @@
 
 // prepareTimeout bounds a request to prepare for the ownership. The reducer does not wait for a
 // response that takes longer.
-const prepareTimeout = 300 * time.Millisecond
+const prepareTimeout = 500 * time.Millisecond
 
 func (n *Node) prepareHandover(ctx context.Context, e job.PrepareHandover) event.Event {
 	if n.platform.Peers == nil {
@@ -209,11 +209,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
-	ready, err := n.platform.Peers.PrepareHandover(ctx, e.Address, e.Fence)
+	ready, reached, err := n.platform.Peers.PrepareHandover(ctx, e)
 	if err != nil {
 		n.log.Write(job.LogEvent{ID: job.LogOwnershipOffered, Fields: []any{"fence", e.Fence, "to", e.Node, "error", err.Error()}})
 	}
-	return job.HandoverPrepared{Node: e.Node, Ready: ready}
+	return job.HandoverPrepared{Node: e.Node, Ready: ready, Reached: reached}
 }
 
 func (n *Node) throttle(ctx context.Context, e job.Throttle) {
--- a/internal/jobnode/node.go
+++ b/internal/jobnode/node.go
@@ -138,10 +138,37 @@
 func (n *Node) ReceiveOwnershipOffer(fence job.Fence) { n.post(job.OwnershipOffered{Fence: fence}) }
 
 // PrepareForOwnership lets the reducer prepare for the ownership of the owner with this fencing
-// token, and reports whether it may be appointed.
-func (n *Node) PrepareForOwnership(ctx context.Context, fence job.Fence) (bool, error) {
+// token, and reports whether it may be appointed and how many of the workers respond to this node.
+func (n *Node) PrepareForOwnership(ctx context.Context, fence job.Fence, probes []job.Probe) (ready bool, reached int, err error) {
 	reply, err := n.call(ctx, func(id job.CallID) event.Event { return job.HandoverRequested{Call: id, Fence: fence} })
-	return reply.Answer == job.Accepted && err == nil, err
+	if err != nil || reply.Answer != job.Accepted {
+		return false, 0, err
+	}
+	return true, n.reach(ctx, probes), nil
+}
+
+// probeTimeout bounds the wait for the workers that another node asks about.
+const probeTimeout = 250 * time.Millisecond
+
+// reach returns the number of workers that respond to this node. The polls have the lowest fencing
+// token, so that workers that have an owner refuse them: a refusal is a response.
+func (n *Node) reach(ctx context.Context, probes []job.Probe) int {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var reached atomic.Int64
+	var all sync.WaitGroup
+	for _, p := range probes {
+		all.Go(func() {
+			n.guard("a probe of a worker", func() {
+				polled := n.platform.Workers.Poll(ctx, job.Poll{Worker: p.Worker, Address: p.Address, Incarnation: p.Incarnation})
+				if polled.Outcome != job.Unknown && polled.Outcome != job.NotDone {
+					reached.Add(1)
+				}
+			})
+		})
+	}
+	all.Wait()
+	return int(reached.Load())
 }
 
 // Call posts the event that request returns for the ID of the call to the reducer, and waits for
--- a/internal/jobnode/ports.go
+++ b/internal/jobnode/ports.go
@@ -74,9 +74,9 @@
 	// OfferOwnership offers the ownership of the workers to the node at an address. fence is the
 	// owner's fencing token.
 	OfferOwnership(ctx context.Context, address string, fence job.Fence) error
-	// PrepareHandover asks the node at an address to prepare for the ownership of the owner with
-	// this fencing token, and reports whether it is ready for it.
-	PrepareHandover(ctx context.Context, address string, fence job.Fence) (bool, error)
+	// PrepareHandover asks a node to prepare for the ownership, and reports whether it is ready for
+	// it and how many of the probed workers it reaches.
+	PrepareHandover(ctx context.Context, e job.PrepareHandover) (ready bool, reached int, err error)
 }
 
 // Platform holds the interfaces through which a node uses its platform.
--- a/internal/jobpeer/client.go
+++ b/internal/jobpeer/client.go
@@ -78,14 +78,20 @@
 }
 
 // PrepareHandover implements jobnode.Peers.
-func (c *Client) PrepareHandover(ctx context.Context, address string, fence job.Fence) (bool, error) {
-	conn := c.connection(address)
-	prepared, err := conn.rpc.Prepare(ctx, &jobpeerpb.HandoverRequest{Fence: uint64(fence)})
+func (c *Client) PrepareHandover(ctx context.Context, e job.PrepareHandover) (ready bool, reached int, err error) {
+	conn := c.connection(e.Address)
+	request := &jobpeerpb.HandoverRequest{Fence: uint64(e.Fence)}
+	for _, p := range e.Probes {
+		request.Probes = append(request.Probes, &jobpeerpb.Probe{
+			Worker: string(p.Worker), Address: p.Address, Incarnation: int64(p.Incarnation),
+		})
+	}
+	prepared, err := conn.rpc.Prepare(ctx, request)
 	if err != nil {
 		conn.handleFailure(err)
-		return false, err
+		return false, 0, err
 	}
-	return prepared.Ready, nil
+	return prepared.Ready, int(prepared.Reached), nil
 }
 
 func encodeCall(r job.Request) (*jobpeerpb.Call, error) {
--- a/internal/jobpeer/jobpeer_test.go
+++ b/internal/jobpeer/jobpeer_test.go
@@ -21,13 +21,15 @@
 	reply job.Reply
 	hang  bool
 	fence job.Fence
+	// probes are those of the last request to prepare for the ownership.
+	probes []job.Probe
 }
 
 func (b *backend) ReceiveOwnershipOffer(fence job.Fence) { b.fence = fence }
 
-func (b *backend) PrepareForOwnership(_ context.Context, fence job.Fence) (bool, error) {
-	b.fence = fence
-	return !b.hang, nil
+func (b *backend) PrepareForOwnership(_ context.Context, fence job.Fence, probes []job.Probe) (bool, int, error) {
+	b.fence, b.probes = fence, probes
+	return !b.hang, len(probes) - 1, nil
 }
 
 func (b *backend) Call(ctx context.Context, _ job.ID, request func(job.CallID) event.Event) (job.Reply, error) {
@@ -101,17 +103,26 @@
 	g.Expect(jobpeer.NewClient().OfferOwnership(withTimeout(t, 5*time.Second), addressOf(server), 8)).NotTo(gomega.Succeed())
 }
 
-// TestPrepareHandoverRoundTrip checks that the fence of a request to prepare for the ownership
-// and the response arrive.
+// TestPrepareHandoverRoundTrip checks that a request to prepare for the ownership and the response
+// arrive, and that requests with too many workers are refused.
 func TestPrepareHandoverRoundTrip(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for _, ready := range []bool{true, false} {
 		b := &backend{hang: !ready}
 		server := httptest.NewServer(jobpeer.Handler(b))
 		defer server.Close()
-		got, err := jobpeer.NewClient().PrepareHandover(withTimeout(t, 5*time.Second), addressOf(server), 41)
+		request := job.PrepareHandover{
+			Address: addressOf(server), Fence: 41,
+			Probes: []job.Probe{{Worker: "w1", Address: "a:1", Incarnation: 7}, {Worker: "w2", Address: "a:2", Incarnation: 8}},
+		}
+		got, reached, err := jobpeer.NewClient().PrepareHandover(withTimeout(t, 5*time.Second), request)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(got).To(gomega.Equal(ready))
+		g.Expect(reached).To(gomega.Equal(1))
 		g.Expect(b.fence).To(gomega.Equal(job.Fence(41)))
+		g.Expect(b.probes).To(gomega.Equal(request.Probes))
+		request.Probes = make([]job.Probe, job.MaxProbes+1)
+		_, _, err = jobpeer.NewClient().PrepareHandover(withTimeout(t, 5*time.Second), request)
+		g.Expect(err).To(gomega.HaveOccurred())
 	}
 }
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -26,8 +26,8 @@
 	// ReceiveOwnershipOffer receives the offer of the ownership from the owner with this fencing token.
 	ReceiveOwnershipOffer(fence job.Fence)
 	// PrepareForOwnership prepares the node for the ownership of the owner with this fencing
-	// token, and reports whether it is ready for it.
-	PrepareForOwnership(ctx context.Context, fence job.Fence) (bool, error)
+	// token, and reports whether it is ready for it and how many of the workers it reaches.
+	PrepareForOwnership(ctx context.Context, fence job.Fence, probes []job.Probe) (ready bool, reached int, err error)
 }
 
 // Handler returns the HTTP handler for calls from other entry nodes.
@@ -70,11 +70,18 @@
 
 // Prepare implements jobpeerpb.Jobs.
 func (s service) Prepare(ctx context.Context, in *jobpeerpb.HandoverRequest) (*jobpeerpb.Prepared, error) {
-	ready, err := s.backend.PrepareForOwnership(ctx, job.Fence(in.Fence))
+	if len(in.Probes) > job.MaxProbes {
+		return nil, twirp.InvalidArgument.Error("too many workers to reach")
+	}
+	probes := make([]job.Probe, 0, len(in.Probes))
+	for _, p := range in.Probes {
+		probes = append(probes, job.Probe{Worker: job.WorkerID(p.Worker), Address: p.Address, Incarnation: job.Millis(p.Incarnation)})
+	}
+	ready, reached, err := s.backend.PrepareForOwnership(ctx, job.Fence(in.Fence), probes)
 	if err != nil {
 		return nil, twirp.DeadlineExceeded.Error(err.Error())
 	}
-	return &jobpeerpb.Prepared{Ready: ready}, nil
+	return &jobpeerpb.Prepared{Ready: ready, Reached: uint32(reached)}, nil
 }
 
 // requestKinds maps the kinds of calls on the wire to those of package job.
