Workers without tasks count for an owner's reach

Only workers with tasks were counted, so that the owner kept the ownership. Now all listed workers count, a twentieth of them is enough to ask, and the owner tries them again beside the nodes it asks. TestOwnerThatDoesNotReachNewWorkersHandsOver fails on the code before.

--- a/internal/core/job/handover.go
+++ b/internal/core/job/handover.go
@@ -113,6 +113,9 @@
 		startedAt: o.s.now, prepared: map[vocab.NodeID]HandoverPrepared{}, probes: o.unreachableSample(), reachOnly: reachOnly,
 	}
 	o.handover = h
+	for _, p := range h.probes {
+		o.workers[p.Worker].pollBy(o.s.now)
+	}
 	for _, node := range o.successors() {
 		m := o.s.ledger.members[node]
 		if m.Incarnation == 0 || m.Address == "" || len(h.candidates) >= maxPreparing {
@@ -183,14 +186,26 @@
 	if h == nil || !h.complete(o.s.now) {
 		return false
 	}
-	if h.reachOnly && h.appointee() == "" {
+	if h.reachOnly && (h.appointee() == "" || !o.stillUnreachable(h.probes)) {
 		o.handover = nil
 		return false
 	}
 	return true
 }
 
-// unreachableSample lists some of the workers with tasks that do not respond.
+// stillUnreachable reports whether most of the probed workers have not responded to the owner either
+// meanwhile.
+func (o *owner) stillUnreachable(probes []Probe) bool {
+	n := 0
+	for _, p := range probes {
+		if w := o.workers[p.Worker]; w != nil && w.unreachable() {
+			n++
+		}
+	}
+	return float64(n) > minReachFraction*float64(len(probes))
+}
+
+// unreachableSample lists some of the workers that do not respond.
 func (o *owner) unreachableSample() []Probe {
 	var all []Probe
 	for _, id := range o.workerIDs {
@@ -208,9 +223,10 @@
 	return sample
 }
 
-// unreachable reports whether the worker has tasks, is listed and has not responded twice.
+// unreachable reports whether the worker is listed and has not responded twice. A worker that has
+// just come to a pool and has no tasks yet counts as well.
 func (w *worker) unreachable() bool {
-	return len(w.tasks) > 0 && w.listed && w.info.Address != "" && w.failedPolls > 1
+	return w.listed && w.info.Address != "" && w.failedPolls > 1
 }
 
 // lastRecord returns the owner's last record. It appoints the node that is ready, or names
--- a/internal/core/job/owner_health.go
+++ b/internal/core/job/owner_health.go
@@ -30,11 +30,10 @@
 	// are within them.
 	maxSlowFraction   = 0.5
 	maxFailedFraction = 0.6
-	// maxUnreachableFraction bounds the workers with tasks that do not respond to an owner before
-	// it asks other nodes whether they reach them, reachCheckInterval is the time between two such
-	// questions. A rack that has crashed is within the bound in most pools; if not, no node
-	// reaches it.
-	maxUnreachableFraction = 0.2
+	// maxUnreachableFraction bounds the workers that do not respond to an owner before it asks
+	// other nodes whether they reach them, reachCheckInterval is the time between two such
+	// questions. A node reaches workers that have crashed no more than the owner.
+	maxUnreachableFraction = 0.05
 	reachCheckInterval     = 3 * time.Second
 	// minHandoverInterval is the time between two handovers of this kind in the fleet: where
 	// the load is too high for every node, a handover is of no use.
@@ -118,16 +117,16 @@
 // these are many. A cut that all nodes share, or workers that have crashed, change nothing.
 func (o *owner) checkReach() {
 	h := &o.health
-	busy, unreachable := 0, 0
+	listed, unreachable := 0, 0
 	for _, w := range o.workers {
-		if len(w.tasks) > 0 {
-			busy++
+		if w.listed {
+			listed++
 		}
 		if w.unreachable() {
 			unreachable++
 		}
 	}
-	many := unreachable >= minUnreachable && float64(unreachable) > maxUnreachableFraction*float64(busy)
+	many := unreachable >= minUnreachable && float64(unreachable) > maxUnreachableFraction*float64(listed)
 	if !many || !o.mayHandOver() || h.reachCheckedAt != 0 && o.s.now.Sub(h.reachCheckedAt) < reachCheckInterval {
 		return
 	}
