An owner that reaches neither some workers nor any node resigns over the store

All that it asks being unreachable as well, it now resigns in a record; the store is what it does reach. TestOwnerThatDoesNotReachNewWorkersHandsOver has the case and fails before.

--- a/internal/core/job/handover.go
+++ b/internal/core/job/handover.go
@@ -77,6 +77,8 @@
 		Ready bool
 		// Reached is the number of the probed workers that have responded to the node.
 		Reached int
+		// Unreachable is set if the node has not responded.
+		Unreachable bool
 	}
 )
 
@@ -186,13 +188,24 @@
 	if h == nil || !h.complete(o.s.now) {
 		return false
 	}
-	if h.reachOnly && (h.appointee() == "" || !o.stillUnreachable(h.probes)) {
+	if h.reachOnly && (h.appointee() == "" && !h.alone() || !o.stillUnreachable(h.probes)) {
 		o.handover = nil
 		return false
 	}
 	return true
 }
 
+// alone reports whether no node has responded. An owner that reaches neither the nodes nor a part of
+// its workers is cut off itself; the store, which it does reach, tells the others that it resigns.
+func (h *handover) alone() bool {
+	for _, p := range h.prepared {
+		if !p.Unreachable {
+			return false
+		}
+	}
+	return len(h.prepared) == len(h.candidates)
+}
+
 // stillUnreachable reports whether most of the probed workers have not responded to the owner either
 // meanwhile.
 func (o *owner) stillUnreachable(probes []Probe) bool {
@@ -235,7 +248,7 @@
 	record := o.ownerRecord()
 	record.Resigned, record.Overloaded = true, o.overloaded || o.handover.reachOnly
 	if o.handover.reachOnly {
-		o.s.logEvent(LogOwnershipResigned, "fence", o.fence, "why", "another node reaches workers that this one does not")
+		o.s.logEvent(LogOwnershipResigned, "fence", o.fence, "why", "workers do not respond to this node that another one reaches, or no node does")
 	}
 	if record.Successor = o.handover.appointee(); record.Successor != "" {
 		record.Appointed = o.s.ledger.members[record.Successor].Incarnation
--- a/internal/core/job/reach_test.go
+++ b/internal/core/job/reach_test.go
@@ -50,20 +50,29 @@
 
 // TestOwnerThatDoesNotReachNewWorkersHandsOver replays fresh-9d2a of dukajaza-sched-now-grown: the
 // owner's connections to its busy workers go on, but none is made to the workers that come to a
-// pool at the begin of its turn. 153 of 174 machines stayed idle for five seconds.
+// pool at the begin of its turn. 153 of 174 machines stayed idle for five seconds. The owner did not
+// reach the other nodes either.
 func TestOwnerThatDoesNotReachNewWorkersHandsOver(t *testing.T) {
+	for _, peersCut := range []bool{false, true} {
+		testOwnerWithoutNewWorkers(t, peersCut)
+	}
+}
+
+func testOwnerWithoutNewWorkers(t *testing.T, peersCut bool) {
+	t.Helper()
 	g := gomega.NewWithT(t)
 	sim := newSimulation(9, 6, 30, faults{})
 	sim.run(3 * time.Second)
 	sim.after(0, func() { sim.load(200*time.Millisecond, 10*time.Second) })
 	owner := sim.owningNode()
-	owner.cutWorkers = map[WorkerID]bool{}
+	owner.cutWorkers, owner.peersCut = map[WorkerID]bool{}, peersCut
 	for _, id := range sim.workerIDs[20:] {
 		owner.cutWorkers[id] = true
 		sim.crashWorker(sim.workers[id], 10*time.Millisecond, false)
 	}
 	sim.run(4 * time.Second)
 	g.Expect(sim.owningNode()).NotTo(gomega.Equal(owner))
+	g.Expect(sim.countOwners()).To(gomega.Equal(1))
 	sim.run(40 * time.Second)
 	sim.report(t)
 	g.Expect(sim.unfinished()).To(gomega.BeEmpty())
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -69,6 +69,7 @@
 	streamCut      bool              // cannot reach the stream
 	workersCut     bool              // cannot reach the workers
 	cutWorkers     map[WorkerID]bool // workers that it cannot reach
+	peersCut       bool              // cannot reach the other nodes
 	frozenUntil    vocab.Instant     // the process is suspended until then
 	state          *State
 	followsWorkers bool
@@ -376,6 +377,10 @@
 // a node that is down sends none.
 func (n *node) prepareHandover(e PrepareHandover, reply func(event.Event)) {
 	sim := n.sim
+	if n.peersCut {
+		reply(HandoverPrepared{Node: e.Node, Unreachable: true})
+		return
+	}
 	for _, to := range sim.nodes {
 		if fmt.Sprint("n", to.index) != e.Address || !to.up || sim.rng.Float64() < sim.faults.loseOrder {
 			continue
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -213,7 +213,7 @@
 	if err != nil {
 		n.log.Write(job.LogEvent{ID: job.LogOwnershipOffered, Fields: []any{"fence", e.Fence, "to", e.Node, "error", err.Error()}})
 	}
-	return job.HandoverPrepared{Node: e.Node, Ready: ready, Reached: reached}
+	return job.HandoverPrepared{Node: e.Node, Ready: ready, Reached: reached, Unreachable: err != nil}
 }
 
 func (n *Node) throttle(ctx context.Context, e job.Throttle) {
