A graceful stop serves the connections that were made before it

Cause: http.Server.Shutdown resets connections that wait to be accepted, and closes those whose request it reads during the shutdown without a response. Both happen to a busy process. The listener now accepts what is queued before it closes, and the server shuts down once new connections have had their request. The same for the processes of a deployment's own platform (serve).

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -20,6 +19,7 @@
 	"github.com/sardinehead/sardinehead/internal/configcheck"
 	"github.com/sardinehead/sardinehead/internal/core/job"
 	"github.com/sardinehead/sardinehead/internal/daemon"
+	"github.com/sardinehead/sardinehead/internal/drainlisten"
 	"github.com/sardinehead/sardinehead/internal/eventlog"
 	"github.com/sardinehead/sardinehead/internal/jobnode"
 	"github.com/sardinehead/sardinehead/internal/jobpeer"
@@ -125,13 +125,13 @@
 // addHTTPServer listens on the address at once and adds a plain HTTP server to
 // the group.
 func addHTTPServer(group *run.Group, address settings.Address, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address.String())
+	listener, err := drainlisten.Listen(address.String())
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout}
+	server := drainlisten.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout}, listener)
 	group.Add(func() error {
-		return errors.Wrapf(server.Serve(listener), "serve on %s", address)
+		return errors.Wrapf(server.Serve(false), "serve on %s", address)
 	}, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -15,6 +14,7 @@
 	"github.com/oklog/run"
 
 	"github.com/sardinehead/sardinehead/internal/core"
+	"github.com/sardinehead/sardinehead/internal/drainlisten"
 	"github.com/sardinehead/sardinehead/internal/node"
 	"github.com/sardinehead/sardinehead/internal/settings"
 	"github.com/sardinehead/sardinehead/internal/tlsfiles"
@@ -93,24 +93,22 @@
 }
 
 // addServer adds an HTTP server for one listener to the group.
-func addServer(group *run.Group, l settings.Listener, handler http.Handler) (*http.Server, error) {
-	listener, err := net.Listen("tcp", l.Address.String())
+func addServer(group *run.Group, l settings.Listener, handler http.Handler) (*drainlisten.Server, error) {
+	listener, err := drainlisten.Listen(l.Address.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening on %s", l.Address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	serve := func() error { return server.Serve(listener) }
+	server := drainlisten.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, listener)
 	if !l.Plain {
 		source, err := tlsfiles.Open(tlsfiles.Files(l.TLS))
 		if err != nil {
 			return nil, errors.Wrapf(err, "listener %s", l.Address)
 		}
 		server.TLSConfig = source.Server()
-		serve = func() error { return server.ServeTLS(listener, "", "") }
 	}
 	interrupted := make(chan struct{})
 	group.Add(func() error {
-		err := serve()
+		err := server.Serve(!l.Plain)
 		if errors.Is(err, http.ErrServerClosed) {
 			// The group ends as soon as a member returns. A server that was shut
 			// down gracefully must not end it.
