Reach and preparation have files of their own

handover.go had three subjects: what an owner does, what a node does that may be appointed, and which workers a node reaches. Functions are moved; handoverDue, which also ended a handover, is resignIfPrepared.

--- a/internal/core/job/handover.go
+++ b/internal/core/job/handover.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -31,13 +30,6 @@
 	// appointedTimeout is the time without a record of an appointed owner after which other
 	// nodes claim: it renews its ownership at once, so that only the reads take time.
 	appointedTimeout = ownerTimeout - 2*ownerRenewInterval
-	// MaxProbes bounds the workers that a node tries to reach, probeTimeout the time for which an
-	// owner waits for the result.
-	MaxProbes    = 16
-	probeTimeout = 500 * time.Millisecond
-	// minReachFraction is the fraction of the probed workers, which do not respond to the owner, that
-	// a node has to reach to take over for that reason.
-	minReachFraction = 0.6
 	// awaitWorkersFor is the time after a takeover for which the first append waits for the
 	// workers' responses, so that it holds the first intents as well.
 	awaitWorkersFor = 100 * time.Millisecond
@@ -181,65 +173,18 @@
 	return all || now.Sub(h.startedAt) > probeTimeout
 }
 
-// handoverDue reports whether the last record is to be written. A handover for reach ends without
-// it if no node reaches more.
-func (o *owner) handoverDue() bool {
+// resignIfPrepared resigns once the responses are complete. A handover for reach ends without that
+// if no node reaches more.
+func (o *owner) resignIfPrepared() {
 	h := o.handover
 	if h == nil || !h.complete(o.s.now) {
-		return false
+		return
 	}
 	if h.reachOnly && (h.appointee() == "" && !h.alone() || !o.stillUnreachable(h.probes)) {
 		o.handover = nil
-		return false
-	}
-	return true
-}
-
-// alone reports whether no node has responded. An owner that reaches neither the nodes nor a part of
-// its workers is cut off itself; the store, which it does reach, tells the others that it resigns.
-func (h *handover) alone() bool {
-	for _, p := range h.prepared {
-		if !p.Unreachable {
-			return false
-		}
-	}
-	return len(h.prepared) == len(h.candidates)
-}
-
-// stillUnreachable reports whether most of the probed workers have not responded to the owner either
-// meanwhile.
-func (o *owner) stillUnreachable(probes []Probe) bool {
-	n := 0
-	for _, p := range probes {
-		if w := o.workers[p.Worker]; w != nil && w.unreachable() {
-			n++
-		}
-	}
-	return float64(n) > minReachFraction*float64(len(probes))
-}
-
-// unreachableSample lists some of the workers that do not respond.
-func (o *owner) unreachableSample() []Probe {
-	var all []Probe
-	for _, id := range o.workerIDs {
-		if w := o.workers[id]; w.unreachable() {
-			all = append(all, Probe{Worker: id, Address: w.info.Address, Incarnation: w.info.Incarnation})
-		}
-	}
-	if len(all) <= MaxProbes {
-		return all
-	}
-	sample := make([]Probe, MaxProbes)
-	for i := range sample {
-		sample[i] = all[i*len(all)/MaxProbes]
+		return
 	}
-	return sample
-}
-
-// unreachable reports whether the worker is listed and has not responded twice. A worker that has
-// just come to a pool and has no tasks yet counts as well.
-func (w *worker) unreachable() bool {
-	return w.listed && w.info.Address != "" && w.failedPolls > 1
+	o.resigned = true
 }
 
 // lastRecord returns the owner's last record. It appoints the node that is ready, or names
@@ -322,66 +267,6 @@
 	return p != nil && p.last && r.Key == ownerKey && bytes.Equal(r.Value, p.records[len(p.records)-1].Value)
 }
 
-// preparation is the state of a node that is ready to be appointed.
-type preparation struct {
-	until vocab.Instant
-	// workers holds the list of workers, listed is set once it is complete.
-	workers map[WorkerID]WorkerInfo
-	listed  bool
-}
-
-// handleHandoverRequested prepares this node for the ownership: it follows the stream without
-// pauses and the list of workers.
-func (s *State) handleHandoverRequested(e HandoverRequested) {
-	ready := s.owner == nil && !s.stopping && !s.directory.remote && e.Fence == s.ledger.ownerFence &&
-		s.caughtUp() && s.config != nil && s.evacuationsKnown()
-	if !ready {
-		s.reply(Reply{Call: e.Call, Answer: Refused})
-		return
-	}
-	if s.preparation == nil {
-		s.preparation = &preparation{workers: map[WorkerID]WorkerInfo{}}
-		s.emit(FollowWorkers{On: true})
-	}
-	s.preparation.until = s.now.Add(preparedFor)
-	s.reply(Reply{Call: e.Call, Answer: Accepted})
-	s.readNow()
-}
-
-// endPreparation ends a preparation that was of no use.
-func (s *State) endPreparation() {
-	if s.preparation == nil || s.now < s.preparation.until {
-		return
-	}
-	s.preparation = nil
-	if s.owner == nil {
-		s.emit(FollowWorkers{On: false})
-	}
-}
-
-// handleWorkersListed keeps the list of workers for a takeover.
-func (p *preparation) handleWorkersListed(e WorkersListed) {
-	if e.Full {
-		clear(p.workers)
-		p.listed = true
-	}
-	for _, info := range e.Workers {
-		p.workers[info.ID] = info
-	}
-	for _, id := range e.Removed {
-		delete(p.workers, id)
-	}
-}
-
-// list returns the workers in the order of their IDs.
-func (p *preparation) list() []WorkerInfo {
-	list := make([]WorkerInfo, 0, len(p.workers))
-	for _, id := range slices.Sorted(maps.Keys(p.workers)) {
-		list = append(list, p.workers[id])
-	}
-	return list
-}
-
 // takeOver makes an appointed node the owner. The record that appoints it was appended after
 // the last read that had reached the end of the stream, so that its authority counts from
 // there until its own first append.
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -286,9 +286,7 @@
 	if o.pendingAppend != nil {
 		return
 	}
-	if o.handoverDue() {
-		o.resigned = true
-	}
+	o.resignIfPrepared()
 	if o.hasPendingWrites() {
 		o.flush()
 		return
--- a/internal/core/job/owner_health.go
+++ b/internal/core/job/owner_health.go
@@ -17,9 +17,6 @@
 	healthWindow  = time.Second
 	maxBadWindows = 2
 	maxBadGap     = 3 * time.Second
-	// minUnreachable is the least number of workers that do not respond for which the owner asks
-	// other nodes.
-	minUnreachable = 4
 	// minHealthSamples is the number of calls without which a window is not judged.
 	minHealthSamples = 10
 	// slowStartLatency is the latency from which on a start counts as slow. Workers respond
@@ -30,11 +27,6 @@
 	// are within them.
 	maxSlowFraction   = 0.5
 	maxFailedFraction = 0.6
-	// maxUnreachableFraction bounds the workers that do not respond to an owner before it asks
-	// other nodes whether they reach them, reachCheckInterval is the time between two such
-	// questions. A node reaches workers that have crashed no more than the owner.
-	maxUnreachableFraction = 0.05
-	reachCheckInterval     = 3 * time.Second
 	// minHandoverInterval is the time between two handovers of this kind in the fleet: where
 	// the load is too high for every node, a handover is of no use.
 	minHandoverInterval = 15 * time.Second
@@ -113,27 +105,6 @@
 	return !o.resigned && o.handover == nil && o.s.now.Sub(o.activeAt) >= minOwnership && !recent && o.s.hasPeerOfLikeShare()
 }
 
-// checkReach asks other nodes whether they reach the workers that do not respond to this one, if
-// these are many. A cut that all nodes share, or workers that have crashed, change nothing.
-func (o *owner) checkReach() {
-	h := &o.health
-	listed, unreachable := 0, 0
-	for _, w := range o.workers {
-		if w.listed {
-			listed++
-		}
-		if w.unreachable() {
-			unreachable++
-		}
-	}
-	many := unreachable >= minUnreachable && float64(unreachable) > maxUnreachableFraction*float64(listed)
-	if !many || !o.mayHandOver() || h.reachCheckedAt != 0 && o.s.now.Sub(h.reachCheckedAt) < reachCheckInterval {
-		return
-	}
-	h.reachCheckedAt = o.s.now
-	o.beginHandover(true)
-}
-
 // hasPeerOfLikeShare reports whether another node has a CPU share that is not much lower.
 func (s *State) hasPeerOfLikeShare() bool {
 	for node, m := range s.ledger.members {
