Losses that no owner confirms lead to a trial

Cause: crashes are confirmed by the owner that has seen the loss; a change of owner between crash and confirmation, twice in a row, left no count, and late crashes beside other runs have no suspect. Now the record of a task counts losses that are unexplained; with three losses of any kind the next run is a trial for its whole run. They are no evidence, so that no job fails for a cut network.

Ruled out: counting such losses as possible crashes, which would fail jobs whose workers were cut off twice and crashed once.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -20,6 +20,9 @@
 	Crashes, Possible int
 	// Suspected is the number of crashes that the task may have caused.
 	Suspected int
+	// Unexplained is the number of workers that went silent for good with a run of the task, of which
+	// it is not known whether they crashed or were cut off.
+	Unexplained int
 }
 
 // Trial is the condition under which a task may start.
@@ -36,7 +39,8 @@
 
 const (
 	// runTrialCrashes is the number of crashes after which a task is on trial for whole runs: it
-	// may crash its workers long after its starts.
+	// may crash its workers long after its starts. Unexplained losses count, since a trial fails
+	// no job.
 	runTrialCrashes = 3
 	// guiltyCrashes is the least number of crashes under a task that is given up, guiltyWithPossible
 	// the least number if possible ones count.
@@ -58,7 +62,7 @@
 // Trial returns the condition under which the task may start again.
 func (r Record) Trial() Trial {
 	switch {
-	case r.Crashes+r.Possible >= runTrialCrashes:
+	case r.Crashes+r.Possible+r.Unexplained >= runTrialCrashes:
 		return RunTrial
 	case r.Suspected > 0:
 		return StartTrial
--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -253,7 +253,7 @@
 		return row, false
 	}
 	row.Run, row.Failed, row.Checkpoint = t.lastRun, t.failures, t.checkpoint
-	row.Crashes, row.Possible, row.Suspected = t.crash.Crashes, t.crash.Possible, t.crash.Suspected
+	row.Crashes, row.Possible, row.Suspected, row.Unexplained = t.crash.Crashes, t.crash.Possible, t.crash.Suspected, t.crash.Unexplained
 	if t.worker != nil {
 		row.Worker, row.Incarnation, row.PlannedMS = t.worker.info.ID, t.incarnation, t.plannedWall-t.step.job.acceptance.At
 	}
--- a/internal/core/job/crash_test.go
+++ b/internal/core/job/crash_test.go
@@ -35,13 +35,18 @@
 
 // addCrashingTask lets a task crash the workers that start it.
 func (sim *simulation) addCrashingTask(name TaskName, after time.Duration) {
+	sim.countCrashes()
+	sim.crashing.crashAfter[name] = after
+}
+
+// countCrashes counts the crashes from now on. Without it they count from the first crashing task on.
+func (sim *simulation) countCrashes() {
 	if sim.crashing == nil {
 		sim.crashing = &crashingTasks{
 			crashAfter: map[TaskName]time.Duration{}, downFor: 3300 * time.Millisecond,
 			crashes: map[TaskName]int{}, startsAfter: map[TaskName]int{}, crashedUnder: map[TaskName]int{},
 		}
 	}
-	sim.crashing.crashAfter[name] = after
 }
 
 // noteCrashingStart counts the start of a run, and crashes the worker if the task is a crashing one.
@@ -189,6 +194,39 @@
 	forEachSeed(t, simulateCrashes)
 }
 
+// TestCrashesThatNoOwnerConfirms: the owner changes between a crash and its confirmation, and the crashing
+// run has settled each time, so that the task had no trial before its sixth start (seed 2655).
+func TestCrashesThatNoOwnerConfirms(t *testing.T) {
+	simulateCrashes(t, 2655)
+}
+
+// TestUnexplainedLossesLeadToTrial: workers that go silent for good with a task fail no job by
+// themselves, but the task's next run is a trial, also for the next owner.
+func TestUnexplainedLossesLeadToTrial(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(4)
+	j := addTestJob(o, 1, Step{Count: 2, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
+	tasks := j.occurrences[0].steps[0].tasks
+	for i := range 3 {
+		w := o.workers[o.workerIDs[i]]
+		for _, task := range tasks {
+			startOn(o, task, w)
+		}
+		o.s.now = o.s.now.Add(5 * time.Second)
+		w.lastHeardAt = o.s.now
+		o.loseRuns(w, w.tasks, lossLeaseExpired)
+	}
+	g.Expect(j.terminalPhase).To(gomega.BeZero())
+	g.Expect(tasks[0].crash).To(gomega.Equal(crash.Record{Unexplained: 3}))
+	g.Expect(tasks[0].crash.Trial()).To(gomega.Equal(crash.RunTrial))
+	next := fleetOf(1)
+	again := addTestJob(next, 1, j.acceptance.Spec.Steps...)
+	for _, row := range j.taskRows() {
+		next.restoreTasks(again, row)
+	}
+	g.Expect(again.occurrences[0].steps[0].tasks[0].crash).To(gomega.Equal(tasks[0].crash))
+}
+
 func simulateCrashes(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 5))
 	sim := newSimulation(seed, 3+rng.IntN(3), 6, faults{
@@ -225,11 +263,11 @@
 	}
 }
 
-// startOn starts run 1 of a task on a worker, which confirms it.
+// startOn starts the next run of a task on a worker, which confirms it.
 func startOn(o *owner, t *task, w *worker) {
 	o.assign(t, w)
-	o.sendStart(t, 1)
-	o.handleStartAnswered(StartAnswered{Worker: w.info.ID, Task: t.name(), Run: 1, Outcome: OK})
+	o.sendStart(t, t.lastRun)
+	o.handleStartAnswered(StartAnswered{Worker: w.info.ID, Task: t.name(), Run: t.lastRun, Outcome: OK})
 }
 
 // TestOnlyUnplannedLossesCount: a run that is lost to a drain, an order to the machine or a cut
@@ -254,7 +292,7 @@
 	g := gomega.NewWithT(t)
 	g.Expect(lose(lossWorkerReplaced, nothing)).To(gomega.Equal(crash.Record{Crashes: 1, Suspected: 1}))
 	g.Expect(lose(lossWorkerRestarted, nothing)).To(gomega.Equal(crash.Record{Crashes: 1, Suspected: 1}))
-	g.Expect(lose(lossLeaseExpired, nothing)).To(gomega.Equal(crash.Record{Suspected: 1}))
+	g.Expect(lose(lossLeaseExpired, nothing)).To(gomega.Equal(crash.Record{Suspected: 1, Unexplained: 1}))
 	g.Expect(lose(lossUnlisted, nothing)).To(gomega.BeZero())
 	g.Expect(lose(lossMachineOrdered, nothing)).To(gomega.BeZero())
 	g.Expect(lose(lossWorkerReplaced, func(_ *owner, w *worker) { w.info.Draining = true })).To(gomega.BeZero())
@@ -280,7 +318,7 @@
 	startOn(o, task, w)
 	o.loseRuns(w, w.tasks, lossLeaseExpired)
 	o.updateWorker(w.info)
-	g.Expect(task.crash).To(gomega.Equal(crash.Record{Suspected: 1}), "the same incarnation is back")
+	g.Expect(task.crash).To(gomega.Equal(crash.Record{Suspected: 1, Unexplained: 1}), "the same incarnation is back")
 	next := w.info
 	next.ID, next.Incarnation = "w0009", w.info.Incarnation+1
 	o.updateWorker(next)
--- a/internal/core/job/crashes.go
+++ b/internal/core/job/crashes.go
@@ -96,6 +96,10 @@
 		o.confirmCrash(c)
 		return
 	}
+	for _, t := range present {
+		t.crash.Unexplained++
+		o.markChanged(t.step.job)
+	}
 	if w.info.Machine != "" && len(present) > 0 {
 		o.presumedCrashes[w.info.Machine] = c
 	}
@@ -145,7 +149,7 @@
 		return
 	}
 	o.s.logEvent(LogTaskGivenUp, "task", t.name(), "queue", j.acceptance.Queue, "crashes", t.crash.Crashes,
-		"possible", t.crash.Possible, "suspected", t.crash.Suspected, "runs", t.lastRun)
+		"possible", t.crash.Possible, "suspected", t.crash.Suspected, "unexplained", t.crash.Unexplained, "runs", t.lastRun)
 	o.finishJob(j, PhaseFailed)
 }
 
@@ -160,6 +164,9 @@
 		delete(o.presumedCrashes, info.Machine)
 	}
 	if info.Incarnation > c.incarnation {
+		for _, t := range c.tasks {
+			t.crash.Unexplained = max(0, t.crash.Unexplained-1)
+		}
 		o.confirmCrash(c)
 	}
 }
--- a/internal/core/job/owner_jobs.go
+++ b/internal/core/job/owner_jobs.go
@@ -70,7 +70,7 @@
 	}
 	t := st.tasks[row.Index]
 	t.lastRun, t.failures, t.checkpoint = row.Run, row.Failed, row.Checkpoint
-	t.crash = crash.Record{Crashes: row.Crashes, Possible: row.Possible, Suspected: row.Suspected}
+	t.crash = crash.Record{Crashes: row.Crashes, Possible: row.Possible, Suspected: row.Suspected, Unexplained: row.Unexplained}
 	switch {
 	case row.Completed:
 		t.completed = true
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -75,10 +75,11 @@
 	Worker        WorkerID `json:"w,omitempty"`
 	Incarnation   Millis   `json:"b,omitempty"`
 	Checkpoint    string   `json:"c,omitempty"`
-	// Crashes, Possible and Suspected are the fields of crash.Record.
-	Crashes   int `json:"x,omitempty"`
-	Possible  int `json:"z,omitempty"`
-	Suspected int `json:"y,omitempty"`
+	// Crashes, Possible, Suspected and Unexplained are the fields of crash.Record.
+	Crashes     int `json:"x,omitempty"`
+	Possible    int `json:"z,omitempty"`
+	Suspected   int `json:"y,omitempty"`
+	Unexplained int `json:"u,omitempty"`
 	// PlannedMS is the time from the job's acceptance to the intent of the run, in milliseconds. Hosts is
 	// set in one row of the job, which describes no task: the workers of its tasks.
 	PlannedMS Millis `json:"m,omitempty"`
