--- a/internal/core/job/crash_test.go
+++ b/internal/core/job/crash_test.go
@@ -236,6 +236,7 @@
 	if *printLines {
 		sim.trace = func(line string) { t.Log(line) }
 	}
+	sim.countCrashes()
 	sim.run(3 * time.Second)
 	sim.after(0, func() { sim.load(200*time.Millisecond, 25*time.Second) })
 	for range 1 + rng.IntN(5) {
