An owner that is cut off asks more nodes, and resigns if most of them do not respond

Now it asks up to eight nodes, spread over the zones, and is cut off if most of them do not respond; the node that should claim first is then one that did not respond, since those that did are likely to be cut off as well.

TestOwnerCutOffWithOtherNodesHandsOver fails on the code before with each of the five nodes, and passes. Ruled out: orders through another node (weighed earlier), the nodes' zones in their records (names order them well enough).

--- a/internal/core/job/handover.go
+++ b/internal/core/job/handover.go
@@ -110,13 +110,14 @@
 	for _, p := range h.probes {
 		o.workers[p.Worker].pollBy(o.s.now)
 	}
-	for _, node := range o.successors() {
-		m := o.s.ledger.members[node]
-		if m.Incarnation == 0 || m.Address == "" || len(h.candidates) >= maxPreparing {
-			continue
-		}
-		h.candidates = append(h.candidates, node)
-		o.s.emit(PrepareHandover{Node: node, Address: m.Address, Fence: o.fence, Probes: h.probes})
+	h.candidates = o.preparableSuccessors()
+	if reachOnly {
+		h.candidates = spreadSample(h.candidates, maxReachCandidates)
+	} else {
+		h.candidates = h.candidates[:min(maxPreparing, len(h.candidates))]
+	}
+	for _, node := range h.candidates {
+		o.s.emit(PrepareHandover{Node: node, Address: o.s.ledger.members[node].Address, Fence: o.fence, Probes: h.probes})
 	}
 	switch {
 	case len(h.candidates) > 0:
@@ -142,6 +143,14 @@
 	return nodes
 }
 
+// preparableSuccessors lists the successors that can be asked to prepare.
+func (o *owner) preparableSuccessors() []vocab.NodeID {
+	return slices.DeleteFunc(o.successors(), func(node vocab.NodeID) bool {
+		m := o.s.ledger.members[node]
+		return m.Incarnation == 0 || m.Address == ""
+	})
+}
+
 func (o *owner) handleHandoverPrepared(e HandoverPrepared) {
 	if o.handover != nil {
 		o.handover.prepared[e.Node] = e
@@ -180,7 +189,7 @@
 	if h == nil || !h.complete(o.s.now) {
 		return
 	}
-	if h.reachOnly && (h.appointee() == "" && !h.alone() || !o.stillUnreachable(h.probes)) {
+	if h.reachOnly && (h.appointee() == "" && !h.cutOff() || !o.stillUnreachable(h.probes)) {
 		o.handover = nil
 		return
 	}
@@ -200,12 +209,29 @@
 		o.s.logEvent(LogOwnershipTransferred, "fence", o.fence, "to", record.Successor,
 			"after_ms", o.s.now.Sub(o.handover.startedAt).Milliseconds(),
 			"probed", len(o.handover.probes), "reached", o.handover.prepared[record.Successor].Reached)
-	} else if nodes := o.successors(); len(nodes) > 0 {
-		record.Successor = nodes[0]
+	} else {
+		record.Successor = o.firstClaimant()
 	}
 	return encodeOwner(record)
 }
 
+// firstClaimant returns the node that should claim first if none is appointed, or "". A node that has
+// responded to an owner which is cut off is likely to be cut off with it.
+func (o *owner) firstClaimant() vocab.NodeID {
+	nodes := o.successors()
+	if o.handover.reachOnly {
+		for _, node := range nodes {
+			if p, asked := o.handover.prepared[node]; asked && p.Unreachable {
+				return node
+			}
+		}
+	}
+	if len(nodes) == 0 {
+		return ""
+	}
+	return nodes[0]
+}
+
 // completeHandover ends the ownership after the last append. Runs that this append intends are
 // started by the next owner.
 func (o *owner) completeHandover(sent *ownerAppend, e Appended) {
--- a/internal/core/job/reach.go
+++ b/internal/core/job/reach.go
@@ -1,6 +1,11 @@
 package job
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
 
 // The workers that respond to an owner are its reach. Connections may fail between one node and a part of
 // the workers only, or no new ones may be made, while the owner renews its ownership and other
@@ -17,8 +22,10 @@
 	reachCheckInterval     = 3 * time.Second
 	// MaxProbes bounds the workers that a node tries to reach, probeTimeout the time for which an
 	// owner waits for the result.
-	MaxProbes    = 16
-	probeTimeout = 500 * time.Millisecond
+	MaxProbes = 16
+	// maxReachCandidates bounds the nodes that are asked for their reach.
+	maxReachCandidates = 8
+	probeTimeout       = 500 * time.Millisecond
 	// minReachFraction is the fraction of the probed workers, which do not respond to the owner, that
 	// a node has to reach to take over for that reason.
 	minReachFraction = 0.6
@@ -45,15 +52,31 @@
 	o.beginHandover(true)
 }
 
-// alone reports whether no node has responded. An owner that reaches neither the nodes nor a part of
-// its workers is cut off itself; the store, which it does reach, tells the others that it resigns.
-func (h *handover) alone() bool {
+// cutOff reports whether most of the nodes that were asked have not responded. An owner that reaches
+// neither these nor a part of its workers is cut off itself, perhaps with a few other nodes; the
+// store, which it does reach, tells all of them that it resigns.
+func (h *handover) cutOff() bool {
+	unreachable := 0
 	for _, p := range h.prepared {
-		if !p.Unreachable {
-			return false
+		if p.Unreachable {
+			unreachable++
 		}
 	}
-	return len(h.prepared) == len(h.candidates)
+	return 2*unreachable > len(h.candidates)
+}
+
+// spreadSample returns at most n of the nodes, evenly spaced in the order of their names: nodes of one
+// zone, which often share a cut, have similar names.
+func spreadSample(nodes []vocab.NodeID, n int) []vocab.NodeID {
+	if len(nodes) <= n {
+		return nodes
+	}
+	sorted := slices.Sorted(slices.Values(nodes))
+	sample := make([]vocab.NodeID, n)
+	for i := range sample {
+		sample[i] = sorted[i*len(sorted)/n]
+	}
+	return sample
 }
 
 // stillUnreachable reports whether most of the probed workers have not responded to the owner either
--- a/internal/core/job/reach_test.go
+++ b/internal/core/job/reach_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -78,6 +79,38 @@
 	g.Expect(sim.unfinished()).To(gomega.BeEmpty())
 }
 
+// TestOwnerCutOffWithOtherNodesHandsOver replays the plays of fresh-9d2a in which a node that was cut off
+// together with the owner responded: it reached no more workers, so that the owner took the cut for
+// one that all nodes share.
+func TestOwnerCutOffWithOtherNodesHandsOver(t *testing.T) {
+	for companion := range 5 {
+		g := gomega.NewWithT(t)
+		sim := newSimulation(9, 6, 30, faults{})
+		sim.run(3 * time.Second)
+		sim.after(0, func() { sim.load(200*time.Millisecond, 10*time.Second) })
+		owner := sim.owningNode()
+		others := slices.DeleteFunc(slices.Clone(sim.nodes), func(n *node) bool { return n == owner })
+		near := others[companion]
+		owner.cutPeers = map[*node]bool{}
+		for _, n := range others {
+			owner.cutPeers[n] = n != near
+		}
+		owner.cutWorkers = map[WorkerID]bool{}
+		for _, id := range sim.workerIDs[20:] {
+			owner.cutWorkers[id] = true
+			sim.crashWorker(sim.workers[id], 10*time.Millisecond, false)
+		}
+		near.cutWorkers = owner.cutWorkers
+		sim.run(4 * time.Second)
+		next := sim.owningNode()
+		g.Expect(next != nil && next != owner && next != near).To(gomega.BeTrue(), "companion %d", companion)
+		g.Expect(sim.countOwners()).To(gomega.Equal(1))
+		sim.run(40 * time.Second)
+		sim.report(t)
+		g.Expect(sim.unfinished()).To(gomega.BeEmpty())
+	}
+}
+
 // TestCutThatAllNodesShareChangesNoOwner: the workers are cut off from all nodes, or have crashed.
 func TestCutThatAllNodesShareChangesNoOwner(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -70,6 +70,7 @@
 	workersCut     bool              // cannot reach the workers
 	cutWorkers     map[WorkerID]bool // workers that it cannot reach
 	peersCut       bool              // cannot reach the other nodes
+	cutPeers       map[*node]bool    // other nodes that it cannot reach
 	frozenUntil    vocab.Instant     // the process is suspended until then
 	state          *State
 	followsWorkers bool
@@ -377,12 +378,15 @@
 // a node that is down sends none.
 func (n *node) prepareHandover(e PrepareHandover, reply func(event.Event)) {
 	sim := n.sim
-	if n.peersCut {
-		reply(HandoverPrepared{Node: e.Node, Unreachable: true})
-		return
-	}
 	for _, to := range sim.nodes {
-		if fmt.Sprint("n", to.index) != e.Address || !to.up || sim.rng.Float64() < sim.faults.loseOrder {
+		if fmt.Sprint("n", to.index) != e.Address {
+			continue
+		}
+		if n.peersCut || n.cutPeers[to] {
+			reply(HandoverPrepared{Node: e.Node, Unreachable: true})
+			return
+		}
+		if !to.up || sim.rng.Float64() < sim.faults.loseOrder {
 			continue
 		}
 		sim.calls++
