--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/sardinehead/sardinehead/internal/core/task"
+	"github.com/sardinehead/sardinehead/internal/measure/bound"
 	"github.com/sardinehead/sardinehead/internal/measure/capacity"
 	"github.com/sardinehead/sardinehead/internal/measure/entry"
 	"github.com/sardinehead/sardinehead/internal/measure/limits"
@@ -21,10 +23,13 @@
 // Measure measures scheduling decisions, each together with its baselines and
 // bounds in the same run.
 type Measure struct {
-	Config string `long:"config" default:"examples/duka-jaza" value-name:"DIR" description:"configuration for the measurement entry"`
-	Seed   uint64 `long:"seed" default:"1" description:"seed of the random number generator"`
+	Config string  `long:"config" default:"examples/duka-jaza" value-name:"DIR" description:"configuration for the measurement entry"`
+	Seed   uint64  `long:"seed" default:"1" description:"seed of the random number generator"`
+	Log    string  `long:"log" value-name:"FILE" description:"logs of all nodes for one day, for the measurement bound"`
+	VMs    int     `long:"vms" value-name:"N" description:"VMs that may run jobs, for the measurement bound"`
+	Cores  float64 `long:"cores" value-name:"N" description:"cores of one such VM, for the measurement bound"`
 	Args   struct {
-		Names []string `positional-arg-name:"NAME" description:"measurements to run; all if none is named"`
+		Names []string `positional-arg-name:"NAME" description:"measurements to run; all but bound if none is named"`
 	} `positional-args:"yes"`
 }
 
@@ -32,6 +37,8 @@
 type measurement struct {
 	name string
 	run  func(seed uint64) (string, error)
+	// named is set if the measurement runs only if it is named, since it needs further options.
+	named bool
 }
 
 func (m *Measure) measurements() []measurement {
@@ -41,10 +48,32 @@
 		{name: "capacity", run: measureCapacity},
 		{name: "tasks", run: measureTasks},
 		{name: "slopes", run: measureSlopes},
+		{name: boundName, run: func(uint64) (string, error) { return m.measureBound() }, named: true},
 		{name: "entry", run: func(uint64) (string, error) { return measureEntry(m.Config) }},
 	}
 }
 
+const boundName = "bound"
+
+// measureBound compares what a recorded day served with what a scheduler with foreknowledge could have.
+func (m *Measure) measureBound() (string, error) {
+	if m.Log == "" || m.VMs <= 0 || m.Cores <= 0 {
+		return "", withExitCode(errors.New("the measurement bound needs --log FILE, --vms N and --cores N"), ExitUsage)
+	}
+	file, err := os.Open(m.Log)
+	if err != nil {
+		return "", withExitCode(errors.Wrap(err, "opening the log"), ExitUsage)
+	}
+	day, err := bound.Read(file)
+	if err = errors.CombineErrors(err, file.Close()); err != nil {
+		return "", err
+	}
+	if len(day.Jobs) == 0 {
+		return "", withExitCode(errors.Newf("%s has no line of a completed job (event 613)", m.Log), ExitUsage)
+	}
+	return bound.Compute(day, bound.Fleet{Machines: m.VMs, CoresPerMachine: m.Cores}).String(), nil
+}
+
 func measureShares(seed uint64) (string, error) {
 	return shares.Run(seed).String(), nil
 }
@@ -99,7 +128,7 @@
 		}
 	}
 	for _, k := range all {
-		if len(m.Args.Names) == 0 || slices.Contains(m.Args.Names, k.name) {
+		if len(m.Args.Names) == 0 && !k.named || slices.Contains(m.Args.Names, k.name) {
 			text, err := k.run(m.Seed)
 			if err != nil {
 				return errors.Wrapf(err, "measurement %s", k.name)
--- a/internal/core/job/owner_jobs.go
+++ b/internal/core/job/owner_jobs.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -132,12 +133,27 @@
 	for _, active := range finished {
 		active.record.Phase, active.record.finishedAt = active.terminalPhase, o.s.now
 		o.finished = append(o.finished, active.record)
-		o.s.logEvent(LogJobFinished, "job", active.record.ID, "state", string(active.terminalPhase),
-			"ms", int64(o.s.wall-active.acceptance.At))
+		o.logFinished(active)
 		o.removeIfIdle(active)
 	}
 }
 
+// logFinished logs the end of a job, with what a bound on the service of a day is computed from.
+func (o *owner) logFinished(j *activeJob) {
+	fields := []any{
+		"job", j.record.ID, "state", string(j.terminalPhase), "ms", int64(o.s.wall - j.acceptance.At),
+		"queue", j.acceptance.Queue, "pool", o.poolOf(j), "team", j.acceptance.Team,
+	}
+	if times := o.timesOf(j); times.known {
+		work, _, _ := o.workAmounts(j)
+		fields = append(fields, "core_s", roundTenth(work), "value", roundTenth(o.queueWork.value(j.acceptance.Queue, work)),
+			"chain_ms", o.criticalPath(j).Milliseconds(), "objective_ms", times.objective.Milliseconds())
+	}
+	o.s.logEvent(LogJobFinished, fields...)
+}
+
+func roundTenth(x float64) float64 { return math.Round(x*10) / 10 }
+
 // removeExpiredJobs removes finished jobs whose retention has passed from the ledger
 // and from the stream.
 func (o *owner) removeExpiredJobs() {
