A job's objective counts from the longest task of each step

Cause: objective and chain come from the mean run time of a step's tasks, and a step takes as long as its longest. So jobs were served as late, or counted as worthless, while they were in time. Now the time of a step's longest task is learned like run times are, and measured ones replace it once the step has run (bounded, since a slow worker extends no objective).

TestJobOfUnevenTasksIsNotTakenForLate fails on the code before.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -64,6 +64,9 @@
 	// runTime is the learned run time of a task as of the time runTimeAt.
 	runTime   time.Duration
 	runTimeAt vocab.Instant
+	// observedRuns counts the runs that have completed under this owner, longestRun is the longest of them.
+	observedRuns int
+	longestRun   time.Duration
 }
 
 // runState is the state of the last run of an assigned task.
--- a/internal/core/job/order.go
+++ b/internal/core/job/order.go
@@ -216,7 +216,7 @@
 				finish[i] = max(finish[i], finish[before])
 			}
 			if st.completed < len(st.tasks) {
-				finish[i] += runTime
+				finish[i] += o.stepTime(st)
 			}
 			remainingPath = max(remainingPath, finish[i])
 		}
@@ -224,16 +224,19 @@
 	return total, remaining, remainingPath
 }
 
-// criticalPath is the run time of the longest chain of dependent steps of one occurrence.
+// criticalPath is the run time of the longest chain of dependent steps of the first occurrence.
 func (o *owner) criticalPath(j *activeJob) time.Duration {
-	longest := make([]time.Duration, len(j.acceptance.Spec.Steps))
+	if len(j.occurrences) == 0 {
+		return 0 // Nothing of a recurring job is due yet.
+	}
+	steps := j.occurrences[0].steps
+	longest := make([]time.Duration, len(steps))
 	var path time.Duration
-	for i := range j.acceptance.Spec.Steps {
-		st := &j.acceptance.Spec.Steps[i]
-		for _, before := range st.After {
+	for i, st := range steps {
+		for _, before := range st.spec.After {
 			longest[i] = max(longest[i], longest[before])
 		}
-		longest[i] += o.estimates.runTime(j.acceptance.Queue, st.EstimateMS)
+		longest[i] += o.stepTime(st)
 		path = max(path, longest[i])
 	}
 	return path
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -91,7 +91,8 @@
 	// evacuationsLoggedAt is the time when the state of the evacuations was last logged.
 	evacuationsLoggedAt vocab.Instant
 	door                *door
-	estimates           *runTimeModel
+	estimates           *runTimeModel // run times of tasks
+	stepTimes           *runTimeModel // run times of the longest task of a step
 	queueWork           *queueWork
 	policy              lookaheadPolicy
 	reservations        []*reservation
@@ -115,7 +116,7 @@
 		// A read takes about as long as an append where the store is slow.
 		appendLatency: s.stream.readLatency,
 		jobs:          map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, presumedCrashes: map[MachineID]attributedCrash{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
-		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), queueWork: newQueueWork(), door: newDoor(), teamRates: map[vocab.TeamID]*tokenBucket{},
+		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), stepTimes: newRunTimeModel(), queueWork: newQueueWork(), door: newDoor(), teamRates: map[vocab.TeamID]*tokenBucket{},
 		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}, policy: poolplan.DefaultPolicy, shortages: map[vocab.PoolID]shortage{}},
 	}
 }
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -224,9 +224,7 @@
 		"after_ms", o.s.now.Sub(max(t.startSentAt, j.firstSeenAt)).Milliseconds())
 	switch e.End {
 	case EndCompleted:
-		if t.lastRun == 1 && t.startedAt != 0 {
-			o.estimates.observe(j.acceptance.Queue, t.step.spec.EstimateMS, o.s.now.Sub(t.startedAt))
-		}
+		o.noteRunTime(t)
 		o.noteOutcome(t, w, false)
 		o.completeTask(t)
 	case EndFailed:
--- /dev/null
+++ b/internal/core/job/step_times_test.go
@@ -0,0 +1,82 @@
+package job
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// unevenJob is a job of two steps of eight tasks, whose run times differ by the spread of the deployment
+// mta-lima: the longest task of a step takes about half as long again as the mean.
+func unevenJob(o *owner, number int, rng *rand.Rand) (j *activeJob, runTimes [][]time.Duration, longestChain time.Duration) {
+	const meanMS, spread = 1000, 0.3
+	steps := []Step{
+		{Count: 8, Need: Resources{CPU: 100, Memory: 1}, EstimateMS: meanMS},
+		{Count: 8, Need: Resources{CPU: 100, Memory: 1}, EstimateMS: meanMS, After: []int{0}},
+	}
+	j = addTestJob(o, number, steps...)
+	for range steps {
+		times, longest := make([]time.Duration, 8), time.Duration(0)
+		for i := range times {
+			times[i] = time.Duration(meanMS*math.Exp(spread*rng.NormFloat64())) * time.Millisecond
+			longest = max(longest, times[i])
+		}
+		runTimes, longestChain = append(runTimes, times), longestChain+longest
+	}
+	return j, runTimes, longestChain
+}
+
+// runStep runs the tasks of a step beside each other, as long as given.
+func runStep(o *owner, st *step, runTimes []time.Duration) {
+	begin := o.s.now
+	for i, t := range st.tasks {
+		o.s.now = begin
+		startOn(o, t, o.workers["w0000"])
+		o.s.now = begin.Add(runTimes[i])
+		o.handleRunEnd(t.worker, EndReport{Task: t.name(), Run: t.lastRun, End: EndCompleted})
+	}
+}
+
+// TestJobOfUnevenTasksIsNotTakenForLate guards against objectives from mean run times: a third of the
+// jobs of a quiet day counted as late, which were in time, and were served after all others.
+func TestJobOfUnevenTasksIsNotTakenForLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range 40 {
+		j, times, _ := unevenJob(o, i+1, rng)
+		runStep(o, j.occurrences[0].steps[0], times[0])
+		runStep(o, j.occurrences[0].steps[1], times[1])
+	}
+	sumOfRatios := 0.0
+	const jobs = 40
+	for i := range jobs {
+		j, times, longestChain := unevenJob(o, 100+i, rng)
+		expected := o.criticalPath(j)
+		sumOfRatios += expected.Seconds() / longestChain.Seconds()
+		runStep(o, j.occurrences[0].steps[0], times[0])
+		runStep(o, j.occurrences[0].steps[1], times[1])
+		known := o.criticalPath(j)
+		g.Expect(known.Seconds()).To(gomega.BeNumerically("~", longestChain.Seconds(), 0.02), "measured once the steps have run")
+	}
+	g.Expect(sumOfRatios/jobs).To(gomega.BeNumerically("~", 1, 0.1), "expected before they start")
+}
+
+// TestSlowWorkerDoesNotExtendTheObjective: a step that takes ten times as long as others did.
+func TestSlowWorkerDoesNotExtendTheObjective(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	rng := rand.New(rand.NewPCG(2, 2))
+	for i := range 40 {
+		j, times, _ := unevenJob(o, i+1, rng)
+		runStep(o, j.occurrences[0].steps[0], times[0])
+	}
+	j, times, _ := unevenJob(o, 100, rng)
+	times[0][3] = 20 * time.Second
+	expected := o.criticalPath(j)
+	runStep(o, j.occurrences[0].steps[0], times[0])
+	g.Expect(o.criticalPath(j)).To(gomega.BeNumerically("<=", 2*expected))
+}
