What an owner has learned of run times is on the stream

Each new owner began with declared run times, so that it took jobs for late in the seconds after a takeover, which are the worst ones as it is. Now a record for each queue, every five seconds and before the last record, holds the sums of the three models; the next owner takes them over, and removes those of queues that are no longer configured.

TestNextOwnerInheritsWhatWasLearned fails on the code before.

--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -93,9 +93,12 @@
 	door                *door
 	estimates           *runTimeModel // run times of tasks
 	stepTimes           *runTimeModel // run times of the longest task of a step
-	queueWork           *queueWork
-	policy              lookaheadPolicy
-	reservations        []*reservation
+	// learnedQueues holds the queues of which something was learned since learnedWrittenAt.
+	learnedQueues    map[vocab.QueueID]bool
+	learnedWrittenAt vocab.Instant
+	queueWork        *queueWork
+	policy           lookaheadPolicy
+	reservations     []*reservation
 	// waitingPools holds the pools whose tasks with value wait as of the last placement pass.
 	waitingPools  map[vocab.PoolID]bool
 	advicePending bool // an advice request has no response yet
@@ -116,7 +119,7 @@
 		// A read takes about as long as an append where the store is slow.
 		appendLatency: s.stream.readLatency,
 		jobs:          map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, presumedCrashes: map[MachineID]attributedCrash{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
-		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), stepTimes: newRunTimeModel(), queueWork: newQueueWork(), door: newDoor(), teamRates: map[vocab.TeamID]*tokenBucket{},
+		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), stepTimes: newRunTimeModel(), learnedQueues: map[vocab.QueueID]bool{}, queueWork: newQueueWork(), door: newDoor(), teamRates: map[vocab.TeamID]*tokenBucket{},
 		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}, policy: poolplan.DefaultPolicy, shortages: map[vocab.PoolID]shortage{}},
 	}
 }
@@ -167,6 +170,7 @@
 		o.earlierLeasesUntil = o.s.now.Add(leaseAuthority + o.s.maxLeaseSpan())
 	}
 	o.delayOrdersAfterTakeover()
+	o.inheritLearned()
 	jobs := make([]*JobRecord, 0, len(o.s.ledger.Jobs))
 	for _, job := range o.s.ledger.Jobs {
 		jobs = append(jobs, job)
@@ -258,6 +262,7 @@
 	}
 	o.offerIfAppendsFail()
 	o.checkHealth()
+	o.writeLearnedIfDue()
 	o.checkWorkers()
 	o.logPools()
 	o.logEvacuations()
--- a/internal/core/job/owner_append.go
+++ b/internal/core/job/owner_append.go
@@ -56,6 +56,9 @@
 // flush sends one append with as many of the changed jobs as it may hold. The others
 // wait for the next append.
 func (o *owner) flush() {
+	if o.resigned {
+		o.writeLearned()
+	}
 	batch := o.joined
 	o.joined = nil
 	var records []Record
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -250,6 +250,8 @@
 	ownerFence Fence
 	// silent holds the workers whose lease is not extended.
 	silent map[WorkerID]silentLease
+	// learned holds what owners have learned of the jobs of each queue.
+	learned map[vocab.QueueID]learnedQueue
 	// handedOverAt is the time when the last owner record with Overloaded was read.
 	handedOverAt vocab.Instant
 	// lastOrders holds the last order to each machine, whichever owner sent it. The next
@@ -268,7 +270,7 @@
 func newLedger() *Ledger {
 	return &Ledger{
 		Jobs: map[ID]*JobRecord{}, tentative: map[ID]*JobRecord{}, claims: map[string]bool{}, members: map[vocab.NodeID]memberRecord{},
-		silent: map[WorkerID]silentLease{}, lastOrders: map[MachineID]lastOrder{}, orderRecords: map[string]vocab.Instant{},
+		silent: map[WorkerID]silentLease{}, learned: map[vocab.QueueID]learnedQueue{}, lastOrders: map[MachineID]lastOrder{}, orderRecords: map[string]vocab.Instant{},
 	}
 }
 
@@ -303,6 +305,8 @@
 		return nil, l.foldOrders(now, r)
 	case silentPrefix:
 		return nil, l.foldSilent(now, WorkerID(id), r.Value)
+	case learnedPrefix:
+		return nil, l.foldLearned(vocab.QueueID(id), r.Value)
 	}
 	if len(r.Value) == 0 {
 		delete(l.Jobs, ID(id))
--- a/internal/core/job/runtime_model.go
+++ b/internal/core/job/runtime_model.go
@@ -61,7 +61,7 @@
 		return declared
 	}
 	meanX, meanY := r.sumX/r.n, r.sumY/r.n
-	varX := r.sumXX/r.n - meanX*meanX
+	varX := max(0, r.sumXX/r.n-meanX*meanX)
 	cov := r.sumXY/r.n - meanX*meanY
 	slope := (cov*r.n + priorVariance*priorRuns) / (varX*r.n + priorVariance*priorRuns)
 	slope = min(max(slope, 0), 1)
--- a/internal/core/job/step_times.go
+++ b/internal/core/job/step_times.go
@@ -21,6 +21,7 @@
 	if t.lastRun == 1 {
 		o.estimates.observe(queue, st.spec.EstimateMS, ran)
 	}
+	o.learnedQueues[queue] = true
 	st.observedRuns++
 	st.longestRun = max(st.longestRun, ran)
 	if st.observedRuns == len(st.tasks) && !st.spec.LongRunning {
--- a/internal/core/job/step_times_test.go
+++ b/internal/core/job/step_times_test.go
@@ -6,7 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/onsi/gomega"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
 // unevenJob is a job of two steps of eight tasks, whose run times differ by the spread of the deployment
@@ -80,3 +83,36 @@
 	runStep(o, j.occurrences[0].steps[0], times[0])
 	g.Expect(o.criticalPath(j)).To(gomega.BeNumerically("<=", 2*expected))
 }
+
+// TestNextOwnerInheritsWhatWasLearned guards against an owner that took jobs for late in the seconds after
+// each takeover, since it knew no run times.
+func TestNextOwnerInheritsWhatWasLearned(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	rng := rand.New(rand.NewPCG(3, 3))
+	for i := range 40 {
+		j, times, _ := unevenJob(o, i+1, rng)
+		runStep(o, j.occurrences[0].steps[0], times[0])
+	}
+	j, _, _ := unevenJob(o, 100, rng)
+	expected := o.criticalPath(j)
+	o.writeLearned()
+
+	next := fleetOf(1)
+	again, _, _ := unevenJob(next, 100, rng)
+	g.Expect(next.criticalPath(again)).To(gomega.BeNumerically("<", expected*8/10))
+	for _, r := range o.extraRecords {
+		_, err := next.s.ledger.fold(next.s.now, r)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	next.inheritLearned()
+	g.Expect(next.criticalPath(again).Seconds()).To(gomega.BeNumerically("~", expected.Seconds(), 0.01))
+	g.Expect(next.extraRecords).To(gomega.BeEmpty())
+
+	next.s.config.queues = map[vocab.QueueID]*Queue{}
+	next.inheritLearned()
+	g.Expect(next.extraRecords).To(gomega.HaveLen(1), "the queue is no longer configured")
+	g.Expect(next.extraRecords[0].Value).To(gomega.BeEmpty())
+	_, err := next.s.ledger.fold(next.s.now, Record{Key: learnedPrefix + "q", Value: []byte("[")})
+	g.Expect(errors.Is(err, ErrBadRecord)).To(gomega.BeTrue())
+}
--- a/internal/core/lookahead/runtime.go
+++ b/internal/core/lookahead/runtime.go
@@ -35,6 +35,12 @@
 	s.sumSquares += x * x
 }
 
+// Sums returns the sums that the spread consists of.
+func (s Spread) Sums() (n, sum, sumSquares float64) { return s.n, s.sum, s.sumSquares }
+
+// SpreadOf returns the spread with the sums that Sums returns.
+func SpreadOf(n, sum, sumSquares float64) Spread { return Spread{max(0, n), sum, sumSquares} }
+
 // Sigma is the standard deviation of log(actual/expected).
 func (s Spread) Sigma() float64 {
 	variance := priorSpread * priorSpread * priorRuns
