Machines go to work that can still be on time before late work

Late jobs counted as the most urgent work. Now they count neither as due work nor as a need while a pool lacks machines for work that can still meet its objective, and for a second after; once nothing else lacks any, their pool gets machines again, so that none is forgotten.

--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -168,6 +168,7 @@
 	if !o.machineOrdersAllowed() || !o.workersKnown || o.s.config == nil {
 		return
 	}
+	o.updateLateWork()
 	f.machinesNeeded = o.machinesNeededByPool()
 	o.noteShortages()
 	f.waveTokens = f.orderTokens
--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -84,7 +84,7 @@
 		}
 		times := o.timesOf(j)
 		left := times.remaining + max(0, times.slack())
-		if left <= 0 {
+		if left <= 0 || !o.countsForSupply(times) {
 			continue
 		}
 		for _, occ := range j.occurrences {
@@ -162,6 +162,9 @@
 		}
 		need[p] = o.forecastMachines(p) - int(sizes[p]+moving[p])
 		if d := o.demand[p]; d.needsMachines() && o.s.now.Sub(d.waitingSince) > minWaitBeforeMove {
+			if !o.lateWorkCounts() {
+				d.finiteMachines = d.urgentMachines
+			}
 			need[p] = max(need[p], d.machinesNeeded()-int(moving[p]))
 		}
 	}
