Finished jobs by timeliness, lost ownerships by reason, unreachable workers in the metrics

An operator could not see from the metrics page which queue or team is served late, why owners change, or what an owner reaches. The line of a finished job has its timeliness; the dump says since when late work waits for machines.

--- a/internal/core/job/due.go
+++ b/internal/core/job/due.go
@@ -26,6 +26,18 @@
 	return overdueFactor*t.objective - t.age - t.remaining
 }
 
+// timeliness says whether a job that ends now is on time, late or overdue.
+func (t jobTimes) timeliness() string {
+	switch {
+	case t.age > overdueFactor*t.objective:
+		return "overdue"
+	case t.age > t.objective:
+		return "late"
+	default:
+		return "on_time"
+	}
+}
+
 // timesOf returns the position of a job as of now.
 func (o *owner) timesOf(j *activeJob) jobTimes {
 	if j.timesAt != o.s.now {
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -48,6 +48,11 @@
 	HeldJobs    int `json:"held_jobs,omitempty"`
 	// SuspectedTasks is the number of tasks that may have crashed a worker and start on trial.
 	SuspectedTasks int `json:"suspected_tasks,omitempty"`
+	// UnreachableWorkers is the number of listed workers that do not respond to this owner.
+	UnreachableWorkers int `json:"unreachable_workers,omitempty"`
+	// OnTimeLackedMS is the time in milliseconds since a pool last lacked machines for work that can be on
+	// time: before a second has passed, pools get none for late work.
+	OnTimeLackedMS int64 `json:"on_time_lacked_ms,omitempty"`
 }
 
 // WorkerDump is the state of a worker as known to the owner.
@@ -117,6 +122,10 @@
 			Failing: w.outcomes.failing(o.s.now),
 		})
 	}
+	d.UnreachableWorkers = o.unreachableWorkers()
+	if o.onTimeLackedAt != 0 {
+		d.OnTimeLackedMS = o.s.now.Sub(o.onTimeLackedAt).Milliseconds()
+	}
 	d.RefusedForLoad = maps.Clone(o.door.refusals)
 	for _, j := range o.jobOrder {
 		if len(j.grants) > 0 {
--- a/internal/core/job/owner_jobs.go
+++ b/internal/core/job/owner_jobs.go
@@ -147,7 +147,7 @@
 	if times := o.timesOf(j); times.known {
 		work, _, _ := o.workAmounts(j)
 		fields = append(fields, "core_s", roundTenth(work), "value", roundTenth(o.queueWork.value(j.acceptance.Queue, work)),
-			"chain_ms", o.criticalPath(j).Milliseconds(), "objective_ms", times.objective.Milliseconds())
+			"chain_ms", o.criticalPath(j).Milliseconds(), "objective_ms", times.objective.Milliseconds(), "timeliness", times.timeliness())
 	}
 	o.s.logEvent(LogJobFinished, fields...)
 }
--- a/internal/core/job/reach.go
+++ b/internal/core/job/reach.go
@@ -35,14 +35,11 @@
 // these are many. A cut that all nodes share, or workers that have crashed, change nothing.
 func (o *owner) checkReach() {
 	h := &o.health
-	listed, unreachable := 0, 0
+	listed, unreachable := 0, o.unreachableWorkers()
 	for _, w := range o.workers {
 		if w.listed {
 			listed++
 		}
-		if w.unreachable() {
-			unreachable++
-		}
 	}
 	many := unreachable >= minUnreachable && float64(unreachable) > maxUnreachableFraction*float64(listed)
 	if !many || !o.mayHandOver() || h.reachCheckedAt != 0 && o.s.now.Sub(h.reachCheckedAt) < reachCheckInterval {
@@ -52,6 +49,17 @@
 	o.beginHandover(true)
 }
 
+// unreachableWorkers is the number of workers that do not respond.
+func (o *owner) unreachableWorkers() int {
+	n := 0
+	for _, w := range o.workers {
+		if w.unreachable() {
+			n++
+		}
+	}
+	return n
+}
+
 // cutOff reports whether most of the nodes that were asked have not responded. An owner that reaches
 // neither these nor a part of its workers is cut off itself, perhaps with a few other nodes; the
 // store, which it does reach, tells all of them that it resigns.
--- a/internal/jobnode/metrics.go
+++ b/internal/jobnode/metrics.go
@@ -49,6 +49,13 @@
 	if cause, ok := e.Field("cause").(string); ok && e.ID == job.LogRunLost {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`sardinehead_job_runs_lost_total{cause=%q}`, cause)).Inc()
 	}
+	if timeliness, ok := e.Field("timeliness").(string); ok && e.ID == job.LogJobFinished {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`sardinehead_job_queue_finished_total{queue=%q,timeliness=%q}`, fmt.Sprint(e.Field("queue")), timeliness)).Inc()
+		m.set.GetOrCreateCounter(fmt.Sprintf(`sardinehead_job_team_finished_total{team=%q,timeliness=%q}`, fmt.Sprint(e.Field("team")), timeliness)).Inc()
+	}
+	if why, ok := e.Field("why").(string); ok && e.ID == job.LogOwnershipLost {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`sardinehead_job_ownerships_lost_total{why=%q}`, why)).Inc()
+	}
 	if after, ok := e.Field("after_ms").(int64); ok && e.ID == job.LogPoolSupplied {
 		m.set.GetOrCreateHistogram("sardinehead_job_pool_shortage_seconds").Update(float64(after) / 1000)
 	}
@@ -82,6 +89,7 @@
 		}
 		n.metrics.gauge("sardinehead_job_evacuated_tasks", float64(left))
 		n.metrics.gauge("sardinehead_job_workers", float64(len(d.Workers)))
+		n.metrics.gauge("sardinehead_job_unreachable_workers", float64(d.UnreachableWorkers))
 		n.metrics.gauge("sardinehead_job_suspected_tasks", float64(d.SuspectedTasks))
 		n.metrics.gauge("sardinehead_job_reservations", float64(len(d.Reservations)))
 		n.metrics.gauge("sardinehead_job_oldest_reservation_seconds", d.OldestReservation().Seconds())
