--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -61,9 +61,10 @@
 	// advice.
 	tickets           map[WorkerID]ticket
 	adviceRequestedAt vocab.Instant
-	// runTime is the learned run time of a task as of the time runTimeAt.
-	runTime   time.Duration
-	runTimeAt vocab.Instant
+	// runTime is the learned run time of a task, longestTime that of the longest task, as of the time
+	// timesAt.
+	runTime, longestTime time.Duration
+	timesAt              vocab.Instant
 	// observedRuns counts the runs that have completed under this owner, longestRun is the longest of them.
 	observedRuns int
 	longestRun   time.Duration
--- a/internal/core/job/lookahead.go
+++ b/internal/core/job/lookahead.go
@@ -45,13 +45,21 @@
 
 // runTimeOf is the learned run time of the tasks of a step.
 func (o *owner) runTimeOf(st *step) time.Duration {
-	if st.runTime == 0 || o.s.now.Sub(st.runTimeAt) > learnedValidity {
-		st.runTime = o.estimates.runTime(st.job.acceptance.Queue, st.spec.EstimateMS)
-		st.runTimeAt = o.s.now
-	}
+	o.refreshTimes(st)
 	return st.runTime
 }
 
+// refreshTimes looks the learned times of a step up from time to time: each placement pass needs those of all
+// steps.
+func (o *owner) refreshTimes(st *step) {
+	if st.runTime != 0 && o.s.now.Sub(st.timesAt) <= learnedValidity {
+		return
+	}
+	queue := st.job.acceptance.Queue
+	st.runTime, st.longestTime = o.estimates.runTime(queue, st.spec.EstimateMS), o.stepTimes.runTime(queue, st.spec.EstimateMS)
+	st.timesAt = o.s.now
+}
+
 // expectedEnd is the time at which the run of an assigned task is expected to end; never for
 // a long-running task.
 func (o *owner) expectedEnd(t *task) vocab.Instant {
--- a/internal/core/job/step_times.go
+++ b/internal/core/job/step_times.go
@@ -31,7 +31,8 @@
 
 // stepTime is the time that the longest task of a step takes, as far as it is known.
 func (o *owner) stepTime(st *step) time.Duration {
-	expected := o.stepTimes.runTime(st.job.acceptance.Queue, st.spec.EstimateMS)
+	o.refreshTimes(st)
+	expected := st.longestTime
 	measured := min(st.longestRun, maxStepTimeRatio*expected)
 	if st.observedRuns == len(st.tasks) {
 		return measured
--- a/internal/core/job/step_times_test.go
+++ b/internal/core/job/step_times_test.go
@@ -106,6 +106,7 @@
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 	}
 	next.inheritLearned()
+	next.s.now = next.s.now.Add(2 * learnedValidity)
 	g.Expect(next.criticalPath(again).Seconds()).To(gomega.BeNumerically("~", expected.Seconds(), 0.01))
 	g.Expect(next.extraRecords).To(gomega.BeEmpty())
 
