--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -99,12 +99,12 @@
 	queueWork        *queueWork
 	policy           lookaheadPolicy
 	reservations     []*reservation
-	// waitingPools holds the pools whose tasks with value wait as of the last placement pass.
 	// onTimeLackedAt is the time when a pool last lacked machines for work that can still be on time.
 	onTimeLackedAt vocab.Instant
-	waitingPools   map[vocab.PoolID]bool
-	advicePending  bool // an advice request has no response yet
-	teamRates      map[vocab.TeamID]*tokenBucket
+	// waitingPools holds the pools whose tasks with value wait as of the last placement pass.
+	waitingPools  map[vocab.PoolID]bool
+	advicePending bool // an advice request has no response yet
+	teamRates     map[vocab.TeamID]*tokenBucket
 	// offeredAt is the time when the ownership was last offered, offers the number of
 	// offers.
 	offeredAt vocab.Instant
