In a large fleet a few waiting tasks do not hold late work back

On 350 machines some on-time task waits in nearly every pass, so that late work would never have had machines. Now a fiftieth of the fleet has to lack (on 49 machines one, as before).

--- a/internal/core/job/late_work.go
+++ b/internal/core/job/late_work.go
@@ -7,14 +7,19 @@
 // work, their pool keeps its machines for half a minute, while the jobs of other pools become late as
 // well, one pool after the other.
 
+// minLackFraction is the fraction of the fleet from which on machines count as lacking for on-time work.
+// Below it, late work may have machines as well: in a large fleet a few tasks always wait.
+const minLackFraction = 0.02
+
 // lateWorkDelay is the time without a lack of machines for on-time work after which pools get machines
 // for late work. Hysteresis keeps machines from moving to late work and back before they have served any.
 const lateWorkDelay = time.Second
 
 // updateLateWork records whether a pool lacks machines for work that can still be on time.
 func (o *owner) updateLateWork() {
+	minLack := max(1, minLackFraction*float64(len(o.fleet.machineIDs)))
 	for _, d := range o.demand {
-		if d.urgentMachines >= 1 {
+		if d.urgentMachines >= minLack {
 			o.onTimeLackedAt = o.s.now
 			return
 		}
