--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -113,8 +113,6 @@
 	// startsSent counts the copies of the start that were sent, startsUnanswered those
 	// without a response.
 	startsSent, startsUnanswered int
-	// preemptions counts the stops in favour of another pool.
-	preemptions int
 	// listed is set once the worker has listed the run.
 	listed bool
 	// failedOn is the worker on which a run of the task last failed.
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -199,7 +199,7 @@
 	LogEvacuation
 	LogJobRefusedForLoad
 	LogConfigProblem
-	LogTasksPreempted
+	_ // 636 is not used any more.
 	LogPoolSupplied
 	LogRoomReserved
 	LogWorkerLost
@@ -225,7 +225,6 @@
 	LogEvacuation:        "evacuation",
 	LogJobRefusedForLoad: "job refused for load",
 	LogConfigProblem:     "configuration problem",
-	LogTasksPreempted:    "tasks preempted",
 	LogPoolSupplied:      "pool supplied",
 	LogRoomReserved:      "room reserved",
 	LogWorkerLost:        "worker lost",
--- a/internal/core/job/fleet.go
+++ b/internal/core/job/fleet.go
@@ -59,8 +59,6 @@
 	dueWork map[vocab.PoolID]float64
 	// policy switches the parts of the plan that distributes the machines.
 	policy poolplan.Policy
-	// preemptTokens is the number of machines whose tasks may be stopped at once.
-	preemptTokens float64
 }
 
 // handleFleet processes the events of machines, waves and the advisor.
--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -161,8 +161,6 @@
 	elapsed := min(o.s.now.Sub(f.lastTickAt), time.Second).Seconds()
 	rate := o.s.settings.MaxOrdersPerSecond * orderRateFraction
 	f.orderTokens = min(f.orderTokens+rate*elapsed, max(1, rate*orderBurstWindow.Seconds()))
-	perSecond := maxPreemptFraction * float64(len(f.machineIDs))
-	f.preemptTokens = min(f.preemptTokens+perSecond*elapsed, max(1, perSecond))
 	f.lastTickAt = o.s.now
 	o.updateIdleTimes()
 	if !o.machineOrdersAllowed() || !o.workersKnown || o.s.config == nil {
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -51,7 +51,6 @@
 		633: "evacuation",
 		634: "job refused for load",
 		635: "configuration problem",
-		636: "tasks preempted",
 		637: "pool supplied",
 		638: "room reserved",
 		639: "worker lost",
--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -38,11 +38,9 @@
 func (o *owner) planMoves() {
 	maxMoves := max(minMoveLimit, int(maxSwitchingOffFraction*float64(len(o.fleet.machineIDs)))) - o.pendingMoves()
 	pools := o.poolStates()
-	urgent := slices.ContainsFunc(pools, func(p poolplan.Pool) bool { return p.Need > 0 && p.Urgent > 0 })
-	machines := o.movableMachines(urgent && o.fleet.preemptTokens >= 1)
+	machines := o.movableMachines()
 	o.clearReservations()
-	limits := poolplan.Limits{Moves: int(o.fleet.orderTokens), Preemptions: int(o.fleet.preemptTokens)}
-	plan := poolplan.Make(o.fleet.policy, pools, machines, limits)
+	plan := poolplan.Make(o.fleet.policy, pools, machines, int(o.fleet.orderTokens))
 	for _, a := range plan.Moves {
 		o.scheduleOrder(o.fleet.machines[o.fleet.machineIDs[a.Machine]], OrderMove, a.To, 0)
 		maxMoves--
@@ -51,9 +49,6 @@
 		m := o.fleet.machines[o.fleet.machineIDs[a.Machine]]
 		m.reserved, o.workerOf(m).cordoned = true, true
 	}
-	for _, a := range plan.Preempt {
-		o.preempt(o.fleet.machines[o.fleet.machineIDs[a.Machine]], a.To)
-	}
 	o.switchOffIdle(o.surplusMachines(o.fleet.machinesNeeded), maxMoves)
 }
 
@@ -66,8 +61,7 @@
 		id := o.s.config.Pools[i].Name
 		pools = append(pools, poolplan.Pool{
 			ID: id, Spare: o.s.config.Pools[i].Spare, Size: sizes[id] + moving[id], Need: float64(o.fleet.machinesNeeded[id]),
-			Own:    max(o.fleet.dueWork[id]/(1-packingLossFraction), float64(o.forecastMachines(id))),
-			Urgent: o.demand[id].urgentMachines/(1-packingLossFraction) - moving[id],
+			Own: max(o.fleet.dueWork[id]/(1-packingLossFraction), float64(o.forecastMachines(id))),
 		})
 	}
 	return pools
@@ -100,9 +94,8 @@
 }
 
 // movableMachines lists the machines that could leave their pools: idle ones, the longest idle
-// of each pool last, and those that run only finite tasks; with preempt, which of these may be
-// stopped.
-func (o *owner) movableMachines(preempt bool) []poolplan.Machine {
+// of each pool last, and those that run only finite tasks.
+func (o *owner) movableMachines() []poolplan.Machine {
 	var list []poolplan.Machine
 	indexes := make(map[*machine]int, len(o.fleet.machineIDs))
 	for i, id := range o.fleet.machineIDs {
@@ -118,7 +111,7 @@
 		m := o.fleet.machines[id]
 		if w := o.workerOf(m); w != nil && o.mayEmpty(m, w) {
 			list = append(list, poolplan.Machine{
-				Index: i, Pool: m.info.Pool, Capacity: o.fleet.relativeCapacity(m), EmptyIn: o.emptyIn(w), Tasks: len(w.tasks), Preemptible: preempt && o.mayPreempt(w),
+				Index: i, Pool: m.info.Pool, Capacity: o.fleet.relativeCapacity(m), EmptyIn: o.emptyIn(w), Tasks: len(w.tasks),
 				Free: float64(w.free().CPU) / float64(max(w.info.Capacity.CPU, 1)), Emptying: m.reserved,
 			})
 		}
@@ -126,6 +119,17 @@
 	return list
 }
 
+// emptyIn is the time until the last task on a worker is expected to end.
+func (o *owner) emptyIn(w *worker) time.Duration {
+	end := o.s.now.Add(minExpectedRest)
+	for _, t := range w.tasks {
+		if t.state != runStopping {
+			end = max(end, o.expectedEnd(t))
+		}
+	}
+	return end.Sub(o.s.now)
+}
+
 // mayEmpty reports whether a busy machine may be emptied for another pool.
 func (o *owner) mayEmpty(m *machine, w *worker) bool {
 	usable := w.usable(o.s.now)
--- a/internal/core/poolplan/poolplan.go
+++ b/internal/core/poolplan/poolplan.go
@@ -24,8 +24,6 @@
 	Need float64
 	// Own is the capacity with which the pool's work, accepted and arriving, is on time.
 	Own float64
-	// Urgent is the part of Need that serves work which can still be on time.
-	Urgent float64
 }
 
 // demand is the capacity that the pool requires.
@@ -50,9 +48,6 @@
 	Free float64
 	// Emptying is set if the machine was cordoned by the last plan.
 	Emptying bool
-	// Preemptible is set if every task on the machine may be stopped: it resumes from a
-	// checkpoint, and its job is on time nevertheless or yields to other work.
-	Preemptible bool
 }
 
 // Policy switches the parts of the plan on.
@@ -64,12 +59,9 @@
 	// leaves. Without it those with the fewest tasks are freed, as far as the donor has free
 	// room now.
 	EmptyByEnd bool
-	// Preempt stops the tasks of machines that another pool needs for urgent work.
-	Preempt bool
 }
 
-// DefaultPolicy is the policy in use. Without slack in the donor's jobs a preemption only exchanges
-// late jobs of one pool for those of another, so it is off until jobs are started by slack.
+// DefaultPolicy is the policy in use.
 var DefaultPolicy = Policy{ShareShortage: true, EmptyByEnd: true}
 
 const (
@@ -82,9 +74,9 @@
 	maxEmptyIn = 2500 * time.Millisecond
 	// emptyingHeadStart is the advantage of a machine that is being emptied already.
 	emptyingHeadStart = 300 * time.Millisecond
-	// minRestToPreempt is the time within which a machine empties by itself about as fast as
-	// by stops: a stop and the report of the end take two round trips and a poll.
-	minRestToPreempt = 500 * time.Millisecond
+	// soonEmpty is the time within which a machine counts as empty about now: these are chosen before
+	// one that is being emptied for longer.
+	soonEmpty = 500 * time.Millisecond
 	// minFree is the free capacity that a donor keeps if machines are chosen by tasks.
 	minFree = 2.0
 )
@@ -95,15 +87,9 @@
 	To      vocab.PoolID
 }
 
-// Plan is the result: the machines to move now, those that get no new tasks so that they can
-// move once they are empty, and those of the latter whose tasks are stopped.
-type Plan struct{ Moves, Empty, Preempt []Assignment }
-
-// Limits bound one plan.
-type Limits struct {
-	// Moves and Preemptions are the numbers of machines to move, and to stop the tasks of.
-	Moves, Preemptions int
-}
+// Plan is the result: the machines to move now, and those that get no new tasks so that they can
+// move once they are empty.
+type Plan struct{ Moves, Empty []Assignment }
 
 // planner is the state of one planning pass.
 type planner struct {
@@ -116,15 +102,16 @@
 	busy    map[vocab.PoolID][]Machine // the machine to empty first comes last
 	level   float64
 	plan    Plan
-	limits  Limits
+	// moves is the number of machines that may still move.
+	moves int
 }
 
 // Make distributes the machines. Idle machines of one pool are taken in their order in the
-// list, the last one first.
-func Make(policy Policy, pools []Pool, machines []Machine, limits Limits) Plan {
+// list, the last one first. At most maxMoves machines move.
+func Make(policy Policy, pools []Pool, machines []Machine, maxMoves int) Plan {
 	p := &planner{
 		policy: policy, byID: map[vocab.PoolID]*Pool{}, surplus: map[vocab.PoolID]float64{}, free: map[vocab.PoolID]float64{},
-		idle: map[vocab.PoolID][]Machine{}, busy: map[vocab.PoolID][]Machine{}, limits: limits,
+		idle: map[vocab.PoolID][]Machine{}, busy: map[vocab.PoolID][]Machine{}, moves: maxMoves,
 	}
 	for i := range pools {
 		pool := pools[i]
@@ -148,7 +135,7 @@
 		if to == nil {
 			return p.plan
 		}
-		if !p.moveIdle(to) && !p.emptyOne(to, minRestToPreempt) && !p.preemptOne(to) && !p.emptyOne(to, maxEmptyIn) {
+		if !p.moveIdle(to) && !p.emptyOne(to, soonEmpty) && !p.emptyOne(to, maxEmptyIn) {
 			to.Need = 0
 		}
 	}
@@ -227,7 +214,7 @@
 
 // moveIdle moves an idle machine of the pool with the largest surplus.
 func (p *planner) moveIdle(to *Pool) bool {
-	if p.limits.Moves <= 0 {
+	if p.moves <= 0 {
 		return false
 	}
 	var from *Pool
@@ -246,7 +233,7 @@
 	list := p.idle[from.ID]
 	m := list[len(list)-1]
 	p.idle[from.ID] = list[:len(list)-1]
-	p.limits.Moves--
+	p.moves--
 	p.plan.Moves = append(p.plan.Moves, Assignment{m.Index, to.ID})
 	p.transfer(m, from, to)
 	return true
@@ -283,36 +270,6 @@
 	return p.free[m.Pool]-m.Free >= minFree
 }
 
-// preemptOne chooses the machine whose tasks would run longest among those whose tasks may be
-// stopped, if the pool has urgent work.
-func (p *planner) preemptOne(to *Pool) bool {
-	if !p.policy.Preempt || p.limits.Preemptions <= 0 || to.Urgent <= 0 {
-		return false
-	}
-	var from *Pool
-	best := -1
-	for _, pool := range p.pools {
-		list := p.busy[pool.ID]
-		i := slices.IndexFunc(list, func(m Machine) bool { return m.Preemptible })
-		if i < 0 || list[i].EmptyIn <= minRestToPreempt || !p.mayGive(pool, list[i].Capacity, to) {
-			continue
-		}
-		if from == nil || list[i].EmptyIn > p.busy[from.ID][best].EmptyIn {
-			from, best = pool, i
-		}
-	}
-	if from == nil {
-		return false
-	}
-	m := p.busy[from.ID][best]
-	p.busy[from.ID] = slices.Delete(p.busy[from.ID], best, best+1)
-	p.limits.Preemptions--
-	p.plan.Empty = append(p.plan.Empty, Assignment{m.Index, to.ID})
-	p.plan.Preempt = append(p.plan.Preempt, Assignment{m.Index, to.ID})
-	p.transfer(m, from, to)
-	return true
-}
-
 // transfer accounts for a machine that changes its pool.
 func (p *planner) transfer(m Machine, from, to *Pool) {
 	p.surplus[from.ID] -= m.Capacity
@@ -323,5 +280,4 @@
 	}
 	to.Size += m.Capacity
 	to.Need -= m.Capacity
-	to.Urgent -= m.Capacity
 }
--- a/internal/core/poolplan/poolplan_test.go
+++ b/internal/core/poolplan/poolplan_test.go
@@ -14,15 +14,14 @@
 
 // handover is a recorded hand-over of machines from one pool to the next.
 type handover struct {
-	Donor, Receiver       int
-	TaskMS                int       `json:"task_ms"`
-	Tasks                 int       `json:"tasks_per_machine"`
-	Waiting               int       `json:"waiting_tasks"`
-	MoveMS                int       `json:"move_ms"`
-	StopMS                int       `json:"stop_ms"`
-	SlackMS               int       `json:"slack_ms"`
-	Arrivals              []float64 `json:"arrivals"`
-	crashed, maxPreempted int
+	Donor, Receiver int
+	TaskMS          int       `json:"task_ms"`
+	Tasks           int       `json:"tasks_per_machine"`
+	Waiting         int       `json:"waiting_tasks"`
+	MoveMS          int       `json:"move_ms"`
+	SlackMS         int       `json:"slack_ms"`
+	Arrivals        []float64 `json:"arrivals"`
+	crashed         int
 }
 
 func loadHandover(g gomega.Gomega) handover {
@@ -64,10 +63,9 @@
 	for range h.Waiting {
 		queue = append(queue, h.TaskMS/100)
 	}
-	rate, preempted := 0.0, 0.0
+	rate := 0.0
 	for step, arrival := range h.Arrivals {
 		rate = rate*math.Exp(-0.1/0.6) + load*arrival/0.6
-		preempted = min(preempted+0.1*float64(h.maxPreempted), float64(h.maxPreempted))
 		has, moving, own := 0, 0, 0.0
 		for i, m := range fleet {
 			if h.crashed > 0 && step == 8 && m.emptying && i%h.crashed == 0 {
@@ -112,7 +110,7 @@
 			}
 			machines = append(machines, Machine{
 				Index: i, Pool: donor, Capacity: 1, EmptyIn: time.Duration(empty) * 100 * time.Millisecond, Tasks: len(m.ends),
-				Free: float64(h.Tasks-len(m.ends)) / float64(h.Tasks), Emptying: m.emptying, Preemptible: len(m.ends) > 0,
+				Free: float64(h.Tasks-len(m.ends)) / float64(h.Tasks), Emptying: m.emptying,
 			})
 			m.emptying = false
 		}
@@ -120,22 +118,14 @@
 		lack := math.Ceil(float64(len(queue)) / float64(h.Tasks))
 		plan := Make(policy, []Pool{
 			{ID: donor, Size: float64(size), Need: lack, Own: own / float64(h.Tasks)},
-			{ID: receiver, Size: float64(has + moving), Need: need, Own: rate, Urgent: need},
-		}, machines, Limits{Moves: 140, Preemptions: int(preempted)})
-		preempted -= float64(len(plan.Preempt))
+			{ID: receiver, Size: float64(has + moving), Need: need, Own: rate},
+		}, machines, 140)
 		for _, a := range plan.Moves {
 			fleet[a.Machine].pool, fleet[a.Machine].arrives = receiver, step+h.MoveMS/100
 		}
 		for _, a := range plan.Empty {
 			fleet[a.Machine].emptying = true
 		}
-		for _, a := range plan.Preempt {
-			m := fleet[a.Machine]
-			for _, end := range m.ends { // the stopped tasks wait for room again
-				queue = append(queue, end-step+1)
-			}
-			m.ends, m.follow = []int{step + h.StopMS/100}, []bool{false}
-		}
 	}
 	return reached, donorQueue
 }
@@ -164,22 +154,19 @@
 	return following
 }
 
-// policies are the plan as it was, machines by due work and by expected end, and preemption too.
-var policies = [...]Policy{{}, DefaultPolicy, preempting}
-
-var preempting = Policy{ShareShortage: true, EmptyByEnd: true, Preempt: true}
+// policies are the plan as it was, and machines by due work and by expected end.
+var policies = [...]Policy{{}, DefaultPolicy}
 
 // TestHandover replays the end of one pool's turn beside the begin of the next one's, at half,
 // the whole and twice the load: the receiver had 80 % of its machines after 4 to 5 s.
 func TestHandover(t *testing.T) {
 	for load, within := range map[float64][len(policies)]time.Duration{
-		0.5: {4200 * time.Millisecond, 3800 * time.Millisecond, 2600 * time.Millisecond},
-		1:   {4800 * time.Millisecond, 3800 * time.Millisecond, 3100 * time.Millisecond},
-		2:   {4800 * time.Millisecond, 3500 * time.Millisecond, 3100 * time.Millisecond},
+		0.5: {4200 * time.Millisecond, 3800 * time.Millisecond},
+		1:   {4800 * time.Millisecond, 3800 * time.Millisecond},
+		2:   {4800 * time.Millisecond, 3500 * time.Millisecond},
 	} {
 		g := gomega.NewWithT(t)
 		h := loadHandover(g)
-		h.maxPreempted = 70
 		for i, policy := range policies {
 			reached, queue := h.replay(policy, load)
 			t.Logf("load %v, policy %+v: 80 %% after %v, up to %d tasks of the donor wait", load, policy, reached, queue)
@@ -198,12 +185,10 @@
 func TestHandoverWithCrashes(t *testing.T) {
 	g := gomega.NewWithT(t)
 	h := loadHandover(g)
-	h.maxPreempted, h.crashed = 70, 5
-	for policy, within := range map[Policy]time.Duration{DefaultPolicy: 4200 * time.Millisecond, preempting: 3500 * time.Millisecond} {
-		reached, _ := h.replay(policy, 1)
-		g.Expect(reached).To(gomega.BeNumerically(">", 0))
-		g.Expect(reached).To(gomega.BeNumerically("<=", within))
-	}
+	h.crashed = 5
+	reached, _ := h.replay(DefaultPolicy, 1)
+	g.Expect(reached).To(gomega.BeNumerically(">", 0))
+	g.Expect(reached).To(gomega.BeNumerically("<=", 4200*time.Millisecond))
 }
 
 // TestDonorKeepsItsDueWork: a pool gives no machine that its own work requires to be on time
@@ -212,13 +197,13 @@
 	g := gomega.NewWithT(t)
 	var machines []Machine
 	for i := range 10 {
-		machines = append(machines, Machine{Index: i, Pool: "a", Capacity: 1, EmptyIn: 300 * time.Millisecond, Tasks: 1, Preemptible: true})
+		machines = append(machines, Machine{Index: i, Pool: "a", Capacity: 1, EmptyIn: 300 * time.Millisecond, Tasks: 1})
 	}
-	pools := []Pool{{ID: "a", Size: 10, Own: 10, Need: 5}, {ID: "b", Size: 10, Own: 14, Need: 4, Urgent: 4}}
-	plan := Make(preempting, pools, machines, Limits{Moves: 10, Preemptions: 10})
+	pools := []Pool{{ID: "a", Size: 10, Own: 10, Need: 5}, {ID: "b", Size: 10, Own: 14, Need: 4}}
+	plan := Make(DefaultPolicy, pools, machines, 10)
 	g.Expect(plan).To(gomega.Equal(Plan{}))
 	pools[0].Own, pools[0].Need = 7, 0
-	plan = Make(preempting, pools, machines, Limits{Moves: 10, Preemptions: 10})
+	plan = Make(DefaultPolicy, pools, machines, 10)
 	g.Expect(plan.Empty).To(gomega.HaveLen(3))
 }
 
@@ -229,6 +214,6 @@
 	for i := range 4 {
 		machines = append(machines, Machine{Index: i, Pool: "spare", Capacity: 2})
 	}
-	plan := Make(DefaultPolicy, []Pool{{ID: "p", Need: 4, Own: 4}, {ID: "spare", Spare: true}}, machines, Limits{Moves: 10})
+	plan := Make(DefaultPolicy, []Pool{{ID: "p", Need: 4, Own: 4}, {ID: "spare", Spare: true}}, machines, 10)
 	g.Expect(plan.Moves).To(gomega.Equal([]Assignment{{3, "p"}, {2, "p"}}))
 }
