Review case 4: a record over the store's limit stops the owner for good; the earlier case 4 is removed

Two slow workers make the occurrences of a wide timed submission overlap. Its record outgrows record_bytes, repeatAppend in internal/core/job/owner_append.go sends the refused append again without an end, and nothing starts for any caller. validateSpec bounds the tasks of one occurrence only.

--- a/review/standin/attempts.go
+++ b/review/standin/attempts.go
@@ -38,3 +38,27 @@
 	}
 	return most
 }
+
+// shownAsFailed lists the nodes that show a submission as failed, none of whose tasks has failed
+// max_attempts times.
+func (s *site) shownAsFailed(id string) []string {
+	var breaches []string
+	for n := range s.nodes {
+		status, state := s.state(n, "key-kijiji", prefix, id)
+		if most := s.rec.mostFailed(); state == "failed" && most < maxAttempts {
+			breaches = append(breaches, fmt.Sprintf("LOST: the submission is shown as failed by %s (%d); the most ends `failed` of one task are %d, and max_attempts is %d",
+				s.nodes[n].name, status, most, maxAttempts))
+		}
+	}
+	return breaches
+}
+
+// awaitBusy waits for a worker that runs a task.
+func (s *site) awaitBusy(limit time.Duration) *worker {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if w := s.busy(); w != nil {
+			return w
+		}
+	}
+	return nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,7 +25,7 @@
 	"forgotten": playForgotten,
 	"lease":     playLease,
 	"attempts":  playAttempts,
-	"crashes":   playCrashes,
+	"overlap":   playOverlap,
 }
 
 func main() {
