A lease is granted from a lower bound of the worker's clock

The worker had been idle for 75 s, its clock is 2% slow, and it was cut off 0.3 s after the start.

Cause: clockAt added all the time since the last reading at the owner's rate, and a worker without tasks was never read again. The lease then outlasted leaseUntil, up to the longest one that the worker allows.

Change: leases.go grants from what the clock has certainly reached, idle workers are read every 10 to 15 s, and the owner's record names the longest lease, so that the next owner waits as long; for owners and silent-worker records of earlier versions, as long as workers allow.

--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -52,8 +52,9 @@
 	// which it may extend leases. Each successful append moves both forward.
 	ordersUntil, leasesUntil vocab.Instant
 	// earlierLeasesUntil is the time by which all leases granted by earlier owners have
-	// expired.
+	// expired, earlierLeaseSpan the longest time that such a lease may last.
 	earlierLeasesUntil vocab.Instant
+	earlierLeaseSpan   time.Duration
 	// activeAt is the time when the takeover was completed.
 	activeAt vocab.Instant
 	// resigned is set once the owner resigns: from then on it gives no orders. overloaded is
@@ -115,9 +116,10 @@
 }
 
 func newOwner(s *State, fence Fence) *owner {
+	leaseSpan := s.earlierLeaseSpan()
 	return &owner{
 		s: s, fence: fence, policy: defaultLookahead(),
-		earlierLeasesUntil: s.claim.heartbeatBeforeClaim.Add(leaseAuthority + s.maxLeaseSpan()),
+		earlierLeaseSpan: leaseSpan, earlierLeasesUntil: s.claim.heartbeatBeforeClaim.Add(leaseAuthority + leaseSpan),
 		// A read takes about as long as an append where the store is slow.
 		appendLatency: s.stream.readLatency,
 		jobs:          map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, presumedCrashes: map[MachineID]attributedCrash{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
@@ -148,15 +150,6 @@
 	}
 }
 
-// lease returns the lease to request from workers.
-func (s *State) lease() time.Duration { return min(s.settings.MaxLease, preferredLease) }
-
-// maxLeaseSpan returns how long after the last request a lease may last by this node's
-// clock.
-func (s *State) maxLeaseSpan() time.Duration {
-	return time.Duration(float64(s.lease())*maxClockDrift) + leaseMargin
-}
-
 // handleStreamRead processes a read of the stream.
 func (o *owner) handleStreamRead(StreamRead) { o.activateIfRead() }
 
@@ -169,7 +162,7 @@
 	if o.s.claim.lastHeartbeat > o.s.claim.heartbeatBeforeClaim {
 		// The last owner renewed its ownership after the claim was sent, and may have
 		// extended leases until now.
-		o.earlierLeasesUntil = o.s.now.Add(leaseAuthority + o.s.maxLeaseSpan())
+		o.earlierLeasesUntil = o.s.now.Add(leaseAuthority + o.earlierLeaseSpan)
 	}
 	o.delayOrdersAfterTakeover()
 	o.inheritLearned()
@@ -311,7 +304,9 @@
 
 // ownerRecord returns the record that renews the ownership.
 func (o *owner) ownerRecord() ownerRecord {
-	return ownerRecord{Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence}
+	return ownerRecord{
+		Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence, LeaseMS: o.longestLease().Milliseconds() + 1,
+	}
 }
 
 // handleStopping prepares for the end of the process; an owner resigns.
--- a/internal/core/job/polls.go
+++ b/internal/core/job/polls.go
@@ -11,8 +11,7 @@
 	o.acknowledge(w, &poll)
 	busy := len(w.tasks) > 0
 	if busy && w.fenced && w.failedPolls == 0 && !w.silent && o.s.now < o.leasesUntil {
-		poll.Lease = w.clockAt(o.s.now) + o.s.lease()
-		w.leaseUntil = max(w.leaseUntil, o.s.now.Add(o.s.maxLeaseSpan()))
+		poll.Lease = o.grantLease(w)
 	}
 	if busy && w.fenced && w.failedPolls == 0 && w.lastEnd == w.ackedEnd {
 		poll.Wait = o.maxPollWait(w)
@@ -50,6 +49,8 @@
 		w.nextPollAt = o.s.now.Add(o.busyPollInterval())
 	case w.orphaned != Resources{}:
 		w.nextPollAt = o.s.now.Add(stopRetryDelay)
+	case w.listed:
+		w.nextPollAt = w.nextClockReading()
 	default:
 		w.nextPollAt = never
 	}
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -101,6 +101,10 @@
 	// Overloaded is set if the owner resigned because most of its calls to workers were slow
 	// or failed.
 	Overloaded bool `json:"overloaded,omitempty"`
+	// LeaseMS is the longest time that a lease granted by this owner may last, in milliseconds of a
+	// node's clock. Records of earlier versions don't have it; leases of those owners may last as
+	// long as workers allow.
+	LeaseMS int64 `json:"lease_ms,omitempty"`
 	// RecentOrders is written by processes of earlier versions, instead of orderRecord.
 	RecentOrders []recentOrder `json:"ordered,omitempty"`
 	// appointedBy is the owner that appointed this one, or empty; unconfirmed is set until the
@@ -209,7 +213,7 @@
 	if err := json.Unmarshal(r.Value, &o); err != nil || !o.Resigned || o.Appointed == 0 {
 		return Record{}, false
 	}
-	earlier := encodeOwner(ownerRecord{Node: o.Node, Incarnation: o.Incarnation, Fence: o.Fence})
+	earlier := encodeOwner(ownerRecord{Node: o.Node, Incarnation: o.Incarnation, Fence: o.Fence, LeaseMS: o.LeaseMS})
 	earlier.Offset = beforeAllRecords
 	return earlier, true
 }
@@ -366,7 +370,7 @@
 	case o.Resigned && o.Appointed != 0:
 		l.ownerFence = Fence(r.Offset + 1)
 		l.owner = ownerRecord{
-			Node: o.Successor, Incarnation: o.Appointed, Fence: l.ownerFence, appointedBy: o.Node, unconfirmed: true,
+			Node: o.Successor, Incarnation: o.Appointed, Fence: l.ownerFence, LeaseMS: o.LeaseMS, appointedBy: o.Node, unconfirmed: true,
 		}
 	default:
 		l.owner, l.ownerFence = o, o.Fence
@@ -386,7 +390,12 @@
 	l.claims[r.Key] = true
 	if c.Replaces == l.ownerFence {
 		l.ownerFence = Fence(r.Offset + 1)
-		l.owner = ownerRecord{Node: c.Node, Incarnation: c.Incarnation, Fence: l.ownerFence}
+		// The leases of earlier owners may last on; before the first claim there are none.
+		leaseMS := l.owner.LeaseMS
+		if c.Replaces == 0 {
+			leaseMS = 1
+		}
+		l.owner = ownerRecord{Node: c.Node, Incarnation: c.Incarnation, Fence: l.ownerFence, LeaseMS: leaseMS}
 	}
 	return nil
 }
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -87,12 +87,11 @@
 	t.startsSent++
 	t.startsUnanswered++
 	ticket, _ := t.step.ticketFor(w, o.s.now)
-	w.leaseUntil = max(w.leaseUntil, o.s.now.Add(o.s.maxLeaseSpan()))
 	w.lastStartAt = o.s.now
 	o.s.emit(Start{
 		Worker: w.info.ID, Address: w.info.Address, Fence: o.fence, Task: t.name(), Run: t.lastRun,
 		Payload: t.step.job.acceptance.Spec.Payload, Checkpoint: t.checkpoint, Ticket: ticket,
-		Lease: w.clockAt(o.s.now) + o.s.lease(), Until: o.ordersUntil,
+		Lease: o.grantLease(w), Until: o.ordersUntil,
 	})
 }
 
--- a/internal/core/job/scheduling_test.go
+++ b/internal/core/job/scheduling_test.go
@@ -358,6 +358,7 @@
 		s := New(Identity{Node: "b", Incarnation: 2}, Settings{MaxLease: 6 * time.Second})
 		s.now = vocab.Instant(time.Minute)
 		s.claim.heartbeatBeforeClaim = s.now.Add(-2 * time.Second)
+		s.ledger.owner = ownerRecord{Node: "a", Incarnation: 1, Fence: 5, LeaseMS: 1}
 		s.owner = newOwner(s, 6)
 		s.owner.beginTakeover()
 		s.now = s.now.Add(time.Second)
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -27,10 +27,15 @@
 }
 
 const (
-	// maxClockDrift is the factor by which a worker's clock may run slow: 2 %.
-	maxClockDrift = 1.02
-	// leaseMargin covers the time between reading the clock and sending the request.
+	// minClockRate is the rate of the slowest clock that a worker may have.
+	minClockRate = 0.98
+	// leaseMargin is added to the time by which a lease has expired.
 	leaseMargin = 300 * time.Millisecond
+	// clockReadInterval is the maximum time between two readings of the clock of a worker that
+	// may get tasks. The lower bound of the clock falls behind by 2 % of this time.
+	clockReadInterval = 15 * time.Second
+	// clockReadJitter is the time by which this interval is shorter at most.
+	clockReadJitter = 5 * time.Second
 	// preferredLease is the lease that an owner requests, unless workers grant less. It
 	// is longer than a change of owner takes; the tasks of a crashed worker start again
 	// only after it.
--- a/internal/core/job/silent_workers.go
+++ b/internal/core/job/silent_workers.go
@@ -25,13 +25,16 @@
 	// LeaseMS is the time from the record until the end of the lease, in milliseconds.
 	LeaseMS int64 `json:"ms"`
 	Host    host  `json:"at"`
+	// Bounded is set if the lease was granted by a lower bound of the worker's clock. In records of
+	// earlier versions it may last longer than they say.
+	Bounded bool `json:"bounded,omitempty"`
 	// endsAt is the end of the lease for the node that has read the record.
 	endsAt vocab.Instant
 }
 
 // silentRecord returns the record that the lease of a worker ends within a time.
 func silentRecord(w *WorkerInfo, leaseLeft time.Duration) (Record, error) {
-	value, err := json.Marshal(silentLease{LeaseMS: max(0, leaseLeft.Milliseconds()+1), Host: w.host()})
+	value, err := json.Marshal(silentLease{LeaseMS: max(0, leaseLeft.Milliseconds()+1), Host: w.host(), Bounded: true})
 	return Record{Key: silentPrefix + string(w.ID), Value: value}, errors.Wrap(err, "encoding the record of a silent worker")
 }
 
@@ -48,7 +51,7 @@
 	if lease.LeaseMS = ms; err != nil {
 		err = json.Unmarshal(value, &lease)
 	}
-	if err != nil || lease.LeaseMS < 0 || lease.LeaseMS > maxSilentMS {
+	if err != nil || lease.LeaseMS < 0 || lease.LeaseMS > maxLeaseMS {
 		return errors.Wrapf(ErrBadRecord, "lease of worker %s", id)
 	}
 	lease.endsAt = now.Add(time.Duration(lease.LeaseMS) * time.Millisecond)
@@ -56,8 +59,8 @@
 	return nil
 }
 
-// maxSilentMS bounds the time in a record, in milliseconds. It is longer than any lease.
-const maxSilentMS = 600_000
+// maxLeaseMS bounds the time in a record, in milliseconds. It is longer than any lease.
+const maxLeaseMS = 600_000
 
 // noteSilent records that the lease of a worker with tasks is not extended any more, and that
 // nothing starts on the worker under a grant.
@@ -97,7 +100,11 @@
 func (o *owner) inheritSilence(w *worker) {
 	if lease, found := o.s.ledger.silent[w.info.ID]; found {
 		w.silent = true
-		w.leaseUntil = min(w.leaseUntil, lease.endsAt)
+		endsAt := lease.endsAt
+		if !lease.Bounded {
+			endsAt = endsAt.Add(o.s.longestLeaseSpan() - o.s.maxLeaseSpan())
+		}
+		w.leaseUntil = min(w.leaseUntil, endsAt)
 		o.adoptHost(w, lease.Host)
 	}
 }
--- a/internal/core/job/simulation_suite_test.go
+++ b/internal/core/job/simulation_suite_test.go
@@ -349,6 +349,9 @@
 		loseAppend: rng.Float64() * 0.1, loseOrder: rng.Float64() * 0.1, lateOrder: rng.Float64() * 0.06, failTask: rng.Float64() * 0.1,
 	})
 	sim.pollsWait = true
+	if seed%2 == 0 {
+		sim.clockRate = minClockRate
+	}
 	if *printLines {
 		sim.trace = func(line string) { t.Log(line) }
 	}
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -52,6 +52,8 @@
 	crashing *crashingTasks
 	// evacuated holds since when each availability zone is evacuated.
 	evacuated map[vocab.ZoneID]vocab.Instant
+	// clockRate, if set, is the rate of the workers' clocks.
+	clockRate float64
 }
 
 // faults holds the probabilities of random faults, each between 0 and 1: of an append or an
@@ -575,12 +577,20 @@
 }
 
 func (sim *simulation) clock(wk *fakeWorker) time.Duration {
-	return time.Duration(sim.now) - time.Duration(wk.info.Incarnation)*time.Millisecond
+	elapsed := time.Duration(sim.now) - time.Duration(wk.info.Incarnation)*time.Millisecond
+	if sim.clockRate > 0 {
+		return time.Duration(float64(elapsed) * sim.clockRate)
+	}
+	return elapsed
 }
 
-// extendLease extends the lease of a worker and schedules its expiry.
+// extendLease extends the lease of a worker, at most to the maximum lease, and schedules its expiry.
 func (sim *simulation) extendLease(wk *fakeWorker, untilClock time.Duration) {
-	until := sim.now.Add(untilClock - sim.clock(wk))
+	left := min(untilClock-sim.clock(wk), sim.settings.MaxLease)
+	if sim.clockRate > 0 {
+		left = time.Duration(float64(left) / sim.clockRate)
+	}
+	until := sim.now.Add(left)
 	if until <= wk.leaseUntil || untilClock == 0 {
 		return
 	}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -12,9 +12,17 @@
 	info WorkerInfo
 	// listed is set while the platform lists the worker.
 	listed bool
-	// clock is the worker's clock at the time clockReadAt of this node's clock.
+	// clock is a reading of the worker's clock, received at the time clockReadAt of this node's
+	// clock; clockReadAt is 0 before the first response of the incarnation.
 	clock       time.Duration
 	clockReadAt vocab.Instant
+	// leaseSentAt is the time of the last order with a lease, leaseClockAge the age of the
+	// reading that it was based on.
+	leaseSentAt   vocab.Instant
+	leaseClockAge time.Duration
+	// restartLeaseUntil is the time by which leases have expired that were meant for an earlier
+	// incarnation of the worker.
+	restartLeaseUntil vocab.Instant
 	// fenced is set once the worker has responded under the owner's fence. From then on its
 	// list of runs is complete, because it refuses orders of earlier owners.
 	fenced       bool
@@ -84,11 +92,6 @@
 // overcommitted reports whether the worker has become too small for what is reserved on it.
 func (w *worker) overcommitted() bool { return !w.free().Holds(Resources{}) }
 
-// clockAt estimates the worker's clock at a time of this node's clock.
-func (w *worker) clockAt(now vocab.Instant) time.Duration {
-	return w.clock + now.Sub(w.clockReadAt)
-}
-
 // pollBy moves the next poll forward to the given time if it is due later.
 func (w *worker) pollBy(at vocab.Instant) {
 	if w.nextPollAt > at {
@@ -154,6 +157,7 @@
 	w.info.Incarnation = incarnation
 	w.outcomes = runOutcomes{}
 	w.fenced, w.ackedEnd, w.lastEnd, w.confirmedEnd, w.orphaned = false, 0, 0, 0, Resources{}
+	o.resetClock(w)
 	// The response to a poll in flight says nothing about the ends of the new incarnation.
 	w.ackInFlight, w.ackWithheld = 0, false
 	w.pollBy(o.s.now)
@@ -270,7 +274,7 @@
 	if !w.fenced {
 		w.fenced = true
 		// From now on no earlier owner can extend the lease.
-		w.leaseUntil = e.ReceivedAt.Add(o.s.maxLeaseSpan())
+		w.leaseUntil = max(e.ReceivedAt.Add(o.earlierLeaseSpan), w.restartLeaseUntil)
 		o.planDue = true
 	}
 	w.clock, w.clockReadAt = e.Clock, e.ReceivedAt
