The room in a job's record bounds how many of its tasks are placed

The occurrences of a wide recurring job overlapped while two workers were slow; a job of another team was accepted and stayed queued, and each later owner got stuck as well.

Cause: the record of a job has a row for each placed task of a step that is not complete. Nothing bounded these rows over overlapping occurrences. The store refuses such a record for good, a refusal counts as not done, and what was not done is repeated as it is.

Nothing in the owner's log told a refused append from a busy owner: event 642 now does.

Change: steps open in order as the record has room (record_size.go); a record that grew beyond the limit, or that an earlier version wrote near it, is written without what has not started and without checkpoints (643). The store's limits are settings.

The same class elsewhere: acceptances above the limit, which failed the appends of other callers, and an overflow of steps times occurrences are rejected at once; removals of finished jobs that expire together are bounded.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -75,7 +75,7 @@
 	}, job.Settings{
 		Directory: true, MaxLease: conf.MaxLease.D(), MinOrderGap: conf.MinOrderGap.D(), EvacuationLimit: conf.EvacuationLimit.D(),
 		MaxOrdersPerSecond: float64(conf.OrdersPerSecond), KeepFinished: conf.KeepFinished.D(),
-		RefuseWorthless: conf.RefuseWorthless,
+		RefuseWorthless: conf.RefuseWorthless, MaxRecordBytes: conf.MaxRecordBytes, MaxAppendBytes: conf.MaxAppendBytes,
 	}, ports, log)
 
 	var stopping atomic.Bool
--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -128,7 +128,7 @@
 		s.reply(Reply{Call: e.Call, Answer: Accepted})
 		return
 	}
-	if s.streamLost() || len(s.nextBatch.calls) > maxWaitingCalls || s.nextBatch.bytes > maxBatchBytes {
+	if s.streamLost() || len(s.nextBatch.calls) > maxWaitingCalls || s.nextBatch.bytes > min(maxBatchBytes, s.appendLimit()/2) {
 		s.refuse(e.Call, e.ID, "the job stream is not available")
 		return
 	}
@@ -141,6 +141,10 @@
 		s.replyNotServed(e.ID, Reply{Call: e.Call, Answer: Malformed, Detail: err.Error()})
 		return
 	}
+	if reason := s.validateSubmission(&e.Spec, record); reason != "" {
+		s.replyNotServed(e.ID, Reply{Call: e.Call, Answer: Malformed, Detail: reason})
+		return
+	}
 	c := waitingCall{call: e.Call, id: e.ID, event: LogJobAccepted}
 	if s.mayForward(e.Origin) {
 		c.request = &request
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -205,6 +205,8 @@
 	LogWorkerLost
 	LogTaskGivenUp
 	LogOwnershipTransferred
+	LogAppendRefused
+	LogRecordTooLarge
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -231,6 +233,8 @@
 	LogTaskGivenUp:       "task given up",
 
 	LogOwnershipTransferred: "ownership transferred",
+	LogAppendRefused:        "append refused",
+	LogRecordTooLarge:       "record too large",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/events.go
+++ b/internal/core/job/events.go
@@ -79,6 +79,7 @@
 		// stream.
 		Offset, End int64
 		SentAt      vocab.Instant
+		Err         error
 	}
 
 	// WorkersListed delivers changes in the platform's list of workers.
--- a/internal/core/job/grants.go
+++ b/internal/core/job/grants.go
@@ -191,24 +191,25 @@
 }
 
 func (o *owner) startGrantedOf(c candidate) {
-	room := &poolRoom{}
+	pool := &poolRoom{}
 	for _, g := range c.job.grants {
 		w := o.workers[g.Worker]
 		if w != nil && g.written && g.Incarnation == w.info.Incarnation && w.info.Pool == c.pool && w.usable(o.s.now) {
-			room.workers = append(room.workers, w)
+			pool.workers = append(pool.workers, w)
 		}
 	}
+	room := o.recordRoomOf(c.job, pool.workers)
 	for _, occ := range c.job.occurrences {
 		for _, st := range occ.steps {
-			if st.waiting() <= 0 || !st.ready() {
+			if st.waiting() <= 0 || !st.ready() || !room.open(st) {
 				continue
 			}
 			for _, t := range st.tasks {
 				if t.completed || t.worker != nil || t.lastRun != 0 {
 					continue
 				}
-				w := o.chooseWorker(t, room)
-				if w == nil {
+				w := o.chooseWorker(t, pool)
+				if w == nil || !room.take(t) {
 					break
 				}
 				o.assignGranted(t, w)
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -56,5 +56,7 @@
 		639: "worker lost",
 		640: "task given up",
 		641: "ownership transferred",
+		642: "append refused",
+		643: "record too large",
 	}))
 }
--- a/internal/core/job/owner_append.go
+++ b/internal/core/job/owner_append.go
@@ -22,6 +22,8 @@
 	// sent.
 	unanswered int
 	sentAt     vocab.Instant
+	// refused counts the attempts that were certainly not carried out.
+	refused int
 	// firstSentAt is the time when the first attempt was sent.
 	firstSentAt vocab.Instant
 	// last is set if its last record ends the ownership.
@@ -72,7 +74,7 @@
 	var actions []func()
 	var finished []*activeJob
 	for _, active := range o.dirty {
-		if count > 0 && size > maxAppendBytes {
+		if count > 0 && size > min(maxAppendBytes, o.s.appendLimit()/4) {
 			break
 		}
 		count++
@@ -138,11 +140,7 @@
 		return nil
 	}
 	o.pruneGrants(active)
-	rows := active.taskRows()
-	if active.terminalPhase != 0 {
-		rows = active.stoppingRows()
-	}
-	record, err := encodeProgress(active.record.ID, active.phase(), rows)
+	record, rows, err := o.encodeRows(active)
 	if err != nil {
 		o.s.logEvent(LogRecordUnreadable, "job", active.record.ID, "error", err.Error())
 		return nil
@@ -192,7 +190,26 @@
 	default:
 		o.pendingAppend.unanswered--
 		o.pendingAppend.retryAt = o.s.now.Add(streamRetryDelay)
+		o.pendingAppend.refused++
+		o.logRefused(e)
+	}
+}
+
+// logRefused logs that the append in progress was not carried out: the first time, and at each doubling
+// of the number of times.
+func (o *owner) logRefused(e Appended) {
+	p := o.pendingAppend
+	if p.refused&(p.refused-1) != 0 || e.Outcome != NotDone {
+		return
+	}
+	var largest Record
+	for _, r := range p.records {
+		if r.size() > largest.size() {
+			largest = r
+		}
 	}
+	o.s.logEvent(LogAppendRefused, "times", p.refused, "since_ms", o.s.now.Sub(p.firstSentAt).Milliseconds(), "records", len(p.records),
+		"bytes", recordBytes(p.records), "largest_key", largest.Key, "largest_bytes", largest.size(), "error", errorText(e.Err))
 }
 
 // repeatAppend repeats the append in progress after a failure, or if its response is
--- a/internal/core/job/owner_jobs.go
+++ b/internal/core/job/owner_jobs.go
@@ -157,7 +157,7 @@
 // removeExpiredJobs removes finished jobs whose retention has passed from the ledger
 // and from the stream.
 func (o *owner) removeExpiredJobs() {
-	for len(o.finished) > 0 && o.s.now.Sub(o.finished[0].finishedAt) > o.s.settings.KeepFinished {
+	for len(o.finished) > 0 && len(o.extraRecords) < 3*maxRemovedJobs && o.s.now.Sub(o.finished[0].finishedAt) > o.s.settings.KeepFinished {
 		job := o.finished[0]
 		o.finished = o.finished[1:]
 		for _, prefix := range []string{acceptedPrefix, progressPrefix, cancelledPrefix} {
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -62,16 +62,20 @@
 
 // placeJob places as many of a job's waiting tasks as fit.
 func (o *owner) placeJob(c candidate, p *poolRoom) {
+	room := o.recordRoomOf(c.job, p.workers)
 	for _, occ := range c.job.occurrences {
 		for _, st := range occ.steps {
-			if st.waiting() <= 0 || !st.ready() {
+			if st.waiting() <= 0 || !st.ready() || !room.open(st) {
 				continue
 			}
 			placed := false
 			if st.spec.Gang {
-				placed = o.placeGang(st, p)
+				placed = o.placeGang(st, p, room)
 			} else {
-				placed = o.placeTasks(st, p)
+				placed = o.placeTasks(st, p, room)
+			}
+			if room.full() {
+				return
 			}
 			if !placed && c.class <= classOverRate {
 				o.reserve(st, c.pool, p)
@@ -81,7 +85,7 @@
 }
 
 // placeTasks places waiting tasks of a step and reports whether all found a worker.
-func (o *owner) placeTasks(st *step, p *poolRoom) bool {
+func (o *owner) placeTasks(st *step, p *poolRoom, room *recordRoom) bool {
 	placed := true
 	for _, t := range st.tasks {
 		if t.completed || t.worker != nil || t.held() {
@@ -89,6 +93,8 @@
 		}
 		best := o.chooseWorker(t, p)
 		switch {
+		case best != nil && !room.take(t):
+			return false
 		case best != nil:
 			o.place(t, best)
 		case t.crash.Trial() != crash.NoTrial:
@@ -266,7 +272,7 @@
 
 // placeGang places all tasks of a gang at once, or none of them, and reports which. All
 // members have the same run number and checkpoint.
-func (o *owner) placeGang(st *step, p *poolRoom) bool {
+func (o *owner) placeGang(st *step, p *poolRoom, room *recordRoom) bool {
 	if st.assigned > 0 || st.completed > 0 {
 		return true
 	}
@@ -278,6 +284,9 @@
 			checkpoint = t.checkpoint
 		}
 	}
+	if !room.take(st.tasks...) {
+		return false
+	}
 	for _, t := range st.tasks {
 		t.lastRun, t.checkpoint = run, checkpoint
 		best := o.chooseWorker(t, p)
--- /dev/null
+++ b/internal/core/job/record_size.go
@@ -0,0 +1,236 @@
+package job
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/sardinehead/sardinehead/internal/core/crash"
+)
+
+// The store refuses records above a size, for good. The record of a job has a row for each task that
+// was placed in a step which is not complete, so that the size of the record bounds how many tasks of a
+// job may be placed. Steps open in order: a step gets its first tasks only if the rows of all its tasks
+// fit beside those of the steps before it.
+
+const (
+	// defaultRecordBytes and defaultAppendBytes are the limits of a store for which the settings
+	// name none, in bytes.
+	defaultRecordBytes = 256 << 10
+	defaultAppendBytes = 2 << 20
+	// recordGrowthShare is the part of a record that is kept free for what its rows gain later:
+	// checkpoints, failures and crashes.
+	recordGrowthShare = 1.0 / 16
+	// The sizes of rows, each at most, in bytes: completedRowBytes of the row of a completed task,
+	// placedRowBytes of an assigned task without the ID of its worker, its checkpoint and the
+	// counts of failures and crashes, and countBytes of these counts.
+	completedRowBytes = 40
+	placedRowBytes    = 75
+	countBytes        = 32
+	// checkpointBytes is the size of a checkpoint that is expected of a task without one, in bytes.
+	checkpointBytes = 24
+	// hostBytes is the size of a worker in the rows with the hosts and the grants of a job, in bytes.
+	hostBytes = 80
+	// maxWorkerIDBytes is the longest ID of a worker that jobs are expected to run on, in bytes.
+	maxWorkerIDBytes = 64
+)
+
+// recordLimit is the size of the largest record that the store takes, in bytes.
+func (s *State) recordLimit() int {
+	if s.settings.MaxRecordBytes > 0 {
+		return s.settings.MaxRecordBytes
+	}
+	return defaultRecordBytes
+}
+
+// appendLimit is the size of the largest append that the store takes, in bytes.
+func (s *State) appendLimit() int {
+	if s.settings.MaxAppendBytes > 0 {
+		return s.settings.MaxAppendBytes
+	}
+	return defaultAppendBytes
+}
+
+// recordOverhead is what a store counts in a record in addition to its key and value: the length of
+// the key, in bytes.
+const recordOverhead = 1
+
+func (r Record) size() int { return recordOverhead + len(r.Key) + len(r.Value) }
+
+// validateSubmission returns the reason why a job could never be written or completed, or an empty
+// string. It is not applied to jobs that were accepted before.
+func (s *State) validateSubmission(spec *Spec, acceptance Record) string {
+	if spec.IntervalMS < 0 || spec.IntervalMS > maxIntervalMS || spec.FirstAt > maxFirstAt {
+		return "the interval of a recurring job is 0 to 100 years, and its first time is before 2100"
+	}
+	limit := s.recordLimit()
+	if acceptance.size() > limit {
+		return "the job has " + strconv.Itoa(acceptance.size()) + " bytes as a record, and the store takes " + strconv.Itoa(limit)
+	}
+	for i := range spec.Steps {
+		rowBytes := completedRowBytes
+		if spec.Steps[i].Gang {
+			rowBytes = placedRowBytes + checkpointBytes
+		}
+		if size := spec.Steps[i].Count * rowBytes; size > limit {
+			return "the tasks of one step take " + strconv.Itoa(size) + " bytes of a record, and the store takes " + strconv.Itoa(limit)
+		}
+	}
+	return ""
+}
+
+// rowBytes returns the size of the task's row, in bytes.
+func (t *task) rowBytes() int {
+	switch {
+	case t.completed:
+		return completedRowBytes
+	case t.lastRun == 0:
+		return 0
+	case t.worker != nil:
+		return t.placedBytes(len(t.worker.info.ID))
+	default:
+		return t.placedBytes(0)
+	}
+}
+
+// placedBytes returns the size of the task's row while it is assigned to a worker whose ID has a
+// length, in bytes.
+func (t *task) placedBytes(idBytes int) int {
+	size := placedRowBytes + idBytes + len(t.checkpoint)
+	if t.checkpoint == "" && t.step.spec.Checkpoints {
+		size += checkpointBytes
+	}
+	if t.failures > 0 || t.crash != (crash.Record{}) {
+		size += countBytes
+	}
+	return size
+}
+
+// isOpen reports whether a task of the step was placed and the step is not complete.
+func (st *step) isOpen() bool {
+	return st.completed < len(st.tasks) && slices.ContainsFunc(st.tasks, func(t *task) bool { return t.completed || t.lastRun > 0 })
+}
+
+// recordRoom is what is left of a job's record during a placement pass.
+type recordRoom struct {
+	job *activeJob
+	// idBytes is the length of the longest ID of a worker, in bytes.
+	idBytes int
+	// left is the free part of the record without the room of the steps that were opened, in bytes.
+	left int
+	// own is what the rows of the present step may grow by, in bytes.
+	own int
+	// closed is set once a step has to wait, exhausted once a task of an open step has to.
+	closed, exhausted bool
+}
+
+// recordRoomOf returns the room in a job's record, or nil if the rows of all its tasks fit.
+func (o *owner) recordRoomOf(j *activeJob, workers []*worker) *recordRoom {
+	limit := int(float64(o.s.recordLimit()) * (1 - recordGrowthShare))
+	tasks := 0
+	for _, occ := range j.occurrences {
+		for _, st := range occ.steps {
+			if st.completed < len(st.tasks) {
+				tasks += len(st.tasks)
+			}
+		}
+	}
+	if tasks*(placedRowBytes+checkpointBytes+countBytes+maxWorkerIDBytes) <= limit {
+		return nil
+	}
+	room := &recordRoom{job: j, left: limit - (maxHosts+maxGrants)*hostBytes}
+	for _, w := range workers {
+		room.idBytes = max(room.idBytes, len(w.info.ID))
+	}
+	for _, occ := range j.occurrences {
+		for _, st := range occ.steps {
+			if st.completed == len(st.tasks) {
+				room.left -= completedRowBytes
+				continue
+			}
+			for _, t := range st.tasks {
+				room.left -= t.rowBytes()
+			}
+		}
+	}
+	return room
+}
+
+// open makes a step the present one and reports whether its tasks may be placed. A job without assigned
+// tasks may always place some: nothing else would make room.
+func (r *recordRoom) open(st *step) bool {
+	if r == nil {
+		return true
+	}
+	growth := 0
+	for _, t := range st.tasks {
+		if !t.completed && t.worker == nil {
+			growth += t.placedBytes(r.idBytes) - t.rowBytes()
+		}
+	}
+	if !st.isOpen() && (r.closed || growth > r.left && r.job.assignedTasks > 0) {
+		r.closed = true
+		return false
+	}
+	r.own = min(growth, r.left)
+	r.left -= growth
+	return true
+}
+
+// take takes the room for the rows of tasks of the present step that are about to be placed, and reports
+// whether there is any.
+func (r *recordRoom) take(tasks ...*task) bool {
+	if r == nil {
+		return true
+	}
+	growth := 0
+	for _, t := range tasks {
+		growth += t.placedBytes(r.idBytes) - t.rowBytes()
+	}
+	if growth > r.own && r.job.assignedTasks > 0 {
+		r.exhausted = true
+		return false
+	}
+	r.own -= growth
+	return true
+}
+
+// full reports whether tasks wait for room in the job's record.
+func (r *recordRoom) full() bool { return r != nil && r.exhausted }
+
+// encodeRows encodes the state of a job. If the record is above the limit, what has not been started
+// is released, and then the checkpoints are left out: a run without one starts from the beginning.
+func (o *owner) encodeRows(active *activeJob) (Record, []taskRow, error) {
+	rowsOf := active.taskRows
+	if active.terminalPhase != 0 {
+		rowsOf = active.stoppingRows
+	}
+	rows := rowsOf()
+	record, err := encodeProgress(active.record.ID, active.phase(), rows)
+	if err != nil || record.size() <= o.s.recordLimit() {
+		return record, rows, err
+	}
+	size := record.size()
+	o.releaseUnstarted(active)
+	rows = rowsOf()
+	if record, err = encodeProgress(active.record.ID, active.phase(), rows); err != nil {
+		return record, rows, err
+	}
+	released := record.size()
+	if record.size() > o.s.recordLimit() {
+		for i := range rows {
+			rows[i].Checkpoint = ""
+		}
+		record, err = encodeProgress(active.record.ID, active.phase(), rows)
+	}
+	o.s.logEvent(LogRecordTooLarge, "key", record.Key, "bytes", size, "limit", o.s.recordLimit(), "released_bytes", released, "written_bytes", record.size())
+	return record, rows, err
+}
+
+// releaseUnstarted releases all tasks of a job whose start was not sent yet.
+func (o *owner) releaseUnstarted(active *activeJob) {
+	for _, occ := range active.occurrences {
+		for _, st := range occ.steps {
+			o.releasePlanned(st)
+		}
+	}
+}
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -21,6 +21,9 @@
 	// KeepFinished is the time for which the state of a finished job can be
 	// queried.
 	KeepFinished time.Duration
+	// MaxRecordBytes and MaxAppendBytes are the sizes of the largest record and append that the store
+	// takes; 0 means defaultRecordBytes and defaultAppendBytes.
+	MaxRecordBytes, MaxAppendBytes int
 	// RefuseWorthless is set if a job is refused when it certainly cannot complete while it
 	// has a value.
 	RefuseWorthless bool
@@ -167,14 +170,21 @@
 	refusalBackoff = 500 * time.Millisecond
 	// planInterval is the maximum time between two placement passes.
 	planInterval = 200 * time.Millisecond
-	// maxAppendBytes bounds an append of the owner, apart from its last job. The store
-	// takes appends up to 2 MiB and writes 20 MB a second.
+	// maxAppendBytes bounds an append of the owner, apart from its last job, and a quarter of the
+	// store's limit if that is less. The store writes 20 MB a second.
 	maxAppendBytes = 512 << 10
-	// maxBatchBytes bounds the records that wait for the next append for callers.
+	// maxBatchBytes, and half of the store's limit if that is less, bounds the records that wait for
+	// the next append for callers.
 	maxBatchBytes = 1 << 20
-	// maxTasks bounds the tasks of one job, so that its record fits the 256 KiB that the
-	// store takes: a task that has not completed takes about 110 bytes.
+	// maxTasks bounds the tasks of one occurrence of a job, maxSteps the steps of all its
+	// occurrences: a completed step takes a row of the job's record.
 	maxTasks = 2000
-	// maxSteps bounds the steps of all occurrences of one job, for the same reason.
 	maxSteps = 2000
+	// maxIntervalMS and maxFirstAt bound the times of a recurring job, in milliseconds: the product of
+	// interval and occurrences must not overflow.
+	maxIntervalMS = 100 * 365 * 24 * 3600 * 1000
+	maxFirstAt    = 130 * 365 * 24 * 3600 * 1000
+	// maxRemovedJobs bounds the finished jobs that are removed in one append, each with three records of
+	// about 25 bytes.
+	maxRemovedJobs = 500
 )
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -111,6 +111,8 @@
 	// stream accepts the next one.
 	appendTime time.Duration
 	freeAt     vocab.Instant
+	// maxRecordBytes, if set, is the size of the largest record that the stream accepts.
+	maxRecordBytes int
 }
 
 type fakeWorker struct {
@@ -508,7 +510,7 @@
 }
 
 func (s *fakeStream) append(e Append) Appended {
-	end := int64(len(s.records))
+	end, before := int64(len(s.records)), *s
 	if e.At >= 0 && e.At != end {
 		return Appended{Outcome: Conflict, End: end}
 	}
@@ -524,6 +526,12 @@
 			s.seq = e.Seq
 		}
 	}
+	for _, r := range e.Records {
+		if s.maxRecordBytes > 0 && r.size() > s.maxRecordBytes {
+			s.fence, s.seq = before.fence, before.seq
+			return Appended{Outcome: NotDone}
+		}
+	}
 	for _, r := range e.Records {
 		r.Offset = int64(len(s.records))
 		s.newest[r.Key] = len(s.records)
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -93,7 +93,7 @@
 	sentAt := Now()
 	result := n.platform.Stream.Append(ctx, e)
 	n.metrics.observeAppend(result.Outcome, Now().Sub(sentAt))
-	return job.Appended{ID: e.ID, Outcome: result.Outcome, Offset: result.Offset, End: result.End, SentAt: sentAt}
+	return job.Appended{ID: e.ID, Outcome: result.Outcome, Offset: result.Offset, End: result.End, SentAt: sentAt, Err: result.Err}
 }
 
 // subscription is a follower that can be stopped.
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"os"
 	"strconv"
 	"time"
@@ -43,6 +44,10 @@
 	// MinOrderGap is the minimum time between orders of two owners to the same
 	// machine.
 	MinOrderGap spec.Duration `json:"order_gap"`
+	// MaxRecordBytes and MaxAppendBytes are the sizes of the largest record and append that the store
+	// takes.
+	MaxRecordBytes int `json:"record_bytes"`
+	MaxAppendBytes int `json:"append_bytes"`
 	// EvacuationLimit is the time after which nothing may start in an availability zone whose
 	// evacuation was acknowledged. Without it a node starts tasks whatever the age of its last
 	// read of the operators' requests.
@@ -97,6 +102,12 @@
 	// minLeaseLimit and maxLeaseLimit are the bounds of Serve.MaxLease.
 	minLeaseLimit = time.Second
 	maxLeaseLimit = time.Hour
+
+	// minRecordLimit and maxRecordLimit are the bounds of Serve.MaxRecordBytes, in bytes, and
+	// minAppendRecords is the number of the largest records that an append must hold.
+	minRecordLimit   = 32 << 10
+	maxRecordLimit   = 64 << 20
+	minAppendRecords = 4
 )
 
 // LoadServe reads and checks a settings file. The error is strictjson.Problems
@@ -118,6 +129,12 @@
 	if doc.Parsed() {
 		strictjson.RequireAll(doc.Root(), serveRequired)
 		strictjson.CheckDuration(doc.Root().Field("lease_most"), "lease_most", s.MaxLease.D(), minLeaseLimit, maxLeaseLimit)
+		if s.MaxRecordBytes != 0 {
+			strictjson.CheckInt(doc.Root().Field("record_bytes"), "record_bytes", s.MaxRecordBytes, minRecordLimit, maxRecordLimit)
+		}
+		if s.MaxAppendBytes != 0 {
+			strictjson.CheckInt(doc.Root().Field("append_bytes"), "append_bytes", s.MaxAppendBytes, minAppendRecords*max(s.MaxRecordBytes, minRecordLimit), math.MaxInt32)
+		}
 	}
 	problems := doc.Problems()
 	problems.Sort()
--- a/internal/strictjson/checks.go
+++ b/internal/strictjson/checks.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// CheckInt reports a number below low or above high.
+func CheckInt(at Cursor, field string, value, low, high int) {
+	if value < low {
+		at.Report(fmt.Sprintf("%q is %d", field, value), fmt.Sprintf("at least %d", low))
+	}
+	if value > high {
+		at.Report(fmt.Sprintf("%q is %d", field, value), fmt.Sprintf("at most %d", high))
+	}
+}
+
 // Required is a field that must be present in an object.
 type Required struct {
 	Name string
