A job keeps the terms under which it was accepted

Its queue had been taken out of the configuration for 7 s and was back when the caller asked.

Cause: failTask took the limit of attempts from the configuration of the moment, and 1 if it did not have the queue. The acceptance held none of the queue's terms.

The log did not say why a job failed; event 644 does.

Change: the acceptance has the attempts, the advisor and the team's limit (terms.go). A job of an earlier version gets its attempts from the first configuration with its queue; until then a task that has failed waits, since neither a start nor a failure could be undone. The same class: without its queue a job needed no ticket of its advisor, and without its team no limit.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -36,6 +36,9 @@
 	timesAt vocab.Instant
 	// class is the service class in the last placement pass.
 	class int
+	// maxAttempts is the number of failed runs of a task after which the job fails; 0 as long as it is not
+	// known.
+	maxAttempts int
 	// grants holds the workers on which tasks may start under a grant, inherited those on
 	// which an earlier owner may have started some.
 	grants, inherited []*grant
--- a/internal/core/job/advice.go
+++ b/internal/core/job/advice.go
@@ -65,13 +65,13 @@
 	return t.text, found && t.incarnation == w.info.Incarnation && now < t.validUntil
 }
 
-// advisorOf returns the advisor settings of the job's queue, or nil if the queue has no
-// advisor.
+// advisorOf returns the advisor settings of the job's queue, or those of its acceptance if the queue is
+// no longer configured; nil if it has no advisor.
 func (o *owner) advisorOf(j *activeJob) *AdvisorTiming {
 	if q := o.queueOf(j); q != nil {
 		return q.Advisor
 	}
-	return nil
+	return j.acceptance.Terms.Advisor
 }
 
 // requestAdvice asks the advisor about the workers that have free capacity for a step. Only
--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -132,7 +132,7 @@
 		s.refuse(e.Call, e.ID, "the job stream is not available")
 		return
 	}
-	acceptance := &Acceptance{Queue: q.Name, Pool: q.Pool, Team: team, At: s.wall, Spec: e.Spec}
+	acceptance := &Acceptance{Queue: q.Name, Pool: q.Pool, Team: team, At: s.wall, Spec: e.Spec, Terms: s.config.terms(q, team)}
 	if s.refuseForLoad(e.Call, e.ID, q, acceptance) {
 		return
 	}
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -207,6 +207,7 @@
 	LogOwnershipTransferred
 	LogAppendRefused
 	LogRecordTooLarge
+	LogAttemptsUsedUp
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -235,6 +236,7 @@
 	LogOwnershipTransferred: "ownership transferred",
 	LogAppendRefused:        "append refused",
 	LogRecordTooLarge:       "record too large",
+	LogAttemptsUsedUp:       "attempts used up",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -58,5 +58,6 @@
 		641: "ownership transferred",
 		642: "append refused",
 		643: "record too large",
+		644: "attempts used up",
 	}))
 }
--- a/internal/core/job/owner_jobs.go
+++ b/internal/core/job/owner_jobs.go
@@ -35,6 +35,7 @@
 	}
 	job.progress = nil
 	o.jobs[job.ID] = active
+	o.resolveTerms(active)
 	active.overTeamRate = !o.takeRateToken(active)
 	o.jobOrder = append(o.jobOrder, active)
 	active.addDueOccurrences(o.s.wall)
@@ -171,7 +172,7 @@
 // one without its spec, so that a starting process has less to load.
 func (o *owner) compactAcceptance(active *activeJob) []Record {
 	compact := *active.acceptance
-	compact.Spec = Spec{}
+	compact.Spec, compact.Terms = Spec{}, Terms{}
 	record, err := encodeAcceptance(active.record.ID, &compact)
 	if err != nil {
 		o.s.logEvent(LogRecordUnreadable, "job", active.record.ID, "error", err.Error())
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -88,7 +88,7 @@
 func (o *owner) placeTasks(st *step, p *poolRoom, room *recordRoom) bool {
 	placed := true
 	for _, t := range st.tasks {
-		if t.completed || t.worker != nil || t.held() {
+		if t.completed || t.worker != nil || t.held() || t.awaitsTerms() {
 			continue
 		}
 		best := o.chooseWorker(t, p)
@@ -188,12 +188,11 @@
 	if o.s.config == nil {
 		return false
 	}
-	team := o.s.config.teams[st.job.acceptance.Team]
-	if team == nil {
-		return true
+	team, limit := st.job.acceptance.Team, st.job.acceptance.Terms.TeamLimit
+	if t := o.s.config.teams[team]; t != nil {
+		limit = t.Limit
 	}
-	use := o.teamUsage[team.Name].Plus(o.heldUsage[team.Name]).Plus(st.spec.Need)
-	limit := team.Limit
+	use := o.teamUsage[team].Plus(o.heldUsage[team]).Plus(st.spec.Need)
 	return (limit.CPU == 0 || use.CPU <= limit.CPU) && (limit.Memory == 0 || use.Memory <= limit.Memory) &&
 		(limit.GPU == 0 || use.GPU <= limit.GPU)
 }
@@ -284,6 +283,9 @@
 			checkpoint = t.checkpoint
 		}
 	}
+	if st.tasks[0].awaitsTerms() {
+		return true
+	}
 	if !room.take(st.tasks...) {
 		return false
 	}
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -59,6 +59,7 @@
 	Team  vocab.TeamID  `json:"t,omitempty"`
 	At    Millis        `json:"at"`
 	Spec  Spec          `json:"spec"`
+	Terms Terms         `json:"o,omitzero"`
 }
 
 // taskRow is the durable state of a task that was assigned or has completed, or of a
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -303,8 +303,7 @@
 	}
 }
 
-// failTask counts a failed run, and fails the job once the task has no attempts left. Long-running
-// tasks have no limit of attempts.
+// failTask counts a failed run, and fails the job once the task has no attempts left.
 func (o *owner) failTask(t *task) {
 	j := t.step.job
 	t.failures++
@@ -314,16 +313,7 @@
 		}
 	}
 	o.markChanged(j)
-	if t.step.spec.LongRunning || j.terminalPhase != 0 {
-		return
-	}
-	maxAttempts := 1
-	if q := o.queueOf(j); q != nil {
-		maxAttempts = max(1, q.MaxAttempts)
-	}
-	if t.failures >= maxAttempts {
-		o.finishJob(j, PhaseFailed)
-	}
+	o.failIfExhausted(t)
 }
 
 // markLost releases a run that its worker cannot be running any more.
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -181,6 +181,7 @@
 	s.logEvent(LogConfigApplied, "version", e.Config.Version, "queues", len(e.Config.Queues), "teams", len(e.Config.Teams))
 	if s.owner != nil {
 		s.owner.planDue = true
+		s.owner.applyTerms()
 	}
 }
 
--- a/internal/core/job/types.go
+++ b/internal/core/job/types.go
@@ -161,7 +161,9 @@
 // AdvisorTiming is the timing of a queue's advisor: its response takes Decide, plus Each
 // per worker named in the request, and the tickets in it are valid for Valid.
 type AdvisorTiming struct {
-	Decide, Each, Valid time.Duration
+	Decide time.Duration `json:"d,omitempty"`
+	Each   time.Duration `json:"e,omitempty"`
+	Valid  time.Duration `json:"v,omitempty"`
 }
 
 // Pool is a set of interchangeable workers.
