An owner whose read is trimmed takes the ownership again

Cause: the owner loaded the stream into a new ledger and stayed the owner. It skips progress records that it has written itself, so that in the new ledger every job was queued.

Change: the ownership is lost with the records, and a takeover builds the state anew.

--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -346,6 +346,8 @@
 	s.stream.nextReadAt = s.now.Add(s.readRetryDelay())
 	s.stream.readBytes = max(s.stream.readBytes/2, minReadBytes)
 	if e.Trimmed {
+		// An owner's ledger has what it wrote itself; a new one can only be built by a takeover.
+		s.loseOwnership("the stream no longer has the next records")
 		s.stream.loaded = false
 		s.stream.nextReadAt = s.now
 		return
