The rows of a job's record are measured as they are encoded

What callers would see: a wide job whose tasks run one at a time. Found by the new series, not on a deployment.

Cause: the first form of record_size.go took each row for as large as it may get. Crashes then made the estimate exceed the limit while the record had room.

Change: rows are counted as encoded (TestRowsAreMeasuredAsEncoded), a step opens with an eighth of the record free, and tasks of open steps may use all but a margin.

TestRandomPlatform plays what the platform may do beside faults: slow clocks over idle minutes, records refused for their size, dropped history, queues that are away, workers that restart unseen.

--- a/internal/core/job/record_size.go
+++ b/internal/core/job/record_size.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"strconv"
-
-	"github.com/sardinehead/sardinehead/internal/core/crash"
 )
 
 // The store refuses records above a size, for good. The record of a job has a row for each task that
@@ -17,21 +15,21 @@
 	// name none, in bytes.
 	defaultRecordBytes = 256 << 10
 	defaultAppendBytes = 2 << 20
-	// recordGrowthShare is the part of a record that is kept free for what its rows gain later:
-	// checkpoints, failures and crashes.
-	recordGrowthShare = 1.0 / 16
-	// The sizes of rows, each at most, in bytes: completedRowBytes of the row of a completed task,
-	// placedRowBytes of an assigned task without the ID of its worker, its checkpoint and the
-	// counts of failures and crashes, and countBytes of these counts.
+	// recordGrowthShare is the part of a record that is kept free when a step opens, for what its rows gain
+	// later: checkpoints, failures and crashes. recordMarginShare is kept free at all times.
+	recordGrowthShare = 1.0 / 8
+	recordMarginShare = 1.0 / 64
+	// completedRowBytes is the size of the row of a completed task or step, placedRowBytes that of an
+	// assigned task with a short ID of its worker, each at most and in bytes.
 	completedRowBytes = 40
-	placedRowBytes    = 75
-	countBytes        = 40
+	placedRowBytes    = 100
 	// checkpointBytes is the size of a checkpoint that is expected of a task without one, in bytes.
 	checkpointBytes = 24
 	// hostBytes is the size of a worker in the rows with the hosts and the grants of a job, in bytes.
 	hostBytes = 80
-	// maxWorkerIDBytes is the longest ID of a worker that jobs are expected to run on, in bytes.
-	maxWorkerIDBytes = 64
+	// largeJobRowBytes is the size of a row that certainly fits for the tasks of all but large jobs, in
+	// bytes.
+	largeJobRowBytes = 200
 )
 
 // recordLimit is the size of the largest record that the store takes, in bytes.
@@ -78,54 +76,100 @@
 	return ""
 }
 
+// bytes returns the size of a row of a task as JSON, with the comma after it.
+func (r *taskRow) bytes() int {
+	size := len(`{},`)
+	for _, field := range []struct {
+		name  string
+		value int64
+	}{
+		{"k", int64(r.Occurrence)},
+		{"s", int64(r.Step)},
+		{"i", int64(r.Index)},
+		{"r", int64(r.Run)},
+		{"f", int64(r.Failed)},
+		{"fr", int64(r.FailedRun)},
+		{"b", int64(r.Incarnation)},
+		{"m", int64(r.PlannedMS)},
+		{"x", int64(r.Crashes)},
+		{"z", int64(r.Possible)},
+		{"y", int64(r.Suspected)},
+		{"u", int64(r.Unexplained)},
+	} {
+		if field.value != 0 {
+			size += len(`"":,`) + len(field.name) + digits(field.value)
+		}
+	}
+	if r.Completed {
+		size += len(`"d":true,`)
+	}
+	if r.Worker != "" {
+		size += len(`"w":"",`) + len(r.Worker)
+	}
+	if r.Checkpoint != "" {
+		size += len(`"c":"",`) + len(r.Checkpoint)
+	}
+	return size
+}
+
+// digits returns the number of characters of a number.
+func digits(n int64) int {
+	count := 1
+	if n < 0 {
+		count++
+	}
+	for n /= 10; n != 0; n /= 10 {
+		count++
+	}
+	return count
+}
+
 // rowBytes returns the size of the task's row, in bytes.
 func (t *task) rowBytes() int {
-	switch {
-	case t.completed:
-		return completedRowBytes
-	case t.lastRun == 0:
+	row, ok := t.row()
+	if !ok {
 		return 0
-	case t.worker != nil:
-		return t.placedBytes(len(t.worker.info.ID))
-	default:
-		return t.placedBytes(0)
 	}
+	return row.bytes()
 }
 
-// placedBytes returns the size of the task's row while it is assigned to a worker whose ID has a
+// placedBytes returns the size that the task's row has once it is assigned to a worker whose ID has a
 // length, in bytes.
 func (t *task) placedBytes(idBytes int) int {
-	size := placedRowBytes + idBytes + len(t.checkpoint)
+	row, _ := t.row()
+	row.Run, row.Worker, row.Checkpoint = t.lastRun+1, "", t.checkpoint
+	row.Incarnation, row.PlannedMS = maxRowMillis, maxRowMillis
+	size := row.bytes() + len(`"w":"",`) + idBytes
 	if t.checkpoint == "" && t.step.spec.Checkpoints {
 		size += checkpointBytes
 	}
-	if t.failures > 0 || t.crash != (crash.Record{}) {
-		size += countBytes
-	}
 	return size
 }
 
+// maxRowMillis is a time with as many digits as the times in rows have at most.
+const maxRowMillis = Millis(9_999_999_999_999)
+
 // isOpen reports whether a task of the step was placed and the step is not complete.
 func (st *step) isOpen() bool {
 	return st.completed < len(st.tasks) && slices.ContainsFunc(st.tasks, func(t *task) bool { return t.completed || t.lastRun > 0 })
 }
 
-// recordRoom is what is left of a job's record during a placement pass.
+// recordRoom is the room in a job's record during a placement pass.
 type recordRoom struct {
 	job *activeJob
 	// idBytes is the length of the longest ID of a worker, in bytes.
 	idBytes int
-	// left is the free part of the record without the room of the steps that were opened, in bytes.
-	left int
-	// own is what the rows of the present step may grow by, in bytes.
-	own int
+	// used is the size of the rows, reserved what those of the steps that were opened may grow by, and
+	// forSteps and forTasks are the limits for opening steps and for placing tasks, in bytes.
+	used, reserved, forSteps, forTasks int
 	// closed is set once a step has to wait, exhausted once a task of an open step has to.
 	closed, exhausted bool
 }
 
 // recordRoomOf returns the room in a job's record, or nil if the rows of all its tasks fit.
 func (o *owner) recordRoomOf(j *activeJob, workers []*worker) *recordRoom {
-	limit := int(float64(o.s.recordLimit()) * (1 - recordGrowthShare))
+	limit := float64(o.s.recordLimit())
+	room := &recordRoom{job: j, forSteps: int(limit * (1 - recordGrowthShare)), forTasks: int(limit * (1 - recordMarginShare))}
 	tasks := 0
 	for _, occ := range j.occurrences {
 		for _, st := range occ.steps {
@@ -134,29 +178,29 @@
 			}
 		}
 	}
-	if tasks*(placedRowBytes+checkpointBytes+countBytes+maxWorkerIDBytes) <= limit {
+	if tasks*largeJobRowBytes <= room.forSteps {
 		return nil
 	}
-	room := &recordRoom{job: j, left: limit - (maxHosts+maxGrants)*hostBytes}
 	for _, w := range workers {
 		room.idBytes = max(room.idBytes, len(w.info.ID))
 	}
+	room.used = (maxHosts + maxGrants) * hostBytes
 	for _, occ := range j.occurrences {
 		for _, st := range occ.steps {
 			if st.completed == len(st.tasks) {
-				room.left -= completedRowBytes
+				room.used += completedRowBytes
 				continue
 			}
 			for _, t := range st.tasks {
-				room.left -= t.rowBytes()
+				room.used += t.rowBytes()
 			}
 		}
 	}
 	return room
 }
 
-// open makes a step the present one and reports whether its tasks may be placed. A job without assigned
-// tasks may always place some: nothing else would make room.
+// open reports whether tasks of a step may be placed. A job without assigned tasks may always place some:
+// nothing else would make room.
 func (r *recordRoom) open(st *step) bool {
 	if r == nil {
 		return true
@@ -167,17 +211,15 @@
 			growth += t.placedBytes(r.idBytes) - t.rowBytes()
 		}
 	}
-	if !st.isOpen() && (r.closed || growth > r.left && r.job.assignedTasks > 0) {
+	if !st.isOpen() && (r.closed || r.used+r.reserved+growth > r.forSteps && r.job.assignedTasks > 0) {
 		r.closed = true
 		return false
 	}
-	r.own = min(growth, r.left)
-	r.left -= growth
+	r.reserved += growth
 	return true
 }
 
-// take takes the room for the rows of tasks of the present step that are about to be placed, and reports
-// whether there is any.
+// take takes the room for the rows of tasks that are about to be placed, and reports whether there is any.
 func (r *recordRoom) take(tasks ...*task) bool {
 	if r == nil {
 		return true
@@ -186,11 +228,12 @@
 	for _, t := range tasks {
 		growth += t.placedBytes(r.idBytes) - t.rowBytes()
 	}
-	if growth > r.own && r.job.assignedTasks > 0 {
+	if r.used+growth > r.forTasks && r.job.assignedTasks > 0 {
 		r.exhausted = true
 		return false
 	}
-	r.own -= growth
+	r.used += growth
+	r.reserved -= growth
 	return true
 }
 
--- a/internal/core/job/record_size_test.go
+++ b/internal/core/job/record_size_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"strings"
@@ -8,6 +9,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/sardinehead/sardinehead/internal/core/crash"
 )
 
 // TestOverlappingOccurrencesFitTheStore guards against an owner that is stuck for good: the occurrences
@@ -177,3 +180,53 @@
 	}
 	g.Expect(times).To(gomega.Equal([]any{1, 2, 4, 8}))
 }
+
+// TestRowsAreMeasuredAsEncoded guards against jobs whose tasks ran one at a time, because their rows were taken for
+// larger than they are.
+func TestRowsAreMeasuredAsEncoded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, row := range []taskRow{
+		{},
+		{Occurrence: 7, Step: 12, Index: 1899, Completed: true},
+		{Index: 10, Run: 1},
+		{
+			Index: 1999, Run: 12, Failed: 2, FailedRun: 11, Worker: "i-0123456789", Incarnation: 1_783_300_000_000, Checkpoint: "00000bb87a21d94b",
+			Crashes: 1, Possible: 10, Suspected: 2, Unexplained: 3, PlannedMS: -100_000,
+		},
+	} {
+		encoded, err := json.Marshal(row)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(row.bytes()).To(gomega.BeNumerically("~", len(encoded)+1, 1), string(encoded))
+	}
+}
+
+// TestLostTasksOfWideJobsStartTogether: crashes make the rows of waiting tasks larger.
+func TestLostTasksOfWideJobsStartTogether(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o, host := flushOwner()
+	o.s.settings.MaxRecordBytes = 32 << 10
+	j := newJob(o, "00000000000000aa", Step{Count: 250, Need: Resources{CPU: 1}})
+	j.acceptance.Spec.Occurrences = 2
+	j.ensureOccurrence(1)
+	o.jobs[j.record.ID], o.jobOrder = j, append(o.jobOrder, j)
+	for _, occ := range j.occurrences {
+		for _, task := range occ.steps[0].tasks {
+			o.assign(task, host)
+			o.release(task)
+			task.crash = crash.Record{Suspected: 1, Unexplained: 1}
+		}
+	}
+	room := o.recordRoomOf(j, []*worker{host})
+	placed := 0
+	for _, occ := range j.occurrences {
+		g.Expect(room.open(occ.steps[0])).To(gomega.BeTrue())
+		for _, task := range occ.steps[0].tasks {
+			if room.take(task) {
+				o.assign(task, host)
+				placed++
+			}
+		}
+	}
+	g.Expect(placed).To(gomega.BeNumerically(">", 100), "many at once")
+	g.Expect(o.encodeJob(j)[0].size()).To(gomega.BeNumerically("<=", 32<<10))
+}
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -69,6 +69,7 @@
 	incarnation    int
 	up             bool
 	streamCut      bool              // cannot reach the stream
+	trimmed        bool              // its next read finds its records dropped
 	workersCut     bool              // cannot reach the workers
 	cutWorkers     map[WorkerID]bool // workers that it cannot reach
 	peersCut       bool              // cannot reach the other nodes
@@ -462,6 +463,11 @@
 		n.sim.after(700*time.Millisecond, func() { reply(StreamFailed{}) })
 		return
 	}
+	if n.trimmed {
+		n.trimmed = false
+		reply(StreamFailed{Trimmed: true})
+		return
+	}
 	end := int64(len(s.records))
 	if end <= e.From && e.Wait > 0 {
 		n.sim.after(min(e.Wait, 20*time.Millisecond), func() {
--- a/internal/core/job/trimmed_stream_test.go
+++ b/internal/core/job/trimmed_stream_test.go
@@ -20,7 +20,7 @@
 			sim.run(3 * time.Second)
 			n := sim.owningNode()
 			g.Expect(n).NotTo(gomega.BeNil())
-			n.post(n.incarnation, StreamFailed{Trimmed: true})
+			n.trimmed = true
 			sim.run(time.Second)
 			g.Expect(sim.countOwners()).To(gomega.Equal(1), "the ownership is taken again soon")
 		}
