--- a/internal/core/job/platform_series_test.go
+++ b/internal/core/job/platform_series_test.go
@@ -36,6 +36,7 @@
 		for range 1 + rng.IntN(2) {
 			sim.after(time.Duration(rng.Int64N(int64(5*time.Second))), sim.submitWide)
 		}
+		sim.cutAfterStart()
 		sim.scheduleFaults(1 + rng.IntN(3))
 		for range 2 + rng.IntN(4) {
 			sim.after(time.Duration(rng.Int64N(int64(10*time.Second))), sim.injectPlatformFault)
@@ -46,12 +47,47 @@
 		if unfinished := sim.unfinished(); len(unfinished) > 0 {
 			t.Errorf("%d jobs did not finish: %.300s", len(unfinished), unfinished[0])
 		}
+		sim.checkFailuresOfJobs()
 		sim.report(t)
 		sim.faults = lost
 		sim.run(time.Duration(rng.Int64N(int64(5 * time.Minute))))
 	}
 }
 
+// cutAfterStart submits a job with a long task and cuts its worker off soon after the start.
+func (sim *simulation) cutAfterStart() {
+	id := sim.submit(Spec{Steps: []Step{{Count: 1, Need: Resources{CPU: 500, Memory: 16}, EstimateMS: 13_000}}})
+	var await func()
+	await = func() {
+		for _, workerID := range sim.workerIDs {
+			wk := sim.workers[workerID]
+			if wk.runs[TaskName{Job: id}] == nil {
+				continue
+			}
+			sim.after(time.Duration(sim.rng.Int64N(int64(600*time.Millisecond))), func() {
+				wk.unreachable = true
+				sim.after(9*time.Second, func() { wk.unreachable = false })
+			})
+			return
+		}
+		sim.after(20*time.Millisecond, await)
+	}
+	await()
+}
+
+// checkFailuresOfJobs checks that a job is shown as failed only if a task used up its attempts or was given up.
+func (sim *simulation) checkFailuresOfJobs() {
+	for _, id := range sim.failedJobs() {
+		most := 0
+		for _, failed := range sim.jobs[id].failedRuns {
+			most = max(most, failed)
+		}
+		if most < sim.config.Queues[0].MaxAttempts && !sim.givenUp[id] {
+			sim.addViolation("%s is shown as failed after %d failed runs of a task", id, most)
+		}
+	}
+}
+
 // submitWide submits a recurring job whose occurrences may overlap, or a gang.
 func (sim *simulation) submitWide() {
 	if sim.rng.IntN(3) == 0 {
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -52,6 +52,8 @@
 	crashing *crashingTasks
 	// evacuated holds since when each availability zone is evacuated.
 	evacuated map[vocab.ZoneID]vocab.Instant
+	// givenUp holds the jobs of tasks that were given up because of crashes.
+	givenUp map[ID]bool
 	// clockRate, if set, is the rate of the workers' clocks.
 	clockRate float64
 }
@@ -174,7 +176,7 @@
 		stream: &fakeStream{newest: map[string]int{}}, directory: &fakeStream{newest: map[string]int{}},
 		settings: Settings{MaxLease: 6 * time.Second, KeepFinished: time.Hour},
 		workers:  map[WorkerID]*fakeWorker{}, jobs: map[ID]*fakeJob{}, replies: map[CallID]Reply{},
-		forwarded: map[CallID]func(Reply){},
+		forwarded: map[CallID]func(Reply){}, givenUp: map[ID]bool{},
 	}
 	sim.config = Config{
 		Version: 1,
@@ -277,6 +279,9 @@
 	reply := func(ev event.Event) { sim.after(sim.delay(), func() { n.post(incarnation, ev) }) }
 	switch e := effect.(type) {
 	case LogEvent:
+		if e.ID == LogTaskGivenUp {
+			sim.givenUp[e.Field("task").(TaskName).Job] = true
+		}
 		if sim.trace != nil {
 			sim.trace(fmt.Sprintf("%8.3f n%d %s %v", time.Duration(sim.now-vocab.Instant(time.Hour)).Seconds(), n.index, e.ID, e.Fields))
 		}
