--- a/internal/core/job/record_size.go
+++ b/internal/core/job/record_size.go
@@ -19,17 +19,17 @@
 	// later: checkpoints, failures and crashes. recordMarginShare is kept free at all times.
 	recordGrowthShare = 1.0 / 8
 	recordMarginShare = 1.0 / 64
-	// completedRowBytes is the size of the row of a completed task or step, placedRowBytes that of an
-	// assigned task with a short ID of its worker, each at most and in bytes.
+	// completedRowBytes is the maximum size of the row of a completed task or step, placedRowBytes that of
+	// an assigned task on a worker with a short ID, in bytes.
 	completedRowBytes = 40
 	placedRowBytes    = 100
 	// checkpointBytes is the size of a checkpoint that is expected of a task without one, in bytes.
 	checkpointBytes = 24
 	// hostBytes is the size of a worker in the rows with the hosts and the grants of a job, in bytes.
 	hostBytes = 80
-	// largeJobRowBytes is the size of a row that certainly fits for the tasks of all but large jobs, in
-	// bytes.
-	largeJobRowBytes = 200
+	// maxRowBytes is more than any row has, in bytes. A job whose record holds so much for each of its
+	// tasks needs no exact count.
+	maxRowBytes = 200
 )
 
 // recordLimit is the size of the largest record that the store takes, in bytes.
@@ -178,7 +178,7 @@
 			}
 		}
 	}
-	if tasks*largeJobRowBytes <= room.forSteps {
+	if tasks*maxRowBytes <= room.forSteps {
 		return nil
 	}
 	for _, w := range workers {
