--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -150,8 +150,6 @@
 			if !ws.done[id] && !m.orderPending {
 				remaining = append(remaining, m)
 			}
-		case !ws.done[id] && o.mayHaveEarlierOrder(id):
-			down++
 		case !ws.done[id]:
 			remaining = append(remaining, m)
 		}
@@ -178,13 +176,6 @@
 	}
 }
 
-// mayHaveEarlierOrder reports whether an order to a machine, of this or an earlier owner, is on the stream without
-// its response and may still be carried out. No list of machines shows it yet.
-func (o *owner) mayHaveEarlierOrder(id MachineID) bool {
-	order := o.s.ledger.lastOrders[id]
-	return order.open && o.s.now.Sub(order.readAt) < orderAuthority+unansweredOrderTimeout
-}
-
 // waveLogInterval is the time between two log events about a wave that has little time left.
 const waveLogInterval = 2 * time.Second
 
