--- a/review/trial-2/cases.go
+++ b/review/trial-2/cases.go
@@ -1,12 +1,13 @@
 package main
 
 import (
+	"fmt"
 	"hash/fnv"
 	"net/http"
 	"time"
 )
 
-var cases = map[string]func(*trial){"ends": endsCase, "public": publicCase, "flap": flapCase, "hold": holdCase}
+var cases = map[string]func(*trial){"ends": endsCase, "public": publicCase, "flap": flapCase, "hold": holdCase, "recurring": recurringCase}
 
 // between returns a time between two bounds that depends on a task's name alone.
 func between(task string, least, most time.Duration) time.Duration {
@@ -88,7 +89,8 @@
 	t.configureOne()
 	runTime := func(string) time.Duration { return 3500 * time.Millisecond }
 	var flapping *worker
-	for _, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8", "i-9", "i-10"} {
+	for i := range 30 {
+		id := fmt.Sprintf("i-%d", i+1)
 		w := newWorker(id, "orders", t.rec, runTime)
 		if id == "i-4" {
 			w.labels = []string{"b", "r1"}
