--- a/review/trial-2/main.go
+++ b/review/trial-2/main.go
@@ -35,14 +35,14 @@
 	trouble bool
 	dir     string
 	// storeDown is set while the store answers no call.
-	storeDown    atomic.Bool
-	storeAddress string
-	workers      []*worker
-	nodes        []*node
-	version      int
-	keys         map[string][]string
-	ctx          context.Context
-	verdict      []string
+	storeDown                     atomic.Bool
+	storeAddress, machinesAddress string
+	workers                       []*worker
+	nodes                         []*node
+	version                       int
+	keys                          map[string][]string
+	ctx                           context.Context
+	verdict                       []string
 }
 
 type node struct {
@@ -122,20 +122,25 @@
 // serveStore serves the store. While it is down, it takes calls and answers none.
 func (t *trial) serveStore() {
 	handler := t.store.Handler()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		unable("%v", err)
-	}
-	t.storeAddress = l.Addr().String()
-	server := &http.Server{ReadHeaderTimeout: 5 * time.Second, Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+	t.storeAddress = listen(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if t.storeDown.Load() {
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		time.Sleep(4 * time.Millisecond)
+		time.Sleep(answerTime)
 		handler.ServeHTTP(rw, r)
-	})}
+	}))
+}
+
+// listen serves a handler on a free port of the loopback address, and returns the address.
+func listen(handler http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		unable("%v", err)
+	}
+	server := &http.Server{ReadHeaderTimeout: 5 * time.Second, Handler: handler}
 	go func() { _ = server.Serve(l) }()
+	return l.Addr().String()
 }
 
 // addWorker adds a worker, which writes its entry at intervals while it is up and the store as well.
@@ -151,13 +156,6 @@
 	}()
 }
 
-// announce writes the entry of a worker at once.
-func (t *trial) announce(w *worker) {
-	if entry, up := w.entry(); up {
-		t.store.Put("keyed.servers", w.id, entry)
-	}
-}
-
 const (
 	host   = "pule25.example"
 	prefix = "/puxa400/"
@@ -212,12 +210,16 @@
 	for i := range n {
 		ports := freePorts(4)
 		name := fmt.Sprintf("front-%s-%d", zones[i%3], i+1)
-		settings, err := json.Marshal(map[string]any{
+		fields := map[string]any{
 			"node": name, "zone": zones[i%3], "strength": "0.4", "memory_mib": 284, "callers": ports[0], "readiness": ports[1],
 			"operators": ports[2], "peers": ports[3], "store": "http://" + t.storeAddress, "orders_per_second": "64",
 			"record_bytes": 262144, "append_bytes": 2097152, "order_gap": "3000ms", "keep_ended": "120s", "refuse_worthless": true,
 			"grace": "6s", "lease_most": "6000ms",
-		})
+		}
+		if t.machinesAddress != "" {
+			fields["machines"] = "http://" + t.machinesAddress
+		}
+		settings, err := json.Marshal(fields)
 		if err != nil {
 			unable("%v", err)
 		}
--- a/review/trial-2/worker.go
+++ b/review/trial-2/worker.go
@@ -26,8 +26,6 @@
 	rec                           *recorder
 	// runTime returns the run time of a task.
 	runTime func(task string) time.Duration
-	// late decides whether a call is left unanswered and carried out after the returned time.
-	late func(path string, o order) (time.Duration, bool)
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -123,7 +121,7 @@
 	go func(s *http.Server) { _ = s.Serve(l) }(w.server)
 }
 
-// crash ends the worker's life without a word; nothing listens at its address until revive.
+// crash ends the worker's life without a word; nothing listens at its address any more.
 func (w *worker) crash() {
 	w.mu.Lock()
 	w.rec.note("crash", "worker", w.id, "runs", len(w.runs))
@@ -137,16 +135,6 @@
 	_ = server.Close()
 }
 
-// revive starts the next life of a worker that has crashed, under its id and address.
-func (w *worker) revive() {
-	w.mu.Lock()
-	w.begin()
-	w.down = false
-	w.mu.Unlock()
-	w.listen(w.address)
-	w.rec.note("up", "worker", w.id, "born", w.born.UnixMilli())
-}
-
 // entry is what the worker says of itself in the store.
 func (w *worker) entry() (map[string]any, bool) {
 	w.mu.Lock()
@@ -171,22 +159,6 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if w.late != nil {
-		if delay, hold := w.late(path, o); hold {
-			w.rec.note("late-call", "worker", w.id, "path", path, "last_seen", o.LastSeen, "task", o.Task, "in_ms", delay.Milliseconds())
-			time.AfterFunc(delay, func() {
-				w.mu.Lock()
-				defer w.mu.Unlock()
-				if w.down {
-					return
-				}
-				status, _ := w.carryOut(path, o)
-				w.rec.note("late-call-done", "worker", w.id, "path", path, "last_seen", o.LastSeen, "task", o.Task, "status", status)
-			})
-			<-r.Context().Done()
-			panic(http.ErrAbortHandler)
-		}
-	}
 	w.mu.Lock()
 	life := w.life
 	w.mu.Unlock()
