--- a/review/trial-2/cases.go
+++ b/review/trial-2/cases.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-var cases = map[string]func(*trial){"ends": endsCase, "public": publicCase, "recurring": recurringCase, "wave": waveCase}
+var cases = map[string]func(*trial){"ends": endsCase, "public": publicCase, "recurring": recurringCase, "wave": waveCase, "turns": turnsCase}
 
 // between returns a time between two bounds that depends on a task's name alone.
 func between(task string, least, most time.Duration) time.Duration {
--- a/review/trial-2/main.go
+++ b/review/trial-2/main.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -40,9 +41,13 @@
 	workers                       []*worker
 	nodes                         []*node
 	version                       int
-	keys                          map[string][]string
-	ctx                           context.Context
-	verdict                       []string
+	// ordersPerSecond is duty_per_s; 64 if it is not set.
+	ordersPerSecond string
+	// shares are the CPU shares of the nodes; 0.4 each if there are none.
+	shares  []string
+	keys    map[string][]string
+	ctx     context.Context
+	verdict []string
 }
 
 type node struct {
@@ -209,10 +214,13 @@
 	zones := []string{"z-a", "z-b", "z-c"}
 	for i := range n {
 		ports := freePorts(4)
-		name := fmt.Sprintf("front-%s-%d", zones[i%3], i+1)
+		name, share := fmt.Sprintf("front-%s-%d", zones[i%3], i+1), "0.4"
+		if len(t.shares) > 0 {
+			share = t.shares[i]
+		}
 		fields := map[string]any{
-			"node": name, "zone": zones[i%3], "strength": "0.4", "memory_mib": 284, "callers": ports[0], "readiness": ports[1],
-			"operators": ports[2], "peers": ports[3], "store": "http://" + t.storeAddress, "orders_per_second": "64",
+			"node": name, "zone": zones[i%3], "strength": share, "memory_mib": 284, "callers": ports[0], "readiness": ports[1],
+			"operators": ports[2], "peers": ports[3], "store": "http://" + t.storeAddress, "orders_per_second": cmp.Or(t.ordersPerSecond, "64"),
 			"record_bytes": 262144, "append_bytes": 2097152, "order_gap": "3000ms", "keep_ended": "120s", "refuse_worthless": true,
 			"grace": "6s", "lease_most": "6000ms",
 		}
@@ -253,7 +261,7 @@
 }
 
 func (t *trial) waitFor(what string, done func() bool) {
-	for begun := time.Now(); !done(); time.Sleep(50 * time.Millisecond) {
+	for begun := time.Now(); !done(); time.Sleep(20 * time.Millisecond) {
 		if time.Since(begun) > 15*time.Second {
 			unable("no %s in 15 s", what)
 		}
--- a/review/trial-2/recurring.go
+++ b/review/trial-2/recurring.go
@@ -32,6 +32,30 @@
 	return 0
 }
 
+// newCommand returns a command that does the same again.
+func newCommand(cmd *exec.Cmd) *exec.Cmd {
+	again := exec.Command(cmd.Args[0], cmd.Args[1:]...)
+	again.Stdout, again.Stderr = cmd.Stdout, cmd.Stderr
+	return again
+}
+
+// kill ends a node's process without a word; startAgain starts it again.
+func (t *trial) kill(n *node) {
+	_ = n.cmd.Process.Kill()
+	_ = n.cmd.Wait()
+}
+
+func (t *trial) startAgain(n *node) {
+	cleanupMu.Lock()
+	defer cleanupMu.Unlock()
+	n.cmd = newCommand(n.cmd)
+	if err := n.cmd.Start(); err != nil {
+		go unable("%v", err)
+		return
+	}
+	started = append(started, n.cmd)
+}
+
 // limitMemory does what the platform does: it kills a process that exceeds its memory, and starts it
 // again after a short delay.
 func (t *trial) limitMemory(n *node, kills *int) {
@@ -48,8 +72,7 @@
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
 		time.Sleep(restartDelay)
-		again := exec.Command(cmd.Args[0], cmd.Args[1:]...)
-		again.Stdout, again.Stderr = cmd.Stdout, cmd.Stderr
+		again := newCommand(cmd)
 		cleanupMu.Lock()
 		if t.ctx.Err() != nil {
 			cleanupMu.Unlock()
--- a/review/trial-2/wave.go
+++ b/review/trial-2/wave.go
@@ -15,13 +15,11 @@
 	// answerTime is the time of an answer of the platform, slowBy the factor of a cloud_slow.
 	answerTime = 4 * time.Millisecond
 	slowBy     = 50
+	// leaseTime is lease_ms of the installations.
+	leaseTime = 3 * time.Second
 	// upkeepTime is upkeep_s of the small installation.
 	upkeepTime = 2 * time.Second
-	// machineCount and waveSize: 49 machines, of which a wave takes 0.48. waveCap are down at once at most.
-	machineCount = 49
-	waveSize     = 23
-	waveCap      = 16
-	waveNumber   = 3
+	waveNumber = 3
 )
 
 // machine is a machine of the platform.
@@ -40,8 +38,14 @@
 	t       *trial
 	address string
 	slow    atomic.Bool
+	// size machines are in the wave, and limit of them are down at once at most.
+	size, limit int
 	// ordered is called with the holder of each order that is carried out.
 	ordered func(holder string)
+	// orders holds the last order to each machine.
+	orders map[string]machineOrder
+	// turns lists the orders to a machine within leaseTime after one of another holder.
+	turns []string
 
 	mu       sync.Mutex
 	machines []*machine
@@ -49,18 +53,19 @@
 	inWave   map[string]bool
 }
 
-func newCloud(t *trial) *cloud {
-	c := &cloud{t: t, byID: map[string]*machine{}, inWave: map[string]bool{}}
+// newCloud starts the service with a number of machines, of which a wave takes the first ones.
+func newCloud(t *trial, machines, size, limit int) *cloud {
+	c := &cloud{t: t, size: size, limit: limit, byID: map[string]*machine{}, inWave: map[string]bool{}, orders: map[string]machineOrder{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machines", c.list)
 	mux.HandleFunc("POST /machine-move", c.move)
 	mux.HandleFunc("POST /machine-upkeep", c.keepUp)
 	c.address = listen(mux)
-	for i := range machineCount {
+	for i := range machines {
 		m := &machine{id: fmt.Sprintf("m-%d", i+1), pool: "orders"}
 		c.machines, c.byID[m.id] = append(c.machines, m), m
 		c.join(m)
-		if i < waveSize {
+		if i < size {
 			c.inWave[m.id] = true
 		}
 	}
@@ -127,6 +132,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.byID[id]
+	c.noteOrder(id, holder, fence)
 	switch {
 	case m == nil:
 		return http.StatusBadRequest, ""
@@ -147,10 +153,10 @@
 		}
 	}
 	c.t.rec.note("upkeep", "machine", id, "holder", holder, "fence", fence, "down_before", down)
-	if down >= waveCap {
+	if down >= c.limit {
 		c.t.rec.mu.Lock()
 		c.t.verdict = append(c.t.verdict, fmt.Sprintf("%.3f s: %s orders %s down (fence %d) while %d machines of the wave are down, cap %d",
-			time.Since(c.t.rec.begun).Seconds(), holder, id, fence, down, waveCap))
+			time.Since(c.t.rec.begun).Seconds(), holder, id, fence, down, c.limit))
 		c.t.rec.mu.Unlock()
 	}
 	m.upkeep, m.done = true, true
@@ -168,10 +174,57 @@
 	return http.StatusOK, ""
 }
 
+// machineOrder is an order to a machine as it arrived.
+type machineOrder struct {
+	holder string
+	fence  uint64
+	at     time.Time
+}
+
+// noteOrder notes an order; the caller holds c.mu.
+func (c *cloud) noteOrder(id, holder string, fence uint64) {
+	c.t.rec.note("order", "machine", id, "holder", holder, "fence", fence)
+	now := time.Now()
+	if last, found := c.orders[id]; found && last.holder != holder && now.Sub(last.at) < leaseTime {
+		c.turns = append(c.turns, fmt.Sprintf("%.3f s: %s (fence %d) orders %s %.0f ms after %s (fence %d)",
+			now.Sub(c.t.rec.begun).Seconds(), holder, fence, id, float64(now.Sub(last.at).Microseconds())/1000, last.holder, last.fence))
+	}
+	c.orders[id] = machineOrder{holder, fence, now}
+}
+
+// request writes the operator's request for the wave.
+func (c *cloud) request() {
+	var ids []string
+	for _, m := range c.machines[:c.size] {
+		ids = append(ids, m.id)
+	}
+	c.t.rec.note("operator", "writes", fmt.Sprintf("op/wave/%d", waveNumber), "machines", c.size, "cap", c.limit)
+	c.t.store.Put("keyed.op", fmt.Sprintf("wave/%d", waveNumber), map[string]any{
+		"wave": waveNumber, "machines": ids, "duration_s": 26, "cap": c.limit,
+	})
+}
+
+// conclude notes how far the wave has come. The case could not run if nothing was ordered.
+func (c *cloud) conclude() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	done := 0
+	for _, m := range c.machines {
+		if m.done {
+			done++
+		}
+	}
+	c.t.rec.note("wave", "done", done, "status", string(c.t.store.Newest("keyed.status", fmt.Sprintf("wave/%d", waveNumber))))
+	if done == 0 {
+		unable("no machine of the wave was ordered down")
+	}
+}
+
 // waveCase: the owner gets SIGTERM while its orders to the machines of a wave are on their way.
 func waveCase(t *trial) {
 	t.configureOne()
-	c := newCloud(t)
+	// 49 machines, of which the wave takes 0.48.
+	c := newCloud(t, 49, 23, 16)
 	t.machinesAddress = c.address
 	t.startNodes(3)
 	time.Sleep(3 * time.Second)
@@ -188,25 +241,7 @@
 			}
 		})
 	}
-	var ids []string
-	for _, m := range c.machines[:waveSize] {
-		ids = append(ids, m.id)
-	}
-	t.rec.note("operator", "writes", fmt.Sprintf("op/wave/%d", waveNumber), "machines", waveSize, "cap", waveCap)
-	t.store.Put("keyed.op", fmt.Sprintf("wave/%d", waveNumber), map[string]any{
-		"wave": waveNumber, "machines": ids, "duration_s": 26, "cap": waveCap,
-	})
+	c.request()
 	time.Sleep(15 * time.Second)
-	done := 0
-	c.mu.Lock()
-	for _, m := range c.machines {
-		if m.done {
-			done++
-		}
-	}
-	c.mu.Unlock()
-	t.rec.note("wave", "done", done, "status", string(t.store.Newest("keyed.status", fmt.Sprintf("wave/%d", waveNumber))))
-	if done == 0 {
-		unable("no machine of the wave was ordered down")
-	}
+	c.conclude()
 }
