--- a/review/trial-2/main.go
+++ b/review/trial-2/main.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -58,12 +59,15 @@
 var (
 	cleanupMu sync.Mutex
 	started   []*exec.Cmd
-	tempDir   string
+	// ended is set once the trial has ended: no process is started any more.
+	ended   bool
+	tempDir string
 )
 
 func cleanUp() {
 	cleanupMu.Lock()
 	defer cleanupMu.Unlock()
+	ended = true
 	for _, cmd := range started {
 		_ = cmd.Process.Signal(syscall.SIGCONT)
 		_ = cmd.Process.Kill()
@@ -75,6 +79,17 @@
 	}
 }
 
+// launch starts a process, unless the trial has ended, and reports whether it runs.
+func launch(cmd *exec.Cmd) bool {
+	cleanupMu.Lock()
+	defer cleanupMu.Unlock()
+	if ended || cmd.Start() != nil {
+		return false
+	}
+	started = append(started, cmd)
+	return true
+}
+
 // unable ends a trial that cannot run.
 func unable(format string, args ...any) {
 	cleanUp()
@@ -103,6 +118,9 @@
 			unable("it takes too long")
 		}
 	})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	go func() { unable("%s", <-signals) }()
 	t.serveStore()
 	play(t)
 	cancel()
@@ -246,12 +264,9 @@
 			}
 		}
 		cmd.Stdout, cmd.Stderr = log, log
-		if err := cmd.Start(); err != nil {
-			unable("%v", err)
+		if !launch(cmd) {
+			unable("%s does not start", name)
 		}
-		cleanupMu.Lock()
-		started = append(started, cmd)
-		cleanupMu.Unlock()
 		t.nodes = append(t.nodes, &node{name, ports[0], cmd})
 		t.rec.note("node", "name", name)
 	}
--- a/review/trial-2/recurring.go
+++ b/review/trial-2/recurring.go
@@ -46,14 +46,11 @@
 }
 
 func (t *trial) startAgain(n *node) {
-	cleanupMu.Lock()
-	defer cleanupMu.Unlock()
-	n.cmd = newCommand(n.cmd)
-	if err := n.cmd.Start(); err != nil {
-		go unable("%v", err)
-		return
+	again := newCommand(n.cmd)
+	if !launch(again) {
+		unable("%s does not start again", n.name)
 	}
-	started = append(started, n.cmd)
+	n.cmd = again
 }
 
 // limitMemory does what the platform does: it kills a process that exceeds its memory, and starts it
@@ -73,16 +70,12 @@
 		_ = cmd.Wait()
 		time.Sleep(restartDelay)
 		again := newCommand(cmd)
-		cleanupMu.Lock()
-		if t.ctx.Err() != nil {
-			cleanupMu.Unlock()
+		if !launch(again) {
 			return
 		}
-		if err := again.Start(); err == nil {
-			n.cmd = again
-			started = append(started, again)
-			*kills++
-		}
+		cleanupMu.Lock()
+		n.cmd = again
+		*kills++
 		cleanupMu.Unlock()
 	}
 }
