Log starts that a later incarnation of a worker has carried out

The log could not tell whether a start had reached the incarnation that it was meant for. Event 645 compares the reading of the worker's clock in the answer with the one that the lease was based on, 617 names the earlier incarnation, the age of the last order to it and how many of its starts are open, 612 the open copies of the run's start.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -119,6 +119,12 @@
 	// startsSent counts the copies of the start that were sent, startsUnanswered those
 	// without a response.
 	startsSent, startsUnanswered int
+	// openStarts counts the copies of the start that may still be carried out, the last of which was
+	// sent at lastStartSentAt: those without a definite result, or carried out by a later incarnation.
+	// clockAtStart is the reading of the worker's clock that their leases were based on.
+	openStarts      int
+	lastStartSentAt vocab.Instant
+	clockAtStart    time.Duration
 	// listed is set once the worker has listed the run.
 	listed bool
 	// failedOn is the worker on which a run of the task last failed.
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -208,6 +208,7 @@
 	LogAppendRefused
 	LogRecordTooLarge
 	LogAttemptsUsedUp
+	LogStartInLaterIncarnation
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -237,6 +238,8 @@
 	LogAppendRefused:        "append refused",
 	LogRecordTooLarge:       "record too large",
 	LogAttemptsUsedUp:       "attempts used up",
+
+	LogStartInLaterIncarnation: "start reached a later incarnation",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -59,5 +59,6 @@
 		642: "append refused",
 		643: "record too large",
 		644: "attempts used up",
+		645: "start reached a later incarnation",
 	}))
 }
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -8,6 +8,7 @@
 	t.startSentAt, t.startedAt, t.stopSentAt, t.fencedOffAt = 0, 0, 0, 0
 	t.progressPercent, t.tailLatencyMS, t.cpuPercent = 0, 0, 100
 	t.startsSent, t.startsUnanswered, t.listed = 0, 0, false
+	t.openStarts, t.lastStartSentAt, t.clockAtStart = 0, 0, 0
 	w.tasks = append(w.tasks, t)
 	w.used = w.used.Plus(t.step.spec.Reserved())
 	t.step.assigned++
@@ -86,6 +87,8 @@
 	w := t.worker
 	t.startsSent++
 	t.startsUnanswered++
+	t.openStarts++
+	t.lastStartSentAt, t.clockAtStart = o.s.now, w.clock
 	ticket, _ := t.step.ticketFor(w, o.s.now)
 	w.lastStartAt = o.s.now
 	o.s.emit(Start{
@@ -110,7 +113,11 @@
 
 func (o *owner) handleStartAnswered(e StartAnswered) {
 	t := o.assignedTask(e.Worker, e.Task, e.Run)
-	if t == nil || t.state != runStarting {
+	if t == nil {
+		return
+	}
+	o.closeStart(t, e)
+	if t.state != runStarting {
 		return
 	}
 	w := t.worker
@@ -149,6 +156,21 @@
 	}
 }
 
+// closeStart notes that a copy of the start cannot be carried out any more. A reading of the worker's
+// clock below the one that the lease was based on shows that a later incarnation has carried it out:
+// the lease may be as long as workers allow.
+func (o *owner) closeStart(t *task, e StartAnswered) {
+	switch {
+	case e.Outcome == Unknown:
+	case e.Outcome == OK && e.Clock > 0 && e.Clock < t.clockAtStart:
+		o.s.logEvent(LogStartInLaterIncarnation, "task", e.Task, "run", e.Run, "worker", e.Worker, "clock_ms", e.Clock.Milliseconds(),
+			"lease_clock_ms", t.clockAtStart.Milliseconds(), "sent_ms_ago", o.s.now.Sub(e.SentAt).Milliseconds())
+		t.worker.pollBy(o.s.now)
+	default:
+		t.openStarts--
+	}
+}
+
 // markStarted records that a run has started, and stops the run if its job has finished meanwhile.
 func (o *owner) markStarted(t *task) {
 	t.state, t.startedAt = runRunning, o.s.now
@@ -331,7 +353,7 @@
 	}
 	o.s.logEvent(LogRunLost, "task", t.name(), "run", t.lastRun, "worker", t.worker.info.ID, "why", cause.String(),
 		"cause", cause.label(), "planned", planned, "since_start_ms", ranMS, "age_ms", o.s.now.Sub(t.plannedAt).Milliseconds(),
-		"lived_ms", o.lived(t).Milliseconds())
+		"lived_ms", o.lived(t).Milliseconds(), "open_starts", t.openStarts)
 	if t.state != runPlanned {
 		t.lostRuns = append(t.lostRuns, t.lastRun)
 	}
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -716,6 +716,7 @@
 		answer.Outcome = outcome
 		return answer
 	}
+	answer.Clock = sim.clock(wk)
 	if r := wk.runs[e.Task]; r != nil && r.run == e.Run {
 		return answer
 	}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -159,7 +159,15 @@
 // as lost only when a poll does not list them, because a start may have reached the new
 // incarnation before the restart was known.
 func (o *owner) handleRestart(w *worker, incarnation Millis) {
-	o.s.logEvent(LogWorkerRestarted, "worker", w.info.ID, "born", incarnation)
+	openStarts := 0
+	for _, t := range w.tasks {
+		openStarts += t.openStarts
+	}
+	orderAge := int64(-1)
+	if w.leaseSentAt != 0 {
+		orderAge = o.s.now.Sub(w.leaseSentAt).Milliseconds()
+	}
+	o.s.logEvent(LogWorkerRestarted, "worker", w.info.ID, "born", incarnation, "earlier", w.info.Incarnation, "order_ms_ago", orderAge, "open_starts", openStarts)
 	w.info.Incarnation = incarnation
 	w.outcomes = runOutcomes{}
 	w.fenced, w.ackedEnd, w.lastEnd, w.confirmedEnd, w.orphaned = false, 0, 0, 0, Resources{}
