Simulation: connections hold orders until a worker is back under its ID

A worker that is back under its ID takes orders that were meant for its former life, and nothing in the order tells the two apart. The simulation answered an order to a worker that was down at once, and dropped a late order if the worker had restarted since, so that no series could meet this.

A worker may now crash without refusing connections: an order to it is transmitted again for up to 2.2 s (700 ms to connect and a TCP user timeout of 1.5 s) and carried out by whatever incarnation is up by then; its answer is lost after 0.8 s, that of a poll after 0.4 s. The platform lists such a worker for three seconds. With holdOrders the same holds for orders to workers that are cut off, which had been known not to be carried out. With strayOrders an order that is carried out two to eight seconds late reaches the next incarnation as well. A start that finds its run, or that is refused as stale, extends the lease, as workers do.

--- a/internal/core/job/crash_test.go
+++ b/internal/core/job/crash_test.go
@@ -93,6 +93,12 @@
 	})
 }
 
+// crashDark ends a worker that refuses no connections while it is down. It is back under its ID after a time.
+func (sim *simulation) crashDark(wk *fakeWorker, downFor time.Duration) {
+	sim.crashWorker(wk, downFor, false)
+	wk.dark, wk.downSince = true, sim.now
+}
+
 // replaceWorker starts another worker on the machine and at the address of one that is down.
 func (sim *simulation) replaceWorker(old *fakeWorker) {
 	old.gone = true
@@ -205,13 +211,23 @@
 // TestRandomCrashes simulates random fault schedules with tasks that crash the workers that start
 // them, while workers also crash for other reasons, and owners change.
 func TestRandomCrashes(t *testing.T) {
-	forEachSeed(t, simulateCrashes)
+	forEachSeed(t, func(t *testing.T, seed uint64) { simulateCrashes(t, seed, plainOrders) })
+}
+
+// TestRandomCrashesWithHeldOrders is TestRandomCrashes with orders that connections hold until a worker is back.
+func TestRandomCrashesWithHeldOrders(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) { simulateCrashes(t, seed, holdOrders) })
+}
+
+// TestRandomCrashesWithStrayOrders adds late orders that reach workers which have restarted since.
+func TestRandomCrashesWithStrayOrders(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) { simulateCrashes(t, seed, strayOrders) })
 }
 
 // TestCrashesThatNoOwnerConfirms: the owner changes between a crash and its confirmation, and the crashing
 // run has settled each time, so that the task had no trial before its sixth start (seed 2655).
 func TestCrashesThatNoOwnerConfirms(t *testing.T) {
-	simulateCrashes(t, 2655)
+	simulateCrashes(t, 2655, plainOrders)
 }
 
 // TestUnexplainedLossesLeadToTrial: workers that go silent for good with a task fail no job by
@@ -243,12 +259,13 @@
 	g.Expect(restored.crash.LogRatio).To(gomega.BeNumerically("~", tasks[0].crash.LogRatio, 0.01))
 }
 
-func simulateCrashes(t *testing.T, seed uint64) {
+func simulateCrashes(t *testing.T, seed uint64, c connections) {
+	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 5))
 	sim := newSimulation(seed, 3+rng.IntN(3), 6, faults{
 		loseAppend: rng.Float64() * 0.05, loseOrder: rng.Float64() * 0.05, lateOrder: rng.Float64() * 0.03, failTask: rng.Float64() * 0.05,
 	})
-	sim.pollsWait = true
+	sim.pollsWait, sim.connections = true, c
 	if *printLines {
 		sim.trace = func(line string) { t.Log(line) }
 	}
--- a/internal/core/job/platform_series_test.go
+++ b/internal/core/job/platform_series_test.go
@@ -9,15 +9,21 @@
 // TestRandomPlatform plays what the platform may do beside faults: slow clocks over long idle times, records
 // refused for their size, dropped history, queues that are away for a while, and workers that restart unseen.
 func TestRandomPlatform(t *testing.T) {
-	forEachSeed(t, simulatePlatform)
+	forEachSeed(t, func(t *testing.T, seed uint64) { simulatePlatform(t, seed, plainOrders) })
 }
 
-func simulatePlatform(t *testing.T, seed uint64) {
+// TestRandomPlatformWithHeldOrders is TestRandomPlatform with orders that connections hold until a worker is back.
+func TestRandomPlatformWithHeldOrders(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) { simulatePlatform(t, seed, holdOrders) })
+}
+
+func simulatePlatform(t *testing.T, seed uint64, c connections) {
+	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 5))
 	sim := newSimulation(seed, 3, 5, faults{
 		loseAppend: rng.Float64() * 0.05, loseOrder: rng.Float64() * 0.05, failTask: rng.Float64() * 0.1,
 	})
-	sim.pollsWait = true
+	sim.pollsWait, sim.connections = true, c
 	sim.clockRate = []float64{minClockRate, 0.99, 1}[rng.IntN(3)]
 	sim.settings.MaxLease = []time.Duration{6 * time.Second, 10 * time.Second}[rng.IntN(2)]
 	limit := []int{32 << 10, 48 << 10}[rng.IntN(2)]
--- a/internal/core/job/simulation_suite_test.go
+++ b/internal/core/job/simulation_suite_test.go
@@ -328,7 +328,17 @@
 // task runs twice at a time, before the steps that it depends on, too often, beyond a
 // limit or without a job.
 func TestRandomFaults(t *testing.T) {
-	forEachSeed(t, simulateFaults)
+	forEachSeed(t, func(t *testing.T, seed uint64) { simulateFaults(t, seed, plainOrders) })
+}
+
+// TestRandomFaultsWithHeldOrders is TestRandomFaults with orders that connections hold until a worker is back.
+func TestRandomFaultsWithHeldOrders(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) { simulateFaults(t, seed, holdOrders) })
+}
+
+// TestRandomFaultsWithStrayOrders adds late orders that reach workers which have restarted since.
+func TestRandomFaultsWithStrayOrders(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) { simulateFaults(t, seed, strayOrders) })
 }
 
 // forEachSeed runs a simulation in parallel with each of the seeds that the flags select.
@@ -343,12 +353,13 @@
 	}
 }
 
-func simulateFaults(t *testing.T, seed uint64) {
+func simulateFaults(t *testing.T, seed uint64, c connections) {
+	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 2))
 	sim := newSimulation(seed, 3+rng.IntN(3), 5, faults{
 		loseAppend: rng.Float64() * 0.1, loseOrder: rng.Float64() * 0.1, lateOrder: rng.Float64() * 0.06, failTask: rng.Float64() * 0.1,
 	})
-	sim.pollsWait = true
+	sim.pollsWait, sim.connections = true, c
 	if seed%2 == 0 {
 		sim.clockRate = minClockRate
 	}
@@ -413,6 +424,10 @@
 		wk.unreachable = true
 		sim.after(duration, func() { wk.unreachable = false })
 	case 6:
+		if sim.connections >= holdOrders && sim.network.IntN(2) == 0 {
+			sim.crashDark(wk, duration)
+			return
+		}
 		sim.crashWorker(wk, duration, false)
 	case 7:
 		n.post(n.incarnation, Stopping{})
@@ -440,7 +455,7 @@
 		}
 	}
 	for _, id := range sim.workerIDs {
-		sim.workers[id].unreachable = false
+		sim.workers[id].unreachable, sim.workers[id].unlisted = false, false
 		if !sim.workers[id].up && !sim.workers[id].gone {
 			sim.restartWorker(sim.workers[id])
 		}
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -16,7 +16,9 @@
 // and injects faults. It records what the workers observe and checks the invariants.
 type simulation struct {
 	rng *rand.Rand
-	now vocab.Instant
+	// network is the source of randomness for connections to workers that do not respond.
+	network *rand.Rand
+	now     vocab.Instant
 	// seq is the number of calls that were scheduled so far, queue holds those to make. seq
 	// orders calls that are due at the same time.
 	seq    int
@@ -45,7 +47,8 @@
 	// stopTime is the time that a worker takes to stop a run.
 	stopTime time.Duration
 	// pollsWait is set if workers carry out the wait of a poll.
-	pollsWait bool
+	pollsWait   bool
+	connections connections
 	// gangsWorkTogether is set if the members of a gang wait for each other and end together.
 	gangsWorkTogether bool
 	// failOnly, if set, restricts the random failures to some tasks.
@@ -62,8 +65,46 @@
 	givenUp map[ID]bool
 	// clockRate, if set, is the rate of the workers' clocks.
 	clockRate float64
+	// route, if set, decides what becomes of an order that is being sent.
+	route func(event.Effect, *fakeWorker) orderRoute
+	// strayStarts counts the starts whose lease ended at a reading of an earlier incarnation's clock.
+	strayStarts int
 }
 
+// connections is how connections treat orders. With holdOrders they hold orders to workers that are cut off as
+// well, and random crashes may be dark. With strayOrders, which include that, an order that is carried out late
+// also reaches a worker that has restarted since.
+type connections int
+
+const (
+	plainOrders connections = iota
+	holdOrders
+	strayOrders
+)
+
+// orderRoute is what becomes of an order: it is sent like any other, is lost, or is held by its connection for
+// a time.
+type orderRoute struct {
+	lost bool
+	held time.Duration
+}
+
+const (
+	// orderTimeout and pollTimeout are the times after which a node gives up on an order and on a poll,
+	// apart from the wait that the poll asks for.
+	orderTimeout = 800 * time.Millisecond
+	pollTimeout  = 400 * time.Millisecond
+	// connectTimeout is the time after which a node gives up on opening a connection.
+	connectTimeout = 700 * time.Millisecond
+	// maxOrderHold is the time for which a connection transmits an order again to a worker that does not
+	// respond: connectTimeout and a TCP user timeout of 1.5 s.
+	maxOrderHold = connectTimeout + 1500*time.Millisecond
+	// retransmitInterval is the time between two transmissions of a held order.
+	retransmitInterval = 50 * time.Millisecond
+	// listedWithoutReport is the time for which the platform lists a worker that sends no reports.
+	listedWithoutReport = 3 * time.Second
+)
+
 // faults holds the probabilities of random faults, each between 0 and 1: of an append or an
 // order whose reply is lost, of an order that is carried out late, and of a task that fails.
 type faults struct {
@@ -134,6 +175,11 @@
 	info        WorkerInfo
 	up          bool
 	unreachable bool
+	// dark is set while a crashed worker is down without refusing connections, since downSince. unlisted is
+	// set while the platform does not list the worker.
+	dark      bool
+	downSince vocab.Instant
+	unlisted  bool
 	// gone is set once another worker has the address.
 	gone       bool
 	fence      Fence
@@ -188,7 +234,7 @@
 
 func newSimulation(seed uint64, nodes, workers int, f faults) *simulation {
 	sim := &simulation{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: vocab.Instant(time.Hour), faults: f,
+		rng: rand.New(rand.NewPCG(seed, 1)), network: rand.New(rand.NewPCG(seed, 3)), now: vocab.Instant(time.Hour), faults: f,
 		stream: &fakeStream{newest: map[string]int{}}, directory: &fakeStream{newest: map[string]int{}},
 		settings: Settings{MaxLease: 6 * time.Second, KeepFinished: time.Hour},
 		workers:  map[WorkerID]*fakeWorker{}, jobs: map[ID]*fakeJob{}, replies: map[CallID]Reply{},
@@ -358,7 +404,7 @@
 	case Poll:
 		sent := sim.now
 		sim.waitForEnd(e, e.Wait, func() {
-			sim.deliver(n, e.Worker, reply, func() event.Event { return sim.pollWorker(e, sent) }, func(o Outcome) event.Event {
+			sim.deliver(n, e, e.Worker, reply, func() event.Event { return sim.pollWorker(e, sent) }, func(o Outcome) event.Event {
 				return Polled{Worker: e.Worker, Fence: e.Fence, Outcome: o, SentAt: sent, ReceivedAt: sim.now}
 			})
 		})
@@ -367,7 +413,7 @@
 			reply(StartAnswered{Worker: e.Worker, Fence: e.Fence, Task: e.Task, Run: e.Run, Outcome: NotDone})
 			return
 		}
-		sim.deliver(n, e.Worker, reply, func() event.Event { return sim.startRun(e) }, func(o Outcome) event.Event {
+		sim.deliver(n, e, e.Worker, reply, func() event.Event { return sim.startRun(e) }, func(o Outcome) event.Event {
 			return StartAnswered{Worker: e.Worker, Fence: e.Fence, Task: e.Task, Run: e.Run, Outcome: o}
 		})
 	case RequestAdvice:
@@ -383,7 +429,7 @@
 			sim.fleet.execute(effect, reply)
 		}
 	case Stop:
-		sim.deliver(n, e.Worker, reply, func() event.Event { return sim.stopRun(e) }, func(o Outcome) event.Event {
+		sim.deliver(n, e, e.Worker, reply, func() event.Event { return sim.stopRun(e) }, func(o Outcome) event.Event {
 			return StopAnswered{Worker: e.Worker, Task: e.Task, Run: e.Run, Outcome: o}
 		})
 	}
@@ -447,7 +493,7 @@
 	}
 	listed := WorkersListed{Full: true}
 	for _, id := range n.sim.workerIDs {
-		if wk := n.sim.workers[id]; wk.up {
+		if wk := n.sim.workers[id]; wk.listed(n.sim.now) {
 			listed.Workers = append(listed.Workers, wk.info)
 		}
 	}
@@ -582,30 +628,106 @@
 	return answer
 }
 
-// deliver sends an order to a worker, and may lose the order or its reply. An order that is
-// carried out late has no effect if the worker has restarted since it was sent.
-func (sim *simulation) deliver(n *node, id WorkerID, reply func(event.Event), execute func() event.Event, lostReply func(Outcome) event.Event) {
+// listed reports whether the platform lists the worker. It notices a crash late.
+func (wk *fakeWorker) listed(now vocab.Instant) bool {
+	return !wk.unlisted && (wk.up || wk.dark && now.Sub(wk.downSince) < listedWithoutReport)
+}
+
+// deliver sends an order to a worker, and may lose the order or its reply. An order that a connection has held
+// reaches the worker's present incarnation, whichever it was meant for; one that is carried out late does so
+// with strayOrders.
+func (sim *simulation) deliver(n *node, order event.Effect, id WorkerID, reply func(event.Event), execute func() event.Event, lostReply func(Outcome) event.Event) {
 	wk := sim.workers[id]
 	incarnation := wk.info.Incarnation
-	executeUnlessRestarted := func() {
-		if wk.info.Incarnation == incarnation {
-			execute()
+	timeout := orderTimeout
+	if _, isPoll := order.(Poll); isPoll {
+		timeout = pollTimeout
+	}
+	if sim.route != nil {
+		route := sim.route(order, wk)
+		if route.lost {
+			sim.after(timeout, func() { reply(lostReply(Unknown)) })
+			return
+		}
+		if route.held > 0 {
+			sim.holdOrder(n, wk, heldOrder{timeout: timeout, hold: route.held, connected: true}, reply, execute, lostReply)
+			return
 		}
 	}
 	switch {
-	case n.cutFrom(wk) || wk.unreachable:
-		sim.after(800*time.Millisecond, func() { reply(lostReply(NotDone)) })
+	case (n.cutFrom(wk) || wk.unreachable) && sim.connections < holdOrders:
+		sim.after(orderTimeout, func() { reply(lostReply(NotDone)) })
+	case n.cutFrom(wk) || wk.unreachable || wk.dark:
+		sim.holdOrder(n, wk, sim.randomHold(timeout), reply, execute, lostReply)
 	case sim.rng.Float64() < sim.faults.lateOrder:
-		sim.after(800*time.Millisecond, func() { reply(lostReply(Unknown)) })
-		sim.after(2*time.Second+time.Duration(sim.rng.Int64N(int64(6*time.Second))), executeUnlessRestarted)
+		sim.after(timeout, func() { reply(lostReply(Unknown)) })
+		sim.after(2*time.Second+time.Duration(sim.rng.Int64N(int64(6*time.Second))), func() {
+			if sim.connections == strayOrders || wk.info.Incarnation == incarnation {
+				execute()
+			}
+		})
 	case sim.rng.Float64() < sim.faults.loseOrder:
-		sim.after(800*time.Millisecond, func() { reply(lostReply(Unknown)) })
-		sim.after(sim.delay(), executeUnlessRestarted)
+		sim.after(timeout, func() { reply(lostReply(Unknown)) })
+		sim.after(sim.delay(), func() { execute() })
 	default:
-		sim.after(sim.delay(), func() { reply(execute()) })
+		sim.after(sim.delay(), func() {
+			if wk.dark {
+				sim.holdOrder(n, wk, sim.randomHold(timeout), reply, execute, lostReply)
+				return
+			}
+			reply(execute())
+		})
 	}
 }
 
+// heldOrder is an order that its connection holds while the worker does not respond. connected is unset while
+// the connection is not open: then the node knows that the order was not carried out.
+type heldOrder struct {
+	timeout, hold time.Duration
+	connected     bool
+}
+
+// randomHold returns how an order to a worker that does not respond is held.
+func (sim *simulation) randomHold(timeout time.Duration) heldOrder {
+	limit, connected := maxOrderHold, sim.network.IntN(2) == 0
+	if !connected {
+		limit = min(timeout, connectTimeout)
+	}
+	return heldOrder{timeout: timeout, hold: time.Duration(1 + sim.network.Int64N(int64(limit))), connected: connected}
+}
+
+// holdOrder transmits an order from a time on until the worker responds or the connection gives up. Its reply
+// is lost if it comes after the caller's timeout.
+func (sim *simulation) holdOrder(n *node, wk *fakeWorker, h heldOrder, reply func(event.Event), execute func() event.Event, lostReply func(Outcome) event.Event) {
+	sent, answered := sim.now, false
+	limit, lost, timeout := maxOrderHold, Unknown, h.timeout
+	if !h.connected {
+		timeout = min(h.timeout, connectTimeout)
+		limit, lost = timeout, NotDone
+	}
+	var transmit func()
+	transmit = func() {
+		switch {
+		case !h.connected && answered:
+		case !wk.up && !wk.dark || !n.cutFrom(wk) && !wk.unreachable && wk.up:
+			answer := execute()
+			if !answered {
+				answered = true
+				reply(answer)
+			}
+		case sim.now.Sub(sent) < limit:
+			sim.after(retransmitInterval, transmit)
+		}
+	}
+	sim.after(h.hold, transmit)
+	sim.after(timeout, func() {
+		if !answered {
+			answered = true
+			reply(lostReply(lost))
+		}
+	})
+}
+
 // reach returns the worker if the order reaches it and the worker accepts the fence.
 func (sim *simulation) reach(id WorkerID, fence Fence) (*fakeWorker, Outcome) {
 	wk := sim.workers[id]
@@ -637,7 +759,7 @@
 		left = time.Duration(float64(left) / sim.clockRate)
 	}
 	until := sim.now.Add(left)
-	if until <= wk.leaseUntil || untilClock == 0 {
+	if until <= max(wk.leaseUntil, sim.now) || untilClock == 0 {
 		return
 	}
 	wk.leaseUntil = until
@@ -717,9 +839,12 @@
 		return answer
 	}
 	if r := wk.runs[e.Task]; r != nil && r.run == e.Run {
+		sim.extendLease(wk, e.Lease)
 		return answer
 	}
 	if e.Run <= wk.fencedOff[e.Task] || e.Lease <= sim.clock(wk) {
+		// A worker extends the lease of its other runs when it refuses a start as stale.
+		sim.extendLease(wk, e.Lease)
 		answer.Outcome, answer.Refusal = NotDone, RefusalStaleRun
 		return answer
 	}
@@ -729,6 +854,9 @@
 		sim.addViolation("%s started on %s with ticket %q", e.Task, e.Worker, e.Ticket)
 	}
 	sim.extendLease(wk, e.Lease)
+	if e.Lease-sim.clock(wk) > time.Minute {
+		sim.strayStarts++
+	}
 	r := &fakeRun{run: e.Run, fails: sim.rng.Float64() < sim.faults.failTask, startedAt: sim.now}
 	r.fails = r.fails && (sim.failOnly == nil || sim.failOnly(e.Task))
 	wk.runs[e.Task] = r
@@ -946,5 +1074,5 @@
 	wk.fence, wk.leaseUntil, wk.lastEnd, wk.acked = 0, 0, 0, 0
 	wk.runs, wk.ends, wk.fencedOff = map[TaskName]*fakeRun{}, nil, map[TaskName]Run{}
 	wk.endedAt = map[int64]vocab.Instant{}
-	wk.up = true
+	wk.up, wk.dark = true, false
 }
