Failing tests: a late poll, a forgotten stop and records of earlier versions

Found in the traces of TestRandomReincarnations:

- A poll with a lease that was meant for the earlier incarnation extends the lease of what the next one runs.
- Records of earlier versions bound the leases that their owner meant to grant.

--- a/internal/core/job/reincarnation_test.go
+++ b/internal/core/job/reincarnation_test.go
@@ -28,8 +28,12 @@
 	copies, carriedCopy int
 	// crashes reports whether the worker of a start crashes at its sending.
 	crashes func(Start) bool
+	// plain is set if the worker stays up at the start, which is not held.
+	plain bool
 	// othersLost is set while no other order reaches the worker.
 	othersLost bool
+	// onOrder, if set, is called for each order to the worker; it may decide what becomes of it.
+	onOrder func(event.Effect) orderRoute
 }
 
 const (
@@ -61,7 +65,7 @@
 func (r *reincarnation) begin(t *testing.T) {
 	t.Helper()
 	r.simulation = newSimulation(1, 3, 4, faults{})
-	r.pollsWait, r.simulation.clockRate, r.settings.MaxLease = true, r.clockRate, r.maxLease
+	r.pollsWait, r.connections, r.simulation.clockRate, r.settings.MaxLease = true, holdOrders, r.clockRate, r.maxLease
 	if *printLines {
 		r.trace = func(line string) { t.Log(line) }
 	}
@@ -97,9 +101,11 @@
 	case Start:
 		if r.wk == nil && r.crashes(e) {
 			r.wk, r.start, r.sent = wk, e, r.now
-			r.crashDark(wk, r.down)
+			if !r.plain {
+				r.crashDark(wk, r.down)
+			}
 		}
-		if wk != r.wk || e.Task != r.start.Task || e.Run != r.start.Run {
+		if r.plain || wk != r.wk || e.Task != r.start.Task || e.Run != r.start.Run {
 			break
 		}
 		r.copies++
@@ -108,7 +114,12 @@
 		}
 		return orderRoute{held: max(1, r.sent.Add(r.carriedOut).Sub(r.now))}
 	case Poll, Stop:
-		return orderRoute{lost: wk == r.wk && r.othersLost}
+		if wk == r.wk && r.othersLost {
+			return orderRoute{lost: true}
+		}
+	}
+	if wk == r.wk && r.onOrder != nil {
+		return r.onOrder(order)
 	}
 	return orderRoute{}
 }
@@ -336,3 +347,85 @@
 		}
 	})
 }
+
+// TestStopIsForgottenByNextIncarnation: a stop has fenced the start off, but the worker restarts once more before it
+// has the start.
+func TestStopIsForgottenByNextIncarnation(t *testing.T) {
+	forEachReincarnation(t, func(t *testing.T, c *reincarnation) {
+		for _, afterStop := range []time.Duration{2 * time.Millisecond, 4 * time.Millisecond, 100 * time.Millisecond} {
+			r := *c
+			stopped := false
+			r.onOrder = func(order event.Effect) orderRoute {
+				if _, isStop := order.(Stop); isStop && !stopped {
+					stopped = true
+					r.after(afterStop, func() { r.crashDark(r.wk, r.down) })
+				}
+				return orderRoute{}
+			}
+			r.begin(t)
+			r.submitLong(t)
+			r.runUntil(maxOrderHold + time.Second)
+			r.finish(t)
+		}
+	})
+}
+
+// TestLatePollOnNextIncarnationIsWaitedFor: the next incarnation carries out a poll that was meant to extend the leases
+// of an earlier one, after it has started a run.
+func TestLatePollOnNextIncarnationIsWaitedFor(t *testing.T) {
+	forEachReincarnation(t, func(t *testing.T, c *reincarnation) {
+		for _, ownerKilled := range []bool{false, true} {
+			r := *c
+			var sentAt vocab.Instant
+			r.onOrder = func(order event.Effect) orderRoute {
+				if poll, isPoll := order.(Poll); isPoll && poll.Lease != 0 && sentAt == 0 {
+					sentAt = r.now
+					r.crashDark(r.wk, r.down)
+					return orderRoute{held: r.carriedOut}
+				}
+				return orderRoute{}
+			}
+			r.begin(t)
+			r.plain = true
+			r.submitLong(t)
+			r.run(time.Second)
+			if at := sentAt.Add(r.carriedOut + 10*time.Millisecond); at > r.now {
+				r.run(at.Sub(r.now))
+			}
+			if ownerKilled {
+				r.owningNode().kill()
+			}
+			r.wk.unreachable = true
+			r.after(reincarnationCut, func() { r.wk.unreachable = false })
+			r.finish(t)
+		}
+	})
+}
+
+// TestRecordsOfEarlierVersionsCoverLateStarts: owners of earlier versions bounded the leases that they meant to grant,
+// in their own record and in that of a silent worker, and not those of late starts on a next incarnation.
+func TestRecordsOfEarlierVersionsCoverLateStarts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, maxLease := range []time.Duration{6 * time.Second, 10 * time.Second} {
+		s := New(Identity{Node: "b", Incarnation: 2}, Settings{MaxLease: maxLease})
+		s.now = vocab.Instant(time.Minute)
+		meant := s.maxLeaseSpan()
+		longest := time.Duration(float64(maxLease) / minClockRate)
+		claim, err := encodeClaim("k/2-1", claimRecord{Node: "b", Incarnation: 2, Replaces: 5})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		claim.Offset = 20
+		for _, r := range []Record{
+			{Key: ownerKey, Value: fmt.Appendf(nil, `{"node":"a","inc":1,"fence":5,"lease_ms":%d}`, meant.Milliseconds()+1)},
+			{Key: silentPrefix + "w1", Value: []byte(`{"ms":1000,"at":{},"bounded":true}`)},
+			claim,
+		} {
+			_, err := s.ledger.fold(s.now, r)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		s.claim.heartbeatBeforeClaim = s.now
+		o := newOwner(s, s.ledger.ownerFence)
+		// The last start was sent at the end of the earlier owner's authority.
+		g.Expect(o.worker("w0").leaseUntil.Sub(s.now)).To(gomega.BeNumerically(">=", orderAuthority+maxOrderHold+longest), "owner, longest lease %v", maxLease)
+		g.Expect(o.worker("w1").leaseUntil.Sub(s.now)).To(gomega.BeNumerically(">=", time.Second-meant+maxOrderHold+longest), "silent worker, longest lease %v", maxLease)
+	}
+}
