Failing test: a late acknowledgement drops an end of a worker's next incarnation

A poll that acknowledges the first three ends of an earlier incarnation is carried out by the next one, which forgets its own end 1 before any owner has read it.

--- a/internal/core/job/reincarnation_test.go
+++ b/internal/core/job/reincarnation_test.go
@@ -429,3 +429,33 @@
 		g.Expect(o.worker("w1").leaseUntil.Sub(s.now)).To(gomega.BeNumerically(">=", time.Second-meant+maxOrderHold+longest), "silent worker, longest lease %v", maxLease)
 	}
 }
+
+// TestLateAcknowledgementOnNextIncarnationLosesNoEnd guards against a task that runs again after its end: the next
+// incarnation carried out a poll that acknowledged ends of an earlier one, and dropped an end that no owner had read.
+func TestLateAcknowledgementOnNextIncarnationLosesNoEnd(t *testing.T) {
+	need := Resources{CPU: 1000, Memory: 64}
+	for _, carriedOut := range []time.Duration{1500 * time.Millisecond, 1800 * time.Millisecond, maxOrderHold} {
+		r := &reincarnation{maxLease: 10 * time.Second, clockRate: 1, down: 60 * time.Millisecond, plain: true}
+		r.begin(t)
+		r.workerIDs = r.workerIDs[:1]
+		r.submit(Spec{Steps: []Step{{Count: 3, Need: need, EstimateMS: 200}}})
+		r.awaitStart(t)
+		r.run(3 * time.Second)
+		var sentAt vocab.Instant
+		r.onOrder = func(order event.Effect) orderRoute {
+			poll, isPoll := order.(Poll)
+			switch {
+			case isPoll && sentAt == 0 && poll.Acked == 3:
+				sentAt = r.now
+				r.crashDark(r.wk, r.down)
+				return orderRoute{held: carriedOut}
+			case isPoll && r.now < sentAt.Add(carriedOut) && len(r.wk.runs)+len(r.wk.ends) > 0:
+				return orderRoute{lost: true}
+			}
+			return orderRoute{}
+		}
+		r.submit(Spec{Steps: []Step{{Count: 1, Need: need, EstimateMS: 300}}})
+		r.run(5 * time.Second)
+		r.finish(t)
+	}
+}
