Orders to each incarnation of a worker have a higher fence

Callers saw a task run twice (TWICE): a start that was meant for an earlier incarnation of a worker was carried out by the next one under the same ID. Its clock has started again, so that the lease lasts as long as workers allow, from the arrival of the order, while the owner counted from the sending, and the next owner from what the records say of leases that were meant.

Class: an identity that cannot tell two lives apart, and a bound that counts from the wrong event.

Change: the owner raises the fence of a worker's orders after a restart to the offset up to which it has read the stream, which is below the fence of any later owner. The worker is used, and its list counts, once it has responded under that fence; then it refuses stray orders, and their leases end a longest lease after this response. Until then, and for the next owner, runs that may be on the later incarnation are waited for (runExpiresAt). A finite task whose start has no definite result is waited for as if an unseen incarnation had it; a long-running one may not be away for so long.

Two tests deliver a response after a restart once more, under the raised fence; TestRecordsOfEarlierVersionsCoverLateStarts asks when a run is given up instead of the worker's field.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -119,9 +119,9 @@
 	// startsSent counts the copies of the start that were sent, startsUnanswered those
 	// without a response.
 	startsSent, startsUnanswered int
-	// openStarts counts the copies of the start that may still be carried out, the last of which was
-	// sent at lastStartSentAt: those without a definite result, or carried out by a later incarnation.
-	// clockAtStart is the reading of the worker's clock that their leases were based on.
+	// openStarts counts the copies of the start that may still be carried out, or that a later incarnation
+	// of the worker has carried out. The last copy was sent at lastStartSentAt, with a lease that was based
+	// on the reading clockAtStart of the worker's clock.
 	openStarts      int
 	lastStartSentAt vocab.Instant
 	clockAtStart    time.Duration
--- a/internal/core/job/crash_test.go
+++ b/internal/core/job/crash_test.go
@@ -304,6 +304,17 @@
 	o.handleStartAnswered(StartAnswered{Worker: w.info.ID, Task: t.name(), Run: t.lastRun, Outcome: OK})
 }
 
+// respond delivers a worker's response to a poll, and to the next one as well if the owner has to raise
+// the fence first.
+func respond(o *owner, w *worker, e Polled) {
+	o.readOffset = int64(w.fence) + 1
+	w.pollInFlight = true
+	o.handlePolled(e)
+	if !w.fenced {
+		o.handlePolled(e)
+	}
+}
+
 // counts returns the numbers of crashes that are held against a task.
 func counts(t *task) crash.Record {
 	r := t.crash
@@ -380,8 +391,7 @@
 	j := addTestJob(o, 1, Step{Count: 2, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 5000})
 	tasks, w := j.occurrences[0].steps[0].tasks, o.workers["w0000"]
 	poll := func(incarnation Millis, running ...RunReport) {
-		w.pollInFlight = true
-		o.handlePolled(Polled{Worker: w.info.ID, Outcome: OK, Incarnation: incarnation, Running: running, SentAt: o.s.now, ReceivedAt: o.s.now})
+		respond(o, w, Polled{Worker: w.info.ID, Outcome: OK, Incarnation: incarnation, Running: running, SentAt: o.s.now, ReceivedAt: o.s.now})
 	}
 	start := func(task *task) {
 		startOn(o, task, w)
--- a/internal/core/job/leases.go
+++ b/internal/core/job/leases.go
@@ -31,14 +31,10 @@
 	return w.clockReadAt.Add(clockReadInterval - clockReadJitter*time.Duration(h.Sum32()%1000)/1000)
 }
 
-// resetClock forgets the clock of an earlier incarnation. An order for that incarnation may have
-// reached the new one, whose clock has started again, so that its lease is as long as workers allow.
+// resetClock forgets the clock of an earlier incarnation.
 func (o *owner) resetClock(w *worker) {
-	if w.leaseSentAt != 0 {
-		w.restartLeaseUntil = w.leaseSentAt.Add(o.s.longestLeaseSpan())
-		w.leaseUntil = max(w.leaseUntil, w.restartLeaseUntil)
-	}
-	w.clock, w.clockReadAt = 0, 0
+	o.noteStrayOrders(w)
+	w.clock, w.clockReadAt, w.leaseSentAt = 0, 0, 0
 }
 
 // lease returns the lease to request from workers.
--- a/internal/core/job/losses.go
+++ b/internal/core/job/losses.go
@@ -144,6 +144,7 @@
 		return
 	}
 	delete(o.presumedCrashes, w.info.Machine)
+	w.lossCounted = false
 	o.weighCrash(c, -1)
 	for i, t := range c.tasks {
 		t.crash.Unexplained = max(0, t.crash.Unexplained-1)
@@ -185,9 +186,14 @@
 	}
 	o.s.logEvent(LogWorkerLost, "worker", w.info.ID, "machine", w.info.Machine, "pool", w.info.Pool, "cause", cause.label(), "planned", planned,
 		"runs", len(tasks), "unsettled", unsettled, "heard_ms_ago", heardMS, "lease_clock_age_ms", w.leaseClockAge.Milliseconds())
-	if !planned {
-		o.recordCrash(w, slices.DeleteFunc(slices.Clone(tasks), (*task).startedInSilence), cause)
+	if !planned && !w.lossCounted {
+		lost := tasks
+		if cause == lossLeaseExpired {
+			lost = w.tasks // Runs that are waited for longer are lost to the same crash.
+		}
+		o.recordCrash(w, slices.DeleteFunc(slices.Clone(lost), (*task).startedInSilence), cause)
 	}
+	w.lossCounted = cause == lossLeaseExpired
 	for _, t := range tasks {
 		if t.worker == w {
 			o.markLost(t, cause, planned)
--- a/internal/core/job/order_log.go
+++ b/internal/core/job/order_log.go
@@ -31,7 +31,7 @@
 func (s *State) orderRetention() time.Duration {
 	takeover := orderAuthority + ownerTimeout + claimJitter + leaseAuthority
 	return max(minOrderRetention, 2*(s.settings.MinOrderGap+orderAuthority),
-		max(takeover, lateOrderEffect)+s.longestLeaseSpan()+2*orderReadDelay)
+		takeover+s.strayLeaseSpan()+2*orderReadDelay)
 }
 
 // orderRecord lists the machines that are about to receive an order, and those that have
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -55,6 +55,15 @@
 	// expired, earlierLeaseSpan the longest time that such a lease may last.
 	earlierLeasesUntil vocab.Instant
 	earlierLeaseSpan   time.Duration
+	// earlierStrayUntil is the time by which leases from stray orders of earlier owners have expired.
+	earlierStrayUntil vocab.Instant
+	// earlierStartsUntil is the time by which runs have ended that starts of earlier owners have started on
+	// an incarnation which nobody has seen.
+	earlierStartsUntil vocab.Instant
+	// readOffset is the offset up to which this owner has read the stream. fencesDue is set while
+	// it is too low to raise the fence of a worker.
+	readOffset int64
+	fencesDue  bool
 	// activeAt is the time when the takeover was completed.
 	activeAt vocab.Instant
 	// resigned is set once the owner resigns: from then on it gives no orders. overloaded is
@@ -122,15 +131,17 @@
 
 func newOwner(s *State, fence Fence) *owner {
 	leaseSpan := s.earlierLeaseSpan()
-	return &owner{
+	o := &owner{
 		s: s, fence: fence, policy: defaultLookahead(),
-		earlierLeaseSpan: leaseSpan, earlierLeasesUntil: s.claim.heartbeatBeforeClaim.Add(leaseAuthority + leaseSpan),
+		earlierLeaseSpan: leaseSpan,
 		// A read takes about as long as an append where the store is slow.
 		appendLatency: s.stream.readLatency,
 		jobs:          map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, presumedCrashes: map[MachineID]attributedCrash{}, crashRates: map[vocab.PoolID]*crashRate{}, machineCrashes: map[MachineID]machineCrashes{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
 		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), stepTimes: newRunTimeModel(), learnedQueues: map[vocab.QueueID]bool{}, queueWork: newQueueWork(), door: newDoor(), teamRates: map[vocab.TeamID]*tokenBucket{},
 		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}, policy: poolplan.DefaultPolicy, shortages: map[vocab.PoolID]shortage{}},
 	}
+	o.awaitEarlierLeases(s.claim.heartbeatBeforeClaim)
+	return o
 }
 
 // beginTakeover fences the stream against earlier owners.
@@ -156,7 +167,10 @@
 }
 
 // handleStreamRead processes a read of the stream.
-func (o *owner) handleStreamRead(StreamRead) { o.activateIfRead() }
+func (o *owner) handleStreamRead(StreamRead) {
+	o.readOffset = o.s.stream.nextOffset
+	o.activateIfRead()
+}
 
 // activateIfRead completes the takeover if the stream is read up to the fencing append.
 func (o *owner) activateIfRead() {
@@ -167,7 +181,7 @@
 	if o.s.claim.lastHeartbeat > o.s.claim.heartbeatBeforeClaim {
 		// The last owner renewed its ownership after the claim was sent, and may have
 		// extended leases until now.
-		o.earlierLeasesUntil = o.s.now.Add(leaseAuthority + o.earlierLeaseSpan)
+		o.awaitEarlierLeases(o.s.now)
 	}
 	o.delayOrdersAfterTakeover()
 	o.inheritLearned()
@@ -221,7 +235,7 @@
 func (o *owner) worker(id WorkerID) *worker {
 	w := o.workers[id]
 	if w == nil {
-		w = &worker{info: WorkerInfo{ID: id}, leaseUntil: o.earlierLeasesUntil}
+		w = &worker{info: WorkerInfo{ID: id}, fence: o.fence, leaseUntil: o.earlierLeasesUntil}
 		o.inheritSilence(w)
 		o.workers[id] = w
 		at, _ := slices.BinarySearch(o.workerIDs, id)
@@ -238,11 +252,11 @@
 	case WorkersListed:
 		o.handleWorkersListed(e)
 	case Polled:
-		if e.Fence == o.fence {
+		if e.Fence >= o.fence {
 			o.handlePolled(e)
 		}
 	case StartAnswered:
-		if e.Fence == o.fence {
+		if e.Fence >= o.fence {
 			o.handleStartAnswered(e)
 		}
 	case StopAnswered:
@@ -303,7 +317,8 @@
 		o.flush()
 		return
 	}
-	if o.s.now.Add(orderAuthority-ownerRenewInterval) > o.ordersUntil {
+	if o.fencesDue || o.s.now.Add(orderAuthority-ownerRenewInterval) > o.ordersUntil {
+		o.fencesDue = false
 		o.renew()
 	}
 }
--- a/internal/core/job/planned_end_test.go
+++ b/internal/core/job/planned_end_test.go
@@ -210,8 +210,7 @@
 		if !polled {
 			o.updateWorker(info)
 		}
-		w.pollInFlight = true
-		o.handlePolled(Polled{Worker: info.ID, Outcome: OK, Incarnation: info.Incarnation, SentAt: o.s.now, ReceivedAt: o.s.now})
+		respond(o, w, Polled{Worker: info.ID, Outcome: OK, Incarnation: info.Incarnation, SentAt: o.s.now, ReceivedAt: o.s.now})
 		g.Expect(task.worker).To(gomega.BeNil())
 		g.Expect(task.crash).To(gomega.BeZero())
 
@@ -220,8 +219,7 @@
 		c.pass(o, time.Second)
 		info.Incarnation++
 		o.updateWorker(info)
-		w.pollInFlight = true
-		o.handlePolled(Polled{Worker: info.ID, Outcome: OK, Incarnation: info.Incarnation, SentAt: o.s.now, ReceivedAt: o.s.now})
+		respond(o, w, Polled{Worker: info.ID, Outcome: OK, Incarnation: info.Incarnation, SentAt: o.s.now, ReceivedAt: o.s.now})
 		g.Expect(task.crash.Crashes).To(gomega.Equal(1), "the new incarnation was not draining")
 	}
 }
--- a/internal/core/job/polls.go
+++ b/internal/core/job/polls.go
@@ -5,8 +5,9 @@
 // sendPoll polls a worker. The poll extends the leases of its runs and acknowledges the ends that
 // are on the stream.
 func (o *owner) sendPoll(w *worker) {
+	o.raiseFence(w)
 	poll := Poll{
-		Worker: w.info.ID, Address: w.info.Address, Incarnation: w.info.Incarnation, Fence: o.fence, Until: o.leasesUntil,
+		Worker: w.info.ID, Address: w.info.Address, Incarnation: w.info.Incarnation, Fence: w.fence, Until: o.leasesUntil,
 	}
 	o.acknowledge(w, &poll)
 	busy := len(w.tasks) > 0
--- a/internal/core/job/reincarnation_test.go
+++ b/internal/core/job/reincarnation_test.go
@@ -212,25 +212,29 @@
 
 // TestSilentRecordCoversLateStartOnNextIncarnation: the owner has written when the lease of the silent worker ends,
 // and the next one goes by that.
-func TestSilentRecordCoversLateStartOnNextIncarnation(t *testing.T) {
+func TestSilentRecordCoversLateStartOnNextIncarnation(t *testing.T) { testSilentRecord(t, false) }
+
+// TestSilentRecordCoversLateStartOnUnseenIncarnation: no node hears of the next incarnation.
+func TestSilentRecordCoversLateStartOnUnseenIncarnation(t *testing.T) { testSilentRecord(t, true) }
+
+func testSilentRecord(t *testing.T, unlisted bool) {
+	t.Helper()
 	forEachReincarnation(t, func(t *testing.T, c *reincarnation) {
-		for _, unlisted := range []bool{false, true} {
-			for _, cut := range cuts {
-				r := *c
-				r.begin(t)
-				r.submitLong(t)
-				r.wk.unlisted, r.othersLost = unlisted, unlisted
-				r.cutOff(max(r.down+cut, r.carriedOut+5*time.Millisecond))
-				for range 4000 {
-					if len(r.owningNode().state.ledger.silent) > 0 {
-						break
-					}
-					r.run(time.Millisecond)
+		for _, cut := range cuts {
+			r := *c
+			r.begin(t)
+			r.submitLong(t)
+			r.wk.unlisted, r.othersLost = unlisted, unlisted
+			r.cutOff(max(r.down+cut, r.carriedOut+5*time.Millisecond))
+			for range 4000 {
+				if len(r.owningNode().state.ledger.silent) > 0 {
+					break
 				}
-				r.run(300 * time.Millisecond)
-				r.owningNode().kill()
-				r.finish(t)
+				r.run(time.Millisecond)
 			}
+			r.run(300 * time.Millisecond)
+			r.owningNode().kill()
+			r.finish(t)
 		}
 	})
 }
@@ -422,11 +426,17 @@
 			_, err := s.ledger.fold(s.now, r)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 		}
-		s.claim.heartbeatBeforeClaim = s.now
+		s.claim.heartbeatBeforeClaim, s.claim.previousOwner = s.now, ownerRecord{Node: "a", Fence: 5}
 		o := newOwner(s, s.ledger.ownerFence)
+		waitsFor := func(id WorkerID) time.Duration {
+			task := addTestJob(o, len(o.jobs), Step{Count: 1, Need: Resources{CPU: 1, Memory: 1}, EstimateMS: 13_000}).occurrences[0].steps[0].tasks[0]
+			o.bind(task, o.worker(id), 1)
+			task.lastRun, task.state = 1, runStartUnknown
+			return o.runExpiresAt(task).Sub(s.now)
+		}
 		// The last start was sent at the end of the earlier owner's authority.
-		g.Expect(o.worker("w0").leaseUntil.Sub(s.now)).To(gomega.BeNumerically(">=", orderAuthority+maxOrderHold+longest), "owner, longest lease %v", maxLease)
-		g.Expect(o.worker("w1").leaseUntil.Sub(s.now)).To(gomega.BeNumerically(">=", time.Second-meant+maxOrderHold+longest), "silent worker, longest lease %v", maxLease)
+		g.Expect(waitsFor("w0")).To(gomega.BeNumerically(">=", orderAuthority+maxOrderHold+longest), "owner, longest lease %v", maxLease)
+		g.Expect(waitsFor("w1")).To(gomega.BeNumerically(">=", time.Second-meant+maxOrderHold+longest), "silent worker, longest lease %v", maxLease)
 	}
 }
 
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -90,9 +90,9 @@
 	t.openStarts++
 	t.lastStartSentAt, t.clockAtStart = o.s.now, w.clock
 	ticket, _ := t.step.ticketFor(w, o.s.now)
-	w.lastStartAt = o.s.now
+	w.lastStartAt, w.lossCounted = o.s.now, false
 	o.s.emit(Start{
-		Worker: w.info.ID, Address: w.info.Address, Fence: o.fence, Task: t.name(), Run: t.lastRun,
+		Worker: w.info.ID, Address: w.info.Address, Fence: w.fence, Task: t.name(), Run: t.lastRun,
 		Payload: t.step.job.acceptance.Spec.Payload, Checkpoint: t.checkpoint, Ticket: ticket,
 		Lease: o.grantLease(w), Until: o.ordersUntil,
 	})
@@ -165,6 +165,8 @@
 	case e.Outcome == OK && e.Clock > 0 && e.Clock < t.clockAtStart:
 		o.s.logEvent(LogStartInLaterIncarnation, "task", e.Task, "run", e.Run, "worker", e.Worker, "clock_ms", e.Clock.Milliseconds(),
 			"lease_clock_ms", t.clockAtStart.Milliseconds(), "sent_ms_ago", o.s.now.Sub(e.SentAt).Milliseconds())
+		o.noteStrayOrders(t.worker)
+		t.worker.fenced = false
 		t.worker.pollBy(o.s.now)
 	default:
 		t.openStarts--
@@ -201,7 +203,7 @@
 		return
 	}
 	o.s.emit(Stop{
-		Worker: t.worker.info.ID, Address: t.worker.info.Address, Fence: o.fence, Task: t.name(), Run: t.lastRun,
+		Worker: t.worker.info.ID, Address: t.worker.info.Address, Fence: t.worker.fence, Task: t.name(), Run: t.lastRun,
 	})
 }
 
--- /dev/null
+++ b/internal/core/job/stray_orders_test.go
@@ -0,0 +1,158 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/sardinehead/sardinehead/internal/vocab"
+)
+
+// highestFence returns the highest fence that a worker has seen.
+func (sim *simulation) highestFence() Fence {
+	highest := Fence(0)
+	for _, wk := range sim.workers {
+		highest = max(highest, wk.fence)
+	}
+	return highest
+}
+
+// TestRaisedFencesAreBelowThatOfTheNextOwner guards against workers that refuse the orders of the next owner, which
+// would take that for a sign of a later one.
+func TestRaisedFencesAreBelowThatOfTheNextOwner(t *testing.T) {
+	for name, replace := range map[string]func(*simulation, *node){
+		"claim":       func(_ *simulation, n *node) { n.kill() },
+		"appointment": func(_ *simulation, n *node) { n.state.owner.resign() },
+		"cut off":     func(sim *simulation, n *node) { sim.injectFault(0, n, nil, 3*time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			sim := newSimulation(1, 3, 4, faults{})
+			sim.pollsWait = true
+			sim.logged = func(e LogEvent) {
+				g.Expect(e.Field("why")).NotTo(gomega.Equal("a worker has seen a later owner"))
+			}
+			sim.run(3 * time.Second)
+			sim.submit(Spec{Steps: []Step{{Count: 8, Need: Resources{CPU: 1000, Memory: 64}, EstimateMS: 60_000}}})
+			sim.run(2 * time.Second)
+			for range 4 {
+				n := sim.owningNode()
+				for range 3 {
+					for _, id := range sim.workerIDs {
+						sim.restartWorker(sim.workers[id])
+					}
+					sim.run(1500 * time.Millisecond)
+				}
+				g.Expect(sim.owningNode()).To(gomega.BeIdenticalTo(n))
+				raised := sim.highestFence()
+				g.Expect(raised).To(gomega.BeNumerically(">", n.state.owner.fence))
+				for _, id := range sim.workerIDs {
+					sim.restartWorker(sim.workers[id])
+				}
+				replace(sim, n)
+				sim.run(4 * time.Second)
+				next := sim.owningNode()
+				g.Expect(next).NotTo(gomega.BeNil())
+				g.Expect(next).NotTo(gomega.BeIdenticalTo(n))
+				g.Expect(next.state.owner.fence).To(gomega.BeNumerically(">", raised))
+				if !n.up {
+					n.start()
+				}
+				sim.run(4 * time.Second)
+			}
+			sim.report(t)
+		})
+	}
+}
+
+// TestFenceIsRaisedOnAQuietStream guards against a restarted worker that is not used until something else is appended.
+func TestFenceIsRaisedOnAQuietStream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	w := o.workers["w0000"]
+	o.grantLease(w)
+	o.noteStrayOrders(w)
+	o.readOffset = int64(w.fence)
+	g.Expect(o.raiseFence(w)).To(gomega.BeFalse())
+	g.Expect(o.fencesDue).To(gomega.BeTrue())
+	o.readOffset++
+	g.Expect(o.raiseFence(w)).To(gomega.BeTrue())
+	g.Expect(w.fence).To(gomega.Equal(Fence(o.readOffset)))
+	g.Expect(o.raiseFence(w)).To(gomega.BeFalse(), "it is raised once for each restart")
+}
+
+// TestOnlyRunsOnTheLaterIncarnationAreWaitedFor guards against a wait for the longest lease after each crash.
+func TestOnlyRunsOnTheLaterIncarnationAreWaitedFor(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	o.s.settings.MaxLease = 10 * time.Second
+	j := addTestJob(o, 1, Step{Count: 2, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000})
+	confirmed, open, w := j.occurrences[0].steps[0].tasks[0], j.occurrences[0].steps[0].tasks[1], o.workers["w0000"]
+	startOn(o, confirmed, w)
+	o.assign(open, w)
+	o.sendStart(open, open.lastRun)
+	sentAt := o.s.now
+	g.Expect(o.runExpiresAt(confirmed)).To(gomega.Equal(sentAt.Add(o.s.maxLeaseSpan())), "a crash")
+	g.Expect(o.runExpiresAt(open)).To(gomega.Equal(sentAt.Add(orderDelivery+o.s.longestLeaseSpan())), "an unseen restart")
+	open.step.spec.LongRunning = true
+	g.Expect(o.runExpiresAt(open)).To(gomega.Equal(sentAt.Add(o.s.maxLeaseSpan())), "it may not be away for longer")
+
+	restarted := w.info
+	restarted.Incarnation++
+	o.updateWorker(restarted)
+	g.Expect(o.runExpiresAt(confirmed)).To(gomega.Equal(sentAt.Add(o.s.maxLeaseSpan())))
+	g.Expect(o.runExpiresAt(open)).To(gomega.Equal(sentAt.Add(lateOrderEffect + o.s.longestLeaseSpan())))
+
+	o.s.now = o.s.now.Add(time.Second)
+	running := []RunReport{{Task: open.name(), Run: open.lastRun}}
+	respond(o, w, Polled{Worker: w.info.ID, Outcome: OK, Incarnation: restarted.Incarnation, Running: running, SentAt: o.s.now, ReceivedAt: o.s.now})
+	g.Expect(confirmed.worker).To(gomega.BeNil())
+	g.Expect(o.runExpiresAt(open)).To(gomega.Equal(o.s.now.Add(o.s.longestLeaseSpan())))
+}
+
+// TestStartCarriedOutByALaterIncarnationStaysOpen guards against a lease that is taken for a short one because the start
+// has been confirmed.
+func TestStartCarriedOutByALaterIncarnationStaysOpen(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000})
+	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	w.clock = time.Hour
+	o.assign(task, w)
+	o.sendStart(task, task.lastRun)
+	sentAt := o.s.now
+	o.handleStartAnswered(StartAnswered{Worker: w.info.ID, Task: task.name(), Run: 1, Outcome: OK, Clock: time.Second, SentAt: sentAt})
+	g.Expect(o.runExpiresAt(task)).To(gomega.Equal(sentAt.Add(lateOrderEffect + o.s.longestLeaseSpan())))
+	g.Expect(w.usable(o.s.now)).To(gomega.BeFalse())
+}
+
+// TestNextOwnerWaitsForLeasesOfStrayOrders guards against a second run beside one that an order of the earlier owner has
+// started on a later incarnation of its worker.
+func TestNextOwnerWaitsForLeasesOfStrayOrders(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	o.s.settings.MaxLease, o.s.wall = 10*time.Second, 3_600_000
+	o.s.claim.previousOwner.Node = "earlier"
+	renewedAt := o.s.now
+	o.awaitEarlierLeases(renewedAt)
+	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000, LongRunning: true})
+	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	w.fenced, w.leaseUntil = false, o.earlierLeasesUntil
+	o.bind(task, w, w.info.Incarnation)
+	task.state, task.lastRun = runStartUnknown, 1
+	for age, want := range map[time.Duration]vocab.Instant{
+		time.Minute:     o.earlierLeasesUntil,
+		2 * time.Second: renewedAt.Add(leaseAuthority + lateOrderEffect + o.s.longestLeaseSpan()),
+	} {
+		w.info.Incarnation = o.s.wall - Millis(age.Milliseconds())
+		g.Expect(o.runExpiresAt(task)).To(gomega.Equal(want), age.String())
+	}
+	w.info.Incarnation = o.s.wall - Millis(time.Minute.Milliseconds())
+	task.step.spec.LongRunning = false
+	g.Expect(o.runExpiresAt(task)).To(gomega.Equal(renewedAt.Add(orderAuthority+orderDelivery+o.s.longestLeaseSpan())), "an unseen restart")
+	w.info.Incarnation = o.s.wall - 2000
+	task.incarnation = w.info.Incarnation
+	respond(o, w, Polled{Worker: w.info.ID, Outcome: OK, Incarnation: w.info.Incarnation, Running: []RunReport{{Task: task.name(), Run: 1}}, SentAt: o.s.now, ReceivedAt: o.s.now})
+	g.Expect(o.runExpiresAt(task)).To(gomega.Equal(o.s.now.Add(o.s.longestLeaseSpan())))
+}
--- a/internal/core/job/throttle.go
+++ b/internal/core/job/throttle.go
@@ -47,7 +47,7 @@
 	t.cpuPercent = percent
 	o.s.logEvent(LogRunThrottled, "task", t.name(), "run", t.lastRun, "worker", t.worker.info.ID, "percent", percent)
 	o.s.emit(Throttle{
-		Worker: t.worker.info.ID, Address: t.worker.info.Address, Fence: o.fence, Task: t.name(), Run: t.lastRun,
+		Worker: t.worker.info.ID, Address: t.worker.info.Address, Fence: t.worker.fence, Task: t.name(), Run: t.lastRun,
 		Percent: percent,
 	})
 }
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -20,11 +20,14 @@
 	// reading that it was based on.
 	leaseSentAt   vocab.Instant
 	leaseClockAge time.Duration
-	// restartLeaseUntil is the time by which leases have expired that were meant for an earlier
-	// incarnation of the worker.
-	restartLeaseUntil vocab.Instant
-	// fenced is set once the worker has responded under the owner's fence. From then on its
-	// list of runs is complete, because it refuses orders of earlier owners.
+	// strayUntil is the time by which leases from stray orders have expired, or 0: see stray_orders.go.
+	strayUntil vocab.Instant
+	// fence is the fence of orders to the worker's present incarnation; fenceDue is set while it has
+	// to be raised.
+	fence    Fence
+	fenceDue bool
+	// fenced is set once the present incarnation has responded under this fence. From then on its
+	// list of runs is complete, because it refuses stray orders and those of earlier owners.
 	fenced       bool
 	pollInFlight bool
 	nextPollAt   vocab.Instant
@@ -73,6 +76,8 @@
 	// silentSince is the time when the first poll without a response after the last one with a
 	// response failed, or 0.
 	silentSince vocab.Instant
+	// lossCounted is set while the loss of the silent worker has been attributed to its runs.
+	lossCounted bool
 	// lastStartAt is the time when this owner last sent a start to the worker.
 	lastStartAt vocab.Instant
 	// trial is the task that is on trial on the worker, or nil: see crashes.go.
@@ -237,13 +242,19 @@
 
 // expireLease marks the tasks of an unreachable worker as lost once its lease has expired.
 func (o *owner) expireLease(w *worker) {
-	if o.s.now >= w.leaseUntil && !w.fenced {
+	if !w.fenced && o.s.now >= max(w.leaseUntil, o.strayLeasesUntil(w, w.info.Incarnation), o.earlierStartsUntil) {
 		o.resolveGrants(w)
 	}
 	if len(w.tasks) == 0 || o.s.now < w.leaseUntil || w.fenced && w.failedPolls == 0 && w.listed {
 		return
 	}
-	o.loseRuns(w, w.tasks, lossLeaseExpired)
+	var expired []*task
+	for _, t := range w.tasks {
+		if o.s.now >= o.runExpiresAt(t) {
+			expired = append(expired, t)
+		}
+	}
+	o.loseRuns(w, expired, lossLeaseExpired)
 }
 
 // resendStops repeats stops without a response and stops runs whose start outcome remains unknown.
@@ -287,24 +298,33 @@
 		return
 	}
 	o.withdrawPresumedCrash(w)
+	if w.fenceDue {
+		// Stray orders may still arrive, so that neither the list of runs nor the leases are final.
+		w.nextPollAt = o.s.now.Add(firstPollRetryDelay)
+		if o.raiseFence(w) {
+			o.sendPoll(w)
+		}
+		return
+	}
 	if !w.fenced {
 		w.fenced = true
-		// From now on no earlier owner can extend the lease.
-		w.leaseUntil = max(e.ReceivedAt.Add(o.earlierLeaseSpan), w.restartLeaseUntil)
+		// From now on neither an earlier owner nor a stray order can extend the lease.
+		w.leaseUntil = e.ReceivedAt.Add(o.earlierLeaseSpan)
+		o.boundStrayLeases(w, e.ReceivedAt)
 		o.planDue = true
 	}
 	w.clock, w.clockReadAt = e.Clock, e.ReceivedAt
 	o.processEnds(w, e.Ended)
 	o.reconcileRuns(w, e)
 	// A later incarnation says nothing about the runs of the earlier one, which are lost by now.
-	w.lastHeardAt, w.silentSince = max(w.lastHeardAt, e.ReceivedAt), 0
+	w.lastHeardAt, w.silentSince, w.lossCounted = max(w.lastHeardAt, e.ReceivedAt), 0, false
 	o.resolveGrants(w)
 	o.schedulePoll(w)
 }
 
 // handlePollFailure schedules the next poll after a failed one, with a longer delay after each failure.
 func (o *owner) handlePollFailure(w *worker, e Polled) {
-	if e.Outcome == Fenced {
+	if e.Outcome == Fenced && e.Fence == w.fence {
 		o.s.loseOwnership("a worker has seen a later owner")
 		return
 	}
@@ -375,9 +395,11 @@
 	var restarted, unlisted []*task
 	for _, t := range w.tasks {
 		switch {
-		case reported[t] || !t.lostIfUnlisted(e.SentAt) || o.resumeStart(t):
-		case t.incarnation < w.info.Incarnation:
+		case reported[t]:
+		case t.incarnation < w.info.Incarnation && t.state != runPlanned:
+			// The worker refuses what is still under way to its earlier incarnation.
 			restarted = append(restarted, t)
+		case !t.lostIfUnlisted(e.SentAt) || o.resumeStart(t):
 		default:
 			unlisted = append(unlisted, t)
 		}
@@ -435,6 +457,6 @@
 	}
 	w.orphaned = w.orphaned.Plus(size)
 	o.s.logEvent(LogOrphanedRunStopped, "task", r.Task, "run", r.Run, "worker", w.info.ID)
-	o.s.emit(Stop{Worker: w.info.ID, Address: w.info.Address, Fence: o.fence, Task: r.Task, Run: r.Run})
+	o.s.emit(Stop{Worker: w.info.ID, Address: w.info.Address, Fence: w.fence, Task: r.Task, Run: r.Run})
 	w.pollBy(o.s.now.Add(stopRetryDelay))
 }
