--- a/internal/core/job/polls.go
+++ b/internal/core/job/polls.go
@@ -3,9 +3,11 @@
 import "time"
 
 // sendPoll polls a worker. The poll extends the leases of its runs and acknowledges the ends that
-// are on the stream.
+// are on the stream. It waits until the fence is raised if that is due.
 func (o *owner) sendPoll(w *worker) {
-	o.raiseFence(w)
+	if w.fenceDue && !o.raiseFence(w) {
+		return
+	}
 	poll := Poll{
 		Worker: w.info.ID, Address: w.info.Address, Incarnation: w.info.Incarnation, Fence: w.fence, Until: o.leasesUntil,
 	}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -300,10 +300,8 @@
 	o.withdrawPresumedCrash(w)
 	if w.fenceDue {
 		// Stray orders may still arrive, so that neither the list of runs nor the leases are final.
-		w.nextPollAt = o.s.now.Add(firstPollRetryDelay)
-		if o.raiseFence(w) {
-			o.sendPoll(w)
-		}
+		w.nextPollAt = o.s.now
+		o.sendPoll(w)
 		return
 	}
 	if !w.fenced {
