An owner remembers the fences that it has raised

A worker that was away for longer than its leases was forgotten, and with it the fence of its orders. Listed again in the same incarnation, it refused the owner's lower fence, which the owner took for a sign of a later one: it gave the ownership up.

New entries of workers get the highest fence that the owner may use, and a worker is not forgotten while an order to an earlier incarnation may be on its way.

TestWorkerThatWasForgottenAcceptsOrders fails without the change for each of its three times, and passes.

--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -235,7 +235,7 @@
 func (o *owner) worker(id WorkerID) *worker {
 	w := o.workers[id]
 	if w == nil {
-		w = &worker{info: WorkerInfo{ID: id}, fence: o.fence, leaseUntil: o.earlierLeasesUntil}
+		w = &worker{info: WorkerInfo{ID: id}, fence: o.highestFence(), leaseUntil: o.earlierLeasesUntil}
 		o.inheritSilence(w)
 		o.workers[id] = w
 		at, _ := slices.BinarySearch(o.workerIDs, id)
--- a/internal/core/job/stray_orders.go
+++ b/internal/core/job/stray_orders.go
@@ -29,14 +29,22 @@
 	w.fenceDue = true
 }
 
-// raiseFence raises the fence of orders to a worker if that is due, and reports whether it could. The
-// offset up to which the owner has read the stream is below the fence of any later owner, which comes
-// from the offset of a claim or an appointment that has not been read.
+// highestFence returns the highest fence of orders that this owner may use. The offset up to which it has
+// read the stream is below the fence of any later owner, which comes from the offset of a claim or an
+// appointment that has not been read.
+func (o *owner) highestFence() Fence {
+	if o.resigned {
+		return o.fence // The last record, which may appoint another owner, has perhaps been read.
+	}
+	return max(o.fence, Fence(o.readOffset))
+}
+
+// raiseFence raises the fence of orders to a worker if that is due, and reports whether it could.
 func (o *owner) raiseFence(w *worker) bool {
 	if !w.fenceDue || o.resigned {
 		return false
 	}
-	raised := Fence(o.readOffset)
+	raised := o.highestFence()
 	if raised <= w.fence {
 		o.fencesDue = true
 		return false
--- a/internal/core/job/stray_orders_test.go
+++ b/internal/core/job/stray_orders_test.go
@@ -156,3 +156,30 @@
 	respond(o, w, Polled{Worker: w.info.ID, Outcome: OK, Incarnation: w.info.Incarnation, Running: []RunReport{{Task: task.name(), Run: 1}}, SentAt: o.s.now, ReceivedAt: o.s.now})
 	g.Expect(o.runExpiresAt(task)).To(gomega.Equal(o.s.now.Add(o.s.longestLeaseSpan())))
 }
+
+// TestWorkerThatWasForgottenAcceptsOrders guards against an owner that loses the ownership to itself: it had forgotten a
+// worker that was away for long, and the fence that it had raised for it.
+func TestWorkerThatWasForgottenAcceptsOrders(t *testing.T) {
+	for _, away := range []time.Duration{9 * time.Second, 20 * time.Second, 40 * time.Second} {
+		t.Run(away.String(), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			sim := newSimulation(1, 3, 4, faults{})
+			sim.pollsWait, sim.connections = true, holdOrders
+			sim.run(3 * time.Second)
+			sim.submit(Spec{Steps: []Step{{Count: 8, Need: Resources{CPU: 1000, Memory: 64}, EstimateMS: 60_000}}})
+			sim.run(2 * time.Second)
+			n, wk := sim.owningNode(), sim.workers[sim.workerIDs[0]]
+			sim.restartWorker(wk)
+			sim.run(2 * time.Second)
+			owner := n.state.owner
+			g.Expect(wk.fence).To(gomega.BeNumerically(">", owner.fence))
+			wk.unreachable, wk.unlisted = true, true
+			sim.run(away)
+			wk.unreachable, wk.unlisted = false, false
+			sim.run(5 * time.Second)
+			g.Expect(n.state.owner).To(gomega.BeIdenticalTo(owner))
+			g.Expect(owner.workers[wk.info.ID].usable(sim.now)).To(gomega.BeTrue())
+			sim.report(t)
+		})
+	}
+}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -225,11 +225,13 @@
 	}
 }
 
-// removeGoneWorkers removes workers that are not listed, have no tasks and hold no lease.
+// removeGoneWorkers removes workers that are not listed, have no tasks and hold no lease. No stray order may
+// be on its way to a worker that is forgotten.
 func (o *owner) removeGoneWorkers() {
 	o.workerIDs = slices.DeleteFunc(o.workerIDs, func(id WorkerID) bool {
 		w := o.workers[id]
-		if w.listed || w.pollInFlight || len(w.tasks) > 0 || len(w.inheritedBy) > 0 || o.s.now < w.leaseUntil {
+		if w.listed || w.pollInFlight || len(w.tasks) > 0 || len(w.inheritedBy) > 0 || o.s.now < max(w.leaseUntil, w.strayUntil) ||
+			w.leaseSentAt != 0 && o.s.now < w.leaseSentAt.Add(o.s.strayLeaseSpan()) {
 			return false
 		}
 		delete(o.workers, id)
