A second restart forgets the bound of stray orders

The response of a worker's second incarnation bounded the leases of stray orders for the third one as well, although that one has seen no fence: orders to the first may arrive until 12 s after their sending.

Each restart now counts again from the last order to any earlier incarnation.

--- a/internal/core/job/leases.go
+++ b/internal/core/job/leases.go
@@ -34,7 +34,7 @@
 // resetClock forgets the clock of an earlier incarnation.
 func (o *owner) resetClock(w *worker) {
 	o.noteStrayOrders(w)
-	w.clock, w.clockReadAt, w.leaseSentAt = 0, 0, 0
+	w.clock, w.clockReadAt = 0, 0
 }
 
 // lease returns the lease to request from workers.
--- a/internal/core/job/stray_orders.go
+++ b/internal/core/job/stray_orders.go
@@ -20,13 +20,16 @@
 const orderDelivery = 2500 * time.Millisecond
 
 // noteStrayOrders notes that orders with a lease may be carried out by a later incarnation than the
-// one that they were meant for.
+// one that they were meant for: those of this owner and of earlier ones, also to incarnations before
+// the last, whose response bounds them no more.
 func (o *owner) noteStrayOrders(w *worker) {
-	if w.leaseSentAt == 0 {
-		return
+	if w.leaseSentAt != 0 {
+		w.strayUntil = max(w.strayUntil, w.leaseSentAt.Add(o.s.strayLeaseSpan()))
+		w.fenceDue = o.s.now < w.strayUntil
+	}
+	if o.s.now < o.earlierStrayUntil {
+		w.strayUntil = max(w.strayUntil, o.earlierStrayUntil)
 	}
-	w.strayUntil = max(w.strayUntil, w.leaseSentAt.Add(o.s.strayLeaseSpan()))
-	w.fenceDue = true
 }
 
 // highestFence returns the highest fence of orders that this owner may use. The offset up to which it has
--- a/internal/core/job/stray_orders_test.go
+++ b/internal/core/job/stray_orders_test.go
@@ -183,3 +183,40 @@
 		})
 	}
 }
+
+// TestSecondRestartForgetsTheFence guards against a wait that ends too early: the response of one incarnation had bounded
+// the stray orders of the next as well, which has seen no fence.
+func TestSecondRestartForgetsTheFence(t *testing.T) {
+	restart := func(o *owner, w *worker, respondsAfter time.Duration) {
+		info := w.info
+		info.Incarnation++
+		o.updateWorker(info)
+		o.s.now = o.s.now.Add(respondsAfter)
+		if respondsAfter > 0 {
+			respond(o, w, Polled{Worker: info.ID, Outcome: OK, Incarnation: info.Incarnation, SentAt: o.s.now, ReceivedAt: o.s.now})
+		}
+	}
+	t.Run("orders of this owner", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		o := fleetOf(1)
+		o.s.settings.MaxLease = 10 * time.Second
+		w := o.workers["w0000"]
+		o.grantLease(w)
+		sentAt := o.s.now
+		restart(o, w, 600*time.Millisecond)
+		g.Expect(w.strayUntil).To(gomega.Equal(o.s.now.Add(o.s.longestLeaseSpan())))
+		restart(o, w, 0)
+		g.Expect(w.strayUntil).To(gomega.Equal(sentAt.Add(o.s.strayLeaseSpan())))
+		g.Expect(w.fenceDue).To(gomega.BeTrue())
+	})
+	t.Run("orders of an earlier owner", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		o := fleetOf(1)
+		o.s.settings.MaxLease, o.s.claim.previousOwner.Node = 10*time.Second, "earlier"
+		o.awaitEarlierLeases(o.s.now)
+		w := o.workers["w0000"]
+		restart(o, w, 600*time.Millisecond)
+		restart(o, w, 0)
+		g.Expect(o.strayLeasesUntil(w, w.info.Incarnation)).To(gomega.Equal(o.earlierStrayUntil))
+	})
+}
