A later order extends the lease of a start without a result

A finite task whose start has no definite result was waited for from that start on. Any later order with a lease to the same worker extends the leases of all its runs, so that a run on an unseen incarnation could outlast the wait by as much, 1 s in the test.

The wait counts from the worker's last order with a lease. TestLaterOrderExtendsTheLeaseOfAnOpenStart.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -120,11 +120,10 @@
 	// without a response.
 	startsSent, startsUnanswered int
 	// openStarts counts the copies of the start that may still be carried out, or that a later incarnation
-	// of the worker has carried out. The last copy was sent at lastStartSentAt, with a lease that was based
-	// on the reading clockAtStart of the worker's clock.
-	openStarts      int
-	lastStartSentAt vocab.Instant
-	clockAtStart    time.Duration
+	// of the worker has carried out. clockAtStart is a reading of the worker's clock that the lease of the
+	// last copy was based on.
+	openStarts   int
+	clockAtStart time.Duration
 	// listed is set once the worker has listed the run.
 	listed bool
 	// failedOn is the worker on which a run of the task last failed.
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -8,7 +8,7 @@
 	t.startSentAt, t.startedAt, t.stopSentAt, t.fencedOffAt = 0, 0, 0, 0
 	t.progressPercent, t.tailLatencyMS, t.cpuPercent = 0, 0, 100
 	t.startsSent, t.startsUnanswered, t.listed = 0, 0, false
-	t.openStarts, t.lastStartSentAt, t.clockAtStart = 0, 0, 0
+	t.openStarts, t.clockAtStart = 0, 0
 	w.tasks = append(w.tasks, t)
 	w.used = w.used.Plus(t.step.spec.Reserved())
 	t.step.assigned++
@@ -88,7 +88,7 @@
 	t.startsSent++
 	t.startsUnanswered++
 	t.openStarts++
-	t.lastStartSentAt, t.clockAtStart = o.s.now, w.clock
+	t.clockAtStart = w.clock
 	ticket, _ := t.step.ticketFor(w, o.s.now)
 	w.lastStartAt, w.lossCounted = o.s.now, false
 	o.s.emit(Start{
--- a/internal/core/job/stray_orders.go
+++ b/internal/core/job/stray_orders.go
@@ -102,7 +102,8 @@
 func (o *owner) openStartsUntil(t *task) vocab.Instant {
 	switch {
 	case t.openStarts > 0:
-		return t.lastStartSentAt.Add(orderDelivery + o.s.longestLeaseSpan())
+		// A later order extends the leases of all runs on the worker.
+		return t.worker.leaseSentAt.Add(orderDelivery + o.s.longestLeaseSpan())
 	case t.state == runStartUnknown && t.startSentAt == 0:
 		return o.earlierStartsUntil
 	default:
--- a/internal/core/job/stray_orders_test.go
+++ b/internal/core/job/stray_orders_test.go
@@ -220,3 +220,18 @@
 		g.Expect(o.strayLeasesUntil(w, w.info.Incarnation)).To(gomega.Equal(o.earlierStrayUntil))
 	})
 }
+
+// TestLaterOrderExtendsTheLeaseOfAnOpenStart guards against a wait that counts from the start of the run alone.
+func TestLaterOrderExtendsTheLeaseOfAnOpenStart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	o.s.settings.MaxLease = 10 * time.Second
+	j := addTestJob(o, 1, Step{Count: 2, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000})
+	first, second, w := j.occurrences[0].steps[0].tasks[0], j.occurrences[0].steps[0].tasks[1], o.workers["w0000"]
+	o.assign(first, w)
+	o.sendStart(first, first.lastRun)
+	o.s.now = o.s.now.Add(time.Second)
+	o.assign(second, w)
+	o.sendStart(second, second.lastRun)
+	g.Expect(o.runExpiresAt(first)).To(gomega.Equal(o.s.now.Add(orderDelivery + o.s.longestLeaseSpan())))
+}
