A start's answer is compared with what the clock had certainly reached

A restart that a start's answer shows was missed where the last reading of the worker's clock was old, and seen where there was none: the answer of the first copy came after a poll had read the clock and a second copy was sent. Refused starts, which extend leases as well, were not looked at.

The answer is compared with the lower bound of the clock at the sending of the first copy. TestOldReadingShowsARestart, TestSlowAnswerOfTheFirstCopyShowsNoRestart.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -120,8 +120,8 @@
 	// without a response.
 	startsSent, startsUnanswered int
 	// openStarts counts the copies of the start that may still be carried out, or that a later incarnation
-	// of the worker has carried out. clockAtStart is a reading of the worker's clock that the lease of the
-	// last copy was based on.
+	// of the worker has carried out. clockAtStart is the reading that the worker's clock had reached for
+	// certain when the first copy was sent.
 	openStarts   int
 	clockAtStart time.Duration
 	// listed is set once the worker has listed the run.
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -88,7 +88,9 @@
 	t.startsSent++
 	t.startsUnanswered++
 	t.openStarts++
-	t.clockAtStart = w.clock
+	if t.startsSent == 1 {
+		t.clockAtStart = w.clockAtLeast(o.s.now)
+	}
 	ticket, _ := t.step.ticketFor(w, o.s.now)
 	w.lastStartAt, w.lossCounted = o.s.now, false
 	o.s.emit(Start{
@@ -156,19 +158,22 @@
 	}
 }
 
-// closeStart notes that a copy of the start cannot be carried out any more. A reading of the worker's
-// clock below the one that the lease was based on shows that a later incarnation has carried it out:
-// the lease may be as long as workers allow.
+// closeStart notes the result of a copy of the start. A clock of the worker that reads less than when the
+// copy was sent shows that a later incarnation has received it: the lease may be as long as workers
+// allow, also that of a start which is refused.
 func (o *owner) closeStart(t *task, e StartAnswered) {
-	switch {
-	case e.Outcome == Unknown:
-	case e.Outcome == OK && e.Clock > 0 && e.Clock < t.clockAtStart:
-		o.s.logEvent(LogStartInLaterIncarnation, "task", e.Task, "run", e.Run, "worker", e.Worker, "clock_ms", e.Clock.Milliseconds(),
-			"lease_clock_ms", t.clockAtStart.Milliseconds(), "sent_ms_ago", o.s.now.Sub(e.SentAt).Milliseconds())
+	if e.Outcome == Unknown {
+		return
+	}
+	restarted := e.Clock > 0 && e.Clock < t.clockAtStart
+	if restarted {
+		o.s.logEvent(LogStartInLaterIncarnation, "task", e.Task, "run", e.Run, "worker", e.Worker, "outcome", e.Outcome.String(),
+			"clock_ms", e.Clock.Milliseconds(), "earlier_clock_ms", t.clockAtStart.Milliseconds(), "sent_ms_ago", o.s.now.Sub(e.SentAt).Milliseconds())
 		o.noteStrayOrders(t.worker)
 		t.worker.fenced = false
 		t.worker.pollBy(o.s.now)
-	default:
+	}
+	if !restarted || e.Outcome != OK {
 		t.openStarts--
 	}
 }
--- a/internal/core/job/stray_orders_test.go
+++ b/internal/core/job/stray_orders_test.go
@@ -118,7 +118,7 @@
 	o := fleetOf(1)
 	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000})
 	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
-	w.clock = time.Hour
+	w.clock, w.clockReadAt = time.Hour, o.s.now
 	o.assign(task, w)
 	o.sendStart(task, task.lastRun)
 	sentAt := o.s.now
@@ -235,3 +235,39 @@
 	o.sendStart(second, second.lastRun)
 	g.Expect(o.runExpiresAt(first)).To(gomega.Equal(o.s.now.Add(orderDelivery + o.s.longestLeaseSpan())))
 }
+
+// TestOldReadingShowsARestart guards against a restart that is not noticed because the last reading of the worker's clock
+// is old.
+func TestOldReadingShowsARestart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000})
+	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	w.clock, w.clockReadAt = 200*time.Millisecond, o.s.now
+	o.s.now = o.s.now.Add(14 * time.Second)
+	o.assign(task, w)
+	o.sendStart(task, task.lastRun)
+	o.handleStartAnswered(StartAnswered{Worker: w.info.ID, Task: task.name(), Run: 1, Outcome: OK, Clock: 500 * time.Millisecond, SentAt: o.s.now})
+	g.Expect(task.openStarts).To(gomega.Equal(1))
+	g.Expect(w.usable(o.s.now)).To(gomega.BeFalse())
+}
+
+// TestSlowAnswerOfTheFirstCopyShowsNoRestart guards against a worker that is taken for restarted because its clock was read
+// and the start repeated before the answer came.
+func TestSlowAnswerOfTheFirstCopyShowsNoRestart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000})
+	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	w.clock, w.clockReadAt = time.Hour, o.s.now
+	o.assign(task, w)
+	o.sendStart(task, task.lastRun)
+	sentAt := o.s.now
+	w.clock, w.clockReadAt = time.Hour+120*time.Millisecond, sentAt.Add(120*time.Millisecond)
+	o.s.now = sentAt.Add(160 * time.Millisecond)
+	o.resendStarts(w)
+	g.Expect(task.startsSent).To(gomega.Equal(2))
+	o.handleStartAnswered(StartAnswered{Worker: w.info.ID, Task: task.name(), Run: 1, Outcome: OK, Clock: time.Hour + 10*time.Millisecond, SentAt: sentAt})
+	g.Expect(w.fenced).To(gomega.BeTrue())
+	g.Expect(w.strayUntil).To(gomega.BeZero())
+}
