The owner's record names the workers that stray orders may reach

The next owner took any worker whose incarnation was less than half a minute old for one that stray orders may have reached.

The record has the time left by worker; it is written when a restart is noticed. A run that was intended for an incarnation before the listed one counts as well. Only after an owner of an earlier version the age decides.

--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -56,14 +56,17 @@
 	earlierLeasesUntil vocab.Instant
 	earlierLeaseSpan   time.Duration
 	// earlierStrayUntil is the time by which leases from stray orders of earlier owners have expired.
-	earlierStrayUntil vocab.Instant
+	// earlierNotesStrays is set if the record of the last one has the workers that they may reach.
+	earlierStrayUntil  vocab.Instant
+	earlierNotesStrays bool
 	// earlierStartsUntil is the time by which runs have ended that starts of earlier owners have started on
 	// an incarnation which nobody has seen.
 	earlierStartsUntil vocab.Instant
-	// readOffset is the offset up to which this owner has read the stream. fencesDue is set while
-	// it is too low to raise the fence of a worker.
+	// readOffset is the offset up to which this owner has read the stream.
 	readOffset int64
-	fencesDue  bool
+	// renewDue is set while the owner's record has to be written: it has new stray orders, or moves the end
+	// of the stream so that fences can be raised.
+	renewDue bool
 	// activeAt is the time when the takeover was completed.
 	activeAt vocab.Instant
 	// resigned is set once the owner resigns: from then on it gives no orders. overloaded is
@@ -133,7 +136,7 @@
 	leaseSpan := s.earlierLeaseSpan()
 	o := &owner{
 		s: s, fence: fence, policy: defaultLookahead(),
-		earlierLeaseSpan: leaseSpan,
+		earlierLeaseSpan: leaseSpan, earlierNotesStrays: s.ledger.notesStrays,
 		// A read takes about as long as an append where the store is slow.
 		appendLatency: s.stream.readLatency,
 		jobs:          map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, presumedCrashes: map[MachineID]attributedCrash{}, crashRates: map[vocab.PoolID]*crashRate{}, machineCrashes: map[MachineID]machineCrashes{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
@@ -235,7 +238,7 @@
 func (o *owner) worker(id WorkerID) *worker {
 	w := o.workers[id]
 	if w == nil {
-		w = &worker{info: WorkerInfo{ID: id}, fence: o.highestFence(), leaseUntil: o.earlierLeasesUntil}
+		w = &worker{info: WorkerInfo{ID: id}, fence: o.highestFence(), leaseUntil: o.earlierLeasesUntil, strayUntil: o.s.ledger.strayUntil[id]}
 		o.inheritSilence(w)
 		o.workers[id] = w
 		at, _ := slices.BinarySearch(o.workerIDs, id)
@@ -313,12 +316,15 @@
 		return
 	}
 	o.resignIfPrepared()
+	if o.renewDue {
+		o.renewDue = false
+		o.extraRecords = append(o.extraRecords, encodeOwner(o.ownerRecord()))
+	}
 	if o.hasPendingWrites() {
 		o.flush()
 		return
 	}
-	if o.fencesDue || o.s.now.Add(orderAuthority-ownerRenewInterval) > o.ordersUntil {
-		o.fencesDue = false
+	if o.s.now.Add(orderAuthority-ownerRenewInterval) > o.ordersUntil {
 		o.renew()
 	}
 }
@@ -340,7 +346,7 @@
 func (o *owner) ownerRecord() ownerRecord {
 	return ownerRecord{
 		Node: o.s.self.Node, Incarnation: o.s.self.Incarnation, Fence: o.fence, LeaseMS: o.longestLease().Milliseconds() + 1,
-		CrashRates: o.crashRateRecord(),
+		StrayMS: o.strayRecord(), NotesStrays: true, CrashRates: o.crashRateRecord(),
 	}
 }
 
--- a/internal/core/job/record.go
+++ b/internal/core/job/record.go
@@ -109,6 +109,10 @@
 	// node's clock. Records of earlier versions don't have it; leases of those owners may last as
 	// long as workers allow.
 	LeaseMS int64 `json:"lease_ms,omitempty"`
+	// StrayMS has how long leases from stray orders may last, by worker, in milliseconds of a node's clock.
+	// NotesStrays is set if it is complete: records of earlier versions have neither.
+	StrayMS     map[WorkerID]int64 `json:"stray_ms,omitempty"`
+	NotesStrays bool               `json:"notes_strays,omitempty"`
 	// CrashRates has how often workers crash, by pool.
 	CrashRates map[vocab.PoolID]crashRate `json:"crashes,omitempty"`
 	// RecentOrders is written by processes of earlier versions, instead of orderRecord.
@@ -255,6 +259,10 @@
 	Jobs map[ID]*JobRecord
 	// tentative holds the jobs whose acceptance this node, as the owner, is writing.
 	tentative map[ID]*JobRecord
+	// strayUntil has the time by which leases from stray orders have expired, by worker. notesStrays is set if
+	// the newest owner record says so.
+	strayUntil  map[WorkerID]vocab.Instant
+	notesStrays bool
 	// owner is the newest owner record, ownerFence its fence.
 	owner      ownerRecord
 	ownerFence Fence
@@ -379,6 +387,7 @@
 	}
 	if o.Fence >= l.ownerFence {
 		l.crashRates = o.CrashRates
+		l.foldStrays(now, &o)
 	}
 	switch {
 	case o.Fence < l.ownerFence:
--- a/internal/core/job/stray_orders.go
+++ b/internal/core/job/stray_orders.go
@@ -30,6 +30,7 @@
 	if o.s.now < o.earlierStrayUntil {
 		w.strayUntil = max(w.strayUntil, o.earlierStrayUntil)
 	}
+	o.renewDue = o.renewDue || o.s.now < w.strayUntil
 }
 
 // highestFence returns the highest fence of orders that this owner may use. The offset up to which it has
@@ -49,7 +50,7 @@
 	}
 	raised := o.highestFence()
 	if raised <= w.fence {
-		o.fencesDue = true
+		o.renewDue = true
 		return false
 	}
 	w.fence, w.fenceDue = raised, false
@@ -59,15 +60,27 @@
 // boundStrayLeases bounds the leases from stray orders of a worker that has responded under the fence
 // of its present incarnation.
 func (o *owner) boundStrayLeases(w *worker, respondedAt vocab.Instant) {
+	for _, t := range w.tasks {
+		if o.restartedUnseen(t) {
+			w.strayUntil = max(w.strayUntil, o.earlierStrayUntil)
+		}
+	}
 	if until := o.strayLeasesUntil(w, w.info.Incarnation); until != 0 {
 		w.strayUntil = min(until, respondedAt.Add(o.s.longestLeaseSpan()))
 	}
 }
 
+// restartedUnseen reports whether the task's worker has restarted since an earlier owner intended the run:
+// that owner's record may not name the worker.
+func (o *owner) restartedUnseen(t *task) bool {
+	return t.incarnation < t.worker.info.Incarnation && t.plannedAt < o.activeAt
+}
+
 // strayLeasesUntil returns the time by which leases from stray orders to the worker have expired, 0 if
-// there are none. An earlier owner may have sent orders to the incarnation before a recent one.
+// there are none. An earlier owner whose record does not say so may have sent orders to the incarnation
+// before a recent one.
 func (o *owner) strayLeasesUntil(w *worker, incarnation Millis) vocab.Instant {
-	if w.strayUntil == 0 && o.s.wall-incarnation < o.s.recentIncarnationAge() {
+	if w.strayUntil == 0 && !o.earlierNotesStrays && o.s.wall-incarnation < o.s.recentIncarnationAge() {
 		return o.earlierStrayUntil
 	}
 	return w.strayUntil
@@ -79,18 +92,40 @@
 	return Millis((leaseAuthority + s.strayLeaseSpan() + maxClockSkew).Milliseconds())
 }
 
+// strayRecord returns how long leases from stray orders may last, for the owner's record.
+func (o *owner) strayRecord() map[WorkerID]int64 {
+	left := map[WorkerID]int64{}
+	for _, id := range o.workerIDs {
+		w := o.workers[id]
+		if until := o.strayLeasesUntil(w, w.info.Incarnation); until > o.s.now {
+			left[id] = until.Sub(o.s.now).Milliseconds() + 1
+		}
+	}
+	return left
+}
+
+// foldStrays applies what an owner's record says of stray orders. The time counts from the append, and so
+// from the reading at the latest.
+func (l *Ledger) foldStrays(now vocab.Instant, o *ownerRecord) {
+	l.notesStrays, l.strayUntil = o.NotesStrays, make(map[WorkerID]vocab.Instant, len(o.StrayMS))
+	for id, ms := range o.StrayMS {
+		l.strayUntil[id] = now.Add(time.Duration(min(max(0, ms), maxLeaseMS)) * time.Millisecond)
+	}
+}
+
 // runExpiresAt returns the time by which the run of an assigned task has ended if its worker does not
 // respond. A run that was confirmed by an earlier incarnation has ended with it, unless a copy of its
 // start is a stray order.
 func (o *owner) runExpiresAt(t *task) vocab.Instant {
 	w := t.worker
+	until := w.leaseUntil
+	if o.restartedUnseen(t) {
+		until = max(until, o.earlierStrayUntil)
+	}
 	if t.incarnation < w.info.Incarnation && t.startSentAt != 0 && t.openStarts == 0 {
-		if t.plannedAt < o.activeAt {
-			return max(w.leaseUntil, o.earlierStrayUntil)
-		}
-		return w.leaseUntil
+		return until
 	}
-	until := max(w.leaseUntil, o.strayLeasesUntil(w, max(t.incarnation, w.info.Incarnation)))
+	until = max(until, o.strayLeasesUntil(w, max(t.incarnation, w.info.Incarnation)))
 	if t.step.spec.LongRunning {
 		return until // It may not be away for as long as that.
 	}
