--- a/internal/core/job/acknowledge_test.go
+++ b/internal/core/job/acknowledge_test.go
@@ -64,7 +64,7 @@
 	o.handlePolled(answer)
 	g.Expect(poll().Acked).To(gomega.Equal(int64(3)), "the next poll follows at once")
 
-	o.handleRestart(w, 2)
+	o.handleRestart(w, w.info.Incarnation, 2)
 	answer.Incarnation = 2
 	o.handlePolled(answer)
 	g.Expect(w.confirmedEnd).To(gomega.BeZero())
--- a/internal/core/job/planned_end_test.go
+++ b/internal/core/job/planned_end_test.go
@@ -647,7 +647,7 @@
 	task, info := w.tasks[0], w.info
 	info.Draining = true
 	o.updateWorker(info)
-	o.handleRestart(w, info.Incarnation+1)
+	o.handleRestart(w, w.info.Incarnation, info.Incarnation+1)
 	o.noteDrain(w)
 	info.Draining, info.Incarnation = false, info.Incarnation+1
 	o.updateWorker(info)
--- a/internal/core/job/worker_outcomes_test.go
+++ b/internal/core/job/worker_outcomes_test.go
@@ -47,6 +47,6 @@
 	o.s.now = o.s.now.Add(3 * outcomeWindow)
 	g.Expect(bad.outcomes.failing(o.s.now)).To(gomega.BeFalse())
 	o.s.now = o.s.now.Add(-3 * outcomeWindow)
-	o.handleRestart(bad, bad.info.Incarnation+1)
+	o.handleRestart(bad, bad.info.Incarnation, bad.info.Incarnation+1)
 	g.Expect(bad.outcomes).To(gomega.Equal(runOutcomes{}))
 }
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -134,7 +134,7 @@
 // incarnation.
 func (o *owner) updateWorker(info WorkerInfo) {
 	w := o.worker(info.ID)
-	restarted := w.info.Incarnation != 0 && info.Incarnation > w.info.Incarnation
+	earlier := w.info.Incarnation
 	if w.info.Incarnation > info.Incarnation && w.listed {
 		return
 	}
@@ -146,8 +146,8 @@
 	o.noteDrain(w)
 	w.evacuated, w.coldUntil = o.s.evacuations.contains(info.Zone), o.s.now.Add(info.ColdLeft)
 	o.workersByMachine[info.Machine] = w
-	if restarted {
-		o.handleRestart(w, info.Incarnation)
+	if earlier != 0 && info.Incarnation > earlier {
+		o.handleRestart(w, earlier, info.Incarnation)
 	}
 	if !w.fenced || w.failedPolls > 0 && w.nextPollAt == never {
 		w.pollBy(o.s.now)
@@ -163,7 +163,7 @@
 // handleRestart resets the state of a worker that has a new incarnation. Its tasks are marked
 // as lost only when a poll does not list them, because a start may have reached the new
 // incarnation before the restart was known.
-func (o *owner) handleRestart(w *worker, incarnation Millis) {
+func (o *owner) handleRestart(w *worker, earlier, incarnation Millis) {
 	openStarts := 0
 	for _, t := range w.tasks {
 		openStarts += t.openStarts
@@ -172,7 +172,7 @@
 	if w.leaseSentAt != 0 {
 		orderAge = o.s.now.Sub(w.leaseSentAt).Milliseconds()
 	}
-	o.s.logEvent(LogWorkerRestarted, "worker", w.info.ID, "born", incarnation, "earlier", w.info.Incarnation, "order_ms_ago", orderAge, "open_starts", openStarts)
+	o.s.logEvent(LogWorkerRestarted, "worker", w.info.ID, "born", incarnation, "earlier", earlier, "order_ms_ago", orderAge, "open_starts", openStarts)
 	w.info.Incarnation = incarnation
 	w.outcomes = runOutcomes{}
 	w.fenced, w.ackedEnd, w.lastEnd, w.confirmedEnd, w.orphaned = false, 0, 0, 0, Resources{}
@@ -293,7 +293,7 @@
 	o.endSilence(w)
 	w.confirmedEnd = max(w.confirmedEnd, w.ackInFlight)
 	if e.Incarnation > w.info.Incarnation {
-		o.handleRestart(w, e.Incarnation)
+		o.handleRestart(w, w.info.Incarnation, e.Incarnation)
 	}
 	if e.Incarnation < w.info.Incarnation {
 		w.nextPollAt = o.s.now.Add(pollRetryDelay)
