The record of a silent worker tells known from open starts

The record's time covers all runs, for earlier versions; two new fields have the end of the leases of runs that were started for certain, and of those whose start has no result. TestSilentRecordTellsKnownFromOpenStarts.

--- a/internal/core/job/silent_workers.go
+++ b/internal/core/job/silent_workers.go
@@ -22,20 +22,39 @@
 // silentLease is the content of the record of a silent worker. It says where the worker can be
 // reached: if it ends before the next owner takes over, the platform lists it no more.
 type silentLease struct {
-	// LeaseMS is the time from the record until the end of the lease, in milliseconds.
+	// LeaseMS is the time from the record until the end of all leases, in milliseconds.
 	LeaseMS int64 `json:"ms"`
-	Host    host  `json:"at"`
+	// KnownMS is the same for the leases of runs that were started for certain, OpenMS for runs whose start
+	// has no result. Records of earlier versions don't have them.
+	KnownMS *int64 `json:"known_ms,omitempty"`
+	OpenMS  int64  `json:"open_ms,omitempty"`
+	Host    host   `json:"at"`
 	// Bounded is set if the lease was granted by a lower bound of the worker's clock. In records of
 	// earlier versions it may last longer than they say.
 	Bounded bool `json:"bounded,omitempty"`
-	// endsAt is the end of the lease for the node that has read the record.
-	endsAt vocab.Instant
+	// readAt is the time when the node has read the record.
+	readAt vocab.Instant
 }
 
-// silentRecord returns the record that the lease of a worker ends within a time.
-func silentRecord(w *WorkerInfo, leaseLeft time.Duration) (Record, error) {
-	value, err := json.Marshal(silentLease{LeaseMS: max(0, leaseLeft.Milliseconds()+1), Host: w.host(), Bounded: true})
-	return Record{Key: silentPrefix + string(w.ID), Value: value}, errors.Wrap(err, "encoding the record of a silent worker")
+// silentRecord returns the record that the leases of a worker end within some time.
+func (o *owner) silentRecord(w *worker) (Record, error) {
+	all, open := max(w.leaseUntil, w.strayUntil), vocab.Instant(0)
+	for _, t := range w.tasks {
+		all, open = max(all, o.runExpiresAt(t)), max(open, o.openStartsUntil(t))
+	}
+	left := func(until vocab.Instant) int64 { return max(0, until.Sub(o.s.now).Milliseconds()+1) }
+	known, lease := left(w.leaseUntil), silentLease{LeaseMS: left(all), Host: w.info.host(), Bounded: true}
+	if lease.KnownMS = &known; open != 0 {
+		// Copies of starts are still sent for a moment.
+		lease.OpenMS = left(open.Add(startRepeatDelay))
+	}
+	value, err := json.Marshal(lease)
+	return Record{Key: silentPrefix + string(w.info.ID), Value: value}, errors.Wrap(err, "encoding the record of a silent worker")
+}
+
+// end returns the end of leases that last for some milliseconds from the record.
+func (l *silentLease) end(ms int64) vocab.Instant {
+	return l.readAt.Add(time.Duration(ms) * time.Millisecond)
 }
 
 // foldSilent applies a record of a silent worker. The time counts from the append, and so
@@ -54,7 +73,10 @@
 	if err != nil || lease.LeaseMS < 0 || lease.LeaseMS > maxLeaseMS {
 		return errors.Wrapf(ErrBadRecord, "lease of worker %s", id)
 	}
-	lease.endsAt = now.Add(time.Duration(lease.LeaseMS) * time.Millisecond)
+	if lease.KnownMS != nil && (*lease.KnownMS < 0 || *lease.KnownMS > maxLeaseMS) || lease.OpenMS < 0 || lease.OpenMS > maxLeaseMS {
+		return errors.Wrapf(ErrBadRecord, "lease of worker %s", id)
+	}
+	lease.readAt = now
 	l.silent[id] = lease
 	return nil
 }
@@ -72,7 +94,7 @@
 	if len(w.tasks) == 0 {
 		return
 	}
-	record, err := silentRecord(&w.info, w.leaseUntil.Sub(o.s.now))
+	record, err := o.silentRecord(w)
 	if err != nil {
 		o.s.logEvent(LogRecordUnreadable, "key", record.Key, "error", err.Error())
 		return
@@ -100,8 +122,12 @@
 func (o *owner) inheritSilence(w *worker) {
 	if lease, found := o.s.ledger.silent[w.info.ID]; found {
 		w.silent = true
-		endsAt := lease.endsAt
-		if !lease.Bounded {
+		endsAt := lease.end(lease.LeaseMS)
+		switch {
+		case lease.KnownMS != nil:
+			endsAt = lease.end(*lease.KnownMS)
+			w.openUntil = lease.end(lease.OpenMS)
+		case !lease.Bounded:
 			endsAt = endsAt.Add(o.s.longestLeaseSpan() - o.s.maxLeaseSpan())
 		}
 		w.leaseUntil = min(w.leaseUntil, endsAt)
--- a/internal/core/job/silent_workers_test.go
+++ b/internal/core/job/silent_workers_test.go
@@ -128,8 +128,42 @@
 	g := gomega.NewWithT(t)
 	l := newLedger()
 	g.Expect(l.foldSilent(5, "w", []byte("4712"))).To(gomega.Succeed())
-	g.Expect(l.silent["w"].endsAt).To(gomega.Equal(vocab.Instant(5).Add(4712 * time.Millisecond)))
-	for _, bad := range []string{"-1", `{"ms":-1}`, `{"ms":9999999}`, "{", "x"} {
+	lease := l.silent["w"]
+	g.Expect(lease.end(lease.LeaseMS)).To(gomega.Equal(vocab.Instant(5).Add(4712 * time.Millisecond)))
+	for _, bad := range []string{"-1", `{"ms":-1}`, `{"ms":9999999}`, `{"ms":1,"known_ms":-1}`, `{"ms":1,"open_ms":9999999}`, "{", "x"} {
 		g.Expect(l.foldSilent(5, "w", []byte(bad))).To(gomega.MatchError(ErrBadRecord), bad)
 	}
 }
+
+// TestSilentRecordTellsKnownFromOpenStarts guards against a next owner that waits for all runs of a silent worker as for those
+// whose start has no result.
+func TestSilentRecordTellsKnownFromOpenStarts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	o.s.settings.MaxLease = 10 * time.Second
+	j := addTestJob(o, 1, Step{Count: 2, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000})
+	confirmed, open, w := j.occurrences[0].steps[0].tasks[0], j.occurrences[0].steps[0].tasks[1], o.workers["w0000"]
+	startOn(o, confirmed, w)
+	waits := func() (lease, finite time.Duration) {
+		record, err := o.silentRecord(w)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		next := New(Identity{Node: "next", Incarnation: 2}, o.s.settings)
+		next.now, next.claim.previousOwner, next.claim.heartbeatBeforeClaim = o.s.now, ownerRecord{Node: "earlier"}, o.s.now
+		g.Expect(next.ledger.foldSilent(next.now, w.info.ID, record.Value)).To(gomega.Succeed())
+		next.ledger.notesStrays = true
+		owner := newOwner(next, o.fence+1)
+		inherited := addTestJob(owner, 1, j.acceptance.Spec.Steps...).occurrences[0].steps[0].tasks[0]
+		owner.bind(inherited, owner.worker(w.info.ID), w.info.Incarnation)
+		inherited.state = runStartUnknown
+		return inherited.worker.leaseUntil.Sub(next.now), owner.runExpiresAt(inherited).Sub(next.now)
+	}
+	lease, finite := waits()
+	g.Expect(lease).To(gomega.BeNumerically("~", o.s.maxLeaseSpan(), 2*time.Millisecond))
+	g.Expect(finite).To(gomega.Equal(lease))
+
+	o.assign(open, w)
+	o.sendStart(open, open.lastRun)
+	lease, finite = waits()
+	g.Expect(lease).To(gomega.BeNumerically("~", o.s.maxLeaseSpan(), 2*time.Millisecond))
+	g.Expect(finite).To(gomega.BeNumerically("~", orderDelivery+startRepeatDelay+o.s.longestLeaseSpan(), 2*time.Millisecond))
+}
--- a/internal/core/job/stray_orders.go
+++ b/internal/core/job/stray_orders.go
@@ -139,6 +139,8 @@
 	case t.openStarts > 0:
 		// A later order extends the leases of all runs on the worker.
 		return t.worker.leaseSentAt.Add(orderDelivery + o.s.longestLeaseSpan())
+	case t.startSentAt == 0 && t.state != runPlanned && t.worker.openUntil != 0:
+		return t.worker.openUntil
 	case t.startSentAt == 0 && t.state != runPlanned:
 		return o.earlierStartsUntil
 	default:
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -22,6 +22,9 @@
 	leaseClockAge time.Duration
 	// strayUntil is the time by which leases from stray orders have expired, or 0: see stray_orders.go.
 	strayUntil vocab.Instant
+	// openUntil is the time by which runs have ended whose start by an earlier owner has no result, if the
+	// record of the silent worker says so, or 0.
+	openUntil vocab.Instant
 	// fence is the fence of orders to the worker's present incarnation; fenceDue is set while it has
 	// to be raised.
 	fence    Fence
