The next owner waits for open starts only where a record names them

A next owner waited for every finite run of a worker that it could not reach as if nobody had seen that the worker restarted: 15 s, and 25 s for workers with a recent incarnation before the owner's record named them.

The wait remains where the record of a silent worker names open starts.

--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -59,9 +59,6 @@
 	// earlierNotesStrays is set if the record of the last one has the workers that they may reach.
 	earlierStrayUntil  vocab.Instant
 	earlierNotesStrays bool
-	// earlierStartsUntil is the time by which runs have ended that starts of earlier owners have started on
-	// an incarnation which nobody has seen.
-	earlierStartsUntil vocab.Instant
 	// readOffset is the offset up to which this owner has read the stream.
 	readOffset int64
 	// renewDue is set while the owner's record has to be written: it has new stray orders, or moves the end
--- a/internal/core/job/stray_orders.go
+++ b/internal/core/job/stray_orders.go
@@ -139,10 +139,8 @@
 	case t.openStarts > 0:
 		// A later order extends the leases of all runs on the worker.
 		return t.worker.leaseSentAt.Add(orderDelivery + o.s.longestLeaseSpan())
-	case t.startSentAt == 0 && t.state != runPlanned && t.worker.openUntil != 0:
-		return t.worker.openUntil
 	case t.startSentAt == 0 && t.state != runPlanned:
-		return o.earlierStartsUntil
+		return t.worker.openUntil
 	default:
 		return 0
 	}
@@ -154,7 +152,6 @@
 	o.earlierLeasesUntil = renewedAt.Add(leaseAuthority + o.earlierLeaseSpan)
 	if o.s.claim.previousOwner.Node != "" {
 		o.earlierStrayUntil = renewedAt.Add(leaseAuthority + o.s.strayLeaseSpan())
-		o.earlierStartsUntil = renewedAt.Add(orderAuthority + orderDelivery + o.s.longestLeaseSpan())
 	}
 }
 
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -247,7 +247,7 @@
 
 // expireLease marks the tasks of an unreachable worker as lost once its lease has expired.
 func (o *owner) expireLease(w *worker) {
-	if !w.fenced && o.s.now >= max(w.leaseUntil, o.strayLeasesUntil(w, w.info.Incarnation), o.earlierStartsUntil) {
+	if !w.fenced && o.s.now >= max(w.leaseUntil, o.strayLeasesUntil(w, w.info.Incarnation)) {
 		o.resolveGrants(w)
 	}
 	if len(w.tasks) == 0 || o.s.now < w.leaseUntil || w.fenced && w.failedPolls == 0 && w.listed {
