A start is not open for good

One copy of a start without an answer made a run that had been confirmed a minute before wait 22.5 s after a listed restart, and 12.7 s after a crash, instead of 5.4 s.

A copy counts until the incarnation has responded later than it may have arrived. TestStartIsNotOpenForGood.

--- a/internal/core/job/stray_orders.go
+++ b/internal/core/job/stray_orders.go
@@ -122,7 +122,7 @@
 	if o.restartedUnseen(t) {
 		until = max(until, o.earlierStrayUntil)
 	}
-	if t.incarnation < w.info.Incarnation && t.startSentAt != 0 && t.openStarts == 0 {
+	if t.incarnation < w.info.Incarnation && t.startSentAt != 0 && !t.startOpen(lateOrderEffect) {
 		return until
 	}
 	until = max(until, o.strayLeasesUntil(w, max(t.incarnation, w.info.Incarnation)))
@@ -132,11 +132,17 @@
 	return max(until, o.openStartsUntil(t))
 }
 
+// startOpen reports whether a copy of the start may reach a later incarnation of the worker, if copies arrive
+// within a time. The incarnation that has responded since has received them.
+func (t *task) startOpen(within time.Duration) bool {
+	return t.openStarts > 0 && t.worker.lastHeardAt < t.startSentAt.Add(within)
+}
+
 // openStartsUntil returns the time by which the run has ended if a later incarnation that nobody has seen
 // has carried out its start, or 0 if none can have done so.
 func (o *owner) openStartsUntil(t *task) vocab.Instant {
 	switch {
-	case t.openStarts > 0:
+	case t.startOpen(orderDelivery):
 		// A later order extends the leases of all runs on the worker.
 		return t.worker.leaseSentAt.Add(orderDelivery + o.s.longestLeaseSpan())
 	case t.startSentAt == 0 && t.state != runPlanned:
--- a/internal/core/job/stray_orders_test.go
+++ b/internal/core/job/stray_orders_test.go
@@ -351,3 +351,23 @@
 	o.stopTask(task)
 	g.Expect(o.runExpiresAt(task)).To(gomega.Equal(until))
 }
+
+// TestStartIsNotOpenForGood guards against a long wait for a run that began long ago and of whose start one copy had no answer.
+func TestStartIsNotOpenForGood(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	o.s.settings.MaxLease = 10 * time.Second
+	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 600_000})
+	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	startOn(o, task, w)
+	task.openStarts = 1
+	g.Expect(o.runExpiresAt(task)).To(gomega.Equal(o.s.now.Add(orderDelivery + o.s.longestLeaseSpan())))
+	o.s.now = o.s.now.Add(time.Minute)
+	w.lastHeardAt = o.s.now
+	o.grantLease(w)
+	g.Expect(o.runExpiresAt(task)).To(gomega.Equal(o.s.now.Add(o.s.maxLeaseSpan())), "a crash")
+	info := w.info
+	info.Incarnation++
+	o.updateWorker(info)
+	g.Expect(o.runExpiresAt(task)).To(gomega.Equal(o.s.now.Add(o.s.maxLeaseSpan())), "a restart")
+}
