Request bodies being received have a budget of memory and a timeout

What callers saw: nothing in trials on loopback; a machine that enforces its memory ends the process. Cause: each request kept up to 1 MiB of its body for as long as its client held the connection open, and the peers' port took bodies of any size.

Each 64 KiB of a body have 10 s (body_timeout). All ports of serve have these limits.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -16,6 +16,7 @@
 	"github.com/labstack/echo/v5"
 	"github.com/oklog/run"
 
+	"github.com/sardinehead/sardinehead/internal/bodylimit"
 	"github.com/sardinehead/sardinehead/internal/configcheck"
 	"github.com/sardinehead/sardinehead/internal/core/job"
 	"github.com/sardinehead/sardinehead/internal/daemon"
@@ -42,6 +43,8 @@
 	// heapMemoryFraction is the share of the process's memory limit that is set as
 	// the soft limit of the Go runtime.
 	heapMemoryFraction = 0.6
+	// maxUnreadBodyBytes is the maximum size of a body on a port whose requests have none.
+	maxUnreadBodyBytes = 4 << 10
 )
 
 // Execute implements flags.Commander.
@@ -82,19 +85,22 @@
 	var group run.Group
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error { return node.Run(ctx) }, func(error) { cancel() })
+	bodies := bodylimit.NewBudget(conf.BodyMemoryMiB << 20)
 	for _, server := range []struct {
-		address settings.Address
-		handler http.Handler
+		address      settings.Address
+		handler      http.Handler
+		maxBodyBytes int64
 	}{
-		{conf.Callers, client.CallerHandler(node, stopping.Load)},
-		{conf.Readiness, client.ReadinessHandler(node)},
-		{conf.Operators, jobOperatorsHandler(node)},
-		{conf.Peers, jobpeer.Handler(node)},
+		{conf.Callers, client.CallerHandler(node, stopping.Load), platform.MaxBodyBytes},
+		{conf.Readiness, client.ReadinessHandler(node), maxUnreadBodyBytes},
+		{conf.Operators, jobOperatorsHandler(node, bodies), maxUnreadBodyBytes},
+		{conf.Peers, jobpeer.Handler(node), jobpeer.MaxBodyBytes},
 	} {
 		if !server.address.IsValid() {
 			continue
 		}
-		if err := addHTTPServer(&group, server.address, server.handler); err != nil {
+		limits := bodylimit.Limits{Budget: bodies, MaxBytes: server.maxBodyBytes, Timeout: conf.BodyTimeout.D()}
+		if err := addHTTPServer(&group, server.address, limits.Handler(server.handler)); err != nil {
 			cancel()
 			return err
 		}
@@ -208,11 +214,12 @@
 
 // jobOperatorsHandler serves metrics and the state of the node on the operators'
 // address.
-func jobOperatorsHandler(n *jobnode.Node) http.Handler {
+func jobOperatorsHandler(n *jobnode.Node, bodies *bodylimit.Budget) http.Handler {
 	e := echo.New()
 	e.GET("/metrics", func(c *echo.Context) error {
 		c.Response().Header().Set("Content-Type", "text/plain; version=0.0.4")
 		n.WriteMetrics(c.Response())
+		bodies.WriteMetrics(c.Response())
 		return nil
 	})
 	e.GET("/dump", func(c *echo.Context) error {
--- a/internal/jobpeer/server.go
+++ b/internal/jobpeer/server.go
@@ -15,6 +15,10 @@
 	"github.com/sardinehead/sardinehead/internal/jobpeer/jobpeerpb"
 )
 
+// MaxBodyBytes is the maximum size of the body of a call: that of a caller's request, which takes more
+// bytes once it is encoded again.
+const MaxBodyBytes = 4 << 20
+
 // pathPrefix precedes the service name in the URL path of each call.
 const pathPrefix = "/p"
 
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -23,6 +23,10 @@
 	CPUShare PositiveNumber `json:"strength"`
 	// MemoryMiB is the memory limit of the process in MiB; 0 means no limit.
 	MemoryMiB int64 `json:"memory_mib"`
+	// BodyMemoryMiB is the size of the request bodies that the process receives at one time, in MiB.
+	BodyMemoryMiB int64 `json:"body_memory_mib"`
+	// BodyTimeout is the maximum time that each 64 KiB of a body, or its end, take.
+	BodyTimeout spec.Duration `json:"body_timeout"`
 	// Callers, Readiness and Operators are the addresses to listen on for the
 	// callers' requests, for readiness checks, and for metrics and dumps.
 	Callers   Address `json:"callers"`
@@ -96,6 +100,15 @@
 	defaultKeepFinished = 2 * time.Minute
 	defaultGracePeriod  = 6 * time.Second
 	defaultMinOrderGap  = 3 * time.Second
+	defaultBodyTimeout  = 10 * time.Second
+	// defaultBodyMemoryMiB is the default of BodyMemoryMiB without a memory limit. With one it is
+	// 1/bodyMemoryShare of it, at least minBodyMemoryMiB.
+	defaultBodyMemoryMiB = 64
+	bodyMemoryShare      = 8
+	// minBodyMemoryMiB takes the largest body with the reserve for small ones.
+	minBodyMemoryMiB = 4
+	minBodyTimeout   = time.Second
+	maxBodyTimeout   = time.Hour
 	// defaultOrdersPerSecond is a rate that a small platform accepts.
 	defaultOrdersPerSecond = 10
 
@@ -129,6 +142,12 @@
 	if doc.Parsed() {
 		strictjson.RequireAll(doc.Root(), serveRequired)
 		strictjson.CheckDuration(doc.Root().Field("lease_most"), "lease_most", s.MaxLease.D(), minLeaseLimit, maxLeaseLimit)
+		if s.BodyMemoryMiB != 0 {
+			strictjson.CheckInt(doc.Root().Field("body_memory_mib"), "body_memory_mib", int(s.BodyMemoryMiB), minBodyMemoryMiB, math.MaxInt32)
+		}
+		if s.BodyTimeout != 0 {
+			strictjson.CheckDuration(doc.Root().Field("body_timeout"), "body_timeout", s.BodyTimeout.D(), minBodyTimeout, maxBodyTimeout)
+		}
 		if s.MaxRecordBytes != 0 {
 			strictjson.CheckInt(doc.Root().Field("record_bytes"), "record_bytes", s.MaxRecordBytes, minRecordLimit, maxRecordLimit)
 		}
@@ -144,6 +163,13 @@
 	setDefault(&s.KeepFinished, defaultKeepFinished)
 	setDefault(&s.GracePeriod, defaultGracePeriod)
 	setDefault(&s.MinOrderGap, defaultMinOrderGap)
+	setDefault(&s.BodyTimeout, defaultBodyTimeout)
+	if s.BodyMemoryMiB == 0 {
+		s.BodyMemoryMiB = defaultBodyMemoryMiB
+		if s.MemoryMiB > 0 {
+			s.BodyMemoryMiB = max(s.MemoryMiB/bodyMemoryShare, minBodyMemoryMiB)
+		}
+	}
 	return s, nil
 }
 
