--- a/internal/core/job/owner_append_test.go
+++ b/internal/core/job/owner_append_test.go
@@ -102,7 +102,7 @@
 		task.crash = crash.Record{Crashes: 1, Possible: 1, Suspected: 2, Unexplained: 2, LogRatio: -23.45}
 	}
 	g.Expect(recordBytes(o.encodeJob(active))).To(gomega.BeNumerically("<", maxRecordBytes))
-	repeated := Spec{Steps: make([]Step, 2), Occurrences: maxSteps}
+	repeated := Spec{Steps: make([]Step, 2), Occurrences: MaxSteps}
 	g.Expect(validateSpec(&repeated)).NotTo(gomega.BeEmpty())
 }
 
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -176,10 +176,11 @@
 	// maxBatchBytes, and half of the store's limit if that is less, bounds the records that wait for
 	// the next append for callers.
 	maxBatchBytes = 1 << 20
-	// maxTasks bounds the tasks of one occurrence of a job, maxSteps the steps of all its
-	// occurrences: a completed step takes a row of the job's record.
+	// maxTasks bounds the tasks of one occurrence of a job.
 	maxTasks = 2000
-	maxSteps = 2000
+	// MaxSteps bounds the steps of all occurrences of a job: a completed step takes a row of the
+	// job's record.
+	MaxSteps = 2000
 	// maxIntervalMS and maxFirstAt bound the times of a recurring job, in milliseconds: the product of
 	// interval and occurrences must not overflow.
 	maxIntervalMS = 100 * 365 * 24 * 3600 * 1000
--- a/internal/core/job/spec.go
+++ b/internal/core/job/spec.go
@@ -2,7 +2,7 @@
 
 // validateSpec returns the reason why a job is rejected, or an empty string.
 func validateSpec(spec *Spec) string {
-	if len(spec.Steps) == 0 || len(spec.Steps) > maxSteps/max(1, spec.Occurrences) {
+	if len(spec.Steps) == 0 || len(spec.Steps) > MaxSteps/max(1, spec.Occurrences) {
 		return "a job has 1 to 2000 steps, those of all occurrences taken together"
 	}
 	tasks := 0
