Connections that wait for a request give way to new ones

What callers saw: no answer from a node while 1,200 connections of others were open on any of its ports and sent nothing, or sent their headers byte by byte. Cause: no port had a limit of connections, so that they took all descriptors of the process, also those for its own connections to the store.

Each port has a limit of connections, a part of the process's descriptors (settings: descriptors). Above it the connection is closed that has waited the longest without a complete header; requests in progress stay. The same for entry, with the system's limit.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -85,22 +85,24 @@
 	var group run.Group
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error { return node.Run(ctx) }, func(error) { cancel() })
+	conns := drainlisten.NewConnLimits(conf.MemoryMiB<<20, conf.Descriptors)
 	bodies := bodylimit.NewBudget(conf.BodyMemoryMiB << 20)
 	for _, server := range []struct {
 		address      settings.Address
 		handler      http.Handler
 		maxBodyBytes int64
+		maxConns     int
 	}{
-		{conf.Callers, client.CallerHandler(node, stopping.Load), platform.MaxBodyBytes},
-		{conf.Readiness, client.ReadinessHandler(node), maxUnreadBodyBytes},
-		{conf.Operators, jobOperatorsHandler(node, bodies), maxUnreadBodyBytes},
-		{conf.Peers, jobpeer.Handler(node), jobpeer.MaxBodyBytes},
+		{conf.Callers, client.CallerHandler(node, stopping.Load), platform.MaxBodyBytes, conns.Callers},
+		{conf.Readiness, client.ReadinessHandler(node), maxUnreadBodyBytes, conns.Other},
+		{conf.Operators, jobOperatorsHandler(node, bodies), maxUnreadBodyBytes, conns.Other},
+		{conf.Peers, jobpeer.Handler(node), jobpeer.MaxBodyBytes, conns.Peers},
 	} {
 		if !server.address.IsValid() {
 			continue
 		}
 		limits := bodylimit.Limits{Budget: bodies, MaxBytes: server.maxBodyBytes, Timeout: conf.BodyTimeout.D()}
-		if err := addHTTPServer(&group, server.address, limits.Handler(server.handler)); err != nil {
+		if err := addHTTPServer(&group, server.address, limits.Handler(server.handler), server.maxConns); err != nil {
 			cancel()
 			return err
 		}
@@ -128,14 +130,14 @@
 // requests in progress are answered: the node has ended then, and answers them at once.
 const shutdownTimeout = 500 * time.Millisecond
 
-// addHTTPServer listens on the address at once and adds a plain HTTP server to
-// the group.
-func addHTTPServer(group *run.Group, address settings.Address, handler http.Handler) error {
+// addHTTPServer listens on the address at once and adds a plain HTTP server with up to maxConns
+// connections to the group.
+func addHTTPServer(group *run.Group, address settings.Address, handler http.Handler, maxConns int) error {
 	listener, err := drainlisten.Listen(address.String())
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
-	server := drainlisten.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout}, listener)
+	server := drainlisten.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout}, listener, maxConns)
 	group.Add(func() error {
 		return errors.Wrapf(server.Serve(false), "serve on %s", address)
 	}, func(error) {
@@ -220,6 +222,7 @@
 		c.Response().Header().Set("Content-Type", "text/plain; version=0.0.4")
 		n.WriteMetrics(c.Response())
 		bodies.WriteMetrics(c.Response())
+		drainlisten.WriteMetrics(c.Response())
 		return nil
 	})
 	e.GET("/dump", func(c *echo.Context) error {
--- a/internal/command/serve_test.go
+++ b/internal/command/serve_test.go
@@ -32,7 +32,7 @@
 	})
 	var group run.Group
 	group.Add(func() error { <-node.Done(); return nil }, func(error) { endNode() })
-	g.Expect(addHTTPServer(&group, settings.Address{AddrPort: netip.MustParseAddrPort(address)}, handler)).To(gomega.Succeed())
+	g.Expect(addHTTPServer(&group, settings.Address{AddrPort: netip.MustParseAddrPort(address)}, handler, 0)).To(gomega.Succeed())
 	group.Add(func() error { <-stop; return nil }, func(error) {})
 	ended := make(chan error, 1)
 	go func() { ended <- group.Run() }()
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -49,14 +49,15 @@
 	defer process.Close()
 
 	var group run.Group
-	callers, err := addServer(&group, s.Callers, process.Callers)
+	conns := drainlisten.NewConnLimits(0, 0)
+	callers, err := addServer(&group, s.Callers, process.Callers, conns.Callers)
 	if err != nil {
 		return err
 	}
-	if _, err := addServer(&group, s.Operators, process.Operators); err != nil {
+	if _, err := addServer(&group, s.Operators, process.Operators, conns.Other); err != nil {
 		return err
 	}
-	if _, err := addServer(&group, s.Peers, process.Peers); err != nil {
+	if _, err := addServer(&group, s.Peers, process.Peers, conns.Peers); err != nil {
 		return err
 	}
 	addNode(ctx, &group, process.Node)
@@ -92,13 +93,13 @@
 	group.Add(func() error { return n.Run(ctx) }, func(error) { cancel() })
 }
 
-// addServer adds an HTTP server for one listener to the group.
-func addServer(group *run.Group, l settings.Listener, handler http.Handler) (*drainlisten.Server, error) {
+// addServer adds an HTTP server for one listener, with up to maxConns connections, to the group.
+func addServer(group *run.Group, l settings.Listener, handler http.Handler, maxConns int) (*drainlisten.Server, error) {
 	listener, err := drainlisten.Listen(l.Address.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening on %s", l.Address)
 	}
-	server := drainlisten.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, listener)
+	server := drainlisten.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, listener, maxConns)
 	if !l.Plain {
 		source, err := tlsfiles.Open(tlsfiles.Files(l.TLS))
 		if err != nil {
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -23,6 +23,8 @@
 	CPUShare PositiveNumber `json:"strength"`
 	// MemoryMiB is the memory limit of the process in MiB; 0 means no limit.
 	MemoryMiB int64 `json:"memory_mib"`
+	// Descriptors is the limit of the process's open descriptors; 0 means the system's limit.
+	Descriptors int `json:"descriptors"`
 	// BodyMemoryMiB is the size of the request bodies that the process receives at one time, in MiB.
 	BodyMemoryMiB int64 `json:"body_memory_mib"`
 	// BodyTimeout is the maximum time that each 64 KiB of a body, or its end, take.
@@ -107,6 +109,7 @@
 	bodyMemoryShare      = 8
 	// minBodyMemoryMiB takes the largest body with the reserve for small ones.
 	minBodyMemoryMiB = 4
+	minDescriptors   = 512
 	minBodyTimeout   = time.Second
 	maxBodyTimeout   = time.Hour
 	// defaultOrdersPerSecond is a rate that a small platform accepts.
@@ -142,6 +145,9 @@
 	if doc.Parsed() {
 		strictjson.RequireAll(doc.Root(), serveRequired)
 		strictjson.CheckDuration(doc.Root().Field("lease_most"), "lease_most", s.MaxLease.D(), minLeaseLimit, maxLeaseLimit)
+		if s.Descriptors != 0 {
+			strictjson.CheckInt(doc.Root().Field("descriptors"), "descriptors", s.Descriptors, minDescriptors, math.MaxInt32)
+		}
 		if s.BodyMemoryMiB != 0 {
 			strictjson.CheckInt(doc.Root().Field("body_memory_mib"), "body_memory_mib", int(s.BodyMemoryMiB), minBodyMemoryMiB, math.MaxInt32)
 		}
