Headers of requests are limited to 16 KiB

What callers saw: 400 connections with headers of almost 1 MiB, without their end, took 538 MiB of 96 on serve and 940 of 256 on entry. Cause: net/http keeps headers of up to 1 MiB by default.

The headers of a legal request take less than 1 KiB.

--- a/internal/bodylimit/bodylimit.go
+++ b/internal/bodylimit/bodylimit.go
@@ -1,5 +1,5 @@
-// Package bodylimit bounds the memory and the time that the bodies of requests take while they are
-// received.
+// Package bodylimit bounds the memory and the time that requests, above all their bodies, take while they
+// are received.
 package bodylimit
 
 import (
@@ -28,6 +28,9 @@
 	retryAfter = "1"
 )
 
+// MaxHeaderBytes is the maximum size of the header of a request.
+const MaxHeaderBytes = 16 << 10
+
 // Budget is the number of bytes of bodies that a process receives at one time.
 type Budget struct {
 	bytes int64
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -137,7 +137,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
-	server := drainlisten.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout}, listener, maxConns)
+	server := drainlisten.NewServer(&http.Server{
+		Handler: handler, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: bodylimit.MaxHeaderBytes,
+	}, listener, maxConns)
 	group.Add(func() error {
 		return errors.Wrapf(server.Serve(false), "serve on %s", address)
 	}, func(error) {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
+	"github.com/sardinehead/sardinehead/internal/bodylimit"
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/drainlisten"
 	"github.com/sardinehead/sardinehead/internal/node"
@@ -99,7 +100,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening on %s", l.Address)
 	}
-	server := drainlisten.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, listener, maxConns)
+	server := drainlisten.NewServer(&http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: bodylimit.MaxHeaderBytes,
+	}, listener, maxConns)
 	if !l.Plain {
 		source, err := tlsfiles.Open(tlsfiles.Files(l.TLS))
 		if err != nil {
