entry: bodies that are kept have a budget, all bodies a timeout

What callers saw: 1,000 held open documents of tasks, or calls to the peers' port, left an entry process without descriptors for ordinary requests. Cause as in serve: a body may take for ever, a request of 64 KiB takes its memory before any of it has arrived, and the peers' port takes bodies of any size.

Requests that are buffered and documents of tasks are counted in a budget of 32 MiB; streamed bodies are not, but each 64 KiB of them have 10 s. Refusals carry the outcome that nothing was run.

--- a/internal/bodylimit/bodylimit.go
+++ b/internal/bodylimit/bodylimit.go
@@ -34,27 +34,23 @@
 // Budget is the number of bytes of bodies that a process receives at one time.
 type Budget struct {
 	bytes int64
-	set   *metrics.Set
-	// refused counts the bodies for which there was no memory, tooLarge those above the maximum size.
-	refused, tooLarge *metrics.Counter
 
 	mu   sync.Mutex
 	used int64
 }
 
 // NewBudget returns a budget in bytes.
-func NewBudget(bytes int64) *Budget {
-	set := metrics.NewSet()
-	return &Budget{
-		bytes:    bytes,
-		set:      set,
-		refused:  set.NewCounter(`sardinehead_request_bodies_refused_total{reason="memory"}`),
-		tooLarge: set.NewCounter(`sardinehead_request_bodies_refused_total{reason="size"}`),
-	}
-}
+func NewBudget(bytes int64) *Budget { return &Budget{bytes: bytes} }
+
+var (
+	bodyMetrics = metrics.NewSet()
+	// refused counts the bodies for which there was no memory, tooLarge those above the maximum size.
+	refused  = bodyMetrics.NewCounter(`sardinehead_request_bodies_refused_total{reason="memory"}`)
+	tooLarge = bodyMetrics.NewCounter(`sardinehead_request_bodies_refused_total{reason="size"}`)
+)
 
 // WriteMetrics writes the numbers of refused bodies in the Prometheus text format.
-func (b *Budget) WriteMetrics(w io.Writer) { b.set.WritePrometheus(w) }
+func WriteMetrics(w io.Writer) { bodyMetrics.WritePrometheus(w) }
 
 // take counts n more bytes of a body, which has total bytes with them.
 func (b *Budget) take(n, total int64) bool {
@@ -85,10 +81,17 @@
 	MaxBytes int64
 	// Timeout is the maximum time that the next progressBytes of a body, or its end, take.
 	Timeout time.Duration
-	// Streams is set if the handler passes bodies on without keeping them.
+	// Streams is set if handlers pass bodies on without keeping them, apart from those that they Keep.
 	Streams bool
 }
 
+// Keep counts the body of a request whose server streams bodies, because the handler keeps it.
+func Keep(r *http.Request) {
+	if b, ok := r.Body.(*body); ok {
+		b.limits.Streams = false
+	}
+}
+
 // progressBytes is the size of the part of a body that has to arrive within Limits.Timeout.
 const progressBytes = 64 << 10
 
@@ -101,7 +104,7 @@
 			return
 		}
 		if l.MaxBytes > 0 && r.ContentLength > l.MaxBytes {
-			l.Budget.tooLarge.Inc()
+			tooLarge.Inc()
 			Close(w)
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
 			return
@@ -124,9 +127,9 @@
 // Refuse responds to a request whose body cannot be read because of an error, and reports whether it was one of
 // the limits.
 func Refuse(w http.ResponseWriter, err error) bool {
-	var tooLarge *http.MaxBytesError
+	var sizeError *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.As(err, &sizeError):
 		http.Error(w, "the body is too large", http.StatusRequestEntityTooLarge)
 	case errors.Is(err, ErrBusy):
 		w.Header().Set("Retry-After", retryAfter)
@@ -177,9 +180,9 @@
 			err = cause
 		}
 	case err != nil:
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			b.limits.Budget.tooLarge.Inc()
+		var sizeError *http.MaxBytesError
+		if errors.As(err, &sizeError) {
+			tooLarge.Inc()
 		}
 		Close(b.w)
 	case b.read >= b.due:
@@ -187,7 +190,7 @@
 	}
 	b.err = err
 	if taken := b.count(); !taken {
-		b.limits.Budget.refused.Inc()
+		refused.Inc()
 		Close(b.w)
 		b.err = ErrBusy
 		return 0, ErrBusy
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -95,7 +95,7 @@
 	}{
 		{conf.Callers, client.CallerHandler(node, stopping.Load), platform.MaxBodyBytes, conns.Callers},
 		{conf.Readiness, client.ReadinessHandler(node), maxUnreadBodyBytes, conns.Other},
-		{conf.Operators, jobOperatorsHandler(node, bodies), maxUnreadBodyBytes, conns.Other},
+		{conf.Operators, jobOperatorsHandler(node), maxUnreadBodyBytes, conns.Other},
 		{conf.Peers, jobpeer.Handler(node), jobpeer.MaxBodyBytes, conns.Peers},
 	} {
 		if !server.address.IsValid() {
@@ -218,12 +218,12 @@
 
 // jobOperatorsHandler serves metrics and the state of the node on the operators'
 // address.
-func jobOperatorsHandler(n *jobnode.Node, bodies *bodylimit.Budget) http.Handler {
+func jobOperatorsHandler(n *jobnode.Node) http.Handler {
 	e := echo.New()
 	e.GET("/metrics", func(c *echo.Context) error {
 		c.Response().Header().Set("Content-Type", "text/plain; version=0.0.4")
 		n.WriteMetrics(c.Response())
-		bodies.WriteMetrics(c.Response())
+		bodylimit.WriteMetrics(c.Response())
 		drainlisten.WriteMetrics(c.Response())
 		return nil
 	})
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -27,6 +27,14 @@
 	// leaveTimeout is the time for which a stopping node waits until the log has recorded
 	// that it left the fleet.
 	leaveTimeout = 3 * time.Second
+	// bodyMemoryBytes is the size of the request bodies that a process receives at one time.
+	bodyMemoryBytes = 32 << 20
+	// bodyTimeout is the maximum time without progress of a body.
+	bodyTimeout = 10 * time.Second
+	// maxUnreadBodyBytes is the maximum size of a body on the operators' port, whose requests have none,
+	// maxPeerBodyBytes that of a call from another node.
+	maxUnreadBodyBytes = 4 << 10
+	maxPeerBodyBytes   = 16 << 20
 )
 
 // Run runs an entry process until it receives an interrupt or SIGTERM. The first
@@ -51,14 +59,19 @@
 
 	var group run.Group
 	conns := drainlisten.NewConnLimits(0, 0)
-	callers, err := addServer(&group, s.Callers, process.Callers, conns.Callers)
+	bodies := bodylimit.NewBudget(bodyMemoryBytes)
+	// Requests to upstreams are streamed, and may be of any size.
+	callerBodies := bodylimit.Limits{Budget: bodies, Timeout: bodyTimeout, Streams: true}
+	callers, err := addServer(&group, s.Callers, callerBodies.Handler(process.Callers), conns.Callers)
 	if err != nil {
 		return err
 	}
-	if _, err := addServer(&group, s.Operators, process.Operators, conns.Other); err != nil {
+	operatorBodies := bodylimit.Limits{Budget: bodies, MaxBytes: maxUnreadBodyBytes, Timeout: bodyTimeout}
+	if _, err := addServer(&group, s.Operators, operatorBodies.Handler(process.Operators), conns.Other); err != nil {
 		return err
 	}
-	if _, err := addServer(&group, s.Peers, process.Peers, conns.Peers); err != nil {
+	peerBodies := bodylimit.Limits{Budget: bodies, MaxBytes: maxPeerBodyBytes, Timeout: bodyTimeout}
+	if _, err := addServer(&group, s.Peers, peerBodies.Handler(process.Peers), conns.Peers); err != nil {
 		return err
 	}
 	addNode(ctx, &group, process.Node)
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -11,6 +11,7 @@
 
 	"github.com/labstack/echo/v5"
 
+	"github.com/sardinehead/sardinehead/internal/bodylimit"
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/core/retry"
 	"github.com/sardinehead/sardinehead/internal/forward"
@@ -51,7 +52,7 @@
 	w, r := ec.Response(), ec.Request()
 	body, err := newBody(r)
 	if err != nil {
-		writeProblem(w, bodyTruncatedProblem())
+		writeProblem(w, bodyProblem(err))
 		return nil
 	}
 	request := newRequestArrived(r, vocab.QueueID(ec.Param("queue")), body)
@@ -160,10 +161,15 @@
 	if r.ContentLength < 0 || r.ContentLength > maxReplayableBytes {
 		return &body{stream: r.Body}, nil
 	}
-	buffered := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, buffered); err != nil {
+	bodylimit.Keep(r)
+	// The memory is taken as the body arrives.
+	buffered, err := io.ReadAll(io.LimitReader(r.Body, maxReplayableBytes))
+	if err != nil {
 		return nil, err
 	}
+	if int64(len(buffered)) != r.ContentLength {
+		return nil, io.ErrUnexpectedEOF
+	}
 	return &body{buffered: buffered}, nil
 }
 
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -5,7 +5,9 @@
 
 	"github.com/labstack/echo/v5"
 
+	"github.com/sardinehead/sardinehead/internal/bodylimit"
 	"github.com/sardinehead/sardinehead/internal/core"
+	"github.com/sardinehead/sardinehead/internal/drainlisten"
 	"github.com/sardinehead/sardinehead/internal/node"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
@@ -53,6 +55,8 @@
 func (o operators) metrics(c *echo.Context) error {
 	c.Response().Header().Set("Content-Type", "text/plain; version=0.0.4")
 	o.node.WriteMetrics(c.Response())
+	bodylimit.WriteMetrics(c.Response())
+	drainlisten.WriteMetrics(c.Response())
 	return nil
 }
 
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -5,7 +5,11 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/sardinehead/sardinehead/internal/bodylimit"
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/forward"
 	"github.com/sardinehead/sardinehead/internal/vocab"
@@ -45,8 +49,17 @@
 // codeBodyTruncated: the body ended before its declared length.
 const codeBodyTruncated core.Code = "body-cut"
 
-// bodyTruncatedProblem returns the problem for a request with an incomplete body.
-func bodyTruncatedProblem() core.Problem {
+// codeBodiesBusy: too many bodies are being received.
+const codeBodiesBusy core.Code = "bodies-busy"
+
+// bodiesRetryAfter is the value of Retry-After of a request that is refused with codeBodiesBusy.
+const bodiesRetryAfter = time.Second
+
+// bodyProblem returns the problem for a request whose body could not be read.
+func bodyProblem(err error) core.Problem {
+	if errors.Is(err, bodylimit.ErrBusy) {
+		return core.Problem{Code: codeBodiesBusy, Outcome: vocab.OutcomeNotRun, RetryAfter: bodiesRetryAfter, Detail: err.Error()}
+	}
 	return core.Problem{Code: codeBodyTruncated, Outcome: vocab.OutcomeNotRun, Detail: "the body ended before its declared length"}
 }
 
--- a/internal/entry/tasks.go
+++ b/internal/entry/tasks.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v5"
 
+	"github.com/sardinehead/sardinehead/internal/bodylimit"
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/record"
 	"github.com/sardinehead/sardinehead/internal/spec"
@@ -37,6 +38,10 @@
 func (c *Callers) submitTask(ec *echo.Context) error {
 	w, r := ec.Response(), ec.Request()
 	doc, err := readTaskDocument(r)
+	if errors.Is(err, bodylimit.ErrBusy) {
+		writeProblem(w, bodyProblem(err))
+		return nil
+	}
 	if err != nil {
 		writeProblem(w, core.Problem{Code: codeBadTask, Outcome: vocab.OutcomeNotRun, Detail: err.Error()})
 		return nil
@@ -108,7 +113,11 @@
 // readTaskDocument reads and validates a submitted task document.
 func readTaskDocument(r *http.Request) (taskDocument, error) {
 	var doc taskDocument
+	bodylimit.Keep(r)
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxTaskDocumentBytes+1))
+	if errors.Is(err, bodylimit.ErrBusy) {
+		return doc, err
+	}
 	if err != nil {
 		return doc, errors.New("the body ended before its declared length")
 	}
