--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -16,6 +16,7 @@
 	"github.com/labstack/echo/v5"
 	"github.com/oklog/run"
 
+	"github.com/sardinehead/sardinehead/internal/bodylimit"
 	"github.com/sardinehead/sardinehead/internal/configcheck"
 	"github.com/sardinehead/sardinehead/internal/core/job"
 	"github.com/sardinehead/sardinehead/internal/daemon"
@@ -42,6 +43,8 @@
 	// heapMemoryFraction is the share of the process's memory limit that is set as
 	// the soft limit of the Go runtime.
 	heapMemoryFraction = 0.6
+	// maxUnreadBodyBytes is the maximum size of a body on a port whose requests have none.
+	maxUnreadBodyBytes = 4 << 10
 )
 
 // Execute implements flags.Commander.
@@ -82,19 +85,24 @@
 	var group run.Group
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error { return node.Run(ctx) }, func(error) { cancel() })
+	conns := drainlisten.NewConnLimits(conf.MemoryMiB<<20, conf.Descriptors)
+	bodies := bodylimit.NewBudget(conf.BodyMemoryMiB << 20)
 	for _, server := range []struct {
-		address settings.Address
-		handler http.Handler
+		address      settings.Address
+		handler      http.Handler
+		maxBodyBytes int64
+		maxConns     int
 	}{
-		{conf.Callers, client.CallerHandler(node, stopping.Load)},
-		{conf.Readiness, client.ReadinessHandler(node)},
-		{conf.Operators, jobOperatorsHandler(node)},
-		{conf.Peers, jobpeer.Handler(node)},
+		{conf.Callers, client.CallerHandler(node, stopping.Load), platform.MaxBodyBytes, conns.Callers},
+		{conf.Readiness, client.ReadinessHandler(node), maxUnreadBodyBytes, conns.Other},
+		{conf.Operators, jobOperatorsHandler(node), maxUnreadBodyBytes, conns.Other},
+		{conf.Peers, jobpeer.Handler(node), jobpeer.MaxBodyBytes, conns.Peers},
 	} {
 		if !server.address.IsValid() {
 			continue
 		}
-		if err := addHTTPServer(&group, server.address, server.handler); err != nil {
+		limits := bodylimit.Limits{Budget: bodies, MaxBytes: server.maxBodyBytes, Timeout: conf.BodyTimeout.D()}
+		if err := addHTTPServer(&group, server.address, limits.Handler(server.handler), server.maxConns); err != nil {
 			cancel()
 			return err
 		}
@@ -122,14 +130,16 @@
 // requests in progress are answered: the node has ended then, and answers them at once.
 const shutdownTimeout = 500 * time.Millisecond
 
-// addHTTPServer listens on the address at once and adds a plain HTTP server to
-// the group.
-func addHTTPServer(group *run.Group, address settings.Address, handler http.Handler) error {
+// addHTTPServer listens on the address at once and adds a plain HTTP server with up to maxConns
+// connections to the group.
+func addHTTPServer(group *run.Group, address settings.Address, handler http.Handler, maxConns int) error {
 	listener, err := drainlisten.Listen(address.String())
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
-	server := drainlisten.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: headerReadTimeout}, listener)
+	server := drainlisten.NewServer(&http.Server{
+		Handler: handler, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: bodylimit.MaxHeaderBytes,
+	}, listener, maxConns)
 	group.Add(func() error {
 		return errors.Wrapf(server.Serve(false), "serve on %s", address)
 	}, func(error) {
@@ -213,6 +223,8 @@
 	e.GET("/metrics", func(c *echo.Context) error {
 		c.Response().Header().Set("Content-Type", "text/plain; version=0.0.4")
 		n.WriteMetrics(c.Response())
+		bodylimit.WriteMetrics(c.Response())
+		drainlisten.WriteMetrics(c.Response())
 		return nil
 	})
 	e.GET("/dump", func(c *echo.Context) error {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
+	"github.com/sardinehead/sardinehead/internal/bodylimit"
 	"github.com/sardinehead/sardinehead/internal/core"
 	"github.com/sardinehead/sardinehead/internal/drainlisten"
 	"github.com/sardinehead/sardinehead/internal/node"
@@ -26,6 +27,14 @@
 	// leaveTimeout is the time for which a stopping node waits until the log has recorded
 	// that it left the fleet.
 	leaveTimeout = 3 * time.Second
+	// bodyMemoryBytes is the size of the request bodies that a process receives at one time.
+	bodyMemoryBytes = 32 << 20
+	// bodyTimeout is the maximum time without progress of a body.
+	bodyTimeout = 10 * time.Second
+	// maxUnreadBodyBytes is the maximum size of a body on the operators' port, whose requests have none,
+	// maxPeerBodyBytes that of a call from another node.
+	maxUnreadBodyBytes = 4 << 10
+	maxPeerBodyBytes   = 16 << 20
 )
 
 // Run runs an entry process until it receives an interrupt or SIGTERM. The first
@@ -49,14 +58,20 @@
 	defer process.Close()
 
 	var group run.Group
-	callers, err := addServer(&group, s.Callers, process.Callers)
+	conns := drainlisten.NewConnLimits(0, 0)
+	bodies := bodylimit.NewBudget(bodyMemoryBytes)
+	// Requests to upstreams are streamed, and may be of any size.
+	callerBodies := bodylimit.Limits{Budget: bodies, Timeout: bodyTimeout, Streams: true}
+	callers, err := addServer(&group, s.Callers, callerBodies.Handler(process.Callers), conns.Callers)
 	if err != nil {
 		return err
 	}
-	if _, err := addServer(&group, s.Operators, process.Operators); err != nil {
+	operatorBodies := bodylimit.Limits{Budget: bodies, MaxBytes: maxUnreadBodyBytes, Timeout: bodyTimeout}
+	if _, err := addServer(&group, s.Operators, operatorBodies.Handler(process.Operators), conns.Other); err != nil {
 		return err
 	}
-	if _, err := addServer(&group, s.Peers, process.Peers); err != nil {
+	peerBodies := bodylimit.Limits{Budget: bodies, MaxBytes: maxPeerBodyBytes, Timeout: bodyTimeout}
+	if _, err := addServer(&group, s.Peers, peerBodies.Handler(process.Peers), conns.Peers); err != nil {
 		return err
 	}
 	addNode(ctx, &group, process.Node)
@@ -92,13 +107,15 @@
 	group.Add(func() error { return n.Run(ctx) }, func(error) { cancel() })
 }
 
-// addServer adds an HTTP server for one listener to the group.
-func addServer(group *run.Group, l settings.Listener, handler http.Handler) (*drainlisten.Server, error) {
+// addServer adds an HTTP server for one listener, with up to maxConns connections, to the group.
+func addServer(group *run.Group, l settings.Listener, handler http.Handler, maxConns int) (*drainlisten.Server, error) {
 	listener, err := drainlisten.Listen(l.Address.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening on %s", l.Address)
 	}
-	server := drainlisten.NewServer(&http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, listener)
+	server := drainlisten.NewServer(&http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: bodylimit.MaxHeaderBytes,
+	}, listener, maxConns)
 	if !l.Plain {
 		source, err := tlsfiles.Open(tlsfiles.Files(l.TLS))
 		if err != nil {
