--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -121,7 +121,7 @@
 	p.expectWithinLimits()
 }
 
-// post returns the header of a submission with a line for the size of its body.
+// post returns the header of a request that submits a job with a line for the size of its body.
 func post(i int, sizeLine string) string {
 	return postTo(fmt.Sprintf("%s%016x", standin.Prefix, 0xc000+i), standin.Host, "Api-Key: "+standin.Key, sizeLine)
 }
@@ -134,8 +134,8 @@
 
 func lengthLine(n int) string { return fmt.Sprintf("Content-Length: %d", n) }
 
-// submission returns the body of a submission, filled up to a size with spaces.
-func submission(size int) string {
+// jobBody returns the body of a request that submits a job, filled up to a size with spaces.
+func jobBody(size int) string {
 	const start, end = `{"spec":"x","steps":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":50}]`, "}"
 	return start + strings.Repeat(" ", size-len(start)-len(end)) + end
 }
@@ -164,7 +164,7 @@
 
 // TestBodiesHeldOpenExhaustMemory: bodies of legal size that stop one byte short of their end.
 func TestBodiesHeldOpenExhaustMemory(t *testing.T) {
-	body := submission(bodyBytes)
+	body := jobBody(bodyBytes)
 	for name, sent := range map[string]client{
 		"whole":  {piece: bodyBytes},
 		"pieces": {piece: pieceBytes, pause: piecePause},
@@ -186,7 +186,7 @@
 func TestTinyChunksHeldOpenExhaustMemory(t *testing.T) { testChunks(t, tinyChunk) }
 
 func testChunks(t *testing.T, chunk int) {
-	body := chunked(submission(bodyBytes), chunk)
+	body := chunked(jobBody(bodyBytes), chunk)
 	p := startServe(t, newSite(t), "n1")
 	p.expectSurvives(p.callers, crowdSize, func(i int) client {
 		return client{header: post(i, chunkedLine), body: cutShort(i, body, lastChunkBytes), piece: len(body)}
@@ -195,7 +195,7 @@
 
 // TestBodiesAnnouncedFarOverLimitExhaustMemory: most clients stop just short of the limit of a legal body.
 func TestBodiesAnnouncedFarOverLimitExhaustMemory(t *testing.T) {
-	body := submission(sentFarOverBytes)
+	body := jobBody(sentFarOverBytes)
 	p := startServe(t, newSite(t), "n1")
 	p.expectSurvives(p.callers, crowdSize, func(i int) client {
 		return client{header: post(i, lengthLine(farOverBytes)), body: cutShort(i, body, len(body)-maxBodyBytes+1), piece: pieceBytes}
@@ -204,7 +204,7 @@
 
 // TestBodiesSentFarOverLimitExhaustMemory: nothing announces the size of the bodies.
 func TestBodiesSentFarOverLimitExhaustMemory(t *testing.T) {
-	body := chunked(submission(sentFarOverBytes), largeChunk)
+	body := chunked(jobBody(sentFarOverBytes), largeChunk)
 	p := startServe(t, newSite(t), "n1")
 	p.expectSurvives(p.callers, crowdSize, func(i int) client {
 		return client{header: post(i, chunkedLine), body: cutShort(i, body, lastChunkBytes), piece: pieceBytes}
@@ -271,7 +271,7 @@
 	}
 }
 
-// otherPorts are the ports without submissions, with a path on each.
+// otherPorts are the ports that take no jobs, with a path on each.
 var otherPorts = map[string]struct {
 	address func(*process) string
 	path    string
@@ -410,7 +410,7 @@
 // TestLargestLegalBodyIsServedInCalm: no limit refuses a single request inside the limits.
 func TestLargestLegalBodyIsServedInCalm(t *testing.T) {
 	p := startServe(t, newSite(t), "n1")
-	body := submission(maxBodyBytes)
+	body := jobBody(maxBodyBytes)
 	for i, request := range []client{
 		{header: post(0, lengthLine(len(body))), body: body, piece: len(body)},
 		{header: post(1, chunkedLine), body: chunked(body, largeChunk), piece: pieceBytes},
