Runs whose ends a worker's response leaves out are not lost

Cause: a worker lists 500 ends in a response. The adapter did not say that others may be left out, and the owner read each response as complete: what was neither running nor among the ends was given up and started again.

Change: Polled.MoreEnds says that ends may be left out. Until a response lists all ends, no run is lost or resumed because it is missing, inherited grants stay open (until the leases have expired if the worker falls silent), and a run that has ended is neither a suspect of a crash nor serving. Each part is acknowledged and followed by the next poll at once. Event 646 shows such a worker. The stand-ins list 500 ends at a time as well.

Why it works: an absent run is only given up by a response that had room for its end.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -124,8 +124,9 @@
 	// certain when the first copy was sent.
 	openStarts   int
 	clockAtStart time.Duration
-	// listed is set once the worker has listed the run.
-	listed bool
+	// listed is set once the worker has listed the run. endUnread is set while the run is missing from the
+	// worker's responses and its end may be among those that they leave out.
+	listed, endUnread bool
 	// failedOn is the worker on which a run of the task last failed.
 	failedOn WorkerID
 	// crash is what is known of the crashes of the task's workers, trial the condition under which
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -209,6 +209,7 @@
 	LogRecordTooLarge
 	LogAttemptsUsedUp
 	LogStartInLaterIncarnation
+	LogMoreEnds
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -240,6 +241,7 @@
 	LogAttemptsUsedUp:       "attempts used up",
 
 	LogStartInLaterIncarnation: "start reached a later incarnation",
+	LogMoreEnds:                "ends left out",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/events.go
+++ b/internal/core/job/events.go
@@ -100,9 +100,12 @@
 		Outcome     Outcome
 		Incarnation Millis
 		// Clock is the reading of the worker's clock when it responded.
-		Clock      time.Duration
-		Running    []RunReport
-		Ended      []EndReport
+		Clock   time.Duration
+		Running []RunReport
+		Ended   []EndReport
+		// MoreEnds is set if the worker may have ends with higher numbers than those in Ended. Then a run that
+		// the response does not list may have ended.
+		MoreEnds   bool
 		SentAt     vocab.Instant
 		ReceivedAt vocab.Instant
 		Err        error
--- a/internal/core/job/losses.go
+++ b/internal/core/job/losses.go
@@ -120,6 +120,9 @@
 	return incarnation
 }
 
+// cannotHaveCrashed reports whether the run has no part in the end of its worker that is being given up.
+func (t *task) cannotHaveCrashed() bool { return t.endUnread || t.startedInSilence() }
+
 // startedInSilence reports whether the run was started after its worker had stopped responding, and the worker has not responded to
 // that either: the run came too late to have a part in the worker's end.
 func (t *task) startedInSilence() bool {
@@ -191,7 +194,7 @@
 		if cause == lossLeaseExpired {
 			lost = w.tasks // Runs that are waited for longer are lost to the same crash.
 		}
-		o.recordCrash(w, slices.DeleteFunc(slices.Clone(lost), (*task).startedInSilence), cause)
+		o.recordCrash(w, slices.DeleteFunc(slices.Clone(lost), (*task).cannotHaveCrashed), cause)
 	}
 	w.lossCounted = cause == lossLeaseExpired
 	for _, t := range tasks {
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -60,5 +60,6 @@
 		643: "record too large",
 		644: "attempts used up",
 		645: "start reached a later incarnation",
+		646: "ends left out",
 	}))
 }
--- a/internal/core/job/polls.go
+++ b/internal/core/job/polls.go
@@ -16,7 +16,7 @@
 	if busy && w.fenced && w.failedPolls == 0 && !w.silent && o.s.now < o.leasesUntil {
 		poll.Lease = o.grantLease(w)
 	}
-	if busy && w.fenced && w.failedPolls == 0 && w.lastEnd == w.ackedEnd {
+	if busy && w.fenced && w.failedPolls == 0 && w.lastEnd == w.ackedEnd && !w.moreEnds {
 		poll.Wait = o.maxPollWait(w)
 	}
 	w.pollInFlight = true
@@ -48,6 +48,11 @@
 			// Tasks that wait for the next end may start under a grant.
 			w.nextPollAt = o.s.now.Add(unackedPollInterval)
 		}
+	case w.moreEnds && w.ackedEnd > w.confirmedEnd:
+		// The acknowledgement lets the worker list the ends that follow.
+		w.nextPollAt = o.s.now
+	case w.moreEnds:
+		w.nextPollAt = o.s.now.Add(pollRetryDelay)
 	case len(w.tasks) > 0:
 		w.nextPollAt = o.s.now.Add(o.busyPollInterval())
 	case w.orphaned != Resources{}:
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -7,7 +7,7 @@
 	t.worker, t.incarnation = w, incarnation
 	t.startSentAt, t.startedAt, t.stopSentAt, t.fencedOffAt = 0, 0, 0, 0
 	t.progressPercent, t.tailLatencyMS, t.cpuPercent = 0, 0, 100
-	t.startsSent, t.startsUnanswered, t.listed = 0, 0, false
+	t.startsSent, t.startsUnanswered, t.listed, t.endUnread = 0, 0, false, false
 	t.openStarts, t.clockAtStart = 0, 0
 	w.tasks = append(w.tasks, t)
 	w.used = w.used.Plus(t.step.spec.Reserved())
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -67,6 +67,8 @@
 	clockRate float64
 	// route, if set, decides what becomes of an order that is being sent.
 	route func(event.Effect, *fakeWorker) orderRoute
+	// endsPerResponse is the maximum number of ends that a worker lists in the response to a poll.
+	endsPerResponse int
 	// strayStarts counts the starts whose lease ended at a reading of an earlier incarnation's clock.
 	strayStarts int
 }
@@ -238,7 +240,7 @@
 		stream: &fakeStream{newest: map[string]int{}}, directory: &fakeStream{newest: map[string]int{}},
 		settings: Settings{MaxLease: 6 * time.Second, KeepFinished: time.Hour},
 		workers:  map[WorkerID]*fakeWorker{}, jobs: map[ID]*fakeJob{}, replies: map[CallID]Reply{},
-		forwarded: map[CallID]func(Reply){}, givenUp: map[ID]bool{},
+		forwarded: map[CallID]func(Reply){}, givenUp: map[ID]bool{}, endsPerResponse: 500,
 	}
 	sim.config = Config{
 		Version: 1,
@@ -802,8 +804,10 @@
 		wk.acked = e.Acked
 		wk.ends = slices.DeleteFunc(wk.ends, func(end EndReport) bool { return end.Number <= e.Acked })
 	}
+	listed := min(len(wk.ends), sim.endsPerResponse)
 	answer := Polled{
-		Worker: e.Worker, Fence: e.Fence, Incarnation: wk.info.Incarnation, Clock: sim.clock(wk), Ended: slices.Clone(wk.ends), SentAt: sent, ReceivedAt: sim.now,
+		Worker: e.Worker, Fence: e.Fence, Incarnation: wk.info.Incarnation, Clock: sim.clock(wk), Ended: slices.Clone(wk.ends[:listed]),
+		MoreEnds: listed == sim.endsPerResponse, SentAt: sent, ReceivedAt: sim.now,
 	}
 	for _, name := range sortedNames(wk.runs) {
 		answer.Running = append(answer.Running, RunReport{Task: name, Run: wk.runs[name].run, ProgressPercent: sim.progress(wk.runs[name])})
--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -307,7 +307,7 @@
 
 // isServing reports whether a long-running task is known to be serving.
 func (t *task) isServing() bool {
-	return t.worker != nil && t.state == runRunning && t.progressPercent >= 100 && t.worker.failedPolls == 0 && !t.worker.leaving
+	return t.worker != nil && t.state == runRunning && t.progressPercent >= 100 && t.worker.failedPolls == 0 && !t.worker.leaving && !t.endUnread
 }
 
 // unavailable counts the tasks of the step that are not serving, not counting one task.
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -43,8 +43,10 @@
 	// does not acknowledge an end that is on the stream.
 	ackInFlight int64
 	ackWithheld bool
-	tasks       []*task
-	used        Resources
+	// moreEnds is set if the last response may have left out ends.
+	moreEnds bool
+	tasks    []*task
+	used     Resources
 	// orphaned is the reservation of orphaned runs: runs on the worker that are not assigned
 	// to it.
 	orphaned Resources
@@ -181,7 +183,7 @@
 	w.fenced, w.ackedEnd, w.lastEnd, w.confirmedEnd, w.orphaned = false, 0, 0, 0, Resources{}
 	o.resetClock(w)
 	// The response to a poll in flight says nothing about the ends of the new incarnation.
-	w.ackInFlight, w.ackWithheld = 0, false
+	w.ackInFlight, w.ackWithheld, w.moreEnds = 0, false, false
 	w.pollBy(o.s.now)
 }
 
@@ -247,7 +249,7 @@
 
 // expireLease marks the tasks of an unreachable worker as lost once its lease has expired.
 func (o *owner) expireLease(w *worker) {
-	if !w.fenced && o.s.now >= max(w.leaseUntil, o.strayLeasesUntil(w, w.info.Incarnation)) {
+	if (!w.fenced || w.failedPolls > 0) && o.s.now >= max(w.leaseUntil, o.strayLeasesUntil(w, w.info.Incarnation)) {
 		o.resolveGrants(w)
 	}
 	if len(w.tasks) == 0 || o.s.now < w.leaseUntil || w.fenced && w.failedPolls == 0 && w.listed {
@@ -317,14 +319,26 @@
 		o.planDue = true
 	}
 	w.clock, w.clockReadAt = e.Clock, e.ReceivedAt
+	o.noteMoreEnds(w, e)
 	o.processEnds(w, e.Ended)
 	o.reconcileRuns(w, e)
 	// A later incarnation says nothing about the runs of the earlier one, which are lost by now.
 	w.lastHeardAt, w.silentSince, w.lossCounted = max(w.lastHeardAt, e.ReceivedAt), 0, false
-	o.resolveGrants(w)
+	if !w.moreEnds {
+		o.resolveGrants(w)
+	}
 	o.schedulePoll(w)
 }
 
+// noteMoreEnds notes whether the response to a poll may have left out ends.
+func (o *owner) noteMoreEnds(w *worker, e Polled) {
+	if e.MoreEnds && !w.moreEnds {
+		o.s.logEvent(LogMoreEnds, "worker", w.info.ID, "ends", len(e.Ended), "running", len(e.Running), "assigned", len(w.tasks),
+			"unacknowledged", w.lastEnd-w.confirmedEnd)
+	}
+	w.moreEnds = e.MoreEnds
+}
+
 // handlePollFailure schedules the next poll after a failed one, with a longer delay after each failure.
 func (o *owner) handlePollFailure(w *worker, e Polled) {
 	if e.Outcome == Fenced && e.Fence == w.fence {
@@ -379,7 +393,8 @@
 	})
 }
 
-// reconcileRuns compares the runs that a worker lists with the tasks that are assigned to it.
+// reconcileRuns compares the runs that a worker lists with the tasks that are assigned to it. A run that is
+// missing is lost only if its end cannot be among those that the response leaves out.
 func (o *owner) reconcileRuns(w *worker, e Polled) {
 	reported := make(map[*task]bool, len(e.Running))
 	w.orphaned = Resources{}
@@ -397,12 +412,15 @@
 	}
 	var restarted, unlisted []*task
 	for _, t := range w.tasks {
+		isRestarted := t.incarnation < w.info.Incarnation && t.state != runPlanned
+		missing := !reported[t] && (isRestarted || t.lostIfUnlisted(e.SentAt))
+		t.endUnread = missing && e.MoreEnds
 		switch {
-		case reported[t]:
-		case t.incarnation < w.info.Incarnation && t.state != runPlanned:
+		case !missing || t.endUnread:
+		case isRestarted:
 			// The worker refuses what is still under way to its earlier incarnation.
 			restarted = append(restarted, t)
-		case !t.lostIfUnlisted(e.SentAt) || o.resumeStart(t):
+		case o.resumeStart(t):
 		default:
 			unlisted = append(unlisted, t)
 		}
