--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -43,6 +43,9 @@
 	// heapMemoryFraction is the share of the process's memory limit that is set as
 	// the soft limit of the Go runtime.
 	heapMemoryFraction = 0.6
+	// liveTaskMemoryFraction is the share of the process's memory limit that the tasks of jobs may take, beyond the
+	// tasks that each job has in any case.
+	liveTaskMemoryFraction = 1.0 / 8
 	// maxUnreadBodyBytes is the maximum size of a body on a port whose requests have none.
 	maxUnreadBodyBytes = 4 << 10
 )
@@ -78,6 +81,7 @@
 	}, job.Settings{
 		Directory: true, MaxLease: conf.MaxLease.D(), MinOrderGap: conf.MinOrderGap.D(), EvacuationLimit: conf.EvacuationLimit.D(),
 		MaxOrdersPerSecond: float64(conf.OrdersPerSecond), KeepFinished: conf.KeepFinished.D(),
+		MaxLiveTasks:    int(float64(conf.MemoryMiB<<20) * liveTaskMemoryFraction / job.TaskBytes),
 		RefuseWorthless: conf.RefuseWorthless, MaxRecordBytes: conf.MaxRecordBytes, MaxAppendBytes: conf.MaxAppendBytes,
 	}, ports, log)
 
--- a/internal/core/job/acknowledge_test.go
+++ b/internal/core/job/acknowledge_test.go
@@ -46,7 +46,7 @@
 	w.listed, w.fenced, w.lastEnd, w.ackedEnd = true, true, 3, 3
 	j := newJob(o, "00000000000000aa", Step{Count: 1, Need: Resources{CPU: 1000}, EstimateMS: 500})
 	o.jobs[j.record.ID] = j
-	task := j.occurrences[0].steps[0].tasks[0]
+	task := j.occurrences.live[0].steps[0].tasks[0]
 	o.assign(task, w)
 	o.sendStart(task, 1)
 	poll := func() Poll { return o.s.effects[len(o.s.effects)-1].(Poll) }
--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -14,9 +14,9 @@
 type activeJob struct {
 	record      *JobRecord
 	acceptance  *Acceptance
-	occurrences []*occurrence
-	// dueOccurrences is the number of occurrences that exist; later ones are not due yet.
-	dueOccurrences int
+	occurrences occurrences
+	// waitingLogged is set once a log event has said that occurrences wait for others to complete.
+	waitingLogged bool
 	// assignedTasks counts the tasks that are assigned to a worker.
 	assignedTasks int
 	// started is set once a run of the job has started.
@@ -45,13 +45,6 @@
 	grants, inherited []*grant
 }
 
-// occurrence is one execution of all steps of a job.
-type occurrence struct {
-	number         int
-	steps          []*step
-	remainingSteps int // steps that are not completed
-}
-
 // step is the state of a step within an occurrence.
 type step struct {
 	job        *activeJob
@@ -158,53 +151,10 @@
 	return j, rows, nil
 }
 
-// totalOccurrences is the number of occurrences that the job will have.
-func (j *activeJob) totalOccurrences() int { return max(1, j.acceptance.Spec.Occurrences) }
-
-// addDueOccurrences creates the occurrences that are due and reports whether there were any.
-func (j *activeJob) addDueOccurrences(wall Millis) bool {
-	added := false
-	for j.dueOccurrences < j.totalOccurrences() && j.occurrenceDueAt(j.dueOccurrences) <= wall {
-		j.ensureOccurrence(j.dueOccurrences)
-		added = true
-	}
-	return added
-}
-
-// occurrenceDueAt is the time when the k-th occurrence may start.
-func (j *activeJob) occurrenceDueAt(k int) Millis {
-	if j.acceptance.Spec.Occurrences == 0 {
-		return 0
-	}
-	return j.acceptance.Spec.FirstAt + Millis(int64(k)*j.acceptance.Spec.IntervalMS)
-}
-
-// ensureOccurrence returns the k-th occurrence. It creates all missing occurrences up to it.
-func (j *activeJob) ensureOccurrence(k int) *occurrence {
-	for len(j.occurrences) <= k {
-		occ := &occurrence{number: len(j.occurrences)}
-		for i := range j.acceptance.Spec.Steps {
-			spec := &j.acceptance.Spec.Steps[i]
-			st := &step{job: j, occurrence: occ, number: i, spec: spec, tasks: make([]*task, spec.Count)}
-			for n := range st.tasks {
-				st.tasks[n] = &task{step: st, index: n, cpuPercent: 100}
-			}
-			occ.steps = append(occ.steps, st)
-		}
-		occ.remainingSteps = len(occ.steps)
-		j.occurrences = append(j.occurrences, occ)
-	}
-	j.dueOccurrences = max(j.dueOccurrences, k+1)
-	return j.occurrences[k]
-}
-
 // findTask returns a task by name, or nil.
 func (j *activeJob) findTask(n TaskName) *task {
-	if n.Occurrence >= len(j.occurrences) {
-		return nil
-	}
-	occ := j.occurrences[n.Occurrence]
-	if n.Step >= len(occ.steps) || n.Index >= len(occ.steps[n.Step].tasks) {
+	occ := j.findOccurrence(n.Occurrence)
+	if occ == nil || n.Step >= len(occ.steps) || n.Index >= len(occ.steps[n.Step].tasks) {
 		return nil
 	}
 	return occ.steps[n.Step].tasks[n.Index]
@@ -224,23 +174,17 @@
 // waiting is the number of tasks that are neither completed nor assigned.
 func (st *step) waiting() int { return len(st.tasks) - st.completed - st.assigned }
 
-// isComplete reports whether all occurrences are completed.
-func (j *activeJob) isComplete() bool {
-	if j.dueOccurrences < j.totalOccurrences() {
-		return false
-	}
-	for _, occ := range j.occurrences {
-		if occ.remainingSteps > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // taskRows returns the state to store of all tasks that have ever been placed.
 func (j *activeJob) taskRows() []taskRow {
 	rows := append(j.grantRows(), j.hostRows()...)
-	for _, occ := range j.occurrences {
+	for k, retired := range j.occurrences.retired {
+		for i := range j.acceptance.Spec.Steps {
+			if retired {
+				rows = append(rows, taskRow{Occurrence: k, Step: i, StepCompleted: true})
+			}
+		}
+	}
+	for _, occ := range j.occurrences.live {
 		for _, st := range occ.steps {
 			if st.completed == len(st.tasks) {
 				rows = append(rows, taskRow{Occurrence: occ.number, Step: st.number, StepCompleted: true})
--- a/internal/core/job/advice.go
+++ b/internal/core/job/advice.go
@@ -104,10 +104,14 @@
 func (o *owner) handleAdviceReceived(e AdviceReceived) {
 	o.advicePending, o.planDue = false, true
 	j := o.jobs[e.Step.Job]
-	if j == nil || e.Step.Occurrence >= len(j.occurrences) {
+	if j == nil {
 		return
 	}
-	st := j.occurrences[e.Step.Occurrence].steps[e.Step.Step]
+	occ := j.findOccurrence(e.Step.Occurrence)
+	if occ == nil {
+		return
+	}
+	st := occ.steps[e.Step.Step]
 	advisor := o.advisorOf(j)
 	if !e.OK || advisor == nil {
 		o.s.logEvent(LogAdvisorAnswered, "job", e.Step.Job, "step", e.Step.Step, "error", errorText(e.Err))
--- a/internal/core/job/bench_test.go
+++ b/internal/core/job/bench_test.go
@@ -45,7 +45,7 @@
 	busy := newJob(o, "00000000000000ff", Step{Count: 8, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
 	for i, id := range o.workerIDs {
 		for range 8 + i%2 {
-			t := &task{step: busy.occurrences[0].steps[0]}
+			t := &task{step: busy.occurrences.live[0].steps[0]}
 			o.bind(t, o.workers[id], 1)
 			t.startedAt = o.s.now.Add(-time.Duration(i) * time.Millisecond)
 		}
@@ -71,7 +71,7 @@
 		o := fleetOf(2700)
 		for i, id := range o.workerIDs {
 			j := addTestJob(o, i+1, Step{Count: 16, Need: Resources{CPU: 400, Memory: 100}, EstimateMS: 5000})
-			for _, t := range j.occurrences[0].steps[0].tasks {
+			for _, t := range j.occurrences.live[0].steps[0].tasks {
 				startOn(o, t, o.workers[id])
 			}
 		}
--- a/internal/core/job/calls.go
+++ b/internal/core/job/calls.go
@@ -145,6 +145,11 @@
 		s.replyNotServed(e.ID, Reply{Call: e.Call, Answer: Malformed, Detail: reason})
 		return
 	}
+	if !s.mayBeAppended(record.Key) && !s.hasRoomForTasks(acceptance) {
+		s.refuse(e.Call, e.ID, "the jobs of the team have as many tasks as a node has memory for")
+		return
+	}
+	s.liveTasks.add(acceptance)
 	c := waitingCall{call: e.Call, id: e.ID, event: LogJobAccepted}
 	if s.mayForward(e.Origin) {
 		c.request = &request
--- a/internal/core/job/capacity_test.go
+++ b/internal/core/job/capacity_test.go
@@ -124,7 +124,7 @@
 	g := gomega.NewWithT(t)
 	o := fleetOf(1)
 	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
-	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	task, w := j.occurrences.live[0].steps[0].tasks[0], o.workers["w0000"]
 	o.assign(task, w)
 	w.info.Capacity.CPU = 800
 	o.sendStart(task, 1)
@@ -138,7 +138,7 @@
 	g := gomega.NewWithT(t)
 	o := fleetOf(1)
 	j := addTestJob(o, 1, Step{Count: 2, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
-	tasks, w := j.occurrences[0].steps[0].tasks, o.workers["w0000"]
+	tasks, w := j.occurrences.live[0].steps[0].tasks, o.workers["w0000"]
 	for _, task := range tasks {
 		o.assign(task, w)
 		o.sendStart(task, 1)
--- a/internal/core/job/crash_test.go
+++ b/internal/core/job/crash_test.go
@@ -236,7 +236,7 @@
 	g := gomega.NewWithT(t)
 	o := fleetOf(4)
 	j := addTestJob(o, 1, Step{Count: 2, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
-	tasks := j.occurrences[0].steps[0].tasks
+	tasks := j.occurrences.live[0].steps[0].tasks
 	for i := range 3 {
 		w := o.workers[o.workerIDs[i]]
 		for _, task := range tasks {
@@ -254,7 +254,7 @@
 	for _, row := range j.taskRows() {
 		next.restoreTasks(again, row)
 	}
-	restored := again.occurrences[0].steps[0].tasks[0]
+	restored := again.occurrences.live[0].steps[0].tasks[0]
 	g.Expect(counts(restored)).To(gomega.Equal(counts(tasks[0])))
 	g.Expect(restored.crash.LogRatio).To(gomega.BeNumerically("~", tasks[0].crash.LogRatio, 0.01))
 }
@@ -329,7 +329,7 @@
 		o := fleetOf(2)
 		o.s.now = o.s.now.Add(time.Minute)
 		j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
-		task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+		task, w := j.occurrences.live[0].steps[0].tasks[0], o.workers["w0000"]
 		startOn(o, task, w)
 		change(o, w)
 		o.loseRuns(w, w.tasks, cause)
@@ -369,7 +369,7 @@
 	g := gomega.NewWithT(t)
 	o := fleetOf(2)
 	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
-	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	task, w := j.occurrences.live[0].steps[0].tasks[0], o.workers["w0000"]
 	startOn(o, task, w)
 	o.loseRuns(w, w.tasks, lossLeaseExpired)
 	o.updateWorker(w.info)
@@ -389,7 +389,7 @@
 	g := gomega.NewWithT(t)
 	o := fleetOf(1)
 	j := addTestJob(o, 1, Step{Count: 2, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 5000})
-	tasks, w := j.occurrences[0].steps[0].tasks, o.workers["w0000"]
+	tasks, w := j.occurrences.live[0].steps[0].tasks, o.workers["w0000"]
 	poll := func(incarnation Millis, running ...RunReport) {
 		respond(o, w, Polled{Worker: w.info.ID, Outcome: OK, Incarnation: incarnation, Running: running, SentAt: o.s.now, ReceivedAt: o.s.now})
 	}
--- a/internal/core/job/crashes.go
+++ b/internal/core/job/crashes.go
@@ -369,7 +369,7 @@
 func (o *owner) suspectedTasks() int {
 	n := 0
 	for _, j := range o.jobOrder {
-		for _, occ := range j.occurrences {
+		for _, occ := range j.occurrences.live {
 			for _, st := range occ.steps {
 				for _, t := range st.tasks {
 					if !t.completed && t.crash.Suspected > 0 {
--- a/internal/core/job/crashing_pool_test.go
+++ b/internal/core/job/crashing_pool_test.go
@@ -80,7 +80,7 @@
 		g := gomega.NewWithT(t)
 		first := fleetOf(2)
 		j := addTestJob(first, 1, Step{Count: 2, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 600_000, LongRunning: true})
-		for i, task := range j.occurrences[0].steps[0].tasks {
+		for i, task := range j.occurrences.live[0].steps[0].tasks {
 			startOn(first, task, first.workers["w0000"])
 			first.s.now, first.s.wall = first.s.now.Add(time.Duration(i+1)*20*time.Second), first.s.wall+Millis(i+1)*20_000
 		}
@@ -91,7 +91,7 @@
 		for _, row := range j.taskRows() {
 			next.restoreTasks(again, row)
 		}
-		w, tasks := next.workers["w0000"], again.occurrences[0].steps[0].tasks
+		w, tasks := next.workers["w0000"], again.occurrences.live[0].steps[0].tasks
 		next.s.now = next.s.now.Add(10 * time.Millisecond)
 		if listed {
 			next.reconcileRuns(w, Polled{Worker: w.info.ID, SentAt: next.s.now, Running: []RunReport{{Task: tasks[0].name(), Run: 1}, {Task: tasks[1].name(), Run: 1}}})
--- a/internal/core/job/demand.go
+++ b/internal/core/job/demand.go
@@ -53,7 +53,7 @@
 func (d *demandCollector) addJob(pool vocab.PoolID, j *activeJob) {
 	times := d.owner.timesOf(j)
 	d.urgent = times.known && times.slack() > 0
-	for _, occ := range j.occurrences {
+	for _, occ := range j.occurrences.live {
 		for _, st := range occ.steps {
 			if st.waiting() <= 0 || !st.ready() {
 				continue
--- a/internal/core/job/demand_test.go
+++ b/internal/core/job/demand_test.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		panic(err)
 	}
-	j.addDueOccurrences(o.s.wall)
+	o.addDueOccurrences(j)
 	return j
 }
 
@@ -139,7 +139,7 @@
 	w.listed, w.fenced = true, true
 	m := o.fleet.machines["m"]
 	m.info.Pool, m.info.Worker = "p", "w1"
-	task := newJob(o, "00000000000000aa", Step{Count: 1, Need: Resources{CPU: 1000}}).occurrences[0].steps[0].tasks[0]
+	task := newJob(o, "00000000000000aa", Step{Count: 1, Need: Resources{CPU: 1000}}).occurrences.live[0].steps[0].tasks[0]
 	o.bind(task, w, 0)
 	o.fleet.machinesNeeded = map[vocab.PoolID]int{"p": 0}
 	g.Expect(o.prepareMaintenance(1, m, false)).To(gomega.BeFalse())
--- a/internal/core/job/door.go
+++ b/internal/core/job/door.go
@@ -96,20 +96,27 @@
 // readyWork returns the work of the tasks that wait for nothing but a worker, in core-seconds.
 func (o *owner) readyWork(j *activeJob) float64 {
 	work := 0.0
-	for _, occ := range j.occurrences {
+	for _, occ := range j.occurrences.live {
 		for _, st := range occ.steps {
 			if waiting := st.waiting() - st.heldTasks(); waiting > 0 && st.ready() {
 				work += float64(waiting) * float64(st.spec.Need.CPU) / 1000 * o.runTimeOf(st).Seconds()
 			}
 		}
 	}
+	if waiting := j.occurrences.waiting(); waiting > 0 {
+		for _, st := range j.modelOccurrence().steps {
+			if len(st.spec.After) == 0 {
+				work += float64(waiting*st.spec.Count) * float64(st.spec.Need.CPU) / 1000 * o.runTimeOf(st).Seconds()
+			}
+		}
+	}
 	return work
 }
 
 // hasRoom reports whether a task of a new job fits on a worker of its pool now. Work that
 // waits does not keep the job waiting then: it needs what the free workers do not have.
 func (o *owner) hasRoom(j *activeJob, pool vocab.PoolID) bool {
-	for _, st := range j.occurrences[0].steps {
+	for _, st := range j.occurrences.live[0].steps {
 		if !st.ready() || !o.withinTeamLimit(st) {
 			continue
 		}
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -46,6 +46,9 @@
 	// of those that wait for workers on which an earlier owner may have started tasks.
 	GrantedJobs int `json:"granted_jobs,omitempty"`
 	HeldJobs    int `json:"held_jobs,omitempty"`
+	// LiveTasks is the number of tasks in memory, WaitingOccurrences of the due occurrences that have none there yet.
+	LiveTasks          int `json:"live_tasks,omitempty"`
+	WaitingOccurrences int `json:"waiting_occurrences,omitempty"`
 	// SuspectedTasks is the number of tasks that may have crashed a worker and start on trial.
 	SuspectedTasks int `json:"suspected_tasks,omitempty"`
 	// UnreachableWorkers is the number of listed workers that do not respond to this owner.
@@ -128,6 +131,8 @@
 	}
 	d.RefusedForLoad = maps.Clone(o.door.refusals)
 	for _, j := range o.jobOrder {
+		d.LiveTasks += j.liveTasks()
+		d.WaitingOccurrences += j.occurrences.waiting()
 		if len(j.grants) > 0 {
 			d.GrantedJobs++
 		}
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -210,6 +210,7 @@
 	LogAttemptsUsedUp
 	LogStartInLaterIncarnation
 	LogMoreEnds
+	LogOccurrencesWait
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -242,6 +243,7 @@
 
 	LogStartInLaterIncarnation: "start reached a later incarnation",
 	LogMoreEnds:                "ends left out",
+	LogOccurrencesWait:         "occurrences wait",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/evacuation_test.go
+++ b/internal/core/job/evacuation_test.go
@@ -36,7 +36,7 @@
 	step.Count, step.Need = 2, Resources{CPU: 1000, Memory: 1000}
 	j := newJob(o, "00000000000000aa", step)
 	o.jobs[j.record.ID], o.jobOrder = j, []*activeJob{j}
-	return o, &twoTasks{j.occurrences[0].steps[0]}
+	return o, &twoTasks{j.occurrences.live[0].steps[0]}
 }
 
 // twoTasks is a step of two tasks.
--- a/internal/core/job/forecast.go
+++ b/internal/core/job/forecast.go
@@ -67,7 +67,7 @@
 	}
 	capacity := o.fleet.typicalCapacity()
 	machineSeconds := 0.0
-	for _, st := range j.occurrences[0].steps {
+	for _, st := range j.modelOccurrence().steps {
 		if perMachine := st.tasksPerMachine(capacity); perMachine > 0 {
 			machineSeconds += float64(st.spec.Count) / float64(perMachine) * o.estimates.runTime(j.acceptance.Queue, st.spec.EstimateMS).Seconds()
 		}
--- a/internal/core/job/gang_failure_test.go
+++ b/internal/core/job/gang_failure_test.go
@@ -45,7 +45,7 @@
 	gang := Step{Count: 2, Need: Resources{CPU: 1}, Gang: true}
 	j := newJob(o, "00000000000000aa", gang)
 	j.maxAttempts = 3
-	for _, task := range j.occurrences[0].steps[0].tasks {
+	for _, task := range j.occurrences.live[0].steps[0].tasks {
 		o.assign(task, host)
 		o.release(task)
 	}
@@ -55,7 +55,7 @@
 	for _, row := range j.taskRows() {
 		o.restoreTasks(next, row)
 	}
-	second := next.occurrences[0].steps[0].tasks[1]
+	second := next.occurrences.live[0].steps[0].tasks[1]
 	o.failTask(second, 1)
 	g.Expect(second.failures).To(gomega.Equal(1))
 	o.failTask(second, 2)
--- a/internal/core/job/grants.go
+++ b/internal/core/job/grants.go
@@ -54,7 +54,7 @@
 
 // neverIntended returns a task of the job that was never intended, or nil.
 func (j *activeJob) neverIntended() *task {
-	for _, occ := range j.occurrences {
+	for _, occ := range j.occurrences.live {
 		for _, st := range occ.steps {
 			if st.completed == len(st.tasks) {
 				continue
@@ -99,7 +99,7 @@
 func (o *owner) grantWorkers(j *activeJob, t *task, workers []*worker) []*grant {
 	o.pruneGrants(j)
 	before := len(j.grants)
-	for _, occ := range j.occurrences {
+	for _, occ := range j.occurrences.live {
 		for _, st := range occ.steps {
 			for _, other := range st.tasks {
 				if other.worker != nil {
@@ -199,7 +199,7 @@
 		}
 	}
 	room := o.recordRoomOf(c.job, pool.workers)
-	for _, occ := range c.job.occurrences {
+	for _, occ := range c.job.occurrences.live {
 		for _, st := range occ.steps {
 			if st.waiting() <= 0 || !st.ready() || !room.open(st) {
 				continue
@@ -284,7 +284,7 @@
 
 func (j *activeJob) heldTasks() []*task {
 	var held []*task
-	for _, occ := range j.occurrences {
+	for _, occ := range j.occurrences.live {
 		for _, st := range occ.steps {
 			for _, t := range st.tasks {
 				if t.held() {
--- a/internal/core/job/handover_test.go
+++ b/internal/core/job/handover_test.go
@@ -227,7 +227,7 @@
 	o, host := flushOwner()
 	j := newJob(o, "00000000000000aa", Step{Count: 2, Need: Resources{CPU: 1}})
 	o.jobs[j.record.ID] = j
-	first, second := j.occurrences[0].steps[0].tasks[0], j.occurrences[0].steps[0].tasks[1]
+	first, second := j.occurrences.live[0].steps[0].tasks[0], j.occurrences.live[0].steps[0].tasks[1]
 	for _, task := range []*task{first, second} {
 		o.bind(task, host, host.info.Incarnation)
 		task.lastRun, task.state = 1, runStartUnknown
--- a/internal/core/job/hosts.go
+++ b/internal/core/job/hosts.go
@@ -35,7 +35,7 @@
 		return nil
 	}
 	var hosts []host
-	for _, occ := range j.occurrences {
+	for _, occ := range j.occurrences.live {
 		for _, st := range occ.steps {
 			for _, t := range st.tasks {
 				if t.crash.Suspected == 0 && !t.step.spec.LongRunning || t.worker == nil || t.worker.info.Address == "" || len(hosts) == maxHosts {
--- a/internal/core/job/lookahead_test.go
+++ b/internal/core/job/lookahead_test.go
@@ -56,7 +56,7 @@
 	o.plan()
 }
 
-func firstTask(j *activeJob) *task { return j.occurrences[0].steps[0].tasks[0] }
+func firstTask(j *activeJob) *task { return j.occurrences.live[0].steps[0].tasks[0] }
 
 // TestShortSlackIsServedFirst replays two kinds on one pool: eight small jobs of five seconds
 // with three seconds of slack took the whole pool, since their value per work is higher, and
@@ -94,7 +94,7 @@
 	g := gomega.NewWithT(t)
 	o := fleetOf(1)
 	j := addTestJob(o, 1, Step{Count: 32, Need: Resources{CPU: 4000, Memory: 100}, EstimateMS: 16000})
-	st := j.occurrences[0].steps[0]
+	st := j.occurrences.live[0].steps[0]
 	g.Expect(o.tasksWantedNow(st)).To(gomega.Equal(32), "nobody else waits")
 	o.waitingPools = map[vocab.PoolID]bool{"other": true}
 	wanted := o.tasksWantedNow(st)
@@ -114,7 +114,7 @@
 	g := gomega.NewWithT(t)
 	o := fleetOf(1)
 	j := addTestJob(o, 1, Step{Count: 8, Need: Resources{CPU: 4000, Memory: 100}, EstimateMS: 1000})
-	st := j.occurrences[0].steps[0]
+	st := j.occurrences.live[0].steps[0]
 	o.waitingPools = map[vocab.PoolID]bool{"other": true}
 	j.acceptance.At -= 7000
 	g.Expect(o.tasksWantedNow(st)).To(gomega.BeZero())
@@ -156,7 +156,7 @@
 		o.policy.alignedEnds = on
 		old := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 2000, Memory: 100}, EstimateMS: 4000}, Step{Count: 1, Need: Resources{CPU: 2300, Memory: 100}, EstimateMS: 400})
 		o.bind(firstTask(old), o.workers["w0001"], 1)
-		o.bind(old.occurrences[0].steps[1].tasks[0], o.workers["w0000"], 1)
+		o.bind(old.occurrences.live[0].steps[1].tasks[0], o.workers["w0000"], 1)
 		long := addTestJob(o, 2, Step{Count: 1, Need: Resources{CPU: 1000, Memory: 100}, EstimateMS: 4000})
 		o.plan()
 		want := map[bool]WorkerID{true: "w0001", false: "w0000"}[on]
--- a/internal/core/job/machines_test.go
+++ b/internal/core/job/machines_test.go
@@ -22,7 +22,7 @@
 	for i, id := range []MachineID{"m1", "m2"} {
 		m := o.fleet.machines[id]
 		m.info.Worker, m.info.Capacity = WorkerID("w-"+id), Resources{CPU: 8000}
-		task := j.occurrences[0].steps[0].tasks[i]
+		task := j.occurrences.live[0].steps[0].tasks[i]
 		o.bind(task, o.worker(m.info.Worker), 1)
 		task.state = runStartUnknown
 	}
@@ -50,7 +50,7 @@
 		listed.Workers = append(listed.Workers, WorkerInfo{ID: id, Machine: MachineID(id), Pool: "p", Address: "a", Incarnation: 1})
 	}
 	j := newJob(o, "00000000000000aa", Step{Count: 1, Need: Resources{CPU: 1000}})
-	o.bind(j.occurrences[0].steps[0].tasks[0], o.worker("w-2999"), 1)
+	o.bind(j.occurrences.live[0].steps[0].tasks[0], o.worker("w-2999"), 1)
 	o.s.effects = nil
 	o.handle(listed)
 	polled := map[WorkerID]bool{}
@@ -191,7 +191,7 @@
 	for i, id := range []WorkerID{"w1", "w2"} {
 		w = o.worker(id)
 		w.info.Address = string(id)
-		task := j.occurrences[0].steps[0].tasks[i]
+		task := j.occurrences.live[0].steps[0].tasks[i]
 		o.bind(task, w, 1)
 		task.state, task.progressPercent = runRunning, 100
 	}
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -61,5 +61,6 @@
 		644: "attempts used up",
 		645: "start reached a later incarnation",
 		646: "ends left out",
+		647: "occurrences wait",
 	}))
 }
--- a/internal/core/job/more_ends_test.go
+++ b/internal/core/job/more_ends_test.go
@@ -127,7 +127,7 @@
 	o, w := flushOwner()
 	j := newJob(o, "00000000000000aa", Step{Count: 2, Need: Resources{CPU: 1}, EstimateMS: 100})
 	o.jobs[j.record.ID] = j
-	ended, running := j.occurrences[0].steps[0].tasks[0], j.occurrences[0].steps[0].tasks[1]
+	ended, running := j.occurrences.live[0].steps[0].tasks[0], j.occurrences.live[0].steps[0].tasks[1]
 	for _, task := range []*task{ended, running} {
 		o.bind(task, w, w.info.Incarnation)
 		task.lastRun, task.state, task.startSentAt, task.startedAt = 1, runRunning, o.s.now, o.s.now
@@ -149,7 +149,7 @@
 	o, w := flushOwner()
 	j := newJob(o, "00000000000000aa", Step{Count: 2, Need: Resources{CPU: 1}, LongRunning: true, MaxUnavailable: 1})
 	o.jobs[j.record.ID] = j
-	st := j.occurrences[0].steps[0]
+	st := j.occurrences.live[0].steps[0]
 	for _, task := range st.tasks {
 		o.bind(task, w, w.info.Incarnation)
 		task.lastRun, task.state, task.startedAt, task.progressPercent = 1, runRunning, o.s.now, 100
--- a/internal/core/job/moves.go
+++ b/internal/core/job/moves.go
@@ -81,7 +81,7 @@
 		if left <= 0 || !o.countsForSupply(times) {
 			continue
 		}
-		for _, occ := range j.occurrences {
+		for _, occ := range j.occurrences.live {
 			for _, st := range occ.steps {
 				if perMachine := st.tasksPerMachine(capacity); perMachine > 0 {
 					runTime := o.estimates.runTime(j.acceptance.Queue, st.spec.EstimateMS)
@@ -89,6 +89,15 @@
 				}
 			}
 		}
+		if j.occurrences.waiting() == 0 {
+			continue
+		}
+		for _, st := range j.modelOccurrence().steps {
+			if perMachine := st.tasksPerMachine(capacity); perMachine > 0 {
+				runTime := o.estimates.runTime(j.acceptance.Queue, st.spec.EstimateMS)
+				sum[o.poolOf(j)] += float64(j.occurrences.waiting()*st.spec.Count) / float64(perMachine) * runTime.Seconds() / left.Seconds()
+			}
+		}
 	}
 	return sum
 }
--- a/internal/core/job/order.go
+++ b/internal/core/job/order.go
@@ -67,7 +67,7 @@
 
 // hasWaitingTasks reports whether the job has tasks that could be placed now.
 func (j *activeJob) hasWaitingTasks() bool {
-	for _, occ := range j.occurrences {
+	for _, occ := range j.occurrences.live {
 		for _, st := range occ.steps {
 			if st.waiting() > 0 && st.ready() {
 				return true
@@ -205,7 +205,7 @@
 // workAmounts returns the total and the remaining work of the job, in core-seconds, and the
 // run time of its longest remaining chain of dependent steps.
 func (o *owner) workAmounts(j *activeJob) (total, remaining float64, remainingPath time.Duration) {
-	for _, occ := range j.occurrences {
+	for _, occ := range j.occurrences.live {
 		finish := make([]time.Duration, len(occ.steps))
 		for i, st := range occ.steps {
 			runTime := o.runTimeOf(st)
@@ -221,15 +221,35 @@
 			remainingPath = max(remainingPath, finish[i])
 		}
 	}
+	if waiting, retired := j.occurrences.waiting(), j.occurrences.retiredCount; waiting+retired > 0 {
+		each := o.workOf(j.modelOccurrence())
+		total += each * float64(waiting+retired)
+		remaining += each * float64(waiting)
+		if waiting > 0 {
+			remainingPath = max(remainingPath, o.criticalPath(j))
+		}
+	}
 	return total, remaining, remainingPath
 }
 
-// criticalPath is the run time of the longest chain of dependent steps of the first occurrence.
+// workOf returns the work of all tasks of an occurrence, in core-seconds.
+func (o *owner) workOf(occ *occurrence) float64 {
+	work := 0.0
+	for _, st := range occ.steps {
+		work += float64(max(st.spec.Need.CPU, 1)) / 1000 * o.runTimeOf(st).Seconds() * float64(st.spec.Count)
+	}
+	return work
+}
+
+// criticalPath is the run time of the longest chain of dependent steps of the oldest live occurrence.
 func (o *owner) criticalPath(j *activeJob) time.Duration {
-	if len(j.occurrences) == 0 {
+	if j.occurrences.due == 0 {
 		return 0 // Nothing of a recurring job is due yet.
 	}
-	steps := j.occurrences[0].steps
+	steps := j.modelOccurrence().steps
+	if len(j.occurrences.live) > 0 {
+		steps = j.occurrences.live[0].steps
+	}
 	longest := make([]time.Duration, len(steps))
 	var path time.Duration
 	for i, st := range steps {
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -79,6 +79,8 @@
 	pendingOrders []*machine
 	orderLog      orderLog
 
+	// liveTasks is the number of tasks of active jobs in memory, as of the last tick and with those added since.
+	liveTasks int
 	jobs      map[ID]*activeJob // active jobs
 	jobOrder  []*activeJob      // values of jobs, in order of arrival
 	workers   map[WorkerID]*worker
@@ -274,11 +276,7 @@
 	if o.stage != stageActive {
 		return
 	}
-	for _, active := range o.jobOrder {
-		if active.dueOccurrences < active.totalOccurrences() && active.terminalPhase == 0 && active.addDueOccurrences(o.s.wall) {
-			o.planDue = true
-		}
-	}
+	o.updateOccurrences()
 	o.offerIfAppendsFail()
 	o.checkHealth()
 	o.writeLearnedIfDue()
--- a/internal/core/job/owner_append_test.go
+++ b/internal/core/job/owner_append_test.go
@@ -48,7 +48,7 @@
 	for i := range jobs {
 		active := newJob(o, ID(fmt.Sprintf("%016x", i)), Step{Count: tasks, Need: Resources{CPU: 1}})
 		o.jobs[active.record.ID] = active
-		for _, task := range active.occurrences[0].steps[0].tasks {
+		for _, task := range active.occurrences.live[0].steps[0].tasks {
 			o.assign(task, host)
 		}
 	}
@@ -72,7 +72,7 @@
 	o, host := flushOwner()
 	for i := range 400 {
 		active := newJob(o, ID(fmt.Sprintf("%016x", i)), Step{Count: 40, Need: Resources{CPU: 1}})
-		for _, task := range active.occurrences[0].steps[0].tasks {
+		for _, task := range active.occurrences.live[0].steps[0].tasks {
 			o.assign(task, host)
 		}
 	}
@@ -93,7 +93,7 @@
 	spec := Spec{Steps: []Step{{Count: maxTasks, Need: Resources{CPU: 1}}}}
 	g.Expect(validateSpec(&spec)).To(gomega.BeEmpty())
 	active := newJob(o, "00000000000000aa", spec.Steps...)
-	for i, task := range active.occurrences[0].steps[0].tasks {
+	for i, task := range active.occurrences.live[0].steps[0].tasks {
 		w := o.worker(WorkerID(fmt.Sprintf("i-%010x", i)))
 		w.info.Incarnation, w.info.Machine, w.info.Address = 1_783_300_000_000, MachineID(fmt.Sprintf("m-%010x", i)), "10.100.100.100:18583"
 		o.bind(task, w, w.info.Incarnation)
@@ -113,16 +113,16 @@
 	o, _ := flushOwner()
 	steps := []Step{{Count: 50, Need: Resources{CPU: 1}}, {Count: 3, Need: Resources{CPU: 1}, After: []int{0}}}
 	active := newJob(o, "00000000000000aa", steps...)
-	for _, task := range active.occurrences[0].steps[0].tasks {
+	for _, task := range active.occurrences.live[0].steps[0].tasks {
 		o.completeTask(task)
 	}
-	o.completeTask(active.occurrences[0].steps[1].tasks[1])
+	o.completeTask(active.occurrences.live[0].steps[1].tasks[1])
 	g.Expect(active.taskRows()).To(gomega.HaveLen(2))
 	again := newJob(o, "00000000000000aa", steps...)
 	for _, row := range active.taskRows() {
 		o.restoreTasks(again, row)
 	}
 	g.Expect(again.taskRows()).To(gomega.Equal(active.taskRows()))
-	g.Expect(again.occurrences[0].remainingSteps).To(gomega.Equal(1))
-	g.Expect(again.occurrences[0].steps[1].ready()).To(gomega.BeTrue())
+	g.Expect(again.occurrences.live[0].remainingSteps).To(gomega.Equal(1))
+	g.Expect(again.occurrences.live[0].steps[1].ready()).To(gomega.BeTrue())
 }
--- a/internal/core/job/owner_jobs.go
+++ b/internal/core/job/owner_jobs.go
@@ -38,9 +38,9 @@
 	o.resolveTerms(active)
 	active.overTeamRate = !o.takeRateToken(active)
 	o.jobOrder = append(o.jobOrder, active)
-	active.addDueOccurrences(o.s.wall)
-	for _, row := range rows {
-		o.restoreTasks(active, row)
+	o.restoreOccurrences(active, rows)
+	if !job.Cancelled {
+		o.addDueOccurrences(active)
 	}
 	o.inheritHosts(rows)
 	o.inheritGrants(active, rows)
@@ -109,7 +109,7 @@
 
 // stopRuns stops all runs of a job.
 func (o *owner) stopRuns(active *activeJob) {
-	for _, occ := range active.occurrences {
+	for _, occ := range active.occurrences.live {
 		for _, st := range occ.steps {
 			for _, t := range st.tasks {
 				if t.worker != nil {
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -63,7 +63,7 @@
 // placeJob places as many of a job's waiting tasks as fit.
 func (o *owner) placeJob(c candidate, p *poolRoom) {
 	room := o.recordRoomOf(c.job, p.workers)
-	for _, occ := range c.job.occurrences {
+	for _, occ := range c.job.occurrences.live {
 		for _, st := range occ.steps {
 			if st.waiting() <= 0 || !st.ready() || !room.open(st) {
 				continue
--- a/internal/core/job/record_size.go
+++ b/internal/core/job/record_size.go
@@ -127,10 +127,10 @@
 
 // rowBytes returns the size of the task's row, in bytes.
 func (t *task) rowBytes() int {
-	row, ok := t.row()
-	if !ok {
+	if t.lastRun == 0 && !t.completed {
 		return 0
 	}
+	row, _ := t.row()
 	return row.bytes()
 }
 
@@ -172,21 +172,22 @@
 	limit := float64(o.s.recordLimit())
 	room := &recordRoom{job: j, forSteps: int(limit * (1 - recordGrowthShare)), forTasks: int(limit * (1 - recordMarginShare))}
 	tasks := 0
-	for _, occ := range j.occurrences {
+	for _, occ := range j.occurrences.live {
 		for _, st := range occ.steps {
 			if st.completed < len(st.tasks) {
 				tasks += len(st.tasks)
 			}
 		}
 	}
-	if tasks*maxRowBytes <= room.forSteps {
+	retired := j.occurrences.retiredCount * len(j.acceptance.Spec.Steps)
+	if tasks*maxRowBytes+retired*completedRowBytes <= room.forSteps {
 		return nil
 	}
 	for _, w := range workers {
 		room.idBytes = max(room.idBytes, len(w.info.ID))
 	}
-	room.used = (maxHosts + maxGrants) * hostBytes
-	for _, occ := range j.occurrences {
+	room.used = (maxHosts+maxGrants)*hostBytes + retired*completedRowBytes
+	for _, occ := range j.occurrences.live {
 		for _, st := range occ.steps {
 			if st.completed == len(st.tasks) {
 				room.used += completedRowBytes
@@ -206,13 +207,17 @@
 	if r == nil {
 		return true
 	}
+	isOpen := st.isOpen()
+	if r.closed && !isOpen {
+		return false
+	}
 	growth := 0
 	for _, t := range st.tasks {
 		if !t.completed && t.worker == nil {
 			growth += t.placedBytes(r.idBytes) - t.rowBytes()
 		}
 	}
-	if !st.isOpen() && (r.closed || r.used+r.reserved+growth > r.forSteps && r.job.assignedTasks > 0) {
+	if !isOpen && r.used+r.reserved+growth > r.forSteps && r.job.assignedTasks > 0 {
 		r.closed = true
 		return false
 	}
@@ -272,7 +277,7 @@
 
 // releaseUnstarted releases all tasks of a job whose start was not sent yet.
 func (o *owner) releaseUnstarted(active *activeJob) {
-	for _, occ := range active.occurrences {
+	for _, occ := range active.occurrences.live {
 		for _, st := range occ.steps {
 			o.releasePlanned(st)
 		}
--- a/internal/core/job/record_size_test.go
+++ b/internal/core/job/record_size_test.go
@@ -79,7 +79,7 @@
 	o, host := flushOwner()
 	active := newJob(o, "00000000000000aa", Step{Count: maxTasks, Need: Resources{CPU: 1}, Checkpoints: true})
 	o.jobs[active.record.ID] = active
-	tasks := active.occurrences[0].steps[0].tasks
+	tasks := active.occurrences.live[0].steps[0].tasks
 	for _, task := range tasks[:1900] {
 		o.assign(task, host)
 		o.sendStart(task, 1)
@@ -206,7 +206,7 @@
 	j.acceptance.Spec.Occurrences = 2
 	j.ensureOccurrence(1)
 	o.jobs[j.record.ID], o.jobOrder = j, append(o.jobOrder, j)
-	for _, occ := range j.occurrences {
+	for _, occ := range j.occurrences.live {
 		for _, task := range occ.steps[0].tasks {
 			o.assign(task, host)
 			o.release(task)
@@ -215,7 +215,7 @@
 	}
 	room := o.recordRoomOf(j, []*worker{host})
 	placed := 0
-	for _, occ := range j.occurrences {
+	for _, occ := range j.occurrences.live {
 		g.Expect(room.open(occ.steps[0])).To(gomega.BeTrue())
 		for _, task := range occ.steps[0].tasks {
 			if room.take(task) {
--- a/internal/core/job/reincarnation_test.go
+++ b/internal/core/job/reincarnation_test.go
@@ -431,7 +431,7 @@
 		s.claim.heartbeatBeforeClaim, s.claim.previousOwner = s.now, ownerRecord{Node: "a", Fence: 5}
 		o := newOwner(s, s.ledger.ownerFence)
 		waitsFor := func(id WorkerID) time.Duration {
-			task := addTestJob(o, len(o.jobs), Step{Count: 1, Need: Resources{CPU: 1, Memory: 1}, EstimateMS: 13_000}).occurrences[0].steps[0].tasks[0]
+			task := addTestJob(o, len(o.jobs), Step{Count: 1, Need: Resources{CPU: 1, Memory: 1}, EstimateMS: 13_000}).occurrences.live[0].steps[0].tasks[0]
 			o.bind(task, o.worker(id), 1)
 			task.lastRun, task.state = 1, runStartUnknown
 			return o.runExpiresAt(task).Sub(s.now)
--- a/internal/core/job/scheduling_test.go
+++ b/internal/core/job/scheduling_test.go
@@ -332,7 +332,7 @@
 			w.listed, w.fenced = true, true
 			j := newJob(o, "00000000000000aa", Step{Count: 1, Need: Resources{CPU: 1000}, EstimateMS: 500})
 			o.jobs[j.record.ID] = j
-			task := j.occurrences[0].steps[0].tasks[0]
+			task := j.occurrences.live[0].steps[0].tasks[0]
 			o.assign(task, w)
 			o.sendStart(task, 1)
 			first := o.s.effects[len(o.s.effects)-1].(Start)
--- a/internal/core/job/settings.go
+++ b/internal/core/job/settings.go
@@ -24,6 +24,8 @@
 	// MaxRecordBytes and MaxAppendBytes are the sizes of the largest record and append that the store
 	// takes; 0 means defaultRecordBytes and defaultAppendBytes.
 	MaxRecordBytes, MaxAppendBytes int
+	// MaxLiveTasks is the number of tasks for which the process has memory; 0 means defaultLiveTasks.
+	MaxLiveTasks int
 	// RefuseWorthless is set if a job is refused when it certainly cannot complete while it
 	// has a value.
 	RefuseWorthless bool
--- a/internal/core/job/silent_workers_test.go
+++ b/internal/core/job/silent_workers_test.go
@@ -142,7 +142,7 @@
 	o := fleetOf(1)
 	o.s.settings.MaxLease = 10 * time.Second
 	j := addTestJob(o, 1, Step{Count: 2, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000})
-	confirmed, open, w := j.occurrences[0].steps[0].tasks[0], j.occurrences[0].steps[0].tasks[1], o.workers["w0000"]
+	confirmed, open, w := j.occurrences.live[0].steps[0].tasks[0], j.occurrences.live[0].steps[0].tasks[1], o.workers["w0000"]
 	startOn(o, confirmed, w)
 	waits := func() (lease, finite time.Duration) {
 		record, err := o.silentRecord(w)
@@ -152,7 +152,7 @@
 		g.Expect(next.ledger.foldSilent(next.now, w.info.ID, record.Value)).To(gomega.Succeed())
 		next.ledger.notesStrays = true
 		owner := newOwner(next, o.fence+1)
-		inherited := addTestJob(owner, 1, j.acceptance.Spec.Steps...).occurrences[0].steps[0].tasks[0]
+		inherited := addTestJob(owner, 1, j.acceptance.Spec.Steps...).occurrences.live[0].steps[0].tasks[0]
 		owner.bind(inherited, owner.worker(w.info.ID), w.info.Incarnation)
 		inherited.state = runStartUnknown
 		return inherited.worker.leaseUntil.Sub(next.now), owner.runExpiresAt(inherited).Sub(next.now)
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -67,6 +67,8 @@
 	announced   bool
 	announcedAt vocab.Instant
 	stopping    bool
+	// liveTasks are the tasks of the unfinished jobs.
+	liveTasks taskCounts
 	// preparation is set while this node may be appointed as the owner.
 	preparation *preparation
 	effects     []event.Effect
--- a/internal/core/job/step_times.go
+++ b/internal/core/job/step_times.go
@@ -34,7 +34,7 @@
 	o.refreshTimes(st)
 	expected := st.longestTime
 	measured := min(st.longestRun, maxStepTimeRatio*expected)
-	if st.observedRuns == len(st.tasks) {
+	if st.observedRuns == st.spec.Count {
 		return measured
 	}
 	return max(expected, measured)
--- a/internal/core/job/step_times_test.go
+++ b/internal/core/job/step_times_test.go
@@ -51,8 +51,8 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	for i := range 40 {
 		j, times, _ := unevenJob(o, i+1, rng)
-		runStep(o, j.occurrences[0].steps[0], times[0])
-		runStep(o, j.occurrences[0].steps[1], times[1])
+		runStep(o, j.occurrences.live[0].steps[0], times[0])
+		runStep(o, j.occurrences.live[0].steps[1], times[1])
 	}
 	sumOfRatios := 0.0
 	const jobs = 40
@@ -60,8 +60,8 @@
 		j, times, longestChain := unevenJob(o, 100+i, rng)
 		expected := o.criticalPath(j)
 		sumOfRatios += expected.Seconds() / longestChain.Seconds()
-		runStep(o, j.occurrences[0].steps[0], times[0])
-		runStep(o, j.occurrences[0].steps[1], times[1])
+		runStep(o, j.occurrences.live[0].steps[0], times[0])
+		runStep(o, j.occurrences.live[0].steps[1], times[1])
 		known := o.criticalPath(j)
 		g.Expect(known.Seconds()).To(gomega.BeNumerically("~", longestChain.Seconds(), 0.02), "measured once the steps have run")
 	}
@@ -75,12 +75,12 @@
 	rng := rand.New(rand.NewPCG(2, 2))
 	for i := range 40 {
 		j, times, _ := unevenJob(o, i+1, rng)
-		runStep(o, j.occurrences[0].steps[0], times[0])
+		runStep(o, j.occurrences.live[0].steps[0], times[0])
 	}
 	j, times, _ := unevenJob(o, 100, rng)
 	times[0][3] = 20 * time.Second
 	expected := o.criticalPath(j)
-	runStep(o, j.occurrences[0].steps[0], times[0])
+	runStep(o, j.occurrences.live[0].steps[0], times[0])
 	g.Expect(o.criticalPath(j)).To(gomega.BeNumerically("<=", 2*expected))
 }
 
@@ -92,7 +92,7 @@
 	rng := rand.New(rand.NewPCG(3, 3))
 	for i := range 40 {
 		j, times, _ := unevenJob(o, i+1, rng)
-		runStep(o, j.occurrences[0].steps[0], times[0])
+		runStep(o, j.occurrences.live[0].steps[0], times[0])
 	}
 	j, _, _ := unevenJob(o, 100, rng)
 	expected := o.criticalPath(j)
--- a/internal/core/job/stopping.go
+++ b/internal/core/job/stopping.go
@@ -10,7 +10,7 @@
 		return nil
 	}
 	rows := j.hostRows()
-	for _, occ := range j.occurrences {
+	for _, occ := range j.occurrences.live {
 		for _, st := range occ.steps {
 			for _, t := range st.tasks {
 				if row, ok := t.row(); ok && t.worker != nil {
@@ -51,9 +51,7 @@
 	job.progress = nil
 	active.terminalPhase, active.terminalPhaseWritten, active.stoppingWritten = job.Phase, true, true
 	o.jobs[job.ID], o.jobOrder = active, append(o.jobOrder, active)
-	for _, row := range rows {
-		o.restoreTasks(active, row)
-	}
+	o.restoreOccurrences(active, rows)
 	o.inheritHosts(rows)
 	o.stopRuns(active)
 	o.compactStopped(active)
--- a/internal/core/job/stray_orders_test.go
+++ b/internal/core/job/stray_orders_test.go
@@ -88,7 +88,7 @@
 	o := fleetOf(1)
 	o.s.settings.MaxLease = 10 * time.Second
 	j := addTestJob(o, 1, Step{Count: 2, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000})
-	confirmed, open, w := j.occurrences[0].steps[0].tasks[0], j.occurrences[0].steps[0].tasks[1], o.workers["w0000"]
+	confirmed, open, w := j.occurrences.live[0].steps[0].tasks[0], j.occurrences.live[0].steps[0].tasks[1], o.workers["w0000"]
 	startOn(o, confirmed, w)
 	o.assign(open, w)
 	o.sendStart(open, open.lastRun)
@@ -117,7 +117,7 @@
 	g := gomega.NewWithT(t)
 	o := fleetOf(1)
 	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000})
-	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	task, w := j.occurrences.live[0].steps[0].tasks[0], o.workers["w0000"]
 	w.clock, w.clockReadAt = time.Hour, o.s.now
 	o.assign(task, w)
 	o.sendStart(task, task.lastRun)
@@ -137,7 +137,7 @@
 	renewedAt := o.s.now
 	o.awaitEarlierLeases(renewedAt)
 	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000, LongRunning: true})
-	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	task, w := j.occurrences.live[0].steps[0].tasks[0], o.workers["w0000"]
 	w.fenced, w.leaseUntil = false, o.earlierLeasesUntil
 	o.bind(task, w, w.info.Incarnation)
 	task.state, task.lastRun = runStartUnknown, 1
@@ -227,7 +227,7 @@
 	o := fleetOf(1)
 	o.s.settings.MaxLease = 10 * time.Second
 	j := addTestJob(o, 1, Step{Count: 2, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000})
-	first, second, w := j.occurrences[0].steps[0].tasks[0], j.occurrences[0].steps[0].tasks[1], o.workers["w0000"]
+	first, second, w := j.occurrences.live[0].steps[0].tasks[0], j.occurrences.live[0].steps[0].tasks[1], o.workers["w0000"]
 	o.assign(first, w)
 	o.sendStart(first, first.lastRun)
 	o.s.now = o.s.now.Add(time.Second)
@@ -242,7 +242,7 @@
 	g := gomega.NewWithT(t)
 	o := fleetOf(1)
 	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000})
-	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	task, w := j.occurrences.live[0].steps[0].tasks[0], o.workers["w0000"]
 	w.clock, w.clockReadAt = 200*time.Millisecond, o.s.now
 	o.s.now = o.s.now.Add(14 * time.Second)
 	o.assign(task, w)
@@ -258,7 +258,7 @@
 	g := gomega.NewWithT(t)
 	o := fleetOf(1)
 	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000})
-	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	task, w := j.occurrences.live[0].steps[0].tasks[0], o.workers["w0000"]
 	w.clock, w.clockReadAt = time.Hour, o.s.now
 	o.assign(task, w)
 	o.sendStart(task, task.lastRun)
@@ -342,7 +342,7 @@
 	o.s.claim.previousOwner.Node = "earlier"
 	o.awaitEarlierLeases(o.s.now)
 	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 20_000})
-	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	task, w := j.occurrences.live[0].steps[0].tasks[0], o.workers["w0000"]
 	w.fenced, w.leaseUntil, w.openUntil = false, o.earlierLeasesUntil, o.earlierLeasesUntil.Add(time.Second)
 	o.bind(task, w, w.info.Incarnation)
 	task.state, task.lastRun = runStartUnknown, 1
@@ -358,7 +358,7 @@
 	o := fleetOf(1)
 	o.s.settings.MaxLease = 10 * time.Second
 	j := addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 100, Memory: 10}, EstimateMS: 600_000})
-	task, w := j.occurrences[0].steps[0].tasks[0], o.workers["w0000"]
+	task, w := j.occurrences.live[0].steps[0].tasks[0], o.workers["w0000"]
 	startOn(o, task, w)
 	task.openStarts = 1
 	g.Expect(o.runExpiresAt(task)).To(gomega.Equal(o.s.now.Add(orderDelivery + o.s.longestLeaseSpan())))
--- a/internal/core/job/terms.go
+++ b/internal/core/job/terms.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		o.resolveTerms(j)
-		for _, occ := range j.occurrences {
+		for _, occ := range j.occurrences.live {
 			for _, st := range occ.steps {
 				for _, t := range st.tasks {
 					o.failIfExhausted(t)
--- a/internal/core/job/terms_test.go
+++ b/internal/core/job/terms_test.go
@@ -156,7 +156,7 @@
 	o.s.config.Index()
 	j := newJob(o, "00000000000000aa", Step{Count: 2, Need: Resources{CPU: 1000}})
 	j.acceptance.Team, j.acceptance.Queue, j.acceptance.Terms = "t", "q", read.Terms
-	st := j.occurrences[0].steps[0]
+	st := j.occurrences.live[0].steps[0]
 	g.Expect(o.advisorOf(j)).To(gomega.Equal(config.Queues[0].Advisor))
 	g.Expect(o.withinTeamLimit(st)).To(gomega.BeTrue())
 	o.teamUsage["t"] = Resources{CPU: 1000}
--- a/internal/core/job/worker_outcomes_test.go
+++ b/internal/core/job/worker_outcomes_test.go
@@ -12,7 +12,7 @@
 	g := gomega.NewWithT(t)
 	o := fleetOf(2)
 	j := newJob(o, "00000000000000aa", Step{Count: 1, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
-	failed := j.occurrences[0].steps[0].tasks[0]
+	failed := j.occurrences.live[0].steps[0].tasks[0]
 	room := &poolRoom{workers: []*worker{o.workers[o.workerIDs[0]], o.workers[o.workerIDs[1]]}}
 	first := o.chooseWorker(failed, room)
 	o.noteOutcome(failed, first, true)
@@ -28,7 +28,7 @@
 	g := gomega.NewWithT(t)
 	o := fleetOf(2)
 	j := newJob(o, "00000000000000aa", Step{Count: 8, Need: Resources{CPU: 900, Memory: 900}, EstimateMS: 700})
-	tasks := j.occurrences[0].steps[0].tasks
+	tasks := j.occurrences.live[0].steps[0].tasks
 	room := func() *poolRoom {
 		return &poolRoom{workers: []*worker{o.workers[o.workerIDs[0]], o.workers[o.workerIDs[1]]}}
 	}
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -471,10 +471,8 @@
 func (o *owner) stopOrphan(w *worker, r RunReport) {
 	// A run of a job that is not known any more may be of any size.
 	size := w.info.Capacity
-	if j := o.jobs[r.Task.Job]; j != nil {
-		if t := j.findTask(r.Task); t != nil {
-			size = t.step.spec.Reserved()
-		}
+	if j := o.jobs[r.Task.Job]; j != nil && r.Task.Step < len(j.acceptance.Spec.Steps) {
+		size = j.acceptance.Spec.Steps[r.Task.Step].Reserved()
 	}
 	w.orphaned = w.orphaned.Plus(size)
 	o.s.logEvent(LogOrphanedRunStopped, "task", r.Task, "run", r.Run, "worker", w.info.ID)
--- a/internal/jobnode/metrics.go
+++ b/internal/jobnode/metrics.go
@@ -91,6 +91,8 @@
 		n.metrics.gauge("sardinehead_job_workers", float64(len(d.Workers)))
 		n.metrics.gauge("sardinehead_job_unreachable_workers", float64(d.UnreachableWorkers))
 		n.metrics.gauge("sardinehead_job_suspected_tasks", float64(d.SuspectedTasks))
+		n.metrics.gauge("sardinehead_job_live_tasks", float64(d.LiveTasks))
+		n.metrics.gauge("sardinehead_job_waiting_occurrences", float64(d.WaitingOccurrences))
 		n.metrics.gauge("sardinehead_job_reservations", float64(len(d.Reservations)))
 		n.metrics.gauge("sardinehead_job_oldest_reservation_seconds", d.OldestReservation().Seconds())
 	})
