Orders to machines end with the ownership, and the next owner counts those that may still arrive

Cause: an owner checked its authority before an order waited for one of the connections to the platform, a resignation did not end it, and the order was sent after the handover. The next owner counted what the list of machines showed, and its own orders.

An owner that hands over withdraws the orders that were not sent, and its last record says that they are not open. Records of orders name their wave. 601 says how many orders are unresolved.

Why it works: no order is sent after the last record, and each that was sent before is open on the stream, and counted.

Tests: TestMachineOrdersAreSentAfterTheRecord names the new field of the record, and is as strict as before. The simulated fleet checks the limits of waves.

--- a/internal/core/job/claim.go
+++ b/internal/core/job/claim.go
@@ -252,6 +252,7 @@
 	}
 	s.logEvent(LogOwnershipLost, "fence", s.owner.fence, "why", reason)
 	s.claim.lostFence = s.owner.fence
+	s.emit(WithdrawOrders{Fence: s.owner.fence})
 	s.owner.abandonBatch()
 	// An owner does not measure its reads, since they wait for records.
 	s.stream.readLatency = max(s.stream.readLatency, s.owner.appendLatency)
--- a/internal/core/job/fleet.go
+++ b/internal/core/job/fleet.go
@@ -56,6 +56,8 @@
 	// orderNotBefore is the earliest time of the next order to a machine that an earlier
 	// owner sent an order to.
 	orderNotBefore map[MachineID]vocab.Instant
+	// unresolved holds the orders for maintenance that may still be carried out although no response is expected.
+	unresolved map[MachineID]unresolvedOrder
 	// shortages holds the pools that lack machines.
 	shortages map[vocab.PoolID]shortage
 	// dueWork is the capacity that each pool's work requires, as of the last plan.
--- a/internal/core/job/handover.go
+++ b/internal/core/job/handover.go
@@ -90,6 +90,7 @@
 // resign hands the ownership over once a node is ready for it. Without one that could be
 // asked, the last record follows at once.
 func (o *owner) resign() {
+	o.withdrawOrders()
 	if h := o.handover; h != nil {
 		h.reachOnly = false
 	}
@@ -193,6 +194,7 @@
 		o.handover = nil
 		return
 	}
+	o.withdrawOrders()
 	o.resigned = true
 }
 
--- a/internal/core/job/machines.go
+++ b/internal/core/job/machines.go
@@ -106,6 +106,13 @@
 		Until vocab.Instant
 	}
 
+	// WithdrawOrders revokes the orders to machines of owners up to a fence that have not been sent: those that wait
+	// for a connection are not sent any more, and have the outcome NotDone.
+	WithdrawOrders struct {
+		effectMarker
+		Fence Fence
+	}
+
 	// WriteStatus reports the progress of a wave to operators. The response is
 	// StatusWritten.
 	WriteStatus struct {
@@ -146,7 +153,7 @@
 // machineOrdersAllowed reports whether orders to machines are allowed: not before a machine
 // list, read since the takeover, shows the effect of the orders of earlier owners.
 func (o *owner) machineOrdersAllowed() bool {
-	return o.mayOrder() && o.fleet.listSentAt > o.activeAt
+	return o.mayOrder() && !o.ordersWithdrawn && o.fleet.listSentAt > o.activeAt
 }
 
 // tickFleet requests the machine list when it is due and plans waves and moves.
@@ -230,6 +237,9 @@
 			m = &machine{}
 		}
 		m.info = info
+		if info.State == MachineInMaintenance {
+			delete(f.unresolved, info.ID)
+		}
 		o.resolveOrder(m, e.SentAt)
 		f.machines[info.ID] = m
 		f.machineIDs = append(f.machineIDs, info.ID)
@@ -260,6 +270,10 @@
 		// No response to the order came. If the order did take effect, the response to the
 		// next one is OK. It remains open on the stream, since it may take effect later.
 		m.orderPending = false
+		if m.order == OrderMaintenance {
+			f := &o.fleet
+			f.unresolved[m.info.ID] = unresolvedOrder{m.orderedAt.Add(orderAuthority + lateOrderEffect), m.wave}
+		}
 	}
 	if !m.orderPending {
 		o.uncordon(m)
@@ -292,7 +306,7 @@
 		id = LogMachineMaintenance
 	}
 	o.s.logEvent(id, "machine", m.info.ID, "pool", m.info.Pool, "to", to, "wave", wave, "fence", o.fence)
-	o.orderLog.note(o.s.now, m.info.ID, m.namedWorker, true)
+	o.noteOrder(m, true)
 	o.pendingOrders = append(o.pendingOrders, m)
 }
 
@@ -310,9 +324,8 @@
 	if o.fleet.machines[m.info.ID] != m || !m.orderPending {
 		return
 	}
-	if w := o.workerOf(m); w != nil && !o.canInterruptTasks(w) || o.movesIntoEvacuatedZone(m) {
-		o.abandonOrder(m)
-		o.orderLog.note(o.s.now, m.info.ID, m.namedWorker, false)
+	if w := o.workerOf(m); o.ordersWithdrawn || w != nil && !o.canInterruptTasks(w) || o.movesIntoEvacuatedZone(m) {
+		o.abandonUnsent(m)
 		return
 	}
 	m.orderSent, m.orderedAt = true, o.s.now
@@ -322,6 +335,26 @@
 	})
 }
 
+// abandonUnsent ends an order that was not sent, on the stream as well.
+func (o *owner) abandonUnsent(m *machine) {
+	o.abandonOrder(m)
+	o.noteOrder(m, false)
+}
+
+// noteOrder adds the state of a machine's order to the record of orders. It stays open while an earlier order to the machine
+// is unresolved.
+func (o *owner) noteOrder(m *machine, open bool) {
+	wave := m.wave
+	if earlier, found := o.fleet.unresolved[m.info.ID]; found && !open && o.s.now < earlier.until {
+		o.orderLog.note(o.s.now, m.info.ID, orderState{open: true, worker: m.namedWorker, wave: earlier.wave})
+		return
+	}
+	if m.order == OrderMove {
+		wave = noWave
+	}
+	o.orderLog.note(o.s.now, m.info.ID, orderState{open: open, worker: m.namedWorker, wave: wave})
+}
+
 // abandonOrder ends an order that was not carried out.
 func (o *owner) abandonOrder(m *machine) {
 	m.orderPending, m.idleSince = false, o.s.now
@@ -341,8 +374,12 @@
 	if m == nil || !m.orderPending || m.order != e.Order {
 		return
 	}
+	if e.Outcome == OK && m.order == OrderMaintenance {
+		// Earlier orders to the machine have no effect any more.
+		delete(o.fleet.unresolved, m.info.ID)
+	}
 	if e.Outcome != Unknown {
-		o.orderLog.note(o.s.now, m.info.ID, m.namedWorker, false)
+		o.noteOrder(m, false)
 	}
 	switch e.Outcome {
 	case OK:
--- a/internal/core/job/order_log.go
+++ b/internal/core/job/order_log.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -44,6 +45,9 @@
 	// Workers are the workers that the orders end, of the machines in Open and then in Answered; "" where none
 	// is known. Records of earlier versions don't have them.
 	Workers []WorkerID `json:"w,omitempty"`
+	// Waves are the waves of the orders, in the order of Workers, noWave for orders that are not for maintenance. Records
+	// of earlier versions don't have them.
+	Waves []int64 `json:"v,omitempty"`
 	// Drains are the workers with tasks that the owner has seen draining. Earlier versions ignore them.
 	Drains []drainedWorker `json:"drain,omitempty"`
 }
@@ -62,6 +66,14 @@
 	return ""
 }
 
+// wave returns the wave of the order to the i-th machine of Open and Answered, noWave or anyWave.
+func (r *orderRecord) wave(i int) int64 {
+	if i < len(r.Waves) {
+		return r.Waves[i]
+	}
+	return anyWave
+}
+
 // lastOrder is the last order to a machine that this node has read of. readAt is the time
 // when it was read, open is set until its response was read.
 type lastOrder struct {
@@ -71,12 +83,15 @@
 	writtenAt Millis
 	// worker is the worker that the order ends; "" if it is not known.
 	worker WorkerID
+	// wave is the wave of the order, noWave or anyWave.
+	wave int64
 }
 
 // orderState is the state of an order to a machine.
 type orderState struct {
 	open   bool
 	worker WorkerID
+	wave   int64
 }
 
 // orderLog builds the records of an owner.
@@ -90,13 +105,13 @@
 	changed   bool // since the record was last written
 }
 
-// note adds the state of a machine's order, which ends the worker, to the record of the current period.
-func (l *orderLog) note(now vocab.Instant, id MachineID, worker WorkerID, open bool) {
+// note adds the state of a machine's order to the record of the current period.
+func (l *orderLog) note(now vocab.Instant, id MachineID, state orderState) {
 	l.beginPeriod(now)
 	if _, listed := l.state[id]; !listed {
 		l.machines = append(l.machines, id)
 	}
-	l.state[id] = orderState{open, worker}
+	l.state[id] = state
 	l.changed = true
 }
 
@@ -120,19 +135,25 @@
 func (l *orderLog) record(fence Fence, wall Millis) (Record, error) {
 	l.changed = false
 	r := orderRecord{At: wall, Drains: l.drains}
-	var open, answered []WorkerID
+	var workers []WorkerID
 	named := false
-	for _, id := range l.machines {
-		state := l.state[id]
-		named = named || state.worker != ""
-		if state.open {
-			r.Open, open = append(r.Open, id), append(open, state.worker)
-		} else {
-			r.Answered, answered = append(r.Answered, id), append(answered, state.worker)
+	for _, open := range []bool{true, false} {
+		for _, id := range l.machines {
+			state := l.state[id]
+			if state.open != open {
+				continue
+			}
+			if open {
+				r.Open = append(r.Open, id)
+			} else {
+				r.Answered = append(r.Answered, id)
+			}
+			workers, r.Waves = append(workers, state.worker), append(r.Waves, state.wave)
+			named = named || state.worker != ""
 		}
 	}
 	if named {
-		r.Workers = append(open, answered...)
+		r.Workers = workers
 	}
 	value, err := json.Marshal(r)
 	key := ordersPrefix + strconv.FormatUint(uint64(fence), 36) + "-" + strconv.Itoa(l.periods)
@@ -150,11 +171,9 @@
 		return errors.Mark(errors.Wrap(err, "decoding orders to machines"), ErrBadRecord)
 	}
 	l.orderRecords[r.Key] = now
-	for i, id := range record.Open {
-		l.noteOrder(id, lastOrder{readAt: now, open: true, writtenAt: record.At, worker: record.worker(i)})
-	}
-	for i, id := range record.Answered {
-		l.noteOrder(id, lastOrder{readAt: now, writtenAt: record.At, worker: record.worker(len(record.Open) + i)})
+	for i, id := range slices.Concat(record.Open, record.Answered) {
+		order := lastOrder{readAt: now, open: i < len(record.Open), writtenAt: record.At, worker: record.worker(i), wave: record.wave(i)}
+		l.noteOrder(id, order)
 	}
 	for _, d := range record.Drains {
 		l.drains[d.Worker] = drain{d.Incarnation, now}
@@ -184,7 +203,7 @@
 func (l *Ledger) foldEarlierFormat(now vocab.Instant, list []recentOrder) {
 	for _, order := range list {
 		readAt := now.Add(-time.Duration(order.AgeMS) * time.Millisecond)
-		l.lastOrders[order.Machine] = lastOrder{readAt: readAt, open: order.Open}
+		l.lastOrders[order.Machine] = lastOrder{readAt: readAt, open: order.Open, wave: anyWave}
 	}
 }
 
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -78,6 +78,8 @@
 	// is on the stream; orderLog builds these records.
 	pendingOrders []*machine
 	orderLog      orderLog
+	// ordersWithdrawn is set once the owner sends no orders to machines any more because it hands over.
+	ordersWithdrawn bool
 
 	// liveTasks is the number of tasks of active jobs in memory, as of the last tick and with those added since.
 	liveTasks int
@@ -140,7 +142,7 @@
 		appendLatency: s.stream.readLatency,
 		jobs:          map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, presumedCrashes: map[MachineID]attributedCrash{}, crashRates: map[vocab.PoolID]*crashRate{}, machineCrashes: map[MachineID]machineCrashes{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
 		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), stepTimes: newRunTimeModel(), learnedQueues: map[vocab.QueueID]bool{}, queueWork: newQueueWork(), door: newDoor(), teamRates: map[vocab.TeamID]*tokenBucket{},
-		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}, policy: poolplan.DefaultPolicy, shortages: map[vocab.PoolID]shortage{}},
+		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}, unresolved: map[MachineID]unresolvedOrder{}, policy: poolplan.DefaultPolicy, shortages: map[vocab.PoolID]shortage{}},
 	}
 	o.awaitEarlierLeases(s.claim.heartbeatBeforeClaim)
 	return o
@@ -149,17 +151,18 @@
 // beginTakeover fences the stream against earlier owners.
 func (o *owner) beginTakeover() { o.sendAppend(nil, nil) }
 
-// delayOrdersAfterTakeover blocks machines with a recent order of an earlier owner,
+// inheritOrders notes the orders of earlier owners that may still be carried out, and blocks machines with a recent order of an earlier owner,
 // because a minimum time must pass between the orders of two owners to one machine. An
 // earlier owner that did not resign may still send its recorded orders until its
 // authority to give orders has expired.
-func (o *owner) delayOrdersAfterTakeover() {
+func (o *owner) inheritOrders() {
 	previous := o.s.claim.previousOwner
-	if previous.Node == o.s.self.Node {
-		return
-	}
 	o.s.ledger.expireOrders(o.s.now, o.s.orderRetention())
 	for id, order := range o.s.ledger.lastOrders {
+		o.inheritUnresolved(id, order)
+		if previous.Node == o.s.self.Node {
+			continue
+		}
 		from := order.readAt
 		if order.open && !previous.Resigned {
 			from = from.Add(orderAuthority)
@@ -185,7 +188,7 @@
 		// extended leases until now.
 		o.awaitEarlierLeases(o.s.now)
 	}
-	o.delayOrdersAfterTakeover()
+	o.inheritOrders()
 	o.inheritLearned()
 	o.inheritCrashRates()
 	jobs := make([]*JobRecord, 0, len(o.s.ledger.Jobs))
@@ -202,7 +205,8 @@
 		o.jobChanged(job)
 	}
 	o.removeClaims()
-	o.s.logEvent(LogOwnershipTakenOver, "fence", o.fence, "jobs", len(o.jobs), "offset", o.s.stream.nextOffset)
+	o.s.logEvent(LogOwnershipTakenOver, "fence", o.fence, "jobs", len(o.jobs), "offset", o.s.stream.nextOffset,
+		"unresolved_orders", len(o.fleet.unresolved))
 	o.planDue = true
 	o.followWorkers()
 }
--- a/internal/core/job/planned_end_simulation_test.go
+++ b/internal/core/job/planned_end_simulation_test.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"testing"
 	"time"
-
-	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
 // drainWorker lets a worker drain and end. It is back under its ID, or another worker is at its address.
@@ -52,7 +50,7 @@
 		sim.pollsWait = true
 		sim.settings.MaxOrdersPerSecond, sim.settings.MinOrderGap = 20, 3*time.Second
 		sim.config.Teams[0].Limit = Resources{}
-		sim.fleet = &fakeFleet{sim: sim, downUntil: map[MachineID]vocab.Instant{}, interrupted: map[TaskName]bool{}, servedAt: map[TaskName]vocab.Instant{}}
+		sim.fleet = newFakeFleet(sim)
 		sim.fleet.lateOrder = rng.Float64() * 0.5
 		for _, n := range sim.nodes {
 			n.clockAhead = skew()
--- a/internal/core/job/restart.go
+++ b/internal/core/job/restart.go
@@ -29,6 +29,9 @@
 	}
 	next.stream.nextReadAt = next.now.Add(restartDelay)
 	next.emit(FollowWorkers{On: false})
+	if s.owner != nil {
+		next.emit(WithdrawOrders{Fence: s.owner.fence})
+	}
 	if call, found := callOf(ev); found {
 		next.reply(Reply{Call: call, Answer: Unclear, Detail: "internal error"})
 	}
--- a/internal/core/job/scheduling_test.go
+++ b/internal/core/job/scheduling_test.go
@@ -161,7 +161,7 @@
 	next.now = vocab.Instant(time.Minute)
 	next.claim.previousOwner = ownerRecord{Node: "a", Incarnation: 1, Fence: 5, Resigned: resigned}
 	n := newOwner(next, 6)
-	n.delayOrdersAfterTakeover()
+	n.inheritOrders()
 	return n
 }
 
@@ -258,7 +258,7 @@
 			o.scheduleOrder(o.fleet.machines[id], OrderMove, "p", 0)
 		}
 		if i > 0 {
-			o.orderLog.note(o.s.now, MachineID(fmt.Sprintf("m-%05d", i*5-1)), WorkerID(fmt.Sprintf("w-%05d", i*5-1)), false)
+			o.orderLog.note(o.s.now, MachineID(fmt.Sprintf("m-%05d", i*5-1)), orderState{worker: WorkerID(fmt.Sprintf("w-%05d", i*5-1))})
 		}
 		o.planDue = false
 		o.finishStep()
@@ -279,7 +279,7 @@
 	g.Expect(o.s.effects).NotTo(gomega.ContainElement(gomega.BeAssignableToTypeOf(OrderMachine{})))
 	o.finishStep()
 	sent := o.pendingAppend
-	g.Expect(string(sent.records[0].Value)).To(gomega.Equal(`{"open":["m2"]}`))
+	g.Expect(string(sent.records[0].Value)).To(gomega.Equal(`{"open":["m2"],"v":[-1]}`))
 	g.Expect(o.s.effects).NotTo(gomega.ContainElement(gomega.BeAssignableToTypeOf(OrderMachine{})))
 	o.handleAppended(Appended{ID: sent.id, Outcome: OK, SentAt: o.s.now})
 	g.Expect(o.s.effects).To(gomega.ContainElement(gomega.BeAssignableToTypeOf(OrderMachine{})))
--- a/internal/core/job/simulation_fleet_test.go
+++ b/internal/core/job/simulation_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,6 +35,104 @@
 	interruptions int
 	// lateOrder is the probability of an order to a machine that is carried out late.
 	lateOrder float64
+	// orderTime, if set, is the time from the sending of an order to its response. It is carried out after half of it.
+	orderTime time.Duration
+	// connections, if set, is the number of orders of a node that are under way at a time; queued holds those that
+	// wait for a connection.
+	connections int
+	underWay    map[vocab.NodeID]int
+	queued      []*queuedOrder
+	// waves holds the requested waves, downFor the wave for which a machine was last taken down, fences the highest
+	// fence of the orders to each machine.
+	waves   map[int64]Wave
+	downFor map[MachineID]int64
+	fences  map[MachineID]Fence
+}
+
+// queuedOrder is an order that waits for a connection.
+type queuedOrder struct {
+	order     OrderMachine
+	reply     func(event.Event)
+	expiresAt vocab.Instant
+}
+
+// machineCallTime is the time after which a node gives up on an order to a machine.
+const machineCallTime = 1500 * time.Millisecond
+
+func newFakeFleet(sim *simulation) *fakeFleet {
+	return &fakeFleet{
+		sim: sim, downUntil: map[MachineID]vocab.Instant{}, interrupted: map[TaskName]bool{}, servedAt: map[TaskName]vocab.Instant{},
+		underWay: map[vocab.NodeID]int{}, waves: map[int64]Wave{}, downFor: map[MachineID]int64{}, fences: map[MachineID]Fence{},
+	}
+}
+
+// downOf counts the machines that are down for their maintenance in a wave.
+func (f *fakeFleet) downOf(wave int64) int {
+	n := 0
+	for id, until := range f.downUntil {
+		if until > f.sim.now && f.downFor[id] == wave {
+			n++
+		}
+	}
+	return n
+}
+
+// carryOut carries an order for maintenance out, and checks the limit of its wave.
+func (f *fakeFleet) carryOut(e OrderMachine) Outcome {
+	if e.Fence < f.fences[e.Machine] {
+		return Fenced
+	}
+	f.fences[e.Machine] = e.Fence
+	switch wave, requested := f.waves[e.Wave]; {
+	case requested && f.downFor[e.Machine] == e.Wave:
+		return OK // It was carried out before.
+	case f.downUntil[e.Machine] > f.sim.now:
+		return NotDone
+	case requested && f.downOf(e.Wave) >= wave.MaxDown:
+		f.sim.addViolation("%s is ordered down by %s while %d machines of wave %d are down, and %d may be", e.Machine, e.Node, f.downOf(e.Wave), e.Wave, wave.MaxDown)
+	}
+	f.downFor[e.Machine] = e.Wave
+	f.maintain(e.Machine)
+	return OK
+}
+
+// sendQueued sends the orders that a connection is free for.
+func (f *fakeFleet) sendQueued() {
+	sim := f.sim
+	for i := 0; i < len(f.queued); {
+		q := f.queued[i]
+		answered := func(o Outcome) {
+			q.reply(MachineOrderAnswered{Machine: q.order.Machine, Order: q.order.Order, Outcome: o})
+		}
+		switch {
+		case sim.now >= min(q.expiresAt, q.order.Until):
+			answered(NotDone)
+		case f.underWay[q.order.Node] >= f.connections:
+			i++
+			continue
+		default:
+			f.underWay[q.order.Node]++
+			outcome := Unknown
+			sim.after(f.orderTime/2, func() { outcome = f.carryOut(q.order) })
+			sim.after(f.orderTime, func() {
+				f.underWay[q.order.Node]--
+				answered(outcome)
+				f.sendQueued()
+			})
+		}
+		f.queued = slices.Delete(f.queued, i, i+1)
+	}
+}
+
+// withdraw removes the queued orders of a node up to a fence.
+func (f *fakeFleet) withdraw(node vocab.NodeID, fence Fence) {
+	f.queued = slices.DeleteFunc(f.queued, func(q *queuedOrder) bool {
+		if q.order.Node != node || q.order.Fence > fence {
+			return false
+		}
+		q.reply(MachineOrderAnswered{Machine: q.order.Machine, Order: q.order.Order, Outcome: NotDone})
+		return true
+	})
 }
 
 // progress returns the progress of a run in percent: long-running tasks serve after a warm-up.
@@ -111,6 +210,12 @@
 	case WriteStatus:
 		reply(StatusWritten{Wave: e.Wave, Complete: e.Complete})
 	case OrderMachine:
+		if f.connections > 0 {
+			f.queued = append(f.queued, &queuedOrder{e, reply, sim.now.Add(machineCallTime)})
+			f.sendQueued()
+			sim.after(machineCallTime, f.sendQueued)
+			return
+		}
 		lost := sim.rng.Float64() < sim.faults.loseOrder
 		sim.after(sim.delay(), func() {
 			if sim.now > e.Until {
@@ -121,12 +226,12 @@
 				f.maintainLate(e, reply)
 				return
 			}
-			f.maintain(e.Machine)
+			outcome := f.carryOut(e)
 			if lost {
 				sim.after(800*time.Millisecond, func() { reply(MachineOrderAnswered{Machine: e.Machine, Order: e.Order, Outcome: Unknown}) })
 				return
 			}
-			reply(MachineOrderAnswered{Machine: e.Machine, Order: e.Order})
+			reply(MachineOrderAnswered{Machine: e.Machine, Order: e.Order, Outcome: outcome})
 		})
 	}
 }
@@ -147,7 +252,7 @@
 	sim.after(800*time.Millisecond, func() { reply(MachineOrderAnswered{Machine: e.Machine, Order: e.Order, Outcome: Unknown}) })
 	sim.after(2*time.Second+time.Duration(sim.rng.Int64N(int64(10*time.Second))), func() {
 		if wk != nil && f.workerOn(e.Machine) == wk {
-			f.maintain(e.Machine)
+			f.carryOut(e)
 		}
 	})
 }
@@ -212,7 +317,7 @@
 		sim.pollsWait = true
 		sim.settings.MaxOrdersPerSecond, sim.settings.MinOrderGap = 20, 3*time.Second
 		sim.config.Teams[0].Limit = Resources{}
-		sim.fleet = &fakeFleet{sim: sim, downUntil: map[MachineID]vocab.Instant{}, interrupted: map[TaskName]bool{}, servedAt: map[TaskName]vocab.Instant{}}
+		sim.fleet = newFakeFleet(sim)
 		sim.startFleet(minRemoteFleet+2, 4)
 		for range 4 {
 			sim.submit(Spec{Steps: []Step{{
@@ -263,6 +368,7 @@
 				wave.Machines = append(wave.Machines, MachineID(fmt.Sprintf("w%03d", i)))
 			}
 		}
+		sim.fleet.waves[wave.Number] = wave
 		for second := number * 12; second < 70; second++ {
 			sim.after(time.Duration(second)*time.Second, func() {
 				for _, n := range sim.nodes {
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -426,6 +426,10 @@
 			}
 		}
 		reply(advice)
+	case WithdrawOrders:
+		if sim.fleet != nil {
+			sim.fleet.withdraw(n.state.self.Node, e.Fence)
+		}
 	case ListMachines, OrderMachine, WriteStatus:
 		if sim.fleet != nil {
 			sim.fleet.execute(effect, reply)
--- a/internal/core/job/waves.go
+++ b/internal/core/job/waves.go
@@ -152,6 +152,9 @@
 			}
 		case !ws.done[id]:
 			remaining = append(remaining, m)
+			if o.mayGoDown(id, number) {
+				down++
+			}
 		}
 	}
 	o.reportWave(number, ws, len(remaining) == 0 && down == 0)
@@ -164,13 +167,14 @@
 		o.logWaveDelay(number, ws, remaining[0])
 	}
 	for _, m := range remaining {
-		if available <= 0 || o.fleet.waveTokens < 1 {
+		if o.fleet.waveTokens < 1 {
 			return
 		}
-		if m.info.State != MachineUp || !o.acceptsOrder(m) {
+		counted := o.mayGoDown(m.info.ID, number)
+		if available <= 0 && !counted || m.info.State != MachineUp || !o.acceptsOrder(m) {
 			continue
 		}
-		if o.prepareMaintenance(number, m, urgent) {
+		if o.prepareMaintenance(number, m, urgent) && !counted {
 			available--
 		}
 	}
@@ -187,7 +191,8 @@
 	ws.loggedAt = o.s.now
 	fields := []any{
 		"wave", number, "waits_for", m.info.ID, "pool", m.info.Pool, "state", int(m.info.State), "ordered", m.orderPending,
-		"order", int(m.order), "answered", m.orderConfirmed, "left_alone_ms", max(0, o.fleet.orderNotBefore[m.info.ID].Sub(o.s.now)).Milliseconds(),
+		"order", int(m.order), "answered", m.orderConfirmed, "unresolved", len(o.fleet.unresolved),
+		"left_alone_ms", max(0, o.fleet.orderNotBefore[m.info.ID].Sub(o.s.now)).Milliseconds(),
 	}
 	if w := o.workerOf(m); w != nil {
 		fields = append(fields, "worker", w.info.ID, "tasks", len(w.tasks), "short", countFiniteTasks(w),
--- a/internal/jobnode/effects.go
+++ b/internal/jobnode/effects.go
@@ -146,6 +146,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout+e.Wait)
 	defer cancel()
+	if e.Lease != 0 {
+		var permit *SendPermit
+		ctx, permit = WithPermit(ctx, e.Until)
+		defer permit.Release()
+	}
 	sentAt := Now()
 	polled := n.platform.Workers.Poll(ctx, e)
 	polled.Fence, polled.SentAt, polled.ReceivedAt = e.Fence, sentAt, Now()
@@ -153,8 +158,8 @@
 }
 
 // start starts a run, unless e.Until has passed: another node may be the owner by then. The
-// time is checked directly before the order is sent, since the process may have been
-// suspended after the reducer's decision.
+// time is checked again directly before the order is sent, since the process may have been
+// suspended after the reducer's decision, and the order waits for a connection.
 func (n *Node) start(ctx context.Context, e job.Start) event.Event {
 	sentAt := Now()
 	if sentAt >= e.Until {
@@ -162,6 +167,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	ctx, permit := WithPermit(ctx, e.Until)
+	defer permit.Release()
 	started := n.platform.Workers.Start(ctx, e)
 	started.Fence, started.SentAt = e.Fence, sentAt
 	n.metrics.observeStart(started.Outcome, Now().Sub(sentAt))
--- a/internal/jobnode/machines.go
+++ b/internal/jobnode/machines.go
@@ -26,6 +26,8 @@
 	case job.OrderMachine:
 		n.background(job.MachineOrderAnswered{Machine: e.Machine, Order: e.Order, Outcome: job.Unknown, Err: errPanicked},
 			func() event.Event { return n.orderMachine(ctx, e) })
+	case job.WithdrawOrders:
+		n.orders.withdraw(e.Fence)
 	case job.WriteStatus:
 		n.background(job.StatusWritten{Wave: e.Wave, Complete: e.Complete, Outcome: job.Unknown}, func() event.Event { return n.writeStatus(ctx, e) })
 	case job.RequestAdvice:
@@ -54,13 +56,15 @@
 	return job.MachinesListed{OK: err == nil, Machines: list, SentAt: sentAt, Err: err}
 }
 
-// orderMachine sends an order to a machine, unless e.Until has passed: another node may be
-// the owner by then.
+// orderMachine sends an order to a machine, unless e.Until has passed or the owner has withdrawn its orders: another node
+// may be the owner by then.
 func (n *Node) orderMachine(ctx context.Context, e job.OrderMachine) event.Event {
 	result := job.MachineOrderAnswered{Machine: e.Machine, Order: e.Order, Outcome: job.NotDone}
 	if Now() < e.Until {
 		ctx, cancel := context.WithTimeout(ctx, machineCallTimeout)
 		defer cancel()
+		ctx, endPermit := n.orders.grant(ctx, e.Fence, e.Until)
+		defer endPermit()
 		result.Outcome, result.Err = n.platform.Machines.OrderMachine(ctx, e)
 	}
 	return result
--- a/internal/jobnode/node.go
+++ b/internal/jobnode/node.go
@@ -40,6 +40,8 @@
 
 	ready  atomic.Bool
 	owning atomic.Bool
+	// orders holds the permits of orders to machines.
+	orders orderPermits
 	// Followers that the reducer starts and stops.
 	workersSubscription, directorySubscription subscription
 }
