--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -11,7 +11,7 @@
 // starts again under its id.
 func clock(s *site, trouble bool) (verdict, error) {
 	s.configure([]string{"orders"}, route("orders", "orders", nil))
-	for i := range 3 {
+	for i := range 7 {
 		if err := s.addWorker(newWorker(s.log, fmt.Sprintf("i-%d", i), "orders", "a")); err != nil {
 			return verdict{}, err
 		}
@@ -437,3 +437,52 @@
 	return verdict{state != "completed", fmt.Sprintf("LOST: the submission is %q and had nothing running for %.0f s, while all minions of the service were up and idle",
 		state, longest.Seconds())}, nil
 }
+
+// lateCopy: a start gets no answer and is carried out seconds later, by the next life of the minion. The
+// owner has sent it again meanwhile, and the task has ended done.
+func lateCopy(s *site, trouble bool) (verdict, error) {
+	s.configure([]string{"orders"}, route("orders", "orders", nil))
+	for i := range 8 {
+		if err := s.addWorker(newWorker(s.log, fmt.Sprintf("i-%d", i), "orders", "a")); err != nil {
+			return verdict{}, err
+		}
+	}
+	if _, err := s.addNode("front-a-1"); err != nil {
+		return verdict{}, err
+	}
+	owner, err := s.awaitOwner()
+	if err != nil {
+		return verdict{}, err
+	}
+	const tries = 4
+	var twice []string
+	for i := range tries {
+		// The minion has another task, so that it is polled for the next 2.5 s.
+		other := fmt.Sprintf("00000000be51%04x", i)
+		s.call(owner, http.MethodPost, "/orders/"+other, tenantKey[0], submission(runs, 1, 1000, 2500*time.Millisecond, nil))
+		time.Sleep(300 * time.Millisecond)
+		starts := s.log.startsOf(other)
+		if len(starts) == 0 {
+			return verdict{}, fmt.Errorf("no task has started")
+		}
+		w := s.worker(starts[0].worker)
+		w.loseStart(trouble)
+		id := fmt.Sprintf("000000001a7e%04x", i)
+		if status, _ := s.call(owner, http.MethodPost, "/orders/"+id, tenantKey[0], submission(runs, 1, 1000, time.Second, nil)); status != http.StatusOK {
+			return verdict{}, fmt.Errorf("the submission got %d", status)
+		}
+		time.Sleep(3 * time.Second)
+		s.state(owner, "/orders/"+id, tenantKey[0])
+		w.loseStart(false)
+		w.crash()
+		time.Sleep(500 * time.Millisecond)
+		w.start()
+		time.Sleep(6 * time.Second)
+		twice = append(twice, s.log.afterDone(id)...)
+		twice = append(twice, s.log.overlaps(id)...)
+	}
+	for _, text := range twice {
+		s.log.write("started again: %s", text)
+	}
+	return verdict{len(twice) > 0, fmt.Sprintf("TWICE: %d starts of a task after a run of it had ended done", len(twice))}, nil
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -27,6 +27,7 @@
 // cases holds the cases by name. Each gets the site and whether the disruption takes place.
 var cases = map[string]func(s *site, trouble bool) (verdict, error){
 	"clock":   clock,
+	"late":    lateCopy,
 	"advice":  advice,
 	"crash":   crash,
 	"waiting": waiting,
--- a/review/standin-3/record.go
+++ b/review/standin-3/record.go
@@ -14,6 +14,8 @@
 	file   *os.File
 	begun  time.Time
 	starts []*start
+	// done holds the time at which an end done of a task was first taken note of.
+	done map[string]time.Time
 }
 
 // start is the start of a run on a worker.
@@ -27,7 +29,7 @@
 
 func newRecord(path string) (*record, error) {
 	file, err := os.Create(path)
-	return &record{file: file, begun: time.Now()}, err
+	return &record{file: file, begun: time.Now(), done: map[string]time.Time{}}, err
 }
 
 func (r *record) write(format string, values ...any) {
@@ -55,6 +57,31 @@
 	}
 }
 
+// noted notes that a worker may forget an end: [N, task, run, how, saved].
+func (r *record) noted(row []any) {
+	task, how := row[1].(string), row[3].(string)
+	r.write("the end %s of %s run %v is taken note of", how, task, row[2])
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if how == "done" && r.done[task].IsZero() {
+		r.done[task] = time.Now()
+	}
+}
+
+// afterDone describes each start of a task of the submission after an end done of it was taken note of.
+func (r *record) afterDone(id string) []string {
+	var found []string
+	for _, s := range r.startsOf(id) {
+		r.mu.Lock()
+		done := r.done[s.task]
+		r.mu.Unlock()
+		if !done.IsZero() && s.at.After(done) {
+			found = append(found, fmt.Sprintf("%s: run %d on %s, %.1f s after an end done was taken note of", s.task, s.number, s.worker, s.at.Sub(done).Seconds()))
+		}
+	}
+	return found
+}
+
 // startsOf returns the starts of the tasks of a submission.
 func (r *record) startsOf(id string) []start {
 	r.mu.Lock()
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -73,6 +73,16 @@
 	return nil
 }
 
+// worker returns the worker with an id.
+func (s *site) worker(id string) *worker {
+	for _, w := range s.workers {
+		if w.id == id {
+			return w
+		}
+	}
+	return nil
+}
+
 // addNode starts a process with the command of the deploy file and the settings of its template.
 func (s *site) addNode(name string) (*node, error) {
 	const tries = 3
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -36,6 +36,8 @@
 	lastEnd  int64
 	highest  map[string]uint64
 	added    chan struct{}
+	// losesStart is set if the next start gets no answer and is carried out lateBy later.
+	losesStart bool
 	// lostPaces is the number of further calls of /pace whose channel is reset before they are carried out.
 	lostPaces int
 	// baseTail is the tail of a task that serves and is not disturbed, in milliseconds.
@@ -74,6 +76,8 @@
 	holdMost = 6 * time.Second
 	// entryLag is the time after its start at which a worker's entry is in the store: lag_ms of the site file.
 	entryLag = 800 * time.Millisecond
+	// lateBy is the time after which an order without an answer is carried out.
+	lateBy = 4 * time.Second
 	// startup is the time after which a task that lasts is at work.
 	startup = 300 * time.Millisecond
 	// disturbance is what a task that fills adds to the tail of a task that serves, in milliseconds.
@@ -179,6 +183,10 @@
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		if r.URL.Path == "/run-start" && w.carriesOutLate(o) {
+			<-r.Context().Done()
+			return
+		}
 		if o.WaitMS > 0 {
 			w.await(o.LastSeen, time.Duration(o.WaitMS)*time.Millisecond, r)
 		}
@@ -207,6 +215,36 @@
 	return w.down
 }
 
+func (w *worker) loseStart(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.losesStart = on
+}
+
+// carriesOutLate reports whether a start gets no answer. It is carried out later, by whichever life of the
+// worker is up then: orders name the id only.
+func (w *worker) carriesOutLate(o order) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.losesStart {
+		return false
+	}
+	w.losesStart = false
+	w.log.write("minion %s: the start of %s run %d gets no answer, and is carried out %s later", w.id, o.Task, o.Run, lateBy)
+	time.AfterFunc(lateBy, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.down || o.Fence < w.fence {
+			w.log.write("minion %s does not carry out the late start of %s run %d", w.id, o.Task, o.Run)
+			return
+		}
+		w.log.write("minion %s carries out the late start of %s run %d", w.id, o.Task, o.Run)
+		w.fence = o.Fence
+		w.runStart(o)
+	})
+	return true
+}
+
 func (w *worker) losesPace() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -337,6 +375,9 @@
 	kept := w.ends[:0:0]
 	finished := [][]any{}
 	for _, e := range w.ends {
+		if e.number <= o.LastSeen {
+			w.log.noted(e.row)
+		}
 		if e.number > o.LastSeen {
 			kept = append(kept, e)
 			if len(finished) < 500 {
