A task on trial asks for advice like any other

Cause: a task that may have crashed its worker starts on trial. placeTasks left the branch for such tasks before the one that requests advice. Tickets expire, so that no later start of the task was ever possible.

Evidence: with the new events 648 (advice requested) and 649 (step waits) a simulated crash shows 612 and no 648 of the step after it, while a job submitted 5 s later has 648, 625 and runs: the slot of the advisor is free, and nothing asks.

Fix: findWorker says why a task found no worker; whichever task lacks only a ticket requests advice, about the workers that this task may use. Tasks of a step that may use the same workers are tried once a pass, and no task ends the search for others that may use more.

The simulated advisor answers late, one call at a time for each node, with tickets that expire and belong to one incarnation of a worker; starts without one are refused. TestAdvisedTasksCarryTickets uses it: a refused start fails it, as a start without a ticket did before.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -60,6 +60,10 @@
 	// advice.
 	tickets           map[WorkerID]ticket
 	adviceRequestedAt vocab.Instant
+	// obstacle is why tasks of the step wait, as of the last placement pass, loggedObstacle what the last log
+	// event said, at the time obstacleLoggedAt.
+	obstacle, loggedObstacle obstacle
+	obstacleLoggedAt         vocab.Instant
 	// runTime is the learned run time of a task, longestTime that of the longest task, as of the time
 	// timesAt.
 	runTime, longestTime time.Duration
--- a/internal/core/job/advice.go
+++ b/internal/core/job/advice.go
@@ -74,17 +74,20 @@
 	return j.acceptance.Terms.Advisor
 }
 
-// requestAdvice asks the advisor about the workers that have free capacity for a step. Only
+// requestAdvice asks the advisor about the workers that a task could use if its step had tickets for them. Only
 // one request is in flight at a time, because the advisor handles the requests of each node
 // one after the other.
-func (o *owner) requestAdvice(st *step, workers []*worker) {
+func (o *owner) requestAdvice(t *task, p *poolRoom) {
+	st := t.step
 	advisor := o.advisorOf(st.job)
 	if advisor == nil || o.advicePending || o.s.now.Sub(st.adviceRequestedAt) < adviceRetryInterval && st.adviceRequestedAt != 0 {
 		return
 	}
+	end := o.endAfterStart(t)
 	var workerIDs []WorkerID
-	for _, w := range workers {
-		if _, valid := st.ticketFor(w, o.s.now); !valid && w.free().Holds(st.spec.Reserved()) && len(workerIDs) < maxAdviceWorkers {
+	for _, w := range p.workers {
+		if _, valid := st.ticketFor(w, o.s.now); !valid && len(workerIDs) < maxAdviceWorkers &&
+			w.free().Holds(st.spec.Reserved()) && o.isEligible(t, w) && o.mayUse(t, w, end) {
 			workerIDs = append(workerIDs, w.info.ID)
 		}
 	}
@@ -92,6 +95,8 @@
 		return
 	}
 	o.advicePending, st.adviceRequestedAt = true, o.s.now
+	o.s.logEvent(LogAdviceRequested, "job", st.job.record.ID, "occurrence", st.occurrence.number, "step", st.number,
+		"workers", len(workerIDs), "first", workerIDs[0])
 	o.s.emit(RequestAdvice{
 		Step: st.ref(), Workers: workerIDs, Timeout: advisor.Decide + time.Duration(len(workerIDs))*advisor.Each + adviceTimeoutMargin,
 	})
@@ -114,7 +119,7 @@
 	st := occ.steps[e.Step.Step]
 	advisor := o.advisorOf(j)
 	if !e.OK || advisor == nil {
-		o.s.logEvent(LogAdvisorAnswered, "job", e.Step.Job, "step", e.Step.Step, "error", errorText(e.Err))
+		o.s.logEvent(LogAdvisorAnswered, "job", e.Step.Job, "occurrence", e.Step.Occurrence, "step", e.Step.Step, "error", errorText(e.Err))
 		return
 	}
 	if st.tickets == nil {
@@ -132,5 +137,5 @@
 			st.tickets[id] = ticket{e.Tickets[id], w.info.Incarnation, st.adviceRequestedAt.Add(advisor.Valid - ticketExpiryMargin)}
 		}
 	}
-	o.s.logEvent(LogAdvisorAnswered, "job", e.Step.Job, "step", e.Step.Step, "granted", len(ids))
+	o.s.logEvent(LogAdvisorAnswered, "job", e.Step.Job, "occurrence", e.Step.Occurrence, "step", e.Step.Step, "granted", len(ids))
 }
--- a/internal/core/job/effects.go
+++ b/internal/core/job/effects.go
@@ -211,6 +211,8 @@
 	LogStartInLaterIncarnation
 	LogMoreEnds
 	LogOccurrencesWait
+	LogAdviceRequested
+	LogStepWaits
 )
 
 var logEventTexts = map[LogEventID]string{
@@ -244,6 +246,8 @@
 	LogStartInLaterIncarnation: "start reached a later incarnation",
 	LogMoreEnds:                "ends left out",
 	LogOccurrencesWait:         "occurrences wait",
+	LogAdviceRequested:         "advice requested",
+	LogStepWaits:               "step waits",
 }
 
 // oldMetricLabels holds the metric labels of the log events whose text has changed. Label
--- a/internal/core/job/lookahead_dump.go
+++ b/internal/core/job/lookahead_dump.go
@@ -52,6 +52,8 @@
 	SlackMS int64 `json:"slack_ms"`
 	// Reserved is set if tasks of the job have a date on named workers.
 	Reserved bool `json:"reserved,omitempty"`
+	// WaitsFor is what a step of the job waited for in the last placement pass.
+	WaitsFor string `json:"waits_for,omitempty"`
 	// HeldBy holds the workers on which an earlier owner may have started tasks of the job: it
 	// waits for their answer or the end of their leases, whatever its class.
 	HeldBy []WorkerID `json:"held_by,omitempty"`
@@ -78,7 +80,7 @@
 		reserved := slices.ContainsFunc(o.reservations, func(r *reservation) bool { return r.step.job == j })
 		waiting := WaitingJobDump{
 			Job: j.record.ID, Pool: o.poolOf(j), Class: classNames[j.class], Reserved: reserved,
-			SlackMS: (j.times.slack() - o.s.now.Sub(j.timesAt)).Milliseconds(),
+			SlackMS: (j.times.slack() - o.s.now.Sub(j.timesAt)).Milliseconds(), WaitsFor: obstacleNames[j.obstacle()],
 		}
 		for _, g := range j.inherited {
 			waiting.HeldBy = append(waiting.HeldBy, g.Worker)
@@ -87,3 +89,15 @@
 	}
 	return list
 }
+
+// obstacle is what the job's first waiting step waited for in the last placement pass.
+func (j *activeJob) obstacle() obstacle {
+	for _, occ := range j.occurrences.live {
+		for _, st := range occ.steps {
+			if st.waiting() > 0 && st.ready() {
+				return st.obstacle
+			}
+		}
+	}
+	return noObstacle
+}
--- a/internal/core/job/lookahead_test.go
+++ b/internal/core/job/lookahead_test.go
@@ -227,7 +227,7 @@
 	g.Expect(o.reservations).To(gomega.HaveLen(1))
 	d := o.s.Dump()
 	g.Expect(d.Reservations[0].Workers).To(gomega.Equal([]WorkerID{"w0000"}))
-	g.Expect(d.WaitingJobs).To(gomega.Equal([]WaitingJobDump{{Job: large.record.ID, Pool: "p", Class: "can wait", SlackMS: 2400, Reserved: true}}))
+	g.Expect(d.WaitingJobs).To(gomega.Equal([]WaitingJobDump{{Job: large.record.ID, Pool: "p", Class: "can wait", SlackMS: 2400, Reserved: true, WaitsFor: "room"}}))
 	short := addTestJob(o, 3, Step{Count: 1, Need: Resources{CPU: 2000, Memory: 100}, EstimateMS: 500})
 	long := addTestJob(o, 4, Step{Count: 1, Need: Resources{CPU: 2000, Memory: 100}, EstimateMS: 4000})
 	o.plan()
--- a/internal/core/job/metric_label_test.go
+++ b/internal/core/job/metric_label_test.go
@@ -62,5 +62,7 @@
 		645: "start reached a later incarnation",
 		646: "ends left out",
 		647: "occurrences wait",
+		648: "advice requested",
+		649: "step waits",
 	}))
 }
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -1,9 +1,9 @@
 package job
 
 import (
+	"slices"
 	"time"
 
-	"github.com/sardinehead/sardinehead/internal/core/crash"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -15,9 +15,6 @@
 	tooLarge []Resources
 	// capacity is the largest capacity of a worker, once it is needed.
 	capacity Resources
-	// heldBack is set if a worker that held the current task was kept for a reservation or because
-	// of a trial.
-	heldBack bool
 }
 
 // plan places waiting tasks on workers. The demand of a pool may temporarily exceed its
@@ -84,28 +81,45 @@
 	}
 }
 
+// placementClass is what decides, besides the step, which workers a task may use. Tasks of a step that have
+// the same class find a worker or find none alike, because room only shrinks during a pass.
+type placementClass struct {
+	onTrial      bool
+	maxPerWorker int
+}
+
+func (o *owner) placementClassOf(t *task) placementClass {
+	return placementClass{o.waitsForTrial(t), t.maxPerWorker(o.s.now)}
+}
+
 // placeTasks places waiting tasks of a step and reports whether all found a worker.
 func (o *owner) placeTasks(st *step, p *poolRoom, room *recordRoom) bool {
-	placed := true
+	var blocked []placementClass
+	worst := noObstacle
 	for _, t := range st.tasks {
 		if t.completed || t.worker != nil || t.held() || t.awaitsTerms() {
 			continue
 		}
-		best := o.chooseWorker(t, p)
+		class := o.placementClassOf(t)
+		if slices.Contains(blocked, class) {
+			continue
+		}
+		best, why := o.findWorker(t, p)
 		switch {
 		case best != nil && !room.take(t):
 			return false
 		case best != nil:
 			o.place(t, best)
-		case t.crash.Trial() != crash.NoTrial:
-			// The other tasks of the step need no trial.
-			placed = false
 		default:
-			o.requestAdvice(st, p.workers)
-			return false
+			blocked = append(blocked, class)
+			worst = max(worst, why)
+			if why == lacksTicket {
+				o.requestAdvice(t, p)
+			}
 		}
 	}
-	return placed
+	o.noteObstacle(st, worst)
+	return len(blocked) == 0
 }
 
 // place assigns a task to a worker and counts it in what is known about the worker's end.
@@ -119,33 +133,84 @@
 	w.endsAt, w.endsTasks = max(known, end), len(w.tasks)
 }
 
-// chooseWorker selects the worker for a task by best fit: among the eligible workers with
-// enough free capacity, the one with the least capacity left, and among similar ones one
-// that is in use as long anyway.
+// obstacle is the reason why a task found no worker.
+type obstacle int
+
+const (
+	noObstacle obstacle = iota
+	// overTeamLimit: the team has as much running as it may.
+	overTeamLimit
+	// noTrialLeft: as many tasks of the pool are on trial as may be.
+	noTrialLeft
+	// noRoom: no worker that the task may use has room.
+	noRoom
+	// keptBack: the workers with room are kept for a reservation or because of a trial.
+	keptBack
+	// lacksTicket: a ticket of the advisor is all that is missing.
+	lacksTicket
+)
+
+var obstacleNames = map[obstacle]string{
+	noObstacle: "", overTeamLimit: "team limit", noTrialLeft: "trials of others", noRoom: "room",
+	keptBack: "a reservation or trial", lacksTicket: "a ticket",
+}
+
+// obstacleLogInterval is the least time between two log events about what a step waits for.
+const obstacleLogInterval = time.Second
+
+// noteObstacle notes what a step waits for. It is logged if an advisor decides about the step, to tell a step
+// that waits for room from one that waits for advice.
+func (o *owner) noteObstacle(st *step, why obstacle) {
+	st.obstacle = why
+	if why == noObstacle {
+		st.loggedObstacle = noObstacle
+	}
+	if why == st.loggedObstacle || o.advisorOf(st.job) == nil ||
+		st.obstacleLoggedAt != 0 && o.s.now.Sub(st.obstacleLoggedAt) < obstacleLogInterval {
+		return
+	}
+	st.loggedObstacle, st.obstacleLoggedAt = why, o.s.now
+	o.s.logEvent(LogStepWaits, "job", st.job.record.ID, "occurrence", st.occurrence.number, "step", st.number, "team", st.job.acceptance.Team,
+		"for", obstacleNames[why], "waiting", st.waiting())
+}
+
+// chooseWorker returns the worker that findWorker selects, or nil.
 func (o *owner) chooseWorker(t *task, p *poolRoom) *worker {
+	w, _ := o.findWorker(t, p)
+	return w
+}
+
+// findWorker selects the worker for a task by best fit: among the eligible workers with
+// enough free capacity, the one with the least capacity left, and among similar ones one
+// that is in use as long anyway. If there is none, it returns the reason.
+func (o *owner) findWorker(t *task, p *poolRoom) (*worker, obstacle) {
 	st := t.step
 	if !o.withinTeamLimit(st) {
-		return nil
+		return nil, overTeamLimit
 	}
 	need := st.spec.Reserved()
-	if p.knownTooLarge(need) || o.trialsExhausted(t, p) {
-		return nil
+	if p.knownTooLarge(need) {
+		return nil, noRoom
+	}
+	if o.trialsExhausted(t, p) {
+		return nil, noTrialLeft
 	}
 	hasAdvisor := o.advisorOf(st.job) != nil
 	rack := st.commonRack(p.workers)
-	end, size := o.endAfterStart(t), sizeOf(need)
-	p.heldBack = false
+	end := o.endAfterStart(t)
+	why := noRoom
 	var best *worker
 	var bestScore float64
 	for _, w := range p.workers {
 		if !w.free().Holds(need) || !o.isEligible(t, w) {
 			continue
 		}
-		if _, valid := st.ticketFor(w, o.s.now); hasAdvisor && !valid {
+		if !o.mayUse(t, w, end) {
+			why = max(why, keptBack)
 			continue
 		}
-		if !o.allowsTrials(t, w) || w.hold != nil && w.hold.step != st && !w.hold.Admits(end, size) {
-			p.heldBack = true
+		if _, valid := st.ticketFor(w, o.s.now); hasAdvisor && !valid {
+			why = lacksTicket
 			continue
 		}
 		score := placementScore(st.spec, w) + w.coldPenalty(o.s.now) + o.outcomePenalty(t, w) + trialPenalty(t, w) + o.endScore(end, w)
@@ -156,10 +221,19 @@
 			best, bestScore = w, score
 		}
 	}
-	if best == nil && !p.heldBack && !hasAdvisor && st.spec.Label == "" && t.maxPerWorker(o.s.now) == 0 {
+	if best != nil {
+		return best, noObstacle
+	}
+	if why == noRoom && !hasAdvisor && st.spec.Label == "" && t.maxPerWorker(o.s.now) == 0 {
 		p.tooLarge = append(p.tooLarge, need)
 	}
-	return best
+	return nil, why
+}
+
+// mayUse reports whether a worker with room for a task, which would end at the given time, is kept neither
+// for a reservation nor because of a trial.
+func (o *owner) mayUse(t *task, w *worker, end vocab.Instant) bool {
+	return o.allowsTrials(t, w) && (w.hold == nil || w.hold.step == t.step || w.hold.Admits(end, sizeOf(t.step.spec.Reserved())))
 }
 
 // largest is the capacity of the largest worker, by each resource.
@@ -291,15 +365,19 @@
 	}
 	for _, t := range st.tasks {
 		t.lastRun, t.checkpoint = run, checkpoint
-		best := o.chooseWorker(t, p)
+		best, why := o.findWorker(t, p)
 		if best == nil {
-			o.requestAdvice(st, p.workers)
+			o.noteObstacle(st, why)
+			if why == lacksTicket {
+				o.requestAdvice(t, p)
+			}
 			o.releasePlanned(st)
 			p.tooLarge = nil
 			return false
 		}
 		o.place(t, best)
 	}
+	o.noteObstacle(st, noObstacle)
 	return true
 }
 
--- a/internal/core/job/scheduling_test.go
+++ b/internal/core/job/scheduling_test.go
@@ -15,20 +15,15 @@
 func TestAdvisedTasksCarryTickets(t *testing.T) {
 	g := gomega.NewWithT(t)
 	sim := newSimulation(20, 2, 4, faults{})
-	sim.advisedWorker = "w002"
-	for _, n := range sim.nodes {
-		n.kill()
-	}
-	sim.config.Queues[0].Advisor = &AdvisorTiming{Decide: 50 * time.Millisecond, Each: time.Millisecond, Valid: 5 * time.Second}
-	for _, n := range sim.nodes {
-		n.start()
-	}
+	advisor := sim.addAdvisor(AdvisorTiming{Decide: 50 * time.Millisecond, Each: time.Millisecond, Valid: 5 * time.Second},
+		func(_ StepRef, w WorkerID) bool { return w == "w002" })
 	sim.run(3 * time.Second)
 	sim.submit(Spec{Steps: []Step{{Count: 6, Need: Resources{CPU: 3000, Memory: 64}, EstimateMS: 300}}})
 	sim.run(12 * time.Second)
 	sim.report(t)
 	g.Expect(sim.unfinished()).To(gomega.BeEmpty())
 	g.Expect(sim.starts).To(gomega.Equal(6))
+	g.Expect(advisor.refusedStarts).To(gomega.BeZero())
 }
 
 // TestGangStartsAndCompletesTogether: all members have the same run number, and the first
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -40,8 +40,8 @@
 	calls      CallID
 	violations []string
 	starts     int
-	// advisedWorker is the only worker that the advisor allows, if the queue has an advisor.
-	advisedWorker WorkerID
+	// advisor is the queue's advisor, or nil.
+	advisor *fakeAdvisor
 	// fleet is the state of the machines, if the test has waves.
 	fleet *fakeFleet
 	// stopTime is the time that a worker takes to stop a run.
@@ -419,13 +419,7 @@
 			return StartAnswered{Worker: e.Worker, Fence: e.Fence, Task: e.Task, Run: e.Run, Outcome: o}
 		})
 	case RequestAdvice:
-		advice := AdviceReceived{Step: e.Step, OK: true, Tickets: map[WorkerID]string{}}
-		for _, id := range e.Workers {
-			if id == sim.advisedWorker {
-				advice.Tickets[id] = "ticket"
-			}
-		}
-		reply(advice)
+		sim.after(sim.delay(), func() { sim.advisor.call(n, e, reply) })
 	case WithdrawOrders:
 		if sim.fleet != nil {
 			sim.fleet.withdraw(n.state.self.Node, e.Fence)
@@ -857,11 +851,13 @@
 		answer.Outcome, answer.Refusal = NotDone, RefusalStaleRun
 		return answer
 	}
+	if sim.advisor != nil && !sim.advisor.permits(wk, e) {
+		sim.extendLease(wk, e.Lease)
+		answer.Outcome, answer.Refusal = NotDone, RefusalTicket
+		return answer
+	}
 	sim.checkStart(wk, e)
 	sim.checkZone(wk, e)
-	if sim.advisedWorker != "" && (e.Worker != sim.advisedWorker || e.Ticket != "ticket") {
-		sim.addViolation("%s started on %s with ticket %q", e.Task, e.Worker, e.Ticket)
-	}
 	sim.extendLease(wk, e.Lease)
 	if e.Lease-sim.clock(wk) > time.Minute {
 		sim.strayStarts++
