Steps take turns with the advisor, and its refusals are kept

Cause: the owner has one request to the advisor in flight, and gave it to the first step in the order of service that lacked a ticket and had not asked for 0.8 s. Refusals were not kept, tickets that expired unused were requested again, and nobody asked whether an answer could let a task start. Five such steps need 0.9 s for a round, so that no other step ever had its turn. Class: one slot that all share is handed out in the order of service, also to those whom it can't help, and to them again.

Change: an answer, granted or refused, is kept for the worker's incarnation. A step asks only if the answer can let a task start: within the limit of its team, about workers with room that are not refused, for a gang only if all of it fits. Teams take turns by the time that their requests took (core/advice), the steps of a team by their wait, with bounded delays. A request names as many workers as the tasks can use, those that placement would choose, and not the first 30 each time. Requests are numbered, so that an answer to an earlier owner is not taken for another.

Why it works: a step that may not start asks about each worker once, and whatever it asks is charged to its team; every other team waits for one request of it at most.

--- a/internal/core/job/activejob.go
+++ b/internal/core/job/activejob.go
@@ -56,10 +56,7 @@
 	assigned   int
 	// failedRun is the last run of a gang that was counted as failed.
 	failedRun Run
-	// tickets holds the advisor's tickets, adviceRequestedAt the time of the last request for
-	// advice.
-	tickets           map[WorkerID]ticket
-	adviceRequestedAt vocab.Instant
+	advice    stepAdvice
 	// obstacle is why tasks of the step wait, as of the last placement pass, loggedObstacle what the last log
 	// event said, at the time obstacleLoggedAt.
 	obstacle, loggedObstacle obstacle
--- a/internal/core/job/advice.go
+++ b/internal/core/job/advice.go
@@ -1,19 +1,25 @@
 package job
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/sardinehead/sardinehead/internal/core/advice"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
-// Events and effects of the advisor. Some queues have an advisor, and only the advisor knows
-// which workers may run a step.
+// Some queues have an advisor: only the advisor knows which workers may run a step. Its policy does not change, so
+// that each answer is kept for the life of the worker. The advisor handles one request of a node at a time; a step
+// requests advice only if a ticket is all that is missing, and internal/core/advice decides which step does.
+
+// Events and effects of the advisor.
 type (
 	// RequestAdvice asks the advisor which of the workers may run a step. The response is an
-	// AdviceReceived event.
+	// AdviceReceived event with the same Number.
 	RequestAdvice struct {
 		effectMarker
+		Number  uint64
 		Step    StepRef
 		Workers []WorkerID
 		// Timeout is the timeout of the request.
@@ -24,6 +30,7 @@
 	// worker, or an error.
 	AdviceReceived struct {
 		eventMarker
+		Number  uint64
 		Step    StepRef
 		OK      bool
 		Tickets map[WorkerID]string
@@ -37,32 +44,104 @@
 	}
 )
 
-// ticket permits the tasks of a step to start on one incarnation of a worker until it
-// expires.
-type ticket struct {
-	text        string
-	incarnation Millis
-	validUntil  vocab.Instant
-}
-
 const (
-	// maxAdviceWorkers bounds the workers named in one advice request.
-	maxAdviceWorkers = 30
-	// adviceRetryInterval is the minimum time between two advice requests for a step that
-	// found no free capacity.
-	adviceRetryInterval = 800 * time.Millisecond
-	// ticketExpiryMargin is the time before its expiry from which a ticket is no longer
-	// used.
+	// ticketExpiryMargin is the time before its expiry from which a ticket is no longer used, at most the
+	// part ticketExpiryShare of its validity.
 	ticketExpiryMargin = 500 * time.Millisecond
+	ticketExpiryShare  = 0.25
 	// adviceTimeoutMargin is added to the response time that the queue's configuration states.
 	adviceTimeoutMargin = 1500 * time.Millisecond
+	// maxVerdicts bounds the verdicts in memory, each of about 80 bytes. Beyond it those of the steps that
+	// asked the longest time ago are forgotten, and have to be requested again.
+	maxVerdicts = 100_000
 )
 
+// verdict is the advisor's answer about a step and one incarnation of a worker. The ticket of a worker that is
+// allowed permits the tasks of the step to start until it expires.
+type verdict struct {
+	incarnation Millis
+	allowed     bool
+	ticket      string
+	validUntil  vocab.Instant
+}
+
+// isUsable reports whether tasks may be placed on the worker with the ticket.
+func (v verdict) isUsable(now vocab.Instant) bool { return v.ticket != "" && now < v.validUntil }
+
+// stepAdvice is what a step knows of the advisor's policy, and the requests for it.
+type stepAdvice struct {
+	verdicts map[*worker]verdict
+	// requests counts the requests since a task of the step last started, unused those of them that brought
+	// tickets.
+	requests, unused int
+	requestedAt      vocab.Instant
+	// lackingSince is the time since which the step waits for its turn to request advice, or 0.
+	lackingSince vocab.Instant
+	// failedUntil is the time before which a step whose request failed does not repeat it.
+	failedUntil vocab.Instant
+}
+
+// advisorCalls is the owner's use of the advisor.
+type advisorCalls struct {
+	// pending is the request without a response yet, or nil.
+	pending *adviceRequest
+	// failures counts the failed requests in a row, pausedUntil is the end of the pause after the last one.
+	failures    int
+	pausedUntil vocab.Instant
+	turns       advice.Turns
+	// shares holds how many workers the advisor allows, by queue.
+	shares map[vocab.QueueID]*advice.Share
+	// lacking holds the steps to which a ticket is all that is missing, as of the last placement pass.
+	lacking []lackingStep
+	// lackingSteps is the number of these steps.
+	lackingSteps int
+	// verdicts is the number of verdicts in memory.
+	verdicts int
+}
+
+// adviceRequest is a request with the incarnations of the workers that it is about.
+type adviceRequest struct {
+	number       uint64
+	step         *step
+	workers      []*worker
+	incarnations []Millis
+	sentAt       vocab.Instant
+}
+
+// lackingStep is a step with a task to which a ticket is all that is missing.
+type lackingStep struct {
+	step  *step
+	task  *task
+	class int
+	pool  *poolRoom
+}
+
+func (st *step) ref() StepRef {
+	return StepRef{st.job.record.ID, st.occurrence.number, st.number}
+}
+
+// verdictOn returns the advisor's answer about the worker's present incarnation, if there is one.
+func (st *step) verdictOn(w *worker) (verdict, bool) {
+	if len(st.advice.verdicts) == 0 {
+		return verdict{}, false
+	}
+	v, found := st.advice.verdicts[w]
+	return v, found && v.incarnation == w.info.Incarnation
+}
+
 // ticketFor returns the step's ticket for a worker and whether it is still valid for the
 // worker's incarnation.
 func (st *step) ticketFor(w *worker, now vocab.Instant) (string, bool) {
-	t, found := st.tickets[w.info.ID]
-	return t.text, found && t.incarnation == w.info.Incarnation && now < t.validUntil
+	v, found := st.verdictOn(w)
+	return v.ticket, found && v.isUsable(now)
+}
+
+// dropTicket forgets a ticket that a worker has refused.
+func (st *step) dropTicket(w *worker) {
+	if v, found := st.advice.verdicts[w]; found {
+		v.ticket = ""
+		st.advice.verdicts[w] = v
+	}
 }
 
 // advisorOf returns the advisor settings of the job's queue, or those of its acceptance if the queue is
@@ -74,68 +153,261 @@
 	return j.acceptance.Terms.Advisor
 }
 
-// requestAdvice asks the advisor about the workers that a task could use if its step had tickets for them. Only
-// one request is in flight at a time, because the advisor handles the requests of each node
-// one after the other.
-func (o *owner) requestAdvice(t *task, p *poolRoom) {
+// noteLackingTicket notes that a ticket is all that a task of a job in a service class is missing.
+func (o *owner) noteLackingTicket(t *task, p *poolRoom) {
 	st := t.step
-	advisor := o.advisorOf(st.job)
-	if advisor == nil || o.advicePending || o.s.now.Sub(st.adviceRequestedAt) < adviceRetryInterval && st.adviceRequestedAt != 0 {
-		return
+	if st.advice.lackingSince == 0 {
+		st.advice.lackingSince = o.s.now
 	}
-	end := o.endAfterStart(t)
-	var workerIDs []WorkerID
-	for _, w := range p.workers {
-		if _, valid := st.ticketFor(w, o.s.now); !valid && len(workerIDs) < maxAdviceWorkers &&
-			w.free().Holds(st.spec.Reserved()) && o.isEligible(t, w) && o.mayUse(t, w, end) {
-			workerIDs = append(workerIDs, w.info.ID)
+	o.advisor.lacking = append(o.advisor.lacking, lackingStep{st, t, st.job.class, p})
+}
+
+// requestAdvice requests advice for the step whose turn it is, after a placement pass.
+func (o *owner) requestAdvice() {
+	lacking := o.advisor.lacking
+	o.advisor.lacking, o.advisor.lackingSteps = nil, 0
+	for i, l := range lacking {
+		if i == 0 || l.step != lacking[i-1].step {
+			o.advisor.lackingSteps++
 		}
 	}
-	if len(workerIDs) == 0 {
+	if o.advisor.pending != nil || o.s.now < o.advisor.pausedUntil {
 		return
 	}
-	o.advicePending, st.adviceRequestedAt = true, o.s.now
+	lacking = slices.DeleteFunc(lacking, func(l lackingStep) bool { return o.s.now < l.step.advice.failedUntil })
+	candidates := make([]advice.Candidate, len(lacking))
+	for i, l := range lacking {
+		candidates[i] = advice.Candidate{
+			Team: l.step.job.acceptance.Team, Class: l.class, Since: l.step.advice.lackingSince, Requests: l.step.advice.requests,
+		}
+	}
+	for len(candidates) > 0 {
+		i := o.advisor.turns.Next(candidates)
+		if workers := o.workersToAskAbout(lacking[i]); len(workers) > 0 {
+			o.sendAdviceRequest(lacking[i].step, workers)
+			return
+		}
+		candidates, lacking = slices.Delete(candidates, i, i+1), slices.Delete(lacking, i, i+1)
+	}
+}
+
+// sendAdviceRequest asks the advisor about workers.
+func (o *owner) sendAdviceRequest(st *step, workers []*worker) {
+	o.s.adviceRequests++
+	r := &adviceRequest{number: o.s.adviceRequests, step: st, workers: workers, sentAt: o.s.now}
+	ids := make([]WorkerID, len(workers))
+	for i, w := range workers {
+		ids[i], r.incarnations = w.info.ID, append(r.incarnations, w.info.Incarnation)
+	}
+	a, advisor := &st.advice, o.advisorOf(st.job)
 	o.s.logEvent(LogAdviceRequested, "job", st.job.record.ID, "occurrence", st.occurrence.number, "step", st.number,
-		"workers", len(workerIDs), "first", workerIDs[0])
+		"team", st.job.acceptance.Team, "workers", len(workers), "first", workers[0].info.ID, "requests", a.requests,
+		"waited_ms", o.s.now.Sub(a.lackingSince).Milliseconds())
+	o.advisor.pending = r
+	a.requestedAt, a.lackingSince = o.s.now, 0
+	a.requests++
 	o.s.emit(RequestAdvice{
-		Step: st.ref(), Workers: workerIDs, Timeout: advisor.Decide + time.Duration(len(workerIDs))*advisor.Each + adviceTimeoutMargin,
+		Number: r.number, Step: st.ref(), Workers: ids,
+		Timeout: advisor.Decide + time.Duration(len(workers))*advisor.Each + adviceTimeoutMargin,
 	})
 }
 
-func (st *step) ref() StepRef {
-	return StepRef{st.job.record.ID, st.occurrence.number, st.number}
+// askableWorker is a worker that a step could use if it had a ticket.
+type askableWorker struct {
+	worker *worker
+	advice.Worker
+	score float64
 }
 
-func (o *owner) handleAdviceReceived(e AdviceReceived) {
-	o.advicePending, o.planDue = false, true
-	j := o.jobs[e.Step.Job]
-	if j == nil {
-		return
+// unknownPenalty is added to the score of a worker that the advisor may refuse.
+const unknownPenalty = 1
+
+// workersToAskAbout returns the workers for which a step requests tickets: as many as its waiting tasks can use,
+// those that placement would choose first. It returns none if the answer could not let a task start.
+func (o *owner) workersToAskAbout(l lackingStep) []*worker {
+	st, t := l.step, l.task
+	advisor := o.advisorOf(st.job)
+	tasks := min(st.waiting(), o.teamRoomFor(st))
+	if advisor == nil || tasks == 0 {
+		return nil
+	}
+	renew := o.s.now >= st.advice.requestedAt.Add(advice.Wait(st.advice.unused))
+	end, rack := o.endAfterStart(t), st.commonRack(l.pool.workers)
+	room, ready := 0, 0
+	var list []askableWorker
+	for _, w := range l.pool.workers {
+		if !o.couldUse(t, w, end) {
+			continue
+		}
+		v, known := st.verdictOn(w)
+		fits := o.tasksThatFit(t, w)
+		switch {
+		case known && v.isUsable(o.s.now):
+			ready += fits
+		case known && !v.allowed:
+			continue
+		case known && !renew:
+			// The last tickets were not used.
+		default:
+			a := askableWorker{w, advice.Worker{Allowed: known, Tasks: fits}, o.workerScore(t, w, end, rack)}
+			if !known {
+				a.score += unknownPenalty
+			}
+			list = append(list, a)
+		}
+		room += fits
+	}
+	if st.spec.Gang {
+		if room < len(st.tasks) || tasks < len(st.tasks) {
+			return nil
+		}
+		tasks = max(1, tasks-ready)
+	}
+	slices.SortStableFunc(list, func(a, b askableWorker) int { return cmp.Compare(a.score, b.score) })
+	ranked := make([]advice.Worker, len(list))
+	for i, a := range list {
+		ranked[i] = a.Worker
+	}
+	list = list[:advice.Count(tasks, ranked, o.allowedShare(st), advice.Timing(*advisor))]
+	workers := make([]*worker, len(list))
+	for i, a := range list {
+		workers[i] = a.worker
+	}
+	return workers
+}
+
+// allowedShare estimates which part of the workers the advisor allows to the step.
+func (o *owner) allowedShare(st *step) float64 {
+	allowed, refused := 0, 0
+	for _, v := range st.advice.verdicts {
+		if v.allowed {
+			allowed++
+		} else {
+			refused++
+		}
+	}
+	return o.shareOf(st.job.acceptance.Queue).Of(allowed, refused)
+}
+
+func (o *owner) shareOf(queue vocab.QueueID) *advice.Share {
+	s := o.advisor.shares[queue]
+	if s == nil {
+		s = &advice.Share{}
+		o.advisor.shares[queue] = s
 	}
-	occ := j.findOccurrence(e.Step.Occurrence)
-	if occ == nil {
+	return s
+}
+
+// handleAdviceReceived keeps the advisor's answer. A response to a request of an earlier owner in this process is
+// ignored.
+func (o *owner) handleAdviceReceived(e AdviceReceived) {
+	r := o.advisor.pending
+	if r == nil || r.number != e.Number {
 		return
 	}
-	st := occ.steps[e.Step.Step]
-	advisor := o.advisorOf(j)
+	o.advisor.pending, o.planDue = nil, true
+	st := r.step
+	taken := o.s.now.Sub(r.sentAt)
+	o.advisor.turns.Charge(st.job.acceptance.Team, taken)
+	advisor := o.advisorOf(st.job)
 	if !e.OK || advisor == nil {
-		o.s.logEvent(LogAdvisorAnswered, "job", e.Step.Job, "occurrence", e.Step.Occurrence, "step", e.Step.Step, "error", errorText(e.Err))
+		o.advisor.failures++
+		o.advisor.pausedUntil = o.s.now.Add(advice.Pause(o.advisor.failures))
+		st.advice.failedUntil = o.s.now.Add(advice.Wait(st.advice.requests))
+		o.s.logEvent(LogAdvisorAnswered, "job", e.Step.Job, "occurrence", e.Step.Occurrence, "step", e.Step.Step,
+			"outcome", "failed", "after_ms", taken.Milliseconds(), "error", errorText(e.Err))
 		return
 	}
-	if st.tickets == nil {
-		st.tickets = map[WorkerID]ticket{}
+	o.advisor.failures = 0
+	granted := o.keepVerdicts(r, e, advisor)
+	outcome := "refused"
+	if granted > 0 {
+		outcome = "granted"
+		st.advice.unused++
 	}
-	ids := make([]WorkerID, 0, len(e.Tickets))
-	for id := range e.Tickets {
-		ids = append(ids, id)
+	o.shareOf(st.job.acceptance.Queue).Observe(len(r.workers), granted)
+	o.s.logEvent(LogAdvisorAnswered, "job", e.Step.Job, "occurrence", e.Step.Occurrence, "step", e.Step.Step,
+		"outcome", outcome, "granted", granted, "refused", len(r.workers)-granted, "after_ms", taken.Milliseconds())
+	o.boundVerdicts(st)
+}
+
+// keepVerdicts keeps the answers about the workers of a request, and returns how many are allowed. An answer holds
+// for the incarnation that the request was about.
+func (o *owner) keepVerdicts(r *adviceRequest, e AdviceReceived, advisor *AdvisorTiming) int {
+	st := r.step
+	if st.advice.verdicts == nil {
+		st.advice.verdicts = map[*worker]verdict{}
 	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		if w := o.workers[id]; w != nil {
+	margin := min(ticketExpiryMargin, time.Duration(ticketExpiryShare*float64(advisor.Valid)))
+	granted := 0
+	for i, w := range r.workers {
+		if o.workers[w.info.ID] != w {
+			continue // It has been forgotten.
+		}
+		v := verdict{incarnation: r.incarnations[i]}
+		v.ticket, v.allowed = e.Tickets[w.info.ID]
+		if v.allowed {
+			granted++
 			// The ticket's validity counts from when the advisor issued it, which is no
 			// earlier than when the request was sent.
-			st.tickets[id] = ticket{e.Tickets[id], w.info.Incarnation, st.adviceRequestedAt.Add(advisor.Valid - ticketExpiryMargin)}
+			v.validUntil = r.sentAt.Add(advisor.Valid - margin)
 		}
+		st.advice.verdicts[w] = v
 	}
-	o.s.logEvent(LogAdvisorAnswered, "job", e.Step.Job, "occurrence", e.Step.Occurrence, "step", e.Step.Step, "granted", len(ids))
+	return granted
 }
+
+// boundVerdicts counts the verdicts in memory. If there are too many, it drops those of the steps that asked the
+// longest time ago, but for the one that has asked last.
+func (o *owner) boundVerdicts(last *step) {
+	o.advisor.verdicts = 0
+	var steps []*step
+	o.eachStep(func(st *step) {
+		if st.completed == len(st.tasks) {
+			st.advice = stepAdvice{}
+		}
+		if n := len(st.advice.verdicts); n > 0 {
+			o.advisor.verdicts += n
+			steps = append(steps, st)
+		}
+	})
+	if o.advisor.verdicts <= maxVerdicts {
+		return
+	}
+	slices.SortStableFunc(steps, func(a, b *step) int { return cmp.Compare(a.advice.requestedAt, b.advice.requestedAt) })
+	for _, st := range steps {
+		if o.advisor.verdicts <= maxVerdicts {
+			return
+		}
+		if st != last {
+			o.advisor.verdicts -= len(st.advice.verdicts)
+			st.advice.verdicts = nil
+		}
+	}
+}
+
+// forgetVerdicts drops the verdicts on workers that are forgotten.
+func (o *owner) forgetVerdicts(gone []*worker) {
+	if len(gone) == 0 || o.advisor.verdicts == 0 {
+		return
+	}
+	o.eachStep(func(st *step) {
+		for _, w := range gone {
+			delete(st.advice.verdicts, w)
+		}
+	})
+}
+
+// eachStep calls a function for each step of each job in memory.
+func (o *owner) eachStep(do func(*step)) {
+	for _, j := range o.jobOrder {
+		for _, occ := range j.occurrences.live {
+			for _, st := range occ.steps {
+				do(st)
+			}
+		}
+	}
+}
+
+// noteTicketUsed notes that a task of the step has started.
+func (st *step) noteTicketUsed() { st.advice.requests, st.advice.unused = 0, 0 }
--- a/internal/core/job/advisor_simulation_test.go
+++ b/internal/core/job/advisor_simulation_test.go
@@ -58,7 +58,7 @@
 		}
 	}
 	failed := func(reason string) {
-		answer(AdviceReceived{Step: e.Step, Err: errors.New(reason)})
+		answer(AdviceReceived{Number: e.Number, Step: e.Step, Err: errors.New(reason)})
 	}
 	a.sim.after(e.Timeout, func() { failed("timeout") })
 	if len(e.Workers) > 100 {
@@ -76,7 +76,7 @@
 	a.busyUntil[n] = max(a.busyUntil[n], a.sim.now).Add(a.timing.Decide + time.Duration(len(e.Workers))*a.timing.Each)
 	a.sim.after(a.busyUntil[n].Sub(a.sim.now), func() {
 		a.waiting[n]--
-		answer(AdviceReceived{Step: e.Step, OK: true, Tickets: a.issue(e)})
+		answer(AdviceReceived{Number: e.Number, Step: e.Step, OK: true, Tickets: a.issue(e)})
 	})
 }
 
--- a/internal/core/job/bench_test.go
+++ b/internal/core/job/bench_test.go
@@ -64,6 +64,35 @@
 	}
 }
 
+// BenchmarkPlanAdvice measures one placement pass over 350 workers, with 600 waiting steps of a queue with an advisor
+// that has not been asked, or has refused all workers.
+func BenchmarkPlanAdvice(b *testing.B) {
+	for name, refused := range map[string]bool{"not asked": false, "refused": true} {
+		b.Run(name, func(b *testing.B) {
+			o := fleetOf(350)
+			o.s.config.Queues[0].Advisor = &testAdvisor
+			for i := range 600 {
+				j := addTestJob(o, i+1, Step{Count: 8, Need: Resources{CPU: int64(1000 + 10*(i%500)), Memory: 1000}, EstimateMS: int64(300 + i)})
+				if !refused {
+					continue
+				}
+				st := firstTask(j).step
+				st.advice.verdicts = map[*worker]verdict{}
+				for _, w := range o.workers {
+					st.advice.verdicts[w] = verdict{incarnation: 1}
+				}
+			}
+			o.plan()
+			b.ResetTimer()
+			b.ReportAllocs()
+			for range b.N {
+				o.s.now++
+				o.plan()
+			}
+		})
+	}
+}
+
 // BenchmarkAllLeasesExpire measures the loss of all runs of 2,700 workers that do not respond.
 func BenchmarkAllLeasesExpire(b *testing.B) {
 	for range b.N {
--- a/internal/core/job/dump.go
+++ b/internal/core/job/dump.go
@@ -49,6 +49,8 @@
 	// LiveTasks is the number of tasks in memory, WaitingOccurrences of the due occurrences that have none there yet.
 	LiveTasks          int `json:"live_tasks,omitempty"`
 	WaitingOccurrences int `json:"waiting_occurrences,omitempty"`
+	// Advice is the use of the advisor.
+	Advice AdviceDump `json:"advice,omitzero"`
 	// SuspectedTasks is the number of tasks that may have crashed a worker and start on trial.
 	SuspectedTasks int `json:"suspected_tasks,omitempty"`
 	// UnreachableWorkers is the number of listed workers that do not respond to this owner.
@@ -58,6 +60,19 @@
 	OnTimeLackedMS int64 `json:"on_time_lacked_ms,omitempty"`
 }
 
+// AdviceDump is the owner's use of the advisor.
+type AdviceDump struct {
+	// Job is the job of the request without a response yet, PendingMS the time since it was sent.
+	Job       ID    `json:"job,omitempty"`
+	PendingMS int64 `json:"pending_ms,omitempty"`
+	// LackingSteps is the number of steps that wait for their turn to request advice.
+	LackingSteps int `json:"lacking_steps,omitempty"`
+	// Verdicts is the number of answers about a step and a worker in memory.
+	Verdicts int `json:"verdicts,omitempty"`
+	// Failures is the number of failed requests in a row.
+	Failures int `json:"failures,omitempty"`
+}
+
 // WorkerDump is the state of a worker as known to the owner.
 type WorkerDump struct {
 	ID      WorkerID     `json:"id"`
@@ -143,10 +158,19 @@
 	for _, p := range slices.Sorted(maps.Keys(o.demand)) {
 		d.Waiting = append(d.Waiting, o.dumpPool(p))
 	}
-	d.SuspectedTasks = o.suspectedTasks()
+	d.SuspectedTasks, d.Advice = o.suspectedTasks(), o.dumpAdvice()
 	d.Reservations, d.WaitingJobs = o.dumpReservations(), o.dumpWaitingJobs()
 }
 
+func (o *owner) dumpAdvice() AdviceDump {
+	a := &o.advisor
+	dump := AdviceDump{LackingSteps: a.lackingSteps, Verdicts: a.verdicts, Failures: a.failures}
+	if r := a.pending; r != nil {
+		dump.Job, dump.PendingMS = r.step.job.record.ID, o.s.now.Sub(r.sentAt).Milliseconds()
+	}
+	return dump
+}
+
 func (o *owner) dumpPool(p vocab.PoolID) PoolDump {
 	dump := PoolDump{Pool: p, Waiting: o.demand[p].waiting}
 	if backlog := o.door.pools[p]; backlog != nil {
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/sardinehead/sardinehead/internal/core/advice"
 	"github.com/sardinehead/sardinehead/internal/core/event"
 	"github.com/sardinehead/sardinehead/internal/core/poolplan"
 	"github.com/sardinehead/sardinehead/internal/vocab"
@@ -121,9 +122,9 @@
 	// onTimeLackedAt is the time when a pool last lacked machines for work that can still be on time.
 	onTimeLackedAt vocab.Instant
 	// waitingPools holds the pools whose tasks with value wait as of the last placement pass.
-	waitingPools  map[vocab.PoolID]bool
-	advicePending bool // an advice request has no response yet
-	teamRates     map[vocab.TeamID]*tokenBucket
+	waitingPools map[vocab.PoolID]bool
+	advisor      advisorCalls
+	teamRates    map[vocab.TeamID]*tokenBucket
 	// offeredAt is the time when the ownership was last offered, offers the number of
 	// offers.
 	offeredAt vocab.Instant
@@ -141,7 +142,7 @@
 		// A read takes about as long as an append where the store is slow.
 		appendLatency: s.stream.readLatency,
 		jobs:          map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, presumedCrashes: map[MachineID]attributedCrash{}, crashRates: map[vocab.PoolID]*crashRate{}, machineCrashes: map[MachineID]machineCrashes{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
-		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), stepTimes: newRunTimeModel(), learnedQueues: map[vocab.QueueID]bool{}, queueWork: newQueueWork(), door: newDoor(), teamRates: map[vocab.TeamID]*tokenBucket{},
+		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), stepTimes: newRunTimeModel(), learnedQueues: map[vocab.QueueID]bool{}, queueWork: newQueueWork(), door: newDoor(), advisor: advisorCalls{shares: map[vocab.QueueID]*advice.Share{}}, teamRates: map[vocab.TeamID]*tokenBucket{},
 		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}, unresolved: map[MachineID]unresolvedOrder{}, policy: poolplan.DefaultPolicy, shortages: map[vocab.PoolID]shortage{}},
 	}
 	o.awaitEarlierLeases(s.claim.heartbeatBeforeClaim)
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -52,6 +53,7 @@
 			waiting[c.pool] = true
 		}
 	}
+	o.requestAdvice()
 	o.waitingPools = waiting
 	o.recordDemand(d.pools)
 	o.recordBacklog(candidates)
@@ -113,8 +115,8 @@
 		default:
 			blocked = append(blocked, class)
 			worst = max(worst, why)
-			if why == lacksTicket {
-				o.requestAdvice(t, p)
+			if why == lacksTicket && room.fits(t) {
+				o.noteLackingTicket(t, p)
 			}
 		}
 	}
@@ -146,13 +148,15 @@
 	noRoom
 	// keptBack: the workers with room are kept for a reservation or because of a trial.
 	keptBack
+	// refusedByPolicy: the advisor has refused all workers that have room.
+	refusedByPolicy
 	// lacksTicket: a ticket of the advisor is all that is missing.
 	lacksTicket
 )
 
 var obstacleNames = map[obstacle]string{
 	noObstacle: "", overTeamLimit: "team limit", noTrialLeft: "trials of others", noRoom: "room",
-	keptBack: "a reservation or trial", lacksTicket: "a ticket",
+	keptBack: "a reservation or trial", refusedByPolicy: "an allowed worker", lacksTicket: "a ticket",
 }
 
 // obstacleLogInterval is the least time between two log events about what a step waits for.
@@ -163,7 +167,7 @@
 func (o *owner) noteObstacle(st *step, why obstacle) {
 	st.obstacle = why
 	if why == noObstacle {
-		st.loggedObstacle = noObstacle
+		st.loggedObstacle, st.advice.lackingSince = noObstacle, 0
 	}
 	if why == st.loggedObstacle || o.advisorOf(st.job) == nil ||
 		st.obstacleLoggedAt != 0 && o.s.now.Sub(st.obstacleLoggedAt) < obstacleLogInterval {
@@ -202,21 +206,28 @@
 	var best *worker
 	var bestScore float64
 	for _, w := range p.workers {
-		if !w.free().Holds(need) || !o.isEligible(t, w) {
+		if why == lacksTicket && len(st.advice.verdicts) == 0 {
+			break // No worker has a ticket.
+		}
+		if !w.free().Holds(need) {
+			continue
+		}
+		missing := noObstacle
+		if hasAdvisor {
+			missing = o.lacks(st, w)
+		}
+		if missing != noObstacle && missing <= why || !o.isEligible(t, w) {
 			continue
 		}
 		if !o.mayUse(t, w, end) {
 			why = max(why, keptBack)
 			continue
 		}
-		if _, valid := st.ticketFor(w, o.s.now); hasAdvisor && !valid {
-			why = lacksTicket
+		if missing != noObstacle {
+			why = max(why, missing)
 			continue
 		}
-		score := placementScore(st.spec, w) + w.coldPenalty(o.s.now) + o.outcomePenalty(t, w) + trialPenalty(t, w) + o.endScore(end, w)
-		if rack != "" && w.info.Rack != rack {
-			score += wrongRackPenalty
-		}
+		score := o.workerScore(t, w, end, rack)
 		if best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
@@ -230,6 +241,34 @@
 	return nil, why
 }
 
+// lacks returns what the advisor's verdict leaves missing for a start on the worker.
+func (o *owner) lacks(st *step, w *worker) obstacle {
+	v, known := st.verdictOn(w)
+	switch {
+	case v.isUsable(o.s.now) && known:
+		return noObstacle
+	case known && !v.allowed:
+		return refusedByPolicy
+	default:
+		return lacksTicket
+	}
+}
+
+// workerScore rates a worker for a task that would end at the given time and should run in the rack, if it is
+// not empty. The lowest score is the best.
+func (o *owner) workerScore(t *task, w *worker, end vocab.Instant, rack vocab.RackID) float64 {
+	score := placementScore(t.step.spec, w) + w.coldPenalty(o.s.now) + o.outcomePenalty(t, w) + trialPenalty(t, w) + o.endScore(end, w)
+	if rack != "" && w.info.Rack != rack {
+		score += wrongRackPenalty
+	}
+	return score
+}
+
+// couldUse reports whether a task that would end at the given time could start on a worker, but for a ticket.
+func (o *owner) couldUse(t *task, w *worker, end vocab.Instant) bool {
+	return w.free().Holds(t.step.spec.Reserved()) && o.isEligible(t, w) && o.mayUse(t, w, end)
+}
+
 // mayUse reports whether a worker with room for a task, which would end at the given time, is kept neither
 // for a reservation nor because of a trial.
 func (o *owner) mayUse(t *task, w *worker, end vocab.Instant) bool {
@@ -262,13 +301,31 @@
 	if o.s.config == nil {
 		return false
 	}
-	team, limit := st.job.acceptance.Team, st.job.acceptance.Terms.TeamLimit
+	return o.teamRoom(st.job).Holds(st.spec.Need)
+}
+
+// teamRoomFor is the number of tasks of the step that the team's limit allows beside those that run, at most all.
+func (o *owner) teamRoomFor(st *step) int {
+	return o.teamRoom(st.job).Count(st.spec.Need, len(st.tasks))
+}
+
+// teamRoom is what the team of a job may have running beside what runs.
+func (o *owner) teamRoom(j *activeJob) Resources {
+	team, limit := j.acceptance.Team, j.acceptance.Terms.TeamLimit
 	if t := o.s.config.teams[team]; t != nil {
 		limit = t.Limit
 	}
-	use := o.teamUsage[team].Plus(o.heldUsage[team]).Plus(st.spec.Need)
-	return (limit.CPU == 0 || use.CPU <= limit.CPU) && (limit.Memory == 0 || use.Memory <= limit.Memory) &&
-		(limit.GPU == 0 || use.GPU <= limit.GPU)
+	left := limit.Minus(o.teamUsage[team]).Minus(o.heldUsage[team])
+	if limit.CPU == 0 {
+		left.CPU = math.MaxInt64
+	}
+	if limit.Memory == 0 {
+		left.Memory = math.MaxInt64
+	}
+	if limit.GPU == 0 {
+		left.GPU = math.MaxInt64
+	}
+	return left
 }
 
 // isEligible reports whether a worker may run a task, apart from its free capacity.
@@ -277,18 +334,31 @@
 	if spec.Label != "" && !w.info.HasLabel(spec.Label) {
 		return false
 	}
-	if limit := t.maxPerWorker(o.s.now); limit > 0 {
-		sameStep := 0
-		for _, other := range w.tasks {
-			if other.step == t.step {
-				sameStep++
-			}
-		}
-		if sameStep >= limit {
-			return false
+	limit := t.maxPerWorker(o.s.now)
+	return limit == 0 || w.tasksOf(t.step) < limit
+}
+
+// tasksOf is the number of tasks of a step on the worker.
+func (w *worker) tasksOf(st *step) int {
+	n := 0
+	for _, t := range w.tasks {
+		if t.step == st {
+			n++
 		}
 	}
-	return true
+	return n
+}
+
+// tasksThatFit is the number of tasks like this one for which a worker has room, at most those of its step.
+func (o *owner) tasksThatFit(t *task, w *worker) int {
+	if o.waitsForTrial(t) && !t.step.spec.Gang {
+		return 1 // Nothing else starts beside a trial.
+	}
+	n := w.free().Count(t.step.spec.Reserved(), len(t.step.tasks))
+	if limit := t.maxPerWorker(o.s.now); limit > 0 {
+		n = min(n, limit-w.tasksOf(t.step))
+	}
+	return n
 }
 
 // spreadTimeout is the time for which a long-running task waits for a worker with few tasks of its
@@ -369,7 +439,7 @@
 		if best == nil {
 			o.noteObstacle(st, why)
 			if why == lacksTicket {
-				o.requestAdvice(t, p)
+				o.noteLackingTicket(t, p)
 			}
 			o.releasePlanned(st)
 			p.tooLarge = nil
--- a/internal/core/job/record_size.go
+++ b/internal/core/job/record_size.go
@@ -230,11 +230,8 @@
 	if r == nil {
 		return true
 	}
-	growth := 0
-	for _, t := range tasks {
-		growth += t.placedBytes(r.idBytes) - t.rowBytes()
-	}
-	if r.used+growth > r.forTasks && r.job.assignedTasks > 0 {
+	growth := r.growth(tasks)
+	if !r.fits(tasks...) {
 		r.exhausted = true
 		return false
 	}
@@ -243,6 +240,20 @@
 	return true
 }
 
+// fits reports whether there is room for the rows of tasks.
+func (r *recordRoom) fits(tasks ...*task) bool {
+	return r == nil || r.used+r.growth(tasks) <= r.forTasks || r.job.assignedTasks == 0
+}
+
+// growth is the size by which the rows of tasks grow when they are placed, in bytes.
+func (r *recordRoom) growth(tasks []*task) int {
+	growth := 0
+	for _, t := range tasks {
+		growth += t.placedBytes(r.idBytes) - t.rowBytes()
+	}
+	return growth
+}
+
 // full reports whether tasks wait for room in the job's record.
 func (r *recordRoom) full() bool { return r != nil && r.exhausted }
 
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -143,7 +143,7 @@
 			"refusal", e.Refusal, "error", errorText(e.Err))
 		w.avoidUntil = o.s.now.Add(refusalBackoff)
 		if e.Refusal == RefusalTicket {
-			delete(t.step.tickets, w.info.ID)
+			t.step.dropTicket(w)
 			w.avoidUntil = 0
 		}
 		if t.startsSent > 1 {
@@ -181,6 +181,7 @@
 // markStarted records that a run has started, and stops the run if its job has finished meanwhile.
 func (o *owner) markStarted(t *task) {
 	t.state, t.startedAt = runRunning, o.s.now
+	t.step.noteTicketUsed()
 	j := t.step.job
 	if !j.started {
 		j.started = true
--- a/internal/core/job/simulation_test.go
+++ b/internal/core/job/simulation_test.go
@@ -138,7 +138,9 @@
 
 // fakeJob is a submitted job as its caller and the workers observe it.
 type fakeJob struct {
-	spec      Spec
+	spec Spec
+	// team is the position of the job's team in the configuration.
+	team      int
 	accepted  bool
 	cancelled vocab.Instant
 	// completed holds the tasks that a worker completed, acknowledged those whose
@@ -955,7 +957,9 @@
 		wk := sim.workers[id]
 		for _, name := range sortedNames(wk.runs) {
 			need := sim.jobs[name.Job].spec.Steps[name.Step].Need
-			team = team.Plus(need)
+			if sim.jobs[name.Job].team == j.team {
+				team = team.Plus(need)
+			}
 			if wk == target {
 				used = used.Plus(need)
 			}
@@ -967,7 +971,7 @@
 	if !target.countedCapacity(sim.now).Holds(used.Plus(st.Need)) {
 		sim.addViolation("%s does not fit on %s", e.Task, target.info.ID)
 	}
-	if limit := sim.config.Teams[0].Limit.CPU; limit > 0 && team.CPU+st.Need.CPU > limit+limit/10+st.Need.CPU {
+	if limit := sim.config.Teams[j.team].Limit.CPU; limit > 0 && team.CPU+st.Need.CPU > limit+limit/10+st.Need.CPU {
 		sim.addViolation("%s takes the team to %d of %d", e.Task, team.CPU+st.Need.CPU, limit)
 	}
 }
@@ -1025,7 +1029,7 @@
 	n := sim.nodes[sim.rng.IntN(len(sim.nodes))]
 	sim.calls++
 	call := sim.calls
-	n.post(n.incarnation, Submit{Call: call, ID: id, Host: "h", Path: "/q/" + string(id), Key: "k", Spec: j.spec})
+	n.post(n.incarnation, Submit{Call: call, ID: id, Host: "h", Path: "/q/" + string(id), Key: sim.config.Teams[j.team].Keys[0], Spec: j.spec})
 	sim.after(1500*time.Millisecond, func() {
 		reply, answered := sim.replies[call]
 		switch {
@@ -1045,7 +1049,7 @@
 	n := sim.nodes[sim.rng.IntN(len(sim.nodes))]
 	sim.calls++
 	call := sim.calls
-	n.post(n.incarnation, Cancel{Call: call, ID: id, Host: "h", Path: "/q/" + string(id), Key: "k"})
+	n.post(n.incarnation, Cancel{Call: call, ID: id, Host: "h", Path: "/q/" + string(id), Key: sim.config.Teams[sim.jobs[id].team].Keys[0]})
 	sim.after(1500*time.Millisecond, func() {
 		if reply, answered := sim.replies[call]; answered && reply.Answer == Accepted && sim.jobs[id].cancelled == 0 {
 			sim.jobs[id].cancelled = sim.now
--- a/internal/core/job/state.go
+++ b/internal/core/job/state.go
@@ -44,8 +44,10 @@
 	// evacuations are the availability zones in which nothing may start.
 	evacuations evacuations
 	ledger      *Ledger
-	stream      streamState
-	claim       claim
+	// adviceRequests counts the requests for advice of this process.
+	adviceRequests uint64
+	stream         streamState
+	claim          claim
 	// directory is the node's view of the fleet's nodes.
 	directory directoryState
 	owner     *owner
--- a/internal/core/job/types.go
+++ b/internal/core/job/types.go
@@ -74,6 +74,19 @@
 // Times returns r multiplied by n.
 func (r Resources) Times(n int64) Resources { return Resources{r.CPU * n, r.Memory * n, r.GPU * n} }
 
+// Count is how often it holds the other resources, at most limit.
+func (r Resources) Count(o Resources, limit int) int {
+	for _, d := range [...]struct{ have, need int64 }{{r.CPU, o.CPU}, {r.Memory, o.Memory}, {r.GPU, o.GPU}} {
+		switch {
+		case d.have < 0:
+			return 0
+		case d.need > 0:
+			limit = int(min(int64(limit), d.have/d.need))
+		}
+	}
+	return limit
+}
+
 // Holds reports whether o fits into r.
 func (r Resources) Holds(o Resources) bool {
 	return o.CPU <= r.CPU && o.Memory <= r.Memory && o.GPU <= r.GPU
--- a/internal/core/job/workers.go
+++ b/internal/core/job/workers.go
@@ -233,6 +233,7 @@
 // removeGoneWorkers removes workers that are not listed, have no tasks and hold no lease. No stray order may
 // be on its way to a worker that is forgotten.
 func (o *owner) removeGoneWorkers() {
+	var gone []*worker
 	o.workerIDs = slices.DeleteFunc(o.workerIDs, func(id WorkerID) bool {
 		w := o.workers[id]
 		if w.listed || w.pollInFlight || len(w.tasks) > 0 || len(w.inheritedBy) > 0 || o.s.now < max(w.leaseUntil, w.strayUntil) ||
@@ -243,8 +244,10 @@
 		if o.workersByMachine[w.info.Machine] == w {
 			delete(o.workersByMachine, w.info.Machine)
 		}
+		gone = append(gone, w)
 		return true
 	})
+	o.forgetVerdicts(gone)
 }
 
 // expireLease marks the tasks of an unreachable worker as lost once its lease has expired.
--- a/internal/jobnode/machines.go
+++ b/internal/jobnode/machines.go
@@ -31,7 +31,7 @@
 	case job.WriteStatus:
 		n.background(job.StatusWritten{Wave: e.Wave, Complete: e.Complete, Outcome: job.Unknown}, func() event.Event { return n.writeStatus(ctx, e) })
 	case job.RequestAdvice:
-		n.background(job.AdviceReceived{Step: e.Step, Err: errPanicked}, func() event.Event { return n.requestAdvice(ctx, e) })
+		n.background(job.AdviceReceived{Number: e.Number, Step: e.Step, Err: errPanicked}, func() event.Event { return n.requestAdvice(ctx, e) })
 	}
 }
 
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
 	tickets, err := n.platform.Advisor.Advise(ctx, e)
-	return job.AdviceReceived{Step: e.Step, OK: err == nil, Tickets: tickets, Err: err}
+	return job.AdviceReceived{Number: e.Number, Step: e.Step, OK: err == nil, Tickets: tickets, Err: err}
 }
 
 func (n *Node) listMachines(ctx context.Context) event.Event {
--- a/internal/jobnode/metrics.go
+++ b/internal/jobnode/metrics.go
@@ -56,6 +56,12 @@
 	if why, ok := e.Field("why").(string); ok && e.ID == job.LogOwnershipLost {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`sardinehead_job_ownerships_lost_total{why=%q}`, why)).Inc()
 	}
+	if outcome, ok := e.Field("outcome").(string); ok && e.ID == job.LogAdvisorAnswered {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`sardinehead_job_advice_requests_total{outcome=%q}`, outcome)).Inc()
+	}
+	if waited, ok := e.Field("waited_ms").(int64); ok && e.ID == job.LogAdviceRequested {
+		m.set.GetOrCreateHistogram("sardinehead_job_advice_wait_seconds").Update(float64(waited) / 1000)
+	}
 	if after, ok := e.Field("after_ms").(int64); ok && e.ID == job.LogPoolSupplied {
 		m.set.GetOrCreateHistogram("sardinehead_job_pool_shortage_seconds").Update(float64(after) / 1000)
 	}
@@ -93,6 +99,8 @@
 		n.metrics.gauge("sardinehead_job_suspected_tasks", float64(d.SuspectedTasks))
 		n.metrics.gauge("sardinehead_job_live_tasks", float64(d.LiveTasks))
 		n.metrics.gauge("sardinehead_job_waiting_occurrences", float64(d.WaitingOccurrences))
+		n.metrics.gauge("sardinehead_job_advice_lacking_steps", float64(d.Advice.LackingSteps))
+		n.metrics.gauge("sardinehead_job_advice_verdicts", float64(d.Advice.Verdicts))
 		n.metrics.gauge("sardinehead_job_reservations", float64(len(d.Reservations)))
 		n.metrics.gauge("sardinehead_job_oldest_reservation_seconds", d.OldestReservation().Seconds())
 	})
