A next owner resumes no start that lacks its ticket

What callers saw: a task of a queue with an advisor, whose owner was killed between the record of the start and the start, was sent without a ticket by the next owner. The worker refused it, which is charged, and the task started only after that.

Cause: resumeStart does not go through placement, which checks tickets, and an owner does not know those of the one before. Class: a path around placement that leaves out one of its conditions.

Change: the start of a step with an advisor is resumed with a valid ticket only; otherwise the run is given up, as on a full worker, and placement requests advice.

Result: TestNextOwnerSendsNoStartWithoutTicket has one refused start before and none now.

--- a/internal/core/job/advice_sharing_test.go
+++ b/internal/core/job/advice_sharing_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/sardinehead/sardinehead/internal/core/event"
 	"github.com/sardinehead/sardinehead/internal/vocab"
 )
 
@@ -183,6 +184,29 @@
 	}
 }
 
+// TestNextOwnerSendsNoStartWithoutTicket: an owner has no tickets for the starts that the one before has intended.
+func TestNextOwnerSendsNoStartWithoutTicket(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sim := newSimulation(38, 2, 4, faults{})
+	advisor := sim.addAdvisor(testAdvisor, allowAll)
+	sim.run(3 * time.Second)
+	sent := false
+	sim.route = func(order event.Effect, _ *fakeWorker) orderRoute {
+		_, isStart := order.(Start)
+		sent = sent || isStart
+		return orderRoute{lost: isStart}
+	}
+	id := sim.submit(Spec{Steps: []Step{{Count: 1, Need: Resources{CPU: 1000, Memory: 64}, EstimateMS: 1000}}})
+	for !sent {
+		sim.run(time.Millisecond)
+	}
+	sim.owningNode().kill()
+	sim.route = nil
+	g.Expect(sim.awaitRun(TaskName{Job: id}, 20*time.Second)).To(gomega.BeNumerically("<", sim.settings.MaxLease+maxIdleWait))
+	sim.report(t)
+	g.Expect(advisor.refusedStarts).To(gomega.BeZero())
+}
+
 // TestAnswerToAnEarlierOwnerIsIgnored: a node that becomes the owner again may still get the answer to a request of
 // its earlier ownership, which says nothing about the one in flight.
 func TestAnswerToAnEarlierOwnerIsIgnored(t *testing.T) {
--- a/internal/core/job/handover.go
+++ b/internal/core/job/handover.go
@@ -333,11 +333,12 @@
 
 // resumeStart starts a run that an earlier owner intended and that its worker does not list, and
 // reports whether it could. The worker refuses the earlier owner's start by now, and starts a run
-// once at most.
+// once at most. The tickets of an earlier owner are not known.
 func (o *owner) resumeStart(t *task) bool {
 	w := t.worker
 	if t.state != runStartUnknown || t.startSentAt != 0 || t.step.spec.Gang || t.incarnation != w.info.Incarnation ||
-		t.step.job.terminalPhase != 0 || !o.mayStart() || w.info.Draining || !w.usable(o.s.now) || w.overcommitted() {
+		t.step.job.terminalPhase != 0 || !o.mayStart() || w.info.Draining || !w.usable(o.s.now) || w.overcommitted() ||
+		o.advisorOf(t.step.job) != nil && o.lacks(t.step, w) != noObstacle {
 		return false
 	}
 	t.state, t.startSentAt = runStarting, o.s.now
