A refused ticket leaves the avoidance of a worker as it is

What callers saw: nothing by itself; more starts that a worker refuses, which are charged and start later elsewhere.

Cause: a worker that refuses a start gets no new tasks for half a second. A refusal for the ticket says nothing about the worker and set that time back to 0, also if another start had been refused for another reason before. Class: one field for several reasons, cleared by one of them.

Change: a refusal for the ticket does not touch the time.

Result: TestRefusedTicketKeepsOtherAvoidance fails before (0 instead of half a second from now).

--- a/internal/core/job/advice_sharing_test.go
+++ b/internal/core/job/advice_sharing_test.go
@@ -207,6 +207,23 @@
 	g.Expect(advisor.refusedStarts).To(gomega.BeZero())
 }
 
+// TestRefusedTicketKeepsOtherAvoidance: a worker that has refused a start for another reason gets no new tasks for a
+// while, also if it refuses a ticket then.
+func TestRefusedTicketKeepsOtherAvoidance(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := fleetOf(1)
+	w := o.workers["w0000"]
+	j := addTestJob(o, 1, Step{Count: 2, Need: Resources{CPU: 1000, Memory: 64}, EstimateMS: 6000})
+	for _, t := range j.occurrences.live[0].steps[0].tasks {
+		o.assign(t, w)
+		o.sendStart(t, t.lastRun)
+	}
+	for i, refusal := range []Refusal{RefusalCapacity, RefusalTicket} {
+		o.handleStartAnswered(StartAnswered{Worker: w.info.ID, Task: TaskName{Job: j.record.ID, Index: i}, Run: 1, Outcome: NotDone, Refusal: refusal})
+	}
+	g.Expect(w.avoidUntil).To(gomega.Equal(o.s.now.Add(refusalBackoff)))
+}
+
 // TestAnswerToAnEarlierOwnerIsIgnored: a node that becomes the owner again may still get the answer to a request of
 // its earlier ownership, which says nothing about the one in flight.
 func TestAnswerToAnEarlierOwnerIsIgnored(t *testing.T) {
--- a/internal/core/job/runs.go
+++ b/internal/core/job/runs.go
@@ -141,10 +141,10 @@
 	default:
 		o.s.logEvent(LogStartFailed, "task", e.Task, "run", e.Run, "worker", e.Worker, "outcome", e.Outcome.String(),
 			"refusal", e.Refusal, "error", errorText(e.Err))
-		w.avoidUntil = o.s.now.Add(refusalBackoff)
 		if e.Refusal == RefusalTicket {
 			t.step.dropTicket(w)
-			w.avoidUntil = 0
+		} else {
+			w.avoidUntil = o.s.now.Add(refusalBackoff)
 		}
 		if t.startsSent > 1 {
 			// The other copy may still be carried out, or was carried out: the worker's next
