Soak: an advisor that is silent at times, and jobs that it refuses

In the soak a quarter of the jobs are of that queue, a fifth of these may run nowhere, and the advisor is silent for up to 2 s at times. Checked: all others end, those never run, and once the others have ended nothing asks the advisor any more.

--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -63,8 +63,8 @@
 	addresses := testproc.Addresses(t, 4)
 	p.callers, p.readiness, p.operators, p.peers = addresses[0], addresses[1], addresses[2], addresses[3]
 	settings := fmt.Sprintf(`{"node": %q, "zone": "z", "callers": %q, "readiness": %q, "operators": %q, "peers": %q,
-  "store": "http://%s", "machines": "http://%s", "lease_most": "6s", "grace": "3s"}`,
-		name, p.callers, p.readiness, p.operators, p.peers, p.storeProxy.address(), p.storeProxy.address())
+  "store": "http://%s", "machines": "http://%s", "advisor": "http://%s", "lease_most": "6s", "grace": "3s"}`,
+		name, p.callers, p.readiness, p.operators, p.peers, p.storeProxy.address(), p.storeProxy.address(), p.storeProxy.address())
 	return p, os.WriteFile(settingsPath, []byte(settings), 0o600)
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -67,7 +67,9 @@
 	refused  map[string]bool
 	// crashing holds the jobs with a task that crashes its workers.
 	crashing map[string]bool
-	faults   []string // injected so far
+	// advised holds the jobs of the queue with an advisor, hopeless those of them that no worker may run.
+	advised, hopeless map[string]bool
+	faults            []string // injected so far
 }
 
 func runSeries(t *testing.T, binary string, seed uint64) {
@@ -80,6 +82,7 @@
 	s := &series{
 		t: t, dir: dir, rng: rand.New(rand.NewPCG(seed, 3)), site: site,
 		accepted: map[string]time.Time{}, refused: map[string]bool{}, crashing: map[string]bool{},
+		advised: map[string]bool{}, hopeless: map[string]bool{},
 	}
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -102,12 +105,14 @@
 	end := time.Now().Add(*seriesDuration)
 	submitter.Go(func() { s.submitUntil(end) })
 	submitter.Go(func() { s.shrinkWorkersUntil(end, rand.New(rand.NewPCG(seed, 11))) })
+	submitter.Go(func() { s.silenceAdvisorUntil(end, rand.New(rand.NewPCG(seed, 13))) })
 	s.injectFaultsUntil(end)
 	submitter.Wait()
 	s.clearFaults()
 	s.waitFor("every node reports every accepted job as finished", 60*time.Second, s.allFinished)
+	s.waitFor("the steps that no worker may run ask no more", 20*time.Second, s.advisorIdleFor(2*time.Second))
 	s.checkRuns()
-	t.Logf("seed %d: %d jobs accepted, faults: %s", seed, len(s.accepted), strings.Join(s.faults, ", "))
+	t.Logf("seed %d: %d jobs accepted, %d of them with an advisor, faults: %s", seed, len(s.accepted), s.acceptedAdvised(), strings.Join(s.faults, ", "))
 }
 
 // errorf fails the test and also writes the message beside the logs, because the output of
@@ -180,11 +185,14 @@
 	var submitters sync.WaitGroup
 	for i := 0; time.Now().Before(end); i++ {
 		id := fmt.Sprintf("%016x", i+1)
-		if rng.IntN(30) == 0 {
-			s.mu.Lock()
-			s.crashing[id] = true
-			s.mu.Unlock()
+		s.mu.Lock()
+		s.crashing[id] = rng.IntN(30) == 0
+		s.advised[id] = rng.IntN(4) == 0
+		s.hopeless[id] = s.advised[id] && rng.IntN(5) == 0
+		if s.hopeless[id] {
+			s.site.Advisor.RefuseJob(id)
 		}
+		s.mu.Unlock()
 		first := rng.IntN(len(s.processes))
 		submitters.Go(func() { s.submit(id, first) })
 		time.Sleep(60 * time.Millisecond)
@@ -216,22 +224,51 @@
 	}
 }
 
+// payload is the payload of a job, which tells the workers how its tasks behave.
+func (s *series) payload(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	words := []string{"x"}
+	if s.crashing[id] {
+		words = append(words, standin.CrashSpec)
+	}
+	if s.advised[id] {
+		words = append(words, standin.AdvisedSpec)
+	}
+	return strings.Join(words, " ")
+}
+
+// path is the path of a job.
+func (s *series) path(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.advised[id] {
+		return standin.AdvisedPrefix + id
+	}
+	return standin.Prefix + id
+}
+
+// acceptedAdvised is the number of accepted jobs of the queue with an advisor.
+func (s *series) acceptedAdvised() int {
+	n := 0
+	for id := range s.accepted {
+		if s.advised[id] {
+			n++
+		}
+	}
+	return n
+}
+
 // call sends a request to the job API and returns the status code, or 0 without a
 // complete response.
 func (s *series) call(p *process, method, id string, result any) int {
 	var content *strings.Reader
 	if method == http.MethodPost {
-		spec := "x"
-		s.mu.Lock()
-		if s.crashing[id] {
-			spec = standin.CrashSpec
-		}
-		s.mu.Unlock()
-		content = strings.NewReader(fmt.Sprintf(jobBody, spec))
+		content = strings.NewReader(fmt.Sprintf(jobBody, s.payload(id)))
 	} else {
 		content = strings.NewReader("")
 	}
-	req, err := http.NewRequest(method, "http://"+p.callers+standin.Prefix+id, content)
+	req, err := http.NewRequest(method, "http://"+p.callers+s.path(id), content)
 	if err != nil {
 		s.errorf("a request to %s: %v", p.name, err)
 		return 0
@@ -319,6 +356,16 @@
 	}
 }
 
+// silenceAdvisorUntil lets the advisor answer no requests for 0.2 s to 2 s at a time.
+func (s *series) silenceAdvisorUntil(end time.Time, rng *rand.Rand) {
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(500+rng.IntN(3000)) * time.Millisecond)
+		s.site.Advisor.SetSilent(true)
+		time.Sleep(time.Duration(200+rng.IntN(1800)) * time.Millisecond)
+		s.site.Advisor.SetSilent(false)
+	}
+}
+
 // restart ends a process by a signal and starts it again.
 func (s *series) restart(p *process, sig syscall.Signal) {
 	p.Signal(syscall.SIGCONT)
@@ -344,10 +391,13 @@
 }
 
 // allFinished reports whether every node reports every accepted job as completed, or as failed if
-// one of its tasks may be given up.
+// one of its tasks may be given up. Jobs that no worker may run wait.
 func (s *series) allFinished() bool {
 	mayFail := s.mayFail()
 	for id := range s.accepted {
+		if s.hopeless[id] {
+			continue
+		}
 		for _, p := range s.processes {
 			var job struct {
 				State string `json:"state"`
@@ -361,6 +411,21 @@
 	return true
 }
 
+// advisorIdleFor returns a condition that is met once the advisor has had no request for a while.
+func (s *series) advisorIdleFor(quiet time.Duration) func() bool {
+	requests, since := -1, time.Now()
+	return func() bool {
+		total := 0
+		for _, n := range s.site.Advisor.Requests() {
+			total += n
+		}
+		if total != requests {
+			requests, since = total, time.Now()
+		}
+		return time.Since(since) > quiet
+	}
+}
+
 const (
 	// maxCrashStarts is the number of starts of a task that crashes its workers: it is not to be
 	// started three times more after three crashes.
@@ -433,6 +498,9 @@
 		if s.refused[id] {
 			s.errorf("task %s ran, but every attempt to submit its job was refused", task)
 		}
+		if s.hopeless[id] {
+			s.errorf("task %s ran, but its advisor allows no worker", task)
+		}
 		if s.crashing[id] && strings.HasSuffix(task, ".0.0.0") && len(runs) > maxCrashStarts {
 			s.errorf("task %s crashes its workers and was started %d times", task, len(runs))
 		}
