A pass passes over the workers that the advisor refused

Cause: since refusals are kept, a pass looked up a verdict for each waiting step and each worker with room, and the order of requests was computed again for each step that could not ask.

Change: a step that most workers are refused to keeps the list of the others, until a worker of the pool comes, goes or restarts (a generation of the pool), or an answer arrives. Turns.Order sorts the candidates once.

TestCandidatesFollowWorkersAndVerdicts compares the list with a full scan in 5,000 random steps; it fails if generations pass over incarnations, and if an answer does not drop the list.

--- a/internal/core/advice/advice.go
+++ b/internal/core/advice/advice.go
@@ -5,6 +5,8 @@
 package advice
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/sardinehead/sardinehead/internal/vocab"
@@ -76,16 +78,23 @@
 	finish  map[vocab.TeamID]time.Duration
 }
 
-// Next returns the index of the candidate whose turn it is. The list must not be empty.
-func (ts *Turns) Next(list []Candidate) int {
-	best := 0
+// Order returns the indexes of the candidates in the order of their turns.
+func (ts *Turns) Order(list []Candidate) []int {
+	type turn struct {
+		index int
+		start time.Duration
+		at    vocab.Instant
+	}
+	turns := make([]turn, len(list))
 	for i, c := range list {
-		start, bestStart := ts.start(c.Team), ts.start(list[best].Team)
-		if start < bestStart || start == bestStart && c.turnAt() < list[best].turnAt() {
-			best = i
-		}
+		turns[i] = turn{i, ts.start(c.Team), c.turnAt()}
+	}
+	slices.SortStableFunc(turns, func(a, b turn) int { return cmp.Or(cmp.Compare(a.start, b.start), cmp.Compare(a.at, b.at)) })
+	order := make([]int, len(turns))
+	for i, t := range turns {
+		order[i] = t.index
 	}
-	return best
+	return order
 }
 
 func (ts *Turns) start(team vocab.TeamID) time.Duration { return max(ts.virtual, ts.finish[team]) }
--- a/internal/core/advice/advice_test.go
+++ b/internal/core/advice/advice_test.go
@@ -19,7 +19,7 @@
 	var order []vocab.TeamID
 	now := vocab.Instant(0)
 	for range turns {
-		i := ts.Next(list)
+		i := ts.Order(list)[0]
 		order = append(order, list[i].Team)
 		now = now.Add(taken)
 		ts.Charge(list[i].Team, taken)
@@ -65,9 +65,9 @@
 	g := gomega.NewWithT(t)
 	list := []Candidate{{Team: "a", Requests: 6}, {Team: "a", Since: vocab.Instant(10 * time.Second)}}
 	ts := &Turns{}
-	g.Expect(ts.Next(list)).To(gomega.Equal(1))
+	g.Expect(ts.Order(list)[0]).To(gomega.Equal(1))
 	list[1].Since = vocab.Instant(40 * time.Second)
-	g.Expect(ts.Next(list)).To(gomega.Equal(0), "all delays are bounded")
+	g.Expect(ts.Order(list)[0]).To(gomega.Equal(0), "all delays are bounded")
 }
 
 // TestEachStepGetsItsTurn: among steps of several teams and classes that ask for ever, each asks in a bounded
@@ -88,7 +88,7 @@
 		// of the other teams beside them.
 		limit := maxDelay + 6*classDelay + time.Duration(len(list)*(teams+1))*taken
 		for now < vocab.Instant(5*time.Minute) {
-			i := ts.Next(list)
+			i := ts.Order(list)[0]
 			now = now.Add(taken)
 			ts.Charge(list[i].Team, taken)
 			list[i].Since, list[i].Requests, last[i] = now, list[i].Requests+1, now
--- a/internal/core/job/advice.go
+++ b/internal/core/job/advice.go
@@ -71,6 +71,9 @@
 // stepAdvice is what a step knows of the advisor's policy, and the requests for it.
 type stepAdvice struct {
 	verdicts map[*worker]verdict
+	// candidates are the workers of a generation of the pool that were not refused, or all if few were.
+	candidates   []*worker
+	candidatesOf uint64
 	// requests counts the requests since a task of the step last started, unused those of them that brought
 	// tickets.
 	requests, unused int
@@ -97,6 +100,71 @@
 	lackingSteps int
 	// verdicts is the number of verdicts in memory.
 	verdicts int
+	// pools holds the usable workers of each pool as of the last placement pass, generations counts their changes.
+	pools       map[vocab.PoolID]poolGeneration
+	generations uint64
+}
+
+// poolGeneration is a set of incarnations of workers.
+type poolGeneration struct {
+	number       uint64
+	workers      []*worker
+	incarnations []Millis
+}
+
+// isOf reports whether the generation consists of the present incarnations of workers.
+func (g poolGeneration) isOf(workers []*worker) bool {
+	if len(workers) != len(g.workers) {
+		return false
+	}
+	for i, w := range workers {
+		if w != g.workers[i] || w.info.Incarnation != g.incarnations[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// identifyPools sets the generations of pools, as far as steps know verdicts.
+func (o *owner) identifyPools(pools map[vocab.PoolID]*poolRoom) {
+	if o.advisor.verdicts == 0 {
+		return
+	}
+	for id, p := range pools {
+		g := o.advisor.pools[id]
+		if !g.isOf(p.workers) {
+			o.advisor.generations++
+			g = poolGeneration{number: o.advisor.generations, workers: p.workers}
+			for _, w := range p.workers {
+				g.incarnations = append(g.incarnations, w.info.Incarnation)
+			}
+			o.advisor.pools[id] = g
+		}
+		p.generation, p.workers = g.number, g.workers
+	}
+}
+
+// notRefused returns the workers of a pool without those that the advisor has refused to the step, or with them if
+// these are few.
+func (st *step) notRefused(p *poolRoom) []*worker {
+	a := &st.advice
+	if p.generation == 0 || len(a.verdicts) <= len(p.workers)/2 {
+		return p.workers
+	}
+	if a.candidatesOf == p.generation {
+		return a.candidates
+	}
+	var list []*worker
+	for _, w := range p.workers {
+		if v, known := st.verdictOn(w); !known || v.allowed {
+			list = append(list, w)
+		}
+	}
+	if len(list) > len(p.workers)/2 {
+		list = p.workers // Shared by all steps.
+	}
+	a.candidates, a.candidatesOf = list, p.generation
+	return list
 }
 
 // adviceRequest is a request with the incarnations of the workers that it is about.
@@ -181,13 +249,11 @@
 			Team: l.step.job.acceptance.Team, Class: l.class, Since: l.step.advice.lackingSince, Requests: l.step.advice.requests,
 		}
 	}
-	for len(candidates) > 0 {
-		i := o.advisor.turns.Next(candidates)
+	for _, i := range o.advisor.turns.Order(candidates) {
 		if workers := o.workersToAskAbout(lacking[i]); len(workers) > 0 {
 			o.sendAdviceRequest(lacking[i].step, workers)
 			return
 		}
-		candidates, lacking = slices.Delete(candidates, i, i+1), slices.Delete(lacking, i, i+1)
 	}
 }
 
@@ -235,27 +301,21 @@
 	end, rack := o.endAfterStart(t), st.commonRack(l.pool.workers)
 	room, ready := 0, 0
 	var list []askableWorker
-	for _, w := range l.pool.workers {
-		if !o.couldUse(t, w, end) {
+	for _, w := range st.notRefused(l.pool) {
+		v, known := st.verdictOn(w)
+		if known && !v.allowed || !o.couldUse(t, w, end) {
 			continue
 		}
-		v, known := st.verdictOn(w)
 		fits := o.tasksThatFit(t, w)
+		room += fits
 		switch {
 		case known && v.isUsable(o.s.now):
 			ready += fits
-		case known && !v.allowed:
-			continue
 		case known && !renew:
 			// The last tickets were not used.
 		default:
-			a := askableWorker{w, advice.Worker{Allowed: known, Tasks: fits}, o.workerScore(t, w, end, rack)}
-			if !known {
-				a.score += unknownPenalty
-			}
-			list = append(list, a)
+			list = append(list, askableWorker{worker: w, Worker: advice.Worker{Allowed: known, Tasks: fits}})
 		}
-		room += fits
 	}
 	if st.spec.Gang {
 		if room < len(st.tasks) || tasks < len(st.tasks) {
@@ -263,6 +323,13 @@
 		}
 		tasks = max(1, tasks-ready)
 	}
+	for i := range list {
+		a := &list[i]
+		a.score = o.workerScore(t, a.worker, end, rack)
+		if !a.Allowed {
+			a.score += unknownPenalty
+		}
+	}
 	slices.SortStableFunc(list, func(a, b askableWorker) int { return cmp.Compare(a.score, b.score) })
 	ranked := make([]advice.Worker, len(list))
 	for i, a := range list {
@@ -335,6 +402,7 @@
 // for the incarnation that the request was about.
 func (o *owner) keepVerdicts(r *adviceRequest, e AdviceReceived, advisor *AdvisorTiming) int {
 	st := r.step
+	st.advice.candidates, st.advice.candidatesOf = nil, 0
 	if st.advice.verdicts == nil {
 		st.advice.verdicts = map[*worker]verdict{}
 	}
@@ -381,7 +449,7 @@
 		}
 		if st != last {
 			o.advisor.verdicts -= len(st.advice.verdicts)
-			st.advice.verdicts = nil
+			st.advice.verdicts, st.advice.candidates, st.advice.candidatesOf = nil, nil, 0
 		}
 	}
 }
--- a/internal/core/job/advice_sharing_test.go
+++ b/internal/core/job/advice_sharing_test.go
@@ -271,6 +271,50 @@
 	g.Expect(steps[0].advice.verdicts).To(gomega.HaveLen(maxVerdicts/3 - 2))
 }
 
+// TestCandidatesFollowWorkersAndVerdicts guards against workers that are passed over although the advisor has not
+// refused their present incarnation: they restart, come, go and are decided about in any order.
+func TestCandidatesFollowWorkersAndVerdicts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	rng := rand.New(rand.NewPCG(39, 17))
+	o := fleetOf(8)
+	st := firstTask(addTestJob(o, 1, Step{Count: 1, Need: Resources{CPU: 1000, Memory: 64}, EstimateMS: 6000})).step
+	st.advice.verdicts = map[*worker]verdict{}
+	reduced := 0
+	for range 5000 {
+		w := o.workers[o.workerIDs[rng.IntN(len(o.workerIDs))]]
+		switch rng.IntN(6) {
+		case 0:
+			w.info.Incarnation++
+		case 1:
+			w.info.Draining = !w.info.Draining
+		default:
+			o.advisor.verdicts = 1
+			r := &adviceRequest{step: st, workers: []*worker{w}, incarnations: []Millis{w.info.Incarnation}}
+			tickets := map[WorkerID]string{}
+			if rng.IntN(4) == 0 {
+				tickets[w.info.ID] = "ticket"
+			}
+			o.keepVerdicts(r, AdviceReceived{Tickets: tickets}, &testAdvisor)
+		}
+		p := &poolRoom{}
+		for _, id := range o.workerIDs {
+			if w := o.workers[id]; w.usable(o.s.now) {
+				p.workers = append(p.workers, w)
+			}
+		}
+		o.identifyPools(map[vocab.PoolID]*poolRoom{"pool": p})
+		isRefused := func(w *worker) bool { v, known := st.verdictOn(w); return known && !v.allowed }
+		list := st.notRefused(p)
+		if len(list) < len(p.workers) {
+			reduced++
+			g.Expect(slices.ContainsFunc(list, isRefused)).To(gomega.BeFalse())
+		}
+		usable, kept := slices.DeleteFunc(slices.Clone(p.workers), isRefused), slices.DeleteFunc(slices.Clone(list), isRefused)
+		g.Expect(slices.Equal(usable, kept)).To(gomega.BeTrue())
+	}
+	g.Expect(reduced).To(gomega.BeNumerically(">", 1000))
+}
+
 // TestRandomAdvice: under random policies and faults each job ends that its policy allows, and no start lacks a
 // ticket but those of restarted workers and late orders.
 func TestRandomAdvice(t *testing.T) {
--- a/internal/core/job/bench_test.go
+++ b/internal/core/job/bench_test.go
@@ -65,21 +65,22 @@
 }
 
 // BenchmarkPlanAdvice measures one placement pass over 350 workers, with 600 waiting steps of a queue with an advisor
-// that has not been asked, or has refused all workers.
+// that has not been asked, has refused all workers, or allows too few for a gang.
 func BenchmarkPlanAdvice(b *testing.B) {
-	for name, refused := range map[string]bool{"not asked": false, "refused": true} {
+	for name, c := range map[string]struct {
+		gang           bool
+		asked, refused int
+	}{"not asked": {}, "refused": {asked: 350, refused: 350}, "gangs that are allowed too few": {true, 350, 346}} {
 		b.Run(name, func(b *testing.B) {
 			o := fleetOf(350)
 			o.s.config.Queues[0].Advisor = &testAdvisor
 			for i := range 600 {
-				j := addTestJob(o, i+1, Step{Count: 8, Need: Resources{CPU: int64(1000 + 10*(i%500)), Memory: 1000}, EstimateMS: int64(300 + i)})
-				if !refused {
-					continue
-				}
+				j := addTestJob(o, i+1, Step{Count: 8, Need: Resources{CPU: int64(5000 + 10*(i%300)), Memory: 1000}, EstimateMS: int64(300 + i), Gang: c.gang})
 				st := firstTask(j).step
 				st.advice.verdicts = map[*worker]verdict{}
-				for _, w := range o.workers {
-					st.advice.verdicts[w] = verdict{incarnation: 1}
+				o.advisor.verdicts += c.asked
+				for k, id := range o.workerIDs[:c.asked] {
+					st.advice.verdicts[o.workers[id]] = verdict{incarnation: 1, allowed: k >= c.refused}
 				}
 			}
 			o.plan()
--- a/internal/core/job/owner.go
+++ b/internal/core/job/owner.go
@@ -142,7 +142,7 @@
 		// A read takes about as long as an append where the store is slow.
 		appendLatency: s.stream.readLatency,
 		jobs:          map[ID]*activeJob{}, workers: map[WorkerID]*worker{}, workersByMachine: map[MachineID]*worker{}, presumedCrashes: map[MachineID]attributedCrash{}, crashRates: map[vocab.PoolID]*crashRate{}, machineCrashes: map[MachineID]machineCrashes{}, teamUsage: map[vocab.TeamID]Resources{}, heldUsage: map[vocab.TeamID]Resources{},
-		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), stepTimes: newRunTimeModel(), learnedQueues: map[vocab.QueueID]bool{}, queueWork: newQueueWork(), door: newDoor(), advisor: advisorCalls{shares: map[vocab.QueueID]*advice.Share{}}, teamRates: map[vocab.TeamID]*tokenBucket{},
+		demand: map[vocab.PoolID]poolDemand{}, arrivals: map[vocab.PoolID]*arrivalRate{}, estimates: newRunTimeModel(), stepTimes: newRunTimeModel(), learnedQueues: map[vocab.QueueID]bool{}, queueWork: newQueueWork(), door: newDoor(), advisor: advisorCalls{shares: map[vocab.QueueID]*advice.Share{}, pools: map[vocab.PoolID]poolGeneration{}}, teamRates: map[vocab.TeamID]*tokenBucket{},
 		fleet: fleet{machines: map[MachineID]*machine{}, orderNotBefore: map[MachineID]vocab.Instant{}, unresolved: map[MachineID]unresolvedOrder{}, policy: poolplan.DefaultPolicy, shortages: map[vocab.PoolID]shortage{}},
 	}
 	o.awaitEarlierLeases(s.claim.heartbeatBeforeClaim)
--- a/internal/core/job/placement.go
+++ b/internal/core/job/placement.go
@@ -11,6 +11,8 @@
 // poolRoom is the room of one pool during a placement pass.
 type poolRoom struct {
 	workers []*worker
+	// generation identifies the incarnations of these workers, or is 0.
+	generation uint64
 	// tooLarge holds the sizes of tasks without further constraints that fitted on no worker.
 	// Room only shrinks during a pass, so larger tasks need not be tried.
 	tooLarge []Resources
@@ -36,6 +38,7 @@
 		}
 		p.workers = append(p.workers, w)
 	}
+	o.identifyPools(pools)
 	o.refreshReservations()
 	d, waiting := newDemandCollector(o), map[vocab.PoolID]bool{}
 	candidates, granted := o.candidates(), maxWaitingGranted
@@ -205,7 +208,8 @@
 	why := noRoom
 	var best *worker
 	var bestScore float64
-	for _, w := range p.workers {
+	workers := st.notRefused(p)
+	for _, w := range workers {
 		if why == lacksTicket && len(st.advice.verdicts) == 0 {
 			break // No worker has a ticket.
 		}
@@ -235,6 +239,9 @@
 	if best != nil {
 		return best, noObstacle
 	}
+	if why == noRoom && len(workers) < len(p.workers) && o.anyHasRoom(t, p.workers) {
+		why = refusedByPolicy
+	}
 	if why == noRoom && !hasAdvisor && st.spec.Label == "" && t.maxPerWorker(o.s.now) == 0 {
 		p.tooLarge = append(p.tooLarge, need)
 	}
@@ -254,6 +261,11 @@
 	}
 }
 
+// anyHasRoom reports whether one of the workers has room for a task and is eligible.
+func (o *owner) anyHasRoom(t *task, workers []*worker) bool {
+	return slices.ContainsFunc(workers, func(w *worker) bool { return w.free().Holds(t.step.spec.Reserved()) && o.isEligible(t, w) })
+}
+
 // workerScore rates a worker for a task that would end at the given time and should run in the rack, if it is
 // not empty. The lowest score is the best.
 func (o *owner) workerScore(t *task, w *worker, end vocab.Instant, rack vocab.RackID) float64 {
